--- a/Makefile
+++ b/Makefile
@@ -6,16 +6,19 @@
 CXXFLAGS ?= -O1 -g
 WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Werror
 CSTD := -std=c11 -D_GNU_SOURCE
-CPPFLAGS += -Isrc $(shell pkg-config --cflags $(PKGS))
+CPPFLAGS += -Isrc -Iplatform $(shell pkg-config --cflags $(PKGS))
 LIBS := $(shell pkg-config --libs $(PKGS)) -lev -lm
 
 KERNEL := status str request forecast prefix speed suspects queue rules \
     rule_kinds settings config server pool estimate place_finish place_baseline ids ledger \
-    owner members entry
+    owner members entry clock catalog quota retry_budget backend share \
+    roster scheduler
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
-    keeper membership hosting front intake relay edit admin daemon
+    keeper membership hosting front intake relay edit admin daemon \
+    events_log gateway exchange
+PLATFORM := answers decode dialect_fleet run_gateway store
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
-DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o)
+DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
 PROGRAMS := $(BUILD)/pearstaird $(BUILD)/pearstairctl $(BUILD)/pearstair-load
 STANDINS := $(BUILD)/standin-platform $(BUILD)/standin-engine \
     $(BUILD)/standin-service
@@ -28,6 +31,10 @@
 $(BUILD)/%.o: src/%.c | $(BUILD)
 	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
 
+$(BUILD)/platform/%.o: platform/%.c | $(BUILD)
+	@mkdir -p $(BUILD)/platform
+	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
+
 $(BUILD)/standin_%.o: tests/standins/%.c | $(BUILD)
 	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
 
@@ -44,6 +51,10 @@
     $(BUILD)/str.o
 	$(CC) $^ $(LIBS) -lpthread -o $@
 
+# The daemon alone, as a deployment builds it.
+target:
+	$(MAKE) -s BUILD=target target/pearstaird
+
 packages:
 	./tools/packages
 
@@ -129,7 +140,7 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all packages demo rig bench check soak sanitize \
+.PHONY: all target packages demo rig bench check soak sanitize \
     test-programs lint clean proto
--include $(wildcard $(BUILD)/*.d $(BUILD)/tests/*.d \
+-include $(wildcard $(BUILD)/*.d $(BUILD)/platform/*.d $(BUILD)/tests/*.d \
     $(BUILD)/bench/*.d)
--- /dev/null
+++ b/src/feed.h
@@ -0,0 +1,52 @@
+/*
+ * feed.h - What a platform's store tells a gateway.
+ *
+ * The adapter of a store reads, watches and decodes; the gateway believes and
+ * decides. Times are on the gateway's clock.
+ */
+#ifndef PS_FEED_H
+#define PS_FEED_H
+
+#include "backend.h"
+#include "catalog.h"
+
+/**
+ * struct ps_member - A daemon of the deployment, as it registered itself.
+ */
+typedef struct ps_member {
+    ps_name_t name;
+    ps_name_t domain;
+    ps_name_t caller_address;
+    ps_name_t peer_address;
+    uint64_t incarnation; /* differs at each start */
+    double cpu_share;     /* of a core */
+    uint64_t revision;    /* of its object in the store */
+} ps_member_t;
+
+/**
+ * struct ps_feed_events - News from the store.
+ * @catalog: a configuration; a reference is handed over
+ * @confirmed: the configuration in force was the newest at @sent_ms
+ * @server: a backend server's registration
+ * @server_gone: its registration was removed
+ * @servers_listed: all registrations were read; those not in @names are gone
+ * @member: a daemon's registration
+ * @member_gone: it was removed
+ * @members_listed: like @servers_listed
+ * @lost: the store does not answer
+ * @back: it answers again
+ */
+typedef struct ps_feed_events {
+    void (*catalog)(void *user, ps_catalog_t *catalog);
+    void (*confirmed)(void *user, int64_t sent_ms);
+    void (*server)(void *user, const ps_registration_t *told);
+    void (*server_gone)(void *user, const ps_name_t *name);
+    void (*servers_listed)(void *user, GHashTable *names);
+    void (*member)(void *user, const ps_member_t *member);
+    void (*member_gone)(void *user, const ps_name_t *name);
+    void (*members_listed)(void *user, GHashTable *names);
+    void (*lost)(void *user, const char *reason);
+    void (*back)(void *user);
+} ps_feed_events_t;
+
+#endif
--- /dev/null
+++ b/src/gateway.c
@@ -0,0 +1,507 @@
+/* gateway.c - Joins the parts of a daemon in gateway mode. */
+#include "gateway.h"
+
+#include <string.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "events_log.h"
+#include "exchange.h"
+
+#define TICK_S 0.025              /* looks for what is due */
+#define CALLER_BODY_MAX (8 * 1024 * 1024) /* bytes; the configuration has less */
+#define KEY_MARGIN_MS 400         /* kept free of the time a key lives on */
+#define LINGER_MS 1500            /* callers drop this address by then */
+#define GRACE_MARGIN_MS 1000      /* left of the grace when the process ends */
+#define OPEN_LINGER_MS 5000       /* for callers that keep connections open */
+
+/* ---- Members ---------------------------------------------------------- */
+
+static gint
+compare_names(gconstpointer left, gconstpointer right)
+{
+    const ps_member_t *a = left;
+    const ps_member_t *b = right;
+    return strcmp(a->name.data, b->name.data);
+}
+
+static void
+set_shares(ps_gateway_t *gateway)
+{
+    GList *all = g_hash_table_get_values(gateway->members);
+    all = g_list_sort(all, compare_names);
+    int n = 0;
+    int index = 0;
+    for (GList *l = all; l; l = l->next, n++) {
+        const ps_member_t *member = l->data;
+        if (PsName_IsEqual(&member->name, &gateway->self.name)) {
+            index = n;
+        }
+    }
+    g_list_free(all);
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->desks);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_service_desk_t *desk = value;
+        const ps_gateway_settings_t *set = &gateway->settings.gateway;
+        PsScheduler_SetDaemons(&desk->scheduler, n, index);
+        PsRetryBudget_Set(&desk->retries, set->retry_window_s,
+                          set->retry_ratio, set->retry_slack, n);
+    }
+}
+
+static void
+set_quotas(ps_gateway_t *gateway)
+{
+    if (!gateway->catalog) {
+        return;
+    }
+    const ps_gateway_settings_t *set = &gateway->settings.gateway;
+    ps_quota_terms_t terms = {set->quota_window_s, set->quota_overage,
+                              set->quota_slack};
+    int n = (int)g_hash_table_size(gateway->members);
+    for (guint i = 0; i < gateway->catalog->teams->len; i++) {
+        const ps_team_t *team = gateway->catalog->teams->pdata[i];
+        PsQuota_Set(PsGateway_GetQuota(gateway, &team->name), team->rate,
+                    team->burst, n, &terms, PsClock_Now());
+    }
+}
+
+static void
+members_changed(ps_gateway_t *gateway)
+{
+    set_shares(gateway);
+    set_quotas(gateway);
+}
+
+/* ---- News from the store ---------------------------------------------- */
+
+static void
+on_catalog(void *user, ps_catalog_t *catalog)
+{
+    ps_gateway_t *gateway = user;
+    PsEvents_Add("config.apply", "{s:I,s:I,s:i,s:i,s:i}", "version",
+                 (json_int_t)catalog->version, "before",
+                 (json_int_t)(gateway->catalog ? gateway->catalog->version
+                                               : 0),
+                 "routes", (int)catalog->routes->len, "services",
+                 (int)catalog->services->len, "teams",
+                 (int)catalog->teams->len);
+    for (guint i = 0; i < catalog->teams->len; i++) {
+        const ps_team_t *team = catalog->teams->pdata[i];
+        PsEvents_Add("config.team", "{s:s,s:i,s:f,s:f}", "team",
+                     team->name.data, "tier", team->tier, "rate", team->rate,
+                     "burst", team->burst);
+    }
+    PsCatalog_Unref(gateway->catalog);
+    gateway->catalog = catalog;
+    for (guint i = 0; i < catalog->services->len; i++) {
+        const ps_service_t *service = catalog->services->pdata[i];
+        ps_service_desk_t *desk = PsGateway_GetDesk(gateway, &service->name);
+        desk->scheduler.is_engine = service->is_engine;
+        desk->tokens_per_event = service->tokens_per_event;
+    }
+    PsHttpServer_SetIdle(&gateway->callers, catalog->limits.idle_ms);
+    members_changed(gateway);
+}
+
+static void
+on_confirmed(void *user, int64_t sent_ms)
+{
+    ps_gateway_t *gateway = user;
+    gateway->catalog_proven_ms = MAX(gateway->catalog_proven_ms, sent_ms);
+}
+
+static void
+on_server(void *user, const ps_registration_t *told)
+{
+    ps_gateway_t *gateway = user;
+    PsRoster_Put(&gateway->roster, told, PsClock_Now());
+}
+
+static void
+on_server_gone(void *user, const ps_name_t *name)
+{
+    ps_gateway_t *gateway = user;
+    PsRoster_Remove(&gateway->roster, name, PsClock_Now());
+}
+
+static void
+on_servers_listed(void *user, GHashTable *names)
+{
+    ps_gateway_t *gateway = user;
+    PsRoster_Retain(&gateway->roster, names, PsClock_Now());
+}
+
+static void
+on_member(void *user, const ps_member_t *told)
+{
+    ps_gateway_t *gateway = user;
+    if (PsName_IsEqual(&told->name, &gateway->self.name)) {
+        return;
+    }
+    PsEvents_Add("member.join", "{s:s,s:s,s:s}", "name", told->name.data,
+                 "address", told->caller_address.data, "domain",
+                 told->domain.data);
+    g_hash_table_remove(gateway->members, &told->name);
+    ps_member_t *member = g_memdup2(told, sizeof *told);
+    g_hash_table_insert(gateway->members, &member->name, member);
+    members_changed(gateway);
+}
+
+static void
+on_member_gone(void *user, const ps_name_t *name)
+{
+    ps_gateway_t *gateway = user;
+    if (!PsName_IsEqual(name, &gateway->self.name) &&
+        g_hash_table_contains(gateway->members, name)) {
+        PsEvents_Add("member.leave", "{s:s}", "name", name->data);
+        g_hash_table_remove(gateway->members, name);
+        members_changed(gateway);
+    }
+}
+
+static void
+on_members_listed(void *user, GHashTable *names)
+{
+    ps_gateway_t *gateway = user;
+    GList *known = g_hash_table_get_values(gateway->members);
+    for (GList *l = known; l; l = l->next) {
+        const ps_member_t *member = l->data;
+        if (!g_hash_table_contains(names, &member->name)) {
+            ps_name_t name = member->name;
+            on_member_gone(gateway, &name);
+        }
+    }
+    g_list_free(known);
+}
+
+static void
+on_lost(void *user, const char *reason)
+{
+    ps_gateway_t *gateway = user;
+    gateway->is_store_lost = true;
+    PsRoster_StoreLost(&gateway->roster);
+    PsEvents_Add("store.lost", "{s:s}", "reason", reason);
+}
+
+static void
+on_back(void *user)
+{
+    ps_gateway_t *gateway = user;
+    gateway->is_store_lost = false;
+    PsRoster_StoreBack(&gateway->roster, PsClock_Now());
+    PsEvents_Add("store.back", "{}");
+}
+
+/* ---- Backend servers -------------------------------------------------- */
+
+static void
+on_listed(ps_roster_t *roster, ps_backend_t *backend, bool is_new)
+{
+    ps_gateway_t *gateway = roster->user;
+    const ps_registration_t *told = &backend->told;
+    PsEvents_Add("server.listed", "{s:s,s:s,s:s,s:i,s:b,s:b,s:I}", "name",
+                 told->name.data, "service", told->service.data, "address",
+                 told->address.data, "slots", told->slots, "leaving",
+                 (int)told->is_leaving, "new", (int)is_new, "started_ms",
+                 (json_int_t)told->started_ms);
+    ps_service_desk_t *desk = PsGateway_GetDesk(gateway, &told->service);
+    PsScheduler_List(&desk->scheduler, backend);
+    PsScheduler_Run(&desk->scheduler, PsClock_Now());
+}
+
+static void
+on_unlisted(ps_roster_t *roster, ps_backend_t *backend, const char *reason)
+{
+    ps_gateway_t *gateway = roster->user;
+    PsEvents_Add("server.unlisted", "{s:s,s:s,s:s}", "name",
+                 backend->told.name.data, "service",
+                 backend->told.service.data, "reason", reason);
+    ps_service_desk_t *desk =
+        PsGateway_GetDesk(gateway, &backend->told.service);
+    PsScheduler_Unlist(&desk->scheduler, backend);
+}
+
+/* ---- Callers ---------------------------------------------------------- */
+
+static void
+on_request(ps_http_server_t *server, ps_http_request_t *request)
+{
+    PsExchange_Start(server->user, request);
+}
+
+static void
+on_closed(ps_http_server_t *server, ps_http_request_t *request)
+{
+    (void)server;
+    if (request->user) {
+        PsExchange_CallerGone(request->user);
+    }
+}
+
+static const ps_http_server_events_t caller_events = {on_request, on_closed};
+
+/* ---- Metrics ---------------------------------------------------------- */
+
+static void
+print_count(ps_buf_t *out, const char *name, double value)
+{
+    PsBuf_Format(out, "# TYPE %s %s\n%s %.17g\n", name,
+                 strstr(name, "_total") ? "counter" : "gauge", name, value);
+}
+
+static void
+on_metrics(ps_http_server_t *server, ps_http_request_t *request)
+{
+    const ps_gateway_t *gateway = server->user;
+    const ps_gateway_stats_t *stats = &gateway->stats;
+    ps_buf_t out;
+    PsBuf_Init(&out);
+    print_count(&out, "pearstair_requests_total", (double)stats->requests);
+    print_count(&out, "pearstair_answered_total", (double)stats->answered);
+    print_count(&out, "pearstair_refused_total", (double)stats->refused);
+    print_count(&out, "pearstair_failed_total", (double)stats->failed);
+    print_count(&out, "pearstair_callers_left_total", (double)stats->left);
+    print_count(&out, "pearstair_sends_total", (double)stats->sends);
+    print_count(&out, "pearstair_repeats_total", (double)stats->repeats);
+    print_count(&out, "pearstair_connects_total",
+                (double)gateway->client.connects);
+    print_count(&out, "pearstair_log_dropped_total",
+                (double)PsEvents_GetDropped());
+    print_count(&out, "pearstair_in_progress",
+                gateway->exchanges.length);
+    PsHttpRequest_Prepare(request, 200, "text/plain; version=0.0.4", false);
+    PsHttpRequest_Send(request, PsBuf_View(&out));
+    PsBuf_Finish(&out);
+}
+
+static void
+on_metrics_closed(ps_http_server_t *server, ps_http_request_t *request)
+{
+    (void)server;
+    (void)request;
+}
+
+static const ps_http_server_events_t metrics_events = {on_metrics,
+                                                       on_metrics_closed};
+
+/* ---- Loop ------------------------------------------------------------- */
+
+static void
+run_desks(ps_gateway_t *gateway, int64_t now_ms)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->desks);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        PsScheduler_Run(&((ps_service_desk_t *)value)->scheduler, now_ms);
+    }
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    ps_gateway_t *gateway = timer->data;
+    int64_t now_ms = PsClock_Now();
+    PsRoster_Run(&gateway->roster, now_ms);
+    run_desks(gateway, now_ms);
+    GList *next;
+    for (GList *l = gateway->exchanges.head; l; l = next) {
+        next = l->next;
+        PsExchange_Run(l->data, now_ms);
+    }
+    PsEvents_Flush();
+}
+
+/* ---- Public functions ------------------------------------------------- */
+
+static ps_status_t
+listen_all(ps_gateway_t *gateway, const ps_http_server_events_t *check_events,
+           const ps_http_server_events_t *directory_events)
+{
+    const ps_settings_t *settings = &gateway->settings;
+    struct ev_loop *loop = gateway->loop;
+    ps_status_t status =
+        PsHttpServer_Init(&gateway->callers, &caller_events, gateway, loop,
+                          &settings->caller_address, CALLER_BODY_MAX);
+    if (status == PS_OK) {
+        status = PsHttpServer_Init(&gateway->checks, check_events, gateway,
+                                   loop, &settings->gateway.ready_address, 0);
+    }
+    if (status == PS_OK) {
+        status =
+            PsHttpServer_Init(&gateway->directory, directory_events, gateway,
+                              loop, &settings->gateway.directory_address, 0);
+    }
+    if (status == PS_OK) {
+        status = PsHttpServer_Init(&gateway->metrics, &metrics_events, gateway,
+                                   loop, &settings->admin_address, 0);
+    }
+    return status;
+}
+
+ps_status_t
+PsGateway_Init(ps_gateway_t *gateway, struct ev_loop *loop,
+               const ps_settings_t *settings, const ps_dialect_t *dialect,
+               const ps_http_server_events_t *check_events,
+               const ps_http_server_events_t *directory_events)
+{
+    static const ps_roster_events_t roster_events = {on_listed, on_unlisted};
+    *gateway = (ps_gateway_t){
+        .settings = *settings, .loop = loop, .dialect = dialect};
+    PsHttpClient_Init(&gateway->client, loop);
+    PsRoster_Init(&gateway->roster, &roster_events, gateway);
+    PsSuspects_Init(&gateway->suspects);
+    gateway->desks = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
+    gateway->quotas =
+        g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
+    gateway->members =
+        g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, NULL, g_free);
+    gateway->self = (ps_member_t){.name = settings->name,
+                                  .domain = settings->domain,
+                                  .caller_address = settings->caller_address,
+                                  .peer_address = settings->peer_address,
+                                  .incarnation = (uint64_t)g_get_real_time(),
+                                  .cpu_share = settings->gateway.cpu_share};
+    ps_member_t *self = g_memdup2(&gateway->self, sizeof gateway->self);
+    g_hash_table_insert(gateway->members, &self->name, self);
+    g_queue_init(&gateway->exchanges);
+    ev_timer_init(&gateway->tick, on_tick, TICK_S, TICK_S);
+    gateway->tick.data = gateway;
+    ev_timer_start(loop, &gateway->tick);
+    return listen_all(gateway, check_events, directory_events);
+}
+
+void
+PsGateway_Finish(ps_gateway_t *gateway)
+{
+    ev_timer_stop(gateway->loop, &gateway->tick);
+    PsHttpServer_Finish(&gateway->callers);
+    PsHttpServer_Finish(&gateway->checks);
+    PsHttpServer_Finish(&gateway->directory);
+    PsHttpServer_Finish(&gateway->metrics);
+    PsEvents_Flush();
+}
+
+const ps_feed_events_t *
+PsGateway_GetFeedEvents(void)
+{
+    static const ps_feed_events_t events = {
+        .catalog = on_catalog,
+        .confirmed = on_confirmed,
+        .server = on_server,
+        .server_gone = on_server_gone,
+        .servers_listed = on_servers_listed,
+        .member = on_member,
+        .member_gone = on_member_gone,
+        .members_listed = on_members_listed,
+        .lost = on_lost,
+        .back = on_back};
+    return &events;
+}
+
+void
+PsGateway_Leave(ps_gateway_t *gateway)
+{
+    if (gateway->is_leaving) {
+        return;
+    }
+    gateway->is_leaving = true;
+    gateway->leaving_ms = PsClock_Now();
+    PsHttpServer_CloseAfterAnswers(&gateway->callers);
+    PsEvents_Add("daemon.leave", "{s:i}", "in_progress",
+                 (int)gateway->exchanges.length);
+}
+
+bool
+PsGateway_HasLeft(const ps_gateway_t *gateway)
+{
+    if (!gateway->is_leaving) {
+        return false;
+    }
+    int64_t passed = PsClock_Now() - gateway->leaving_ms;
+    int64_t most =
+        (int64_t)(gateway->settings.gateway.grace_s * 1000) - GRACE_MARGIN_MS;
+    return passed >= most ||
+           (passed >= MIN(OPEN_LINGER_MS, most) &&
+            gateway->exchanges.length == 0 &&
+            PsHttpServer_GetOpen(&gateway->callers) == 0);
+}
+
+bool
+PsGateway_IsReady(const ps_gateway_t *gateway)
+{
+    return !gateway->is_leaving && gateway->catalog;
+}
+
+static bool
+add_address(const ps_member_t *member, const char *domain, bool is_near,
+            const ps_name_t **addresses, int *n, int max)
+{
+    bool matches =
+        (domain && PsName_IsEqualC(&member->domain, domain)) == is_near;
+    if (matches && *n < max) {
+        addresses[(*n)++] = &member->caller_address;
+    }
+    return matches;
+}
+
+int
+PsGateway_ListAddresses(const ps_gateway_t *gateway, const char *domain,
+                        const ps_name_t **addresses, int max)
+{
+    int n = 0;
+    for (int pass = 0; pass < 2; pass++) {
+        GHashTableIter each;
+        gpointer value;
+        g_hash_table_iter_init(&each, gateway->members);
+        while (g_hash_table_iter_next(&each, NULL, &value)) {
+            const ps_member_t *member = value;
+            bool is_self =
+                PsName_IsEqual(&member->name, &gateway->self.name);
+            if (!is_self || PsGateway_IsReady(gateway)) {
+                add_address(member, domain, pass == 0, addresses, &n, max);
+            }
+        }
+    }
+    return n;
+}
+
+ps_service_desk_t *
+PsGateway_GetDesk(ps_gateway_t *gateway, const ps_name_t *service)
+{
+    ps_service_desk_t *desk = g_hash_table_lookup(gateway->desks, service);
+    if (desk) {
+        return desk;
+    }
+    desk = g_new0(ps_service_desk_t, 1);
+    desk->name = *service;
+    PsScheduler_Init(&desk->scheduler, PsExchange_GetSchedulerEvents(),
+                     gateway, service, (uint32_t)gateway->self.incarnation);
+    g_hash_table_insert(gateway->desks, &desk->name, desk);
+    set_shares(gateway);
+    return desk;
+}
+
+ps_quota_t *
+PsGateway_GetQuota(ps_gateway_t *gateway, const ps_name_t *team)
+{
+    ps_quota_t *quota = g_hash_table_lookup(gateway->quotas, team);
+    if (!quota) {
+        quota = g_new0(ps_quota_t, 1);
+        g_hash_table_insert(gateway->quotas, g_memdup2(team, sizeof *team),
+                            quota);
+    }
+    return quota;
+}
+
+bool
+PsGateway_IsProven(const ps_gateway_t *gateway, int64_t now_ms)
+{
+    double age = (double)(now_ms - gateway->catalog_proven_ms);
+    return age < gateway->settings.gateway.revoke_ms - KEY_MARGIN_MS;
+}
--- /dev/null
+++ b/src/gateway.h
@@ -0,0 +1,127 @@
+/*
+ * gateway.h - A daemon in gateway mode.
+ *
+ * Takes callers' requests by host and path, places each on a backend server
+ * of its route's service, and relays the answer. What must last lives in the
+ * platform's store; a gateway keeps nothing. All parts run on one loop.
+ */
+#ifndef PS_GATEWAY_H
+#define PS_GATEWAY_H
+
+#include <ev.h>
+
+#include "catalog.h"
+#include "dialect.h"
+#include "feed.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "quota.h"
+#include "retry_budget.h"
+#include "roster.h"
+#include "scheduler.h"
+#include "settings.h"
+#include "suspects.h"
+
+struct ps_gateway;
+
+/**
+ * struct ps_service_desk - One service: its scheduler and its retry budget.
+ */
+typedef struct ps_service_desk {
+    ps_name_t name;
+    ps_scheduler_t scheduler;
+    ps_retry_budget_t retries;
+    int tokens_per_event;
+} ps_service_desk_t;
+
+/**
+ * struct ps_gateway_stats - Counts since the start.
+ */
+typedef struct ps_gateway_stats {
+    uint64_t requests;
+    uint64_t answered; /* with a server's answer */
+    uint64_t refused;  /* not run */
+    uint64_t failed;   /* sent, without a server's answer */
+    uint64_t left;     /* callers that closed their connections before */
+    uint64_t sends;
+    uint64_t repeats;
+} ps_gateway_stats_t;
+
+/**
+ * struct ps_gateway - A gateway; memory of the caller.
+ */
+typedef struct ps_gateway {
+    ps_settings_t settings;
+    struct ev_loop *loop;
+    const ps_dialect_t *dialect;
+    ps_http_client_t client;
+    ps_http_server_t callers;
+    ps_http_server_t checks;    /* readiness */
+    ps_http_server_t directory; /* addresses */
+    ps_http_server_t metrics;
+    ps_catalog_t *catalog;      /* NULL: none known yet */
+    int64_t catalog_proven_ms;  /* it was the newest at that time */
+    ps_roster_t roster;
+    GHashTable *desks;          /* service name to ps_service_desk_t */
+    GHashTable *quotas;         /* team name to ps_quota_t */
+    ps_suspects_t suspects;
+    ps_member_t self;
+    GHashTable *members;        /* name to ps_member_t; with this daemon */
+    GQueue exchanges;           /* ps_exchange_t in progress */
+    ev_timer tick;
+    bool is_store_lost;
+    bool is_leaving;
+    int64_t leaving_ms;
+    ps_gateway_stats_t stats;
+} ps_gateway_t;
+
+/**
+ * PsGateway_Init() - Listens on all addresses.
+ * @settings: copied
+ * @dialect: kept
+ *
+ * Return: PS_OK or PS_UNAVAILABLE with the reason.
+ */
+ps_status_t PsGateway_Init(ps_gateway_t *gateway, struct ev_loop *loop,
+                           const ps_settings_t *settings,
+                           const ps_dialect_t *dialect,
+                           const ps_http_server_events_t *check_events,
+                           const ps_http_server_events_t *directory_events);
+void PsGateway_Finish(ps_gateway_t *gateway);
+
+const ps_feed_events_t *PsGateway_GetFeedEvents(void); /* @user: the gateway */
+
+/**
+ * PsGateway_Leave() - Starts the graceful shutdown.
+ */
+void PsGateway_Leave(ps_gateway_t *gateway);
+
+/**
+ * PsGateway_HasLeft() - Tells whether the graceful shutdown has ended.
+ */
+bool PsGateway_HasLeft(const ps_gateway_t *gateway);
+
+/**
+ * PsGateway_IsReady() - Tells whether callers should be sent here.
+ */
+bool PsGateway_IsReady(const ps_gateway_t *gateway);
+
+/**
+ * PsGateway_ListAddresses() - Lists callers' addresses, the given failure
+ * domain's first.
+ * @addresses: receives at most @max pointers, valid until members change
+ */
+int PsGateway_ListAddresses(const ps_gateway_t *gateway, const char *domain,
+                            const ps_name_t **addresses, int max);
+
+/* For the exchanges */
+ps_service_desk_t *PsGateway_GetDesk(ps_gateway_t *gateway,
+                                     const ps_name_t *service);
+ps_quota_t *PsGateway_GetQuota(ps_gateway_t *gateway, const ps_name_t *team);
+
+/**
+ * PsGateway_IsProven() - Tells whether API keys may still be relied on.
+ */
+bool PsGateway_IsProven(const ps_gateway_t *gateway, int64_t now_ms);
+
+#endif
--- a/src/hosting.c
+++ b/src/hosting.c
@@ -218,7 +218,7 @@
     free_poll(poll);
 }
 
-static const ps_transfer_events_t poll_events = {NULL, on_poll_done};
+static const ps_transfer_events_t poll_events = {.done = on_poll_done};
 
 static load_poll_t *
 new_poll(ps_hosted_t *hosted, const ps_name_t *server,
@@ -304,7 +304,7 @@
     free_poll(poll);
 }
 
-static const ps_transfer_events_t streams_events = {NULL, on_streams_done};
+static const ps_transfer_events_t streams_events = {.done = on_streams_done};
 
 static void
 on_ask_streams(ps_owner_t *owner, const ps_server_config_t *server)
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -2,10 +2,18 @@
 #include "http_client.h"
 
 #include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #define CONNECT_TIMEOUT_MS 1000L /* for a TCP connection */
+#define UNACKED_TIMEOUT_MS 2000  /* sent bytes that the peer's host ignores */
+#define KEEPALIVE_IDLE_S 1       /* silence before the first probe */
+#define KEEPALIVE_PAUSE_S 1      /* between probes */
+#define KEEPALIVE_PROBES 2       /* unanswered ones until it is closed */
+#define CONNECTIONS_MAX 1024L    /* idle connections kept */
 
 /* ---- Types ------------------------------------------------------------ */
 
@@ -16,16 +24,6 @@
 
 /* ---- Ends ------------------------------------------------------------- */
 
-// Tells whether a failed transfer has certainly not reached its server.
-static bool
-is_not_sent(CURL *easy, CURLcode code)
-{
-    curl_off_t connected = 0;
-    curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connected);
-    return code == CURLE_COULDNT_CONNECT ||
-           (code == CURLE_OPERATION_TIMEDOUT && connected == 0);
-}
-
 static void
 end_transfer(ps_http_client_t *client, CURL *easy, CURLcode code)
 {
@@ -34,8 +32,8 @@
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &transfer->status);
     ps_transfer_result_t result = PS_TRANSFER_WHOLE;
     if (code != CURLE_OK) {
-        result = is_not_sent(easy, code) ? PS_TRANSFER_NOT_SENT
-                                         : PS_TRANSFER_BROKEN;
+        result = transfer->sends == 0 ? PS_TRANSFER_NOT_SENT
+                                      : PS_TRANSFER_BROKEN;
     }
     curl_multi_remove_handle(client->multi, easy);
     transfer->events->done(transfer, result);
@@ -117,6 +115,45 @@
     return 0;
 }
 
+/* ---- Connections ------------------------------------------------------ */
+
+// Finds hosts that do not answer any more, such as VMs without power.
+static int
+on_socket(void *user, curl_socket_t fd, curlsocktype purpose)
+{
+    (void)purpose;
+    ps_http_client_t *client = user;
+    client->connects++;
+    const int on = 1;
+    const int idle = KEEPALIVE_IDLE_S;
+    const int pause = KEEPALIVE_PAUSE_S;
+    const int probes = KEEPALIVE_PROBES;
+    const unsigned int unacked = UNACKED_TIMEOUT_MS;
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &pause, sizeof pause);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
+    return CURL_SOCKOPT_OK;
+}
+
+// Called on a connection before each send, the library's own repeats included.
+static int
+on_send(void *user, char *remote_ip, char *local_ip, int remote_port,
+        int local_port)
+{
+    (void)remote_ip;
+    (void)local_ip;
+    (void)remote_port;
+    (void)local_port;
+    ps_transfer_t *transfer = user;
+    if (transfer->sends > 0 && transfer->is_single_send) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    transfer->sends++;
+    return CURL_PREREQFUNC_OK;
+}
+
 /* ---- Data ------------------------------------------------------------- */
 
 static size_t
@@ -131,7 +168,7 @@
     else {
         PsBuf_Append(&transfer->body, data, size * n);
     }
-    return size * n;
+    return transfer->is_aborted ? 0 : size * n;
 }
 
 static bool
@@ -159,6 +196,19 @@
 {
     ps_transfer_t *transfer = user;
     ps_str_t line = {data, size * n};
+    if (line.len >= 5 && memcmp(line.data, "HTTP/", 5) == 0) {
+        PsBuf_Clear(&transfer->head);
+        return size * n;
+    }
+    if (line.len <= 2) {
+        curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE,
+                          &transfer->status);
+        if (transfer->events->head && transfer->status >= 200) {
+            transfer->events->head(transfer);
+        }
+        return transfer->is_aborted ? 0 : size * n;
+    }
+    PsBuf_Append(&transfer->head, line.data, line.len);
     if (!take_header(line, "Content-Type:", &transfer->type) &&
         !take_header(line, "X-Request-Id:", &transfer->request_id)) {
         take_header(line, "X-Backend:", &transfer->backend);
@@ -179,6 +229,7 @@
     curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
     curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
     curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_MAX);
 }
 
 void
@@ -195,6 +246,7 @@
     *transfer = (ps_transfer_t){.events = events, .user = user};
     transfer->easy = curl_easy_init();
     PsBuf_Init(&transfer->body);
+    PsBuf_Init(&transfer->head);
     PsTransfer_AddHeader(transfer, "Expect", "");
 }
 
@@ -204,6 +256,7 @@
     curl_easy_cleanup(transfer->easy);
     curl_slist_free_all(transfer->headers);
     PsBuf_Finish(&transfer->body);
+    PsBuf_Finish(&transfer->head);
     transfer->easy = NULL;
 }
 
@@ -221,35 +274,119 @@
                  const char *method, const char *url, ps_str_t body,
                  int64_t timeout_ms, bool is_single)
 {
-    CURL *easy = transfer->easy;
+    ps_transfer_request_t request = {.method = method,
+                                     .url = url,
+                                     .body = body,
+                                     .timeout_ms = timeout_ms,
+                                     .is_single = is_single};
+    PsTransfer_StartRequest(client, transfer, &request);
+}
+
+static void
+set_body(CURL *easy, const ps_transfer_request_t *request)
+{
+    bool has_body = strcmp(request->method, "POST") == 0 ||
+                    strcmp(request->method, "PUT") == 0;
+    if (request->body.len > 0) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)request->body.len);
+        curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, request->body.data);
+    }
+    else if (has_body) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, 0L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+    if (strcmp(request->method, "HEAD") == 0) {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    }
+}
+
+static void
+set_callbacks(CURL *easy, ps_http_client_t *client, ps_transfer_t *transfer)
+{
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
-    curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, transfer->error);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_send);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, client);
+}
+
+void
+PsTransfer_StartRequest(ps_http_client_t *client, ps_transfer_t *transfer,
+                        const ps_transfer_request_t *request)
+{
+    CURL *easy = transfer->easy;
+    transfer->sends = 0;
+    transfer->is_aborted = false;
+    transfer->is_single_send = request->is_single_send;
+    set_callbacks(easy, client, transfer);
+    curl_easy_setopt(easy, CURLOPT_URL, request->url);
+    if (request->target) {
+        curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request->target);
+    }
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_single ? 1L : 0L);
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, is_single ? 1L : 0L);
-    if (body.len > 0) {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)body.len);
-        curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, body.data);
+    long is_single = request->is_single ? 1L : 0L;
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_single);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, is_single);
+    if (request->idle_max_s > 0) {
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)request->idle_max_s);
     }
-    else if (strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0) {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, 0L);
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
+    set_body(easy, request);
+    curl_multi_add_handle(client->multi, easy);
+}
+
+bool
+PsTransfer_NextHeader(const ps_transfer_t *transfer, size_t *position,
+                      ps_str_t *name, ps_str_t *value)
+{
+    ps_str_t head = PsBuf_View(&transfer->head);
+    while (*position < head.len) {
+        const char *line = head.data + *position;
+        const char *end = memchr(line, '\n', head.len - *position);
+        size_t len = end ? (size_t)(end - line) : head.len - *position;
+        *position += len + 1;
+        const char *colon = memchr(line, ':', len);
+        if (!colon) {
+            continue;
+        }
+        *name = (ps_str_t){line, (size_t)(colon - line)};
+        const char *from = colon + 1;
+        const char *to = line + len;
+        while (from < to && (*from == ' ' || *from == '\t')) {
+            from++;
+        }
+        while (to > from && g_ascii_isspace(to[-1])) {
+            to--;
+        }
+        *value = (ps_str_t){from, (size_t)(to - from)};
+        return true;
     }
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
-    if (strcmp(method, "HEAD") == 0) {
-        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    return false;
+}
+
+ps_str_t
+PsTransfer_GetHeader(const ps_transfer_t *transfer, const char *name)
+{
+    size_t position = 0;
+    size_t len = strlen(name);
+    ps_str_t each;
+    ps_str_t value;
+    while (PsTransfer_NextHeader(transfer, &position, &each, &value)) {
+        if (each.len == len && strncasecmp(each.data, name, len) == 0) {
+            return value;
+        }
     }
-    curl_multi_add_handle(client->multi, easy);
+    return (ps_str_t){NULL, 0};
 }
 
 void
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -25,10 +25,15 @@
 
 /**
  * struct ps_transfer_events - What a transfer tells its user.
+ * @head: the response's status and headers are complete; may be NULL
  * @data: bytes of the response body; may be NULL
  * @done: the transfer has ended and is the user's again
+ *
+ * In @head and @data a transfer is stopped by setting its is_aborted, never
+ * by PsTransfer_Cancel().
  */
 typedef struct ps_transfer_events {
+    void (*head)(struct ps_transfer *transfer);
     void (*data)(struct ps_transfer *transfer, const char *data, size_t len);
     void (*done)(struct ps_transfer *transfer, ps_transfer_result_t result);
 } ps_transfer_events_t;
@@ -42,6 +47,10 @@
     CURL *easy;
     struct curl_slist *headers;
     long status;          /* HTTP status; 0 before the headers */
+    ps_buf_t head;        /* header lines of the response */
+    int sends;            /* times the request was given to a connection */
+    bool is_single_send;  /* no second send, whatever the library wants */
+    bool is_aborted;      /* set by the user: the connection is closed */
     ps_buf_t body;        /* response, when @events->data is NULL */
     ps_name_t type;       /* Content-Type of the response */
     ps_name_t request_id; /* X-Request-Id of the response, or empty */
@@ -49,6 +58,28 @@
     char error[CURL_ERROR_SIZE];
 } ps_transfer_t;
 
+/**
+ * struct ps_transfer_request - What a transfer sends, and how.
+ * @method: HTTP method
+ * @url: full URL
+ * @target: request target sent in place of the URL's path; NULL: the path
+ * @body: copied; empty: none
+ * @timeout_ms: for all of it; 0: none
+ * @is_single: on a connection of its own
+ * @is_single_send: sent at most once, also where an idle connection was lost
+ * @idle_max_s: connections that were idle for longer are not used; 0: any
+ */
+typedef struct ps_transfer_request {
+    const char *method;
+    const char *url;
+    const char *target;
+    ps_str_t body;
+    int64_t timeout_ms;
+    bool is_single;
+    bool is_single_send;
+    int idle_max_s;
+} ps_transfer_request_t;
+
 /**
  * struct ps_http_client - The multi handle on a loop.
  */
@@ -57,6 +88,7 @@
     CURLM *multi;
     ev_timer timer;
     int running;
+    uint64_t connects; /* new connections */
 } ps_http_client_t;
 
 void PsHttpClient_Init(ps_http_client_t *client, struct ev_loop *loop);
@@ -89,6 +121,28 @@
                       const char *method, const char *url, ps_str_t body,
                       int64_t timeout_ms, bool is_single);
 
+/**
+ * PsTransfer_StartRequest() - Starts a transfer with all its options.
+ */
+void PsTransfer_StartRequest(ps_http_client_t *client, ps_transfer_t *transfer,
+                             const ps_transfer_request_t *request);
+
+/**
+ * PsTransfer_GetHeader() - Returns a header of the response.
+ *
+ * Return: its value, with NULL data when there is none.
+ */
+ps_str_t PsTransfer_GetHeader(const ps_transfer_t *transfer, const char *name);
+
+/**
+ * PsTransfer_NextHeader() - Walks over the headers of the response.
+ * @position: starts at 0
+ *
+ * Return: false after the last one.
+ */
+bool PsTransfer_NextHeader(const ps_transfer_t *transfer, size_t *position,
+                           ps_str_t *name, ps_str_t *value);
+
 /**
  * PsTransfer_Cancel() - Stops a transfer without its done event.
  */
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -79,9 +79,38 @@
     return request;
 }
 
+static enum MHD_Result
+count_length(void *user, enum MHD_ValueKind kind, const char *name,
+             const char *value)
+{
+    (void)kind;
+    int *bad = user;
+    if (strcasecmp(name, "Transfer-Encoding") == 0) {
+        *bad += value && strcasecmp(value, "chunked") == 0 ? 1 : 2;
+    }
+    else if (strcasecmp(name, "Content-Length") == 0) {
+        *bad += 1;
+    }
+    return MHD_YES;
+}
+
+// Tells whether two readers could disagree on where the request ends.
+static bool
+has_ambiguous_length(const ps_http_request_t *request)
+{
+    int marks = 0;
+    MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
+                              count_length, &marks);
+    return marks > 1;
+}
+
 static enum MHD_Result
 queue_answer(ps_http_request_t *request)
 {
+    if (request->server->is_closing || request->is_malformed) {
+        MHD_add_response_header(request->response, MHD_HTTP_HEADER_CONNECTION,
+                                "close");
+    }
     enum MHD_Result result = MHD_queue_response(
         request->connection, request->status, request->response);
     MHD_destroy_response(request->response);
@@ -113,10 +142,13 @@
     ps_http_request_t *request = *state;
     if (PsName_IsEmpty(&request->method)) {
         request->method = PsName_FromC(method);
+        request->is_malformed = has_ambiguous_length(request);
         return MHD_YES;
     }
     if (*len > 0) {
-        take_body(request, data, *len);
+        if (!request->is_malformed) {
+            take_body(request, data, *len);
+        }
         *len = 0;
         return MHD_YES;
     }
@@ -253,6 +285,18 @@
     }
 }
 
+static void
+on_connection(void *user, struct MHD_Connection *connection, void **state,
+              enum MHD_ConnectionNotificationCode code)
+{
+    (void)state;
+    ps_http_server_t *server = user;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED && server->idle_s > 0) {
+        MHD_set_connection_option(
+            connection, MHD_CONNECTION_OPTION_TIMEOUT, server->idle_s);
+    }
+}
+
 static void
 start_watchers(ps_http_server_t *server)
 {
@@ -294,6 +338,7 @@
         on_access, server, MHD_OPTION_SOCK_ADDR, &in,
         MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
         MHD_OPTION_URI_LOG_CALLBACK, on_uri, server,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)CONNECTION_TIMEOUT_S,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
         MHD_OPTION_CONNECTION_LIMIT, 8192U, MHD_OPTION_LISTEN_BACKLOG_SIZE,
@@ -324,6 +369,18 @@
     server->daemon = NULL;
 }
 
+void
+PsHttpServer_SetIdle(ps_http_server_t *server, int64_t idle_ms)
+{
+    server->idle_s = (unsigned int)((idle_ms + 999) / 1000);
+}
+
+void
+PsHttpServer_CloseAfterAnswers(ps_http_server_t *server)
+{
+    server->is_closing = true;
+}
+
 int
 PsHttpServer_GetOpen(const ps_http_server_t *server)
 {
@@ -344,6 +401,32 @@
                                        name);
 }
 
+typedef struct walk {
+    void (*each)(void *user, const char *name, const char *value);
+    void *user;
+} walk_t;
+
+static enum MHD_Result
+walk_header(void *user, enum MHD_ValueKind kind, const char *name,
+            const char *value)
+{
+    (void)kind;
+    const walk_t *walk = user;
+    walk->each(walk->user, name, value ? value : "");
+    return MHD_YES;
+}
+
+void
+PsHttpRequest_WalkHeaders(const ps_http_request_t *request,
+                          void (*each)(void *user, const char *name,
+                                       const char *value),
+                          void *user)
+{
+    walk_t walk = {each, user};
+    MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
+                              walk_header, &walk);
+}
+
 const char *
 PsHttpRequest_GetQuery(const ps_http_request_t *request, const char *name)
 {
@@ -369,7 +452,9 @@
         request->response = MHD_create_response_from_buffer(
             0, (void *)"", MHD_RESPMEM_PERSISTENT);
     }
-    PsHttpRequest_AddHeader(request, "Content-Type", type);
+    if (type) {
+        PsHttpRequest_AddHeader(request, "Content-Type", type);
+    }
     if (is_stream) {
         request->is_answered = true;
         resume(request);
@@ -420,7 +505,8 @@
     }
     PsBuf_Append(&request->out, data.data, data.len);
     if (request->out.len > PS_HTTP_STREAM_MAX) {
-        drop_request(request);
+        PsBuf_Clear(&request->out);
+        request->is_torn = true;
     }
     resume(request);
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -30,6 +30,7 @@
     ps_buf_t body;
     void *user; /* for the user's own use */
     bool is_too_large;
+    bool is_malformed; /* its length is ambiguous; the body was not read */
     bool is_handed_over; /* the user has it */
     bool is_suspended;
     bool is_answered; /* a response has been set */
@@ -63,6 +64,8 @@
     struct ev_loop *loop;
     struct MHD_Daemon *daemon;
     size_t body_max;
+    unsigned int idle_s; /* silence allowed on a connection; 0: default */
+    bool is_closing; /* answers close their connections */
     ev_io io;
     ev_prepare prepare;
     ev_timer timer;
@@ -83,6 +86,18 @@
                               void *user, struct ev_loop *loop,
                               const ps_name_t *address, size_t body_max);
 void PsHttpServer_Finish(ps_http_server_t *server);
+
+/**
+ * PsHttpServer_SetIdle() - Sets how long a connection may be silent.
+ * @idle_ms: rounded up to seconds; applies to new connections
+ */
+void PsHttpServer_SetIdle(ps_http_server_t *server, int64_t idle_ms);
+
+/**
+ * PsHttpServer_CloseAfterAnswers() - Answers close their connections from now
+ * on; new ones are still accepted.
+ */
+void PsHttpServer_CloseAfterAnswers(ps_http_server_t *server);
 int PsHttpServer_GetOpen(const ps_http_server_t *server);
 
 /**
@@ -96,6 +111,14 @@
 const char *PsHttpRequest_GetHeader(const ps_http_request_t *request,
                                     const char *name);
 
+/**
+ * PsHttpRequest_WalkHeaders() - Calls back with each request header.
+ */
+void PsHttpRequest_WalkHeaders(const ps_http_request_t *request,
+                               void (*each)(void *user, const char *name,
+                                            const char *value),
+                               void *user);
+
 /**
  * PsHttpRequest_GetQuery() - Returns a query argument, or NULL.
  */
@@ -104,7 +127,7 @@
 
 /**
  * PsHttpRequest_Prepare() - Sets status and type of the answer to come.
- * @type: Content-Type
+ * @type: Content-Type; NULL: none
  * @is_stream: whether PsHttpRequest_Write() follows
  */
 void PsHttpRequest_Prepare(ps_http_request_t *request, unsigned int status,
--- a/src/load.c
+++ b/src/load.c
@@ -288,7 +288,7 @@
     }
 }
 
-static const ps_transfer_events_t shot_events = {on_data, on_done};
+static const ps_transfer_events_t shot_events = {.data = on_data, .done = on_done};
 
 static char *
 make_body(const shot_t *shot)
@@ -415,7 +415,7 @@
     is_fetching = false;
 }
 
-static const ps_transfer_events_t entries_events = {NULL, on_entries};
+static const ps_transfer_events_t entries_events = {.done = on_entries};
 
 static void
 start_fetch(const char *address)
--- a/src/pearstaird.c
+++ b/src/pearstaird.c
@@ -5,6 +5,7 @@
 
 #include "daemon.h"
 #include "log.h"
+#include "run_gateway.h"
 
 #define EXIT_BAD_SETTINGS 2 /* settings or command line are not valid */
 
@@ -65,6 +66,13 @@
         return EXIT_SUCCESS;
     }
     PsLog_Init(settings.name.data, is_verbose);
+    if (settings.is_gateway) {
+        if (PsRunGateway_Run(&settings, settings_path) != PS_OK) {
+            fprintf(stderr, "pearstaird: %s\n", PsStatus_LastMessage());
+            return EXIT_FAILURE;
+        }
+        return EXIT_SUCCESS;
+    }
     static ps_daemon_t daemon;
     if (PsDaemon_Init(&daemon, &settings) != PS_OK) {
         fprintf(stderr, "pearstaird: %s\n", PsStatus_LastMessage());
--- a/src/platform.c
+++ b/src/platform.c
@@ -106,7 +106,7 @@
     json_decref(root);
 }
 
-static const ps_transfer_events_t call_events = {NULL, on_done};
+static const ps_transfer_events_t call_events = {.done = on_done};
 
 /* ---- Calls ------------------------------------------------------------ */
 
--- a/src/relay.c
+++ b/src/relay.c
@@ -286,7 +286,7 @@
     }
 }
 
-static const ps_transfer_events_t relay_events = {on_data, on_done};
+static const ps_transfer_events_t relay_events = {.data = on_data, .done = on_done};
 
 static void
 start_transfer(ps_visit_t *visit, const char *method, const char *path,
@@ -365,7 +365,7 @@
     g_free(transfer);
 }
 
-static const ps_transfer_events_t cancel_events = {NULL, on_cancel_done};
+static const ps_transfer_events_t cancel_events = {.done = on_cancel_done};
 
 static void
 send_cancel(const ps_visit_t *visit)
--- /dev/null
+++ b/src/retry_budget.c
@@ -0,0 +1,60 @@
+/* retry_budget.c - Repeats counted in a sliding window of buckets. */
+#include "retry_budget.h"
+
+#include <glib.h>
+
+#define SHARE_USED 0.8 /* of ratio and slack; requests arrive unevenly */
+
+/* ---- Internal functions ----------------------------------------------- */
+
+static void
+move_window(ps_retry_budget_t *budget, int64_t now_ms)
+{
+    int64_t bucket = now_ms / MAX(budget->bucket_ms, 1);
+    int64_t first = MAX(budget->current + 1, bucket - PS_RETRY_BUCKETS + 1);
+    for (int64_t b = first; b <= bucket; b++) {
+        budget->requests[b % PS_RETRY_BUCKETS] = 0;
+        budget->repeats[b % PS_RETRY_BUCKETS] = 0;
+    }
+    budget->current = MAX(budget->current, bucket);
+}
+
+static double
+sum(const uint32_t *counts)
+{
+    double total = 0;
+    for (int i = 0; i < PS_RETRY_BUCKETS; i++) {
+        total += counts[i];
+    }
+    return total;
+}
+
+/* ---- Public functions ------------------------------------------------- */
+
+void
+PsRetryBudget_Set(ps_retry_budget_t *budget, double window_s, double ratio,
+                  double slack, int n_daemons)
+{
+    budget->bucket_ms = (int64_t)(window_s * 1000.0 / (PS_RETRY_BUCKETS - 1));
+    budget->ratio = ratio * SHARE_USED;
+    budget->slack = slack * SHARE_USED / MAX(n_daemons, 1);
+}
+
+void
+PsRetryBudget_AddRequest(ps_retry_budget_t *budget, int64_t now_ms)
+{
+    move_window(budget, now_ms);
+    budget->requests[budget->current % PS_RETRY_BUCKETS]++;
+}
+
+bool
+PsRetryBudget_Take(ps_retry_budget_t *budget, int64_t now_ms)
+{
+    move_window(budget, now_ms);
+    double allowed = budget->ratio * sum(budget->requests) + budget->slack;
+    if (sum(budget->repeats) + 1 > allowed) {
+        return false;
+    }
+    budget->repeats[budget->current % PS_RETRY_BUCKETS]++;
+    return true;
+}
--- /dev/null
+++ b/src/scheduler.c
@@ -0,0 +1,516 @@
+/* scheduler.c - Order of waiting, early refusal and choice of a server. */
+#include "scheduler.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "share.h"
+
+#define HOLD_KEEP 0.97           /* weight kept of older times at a server */
+#define HOLD_USUAL_MS 1000       /* before any is known */
+#define FIRST_EVENT_KEEP 0.95    /* weight kept of older first-event times */
+#define FIRST_EVENT_USUAL_MS 80  /* before any is known */
+#define LATE_WAIT_MAX_MS 700.0   /* a longer wait past the objective: refused */
+#define RETRY_LEAST_MS 400.0     /* shortest Retry-After */
+#define RETRY_MOST_MS 4000.0     /* longest; callers wait a third of their time */
+#define EJECTED_SHARE_MAX 0.34   /* of a service's servers */
+#define EJECT_OUTCOMES_LEAST 3.0 /* outcomes before a rate is believed */
+#define EJECT_RATE_OVER 0.25     /* failure rate above the service's mean */
+#define LOAD_STEP_MS 4.0         /* spreads work over servers of equal speed */
+#define COLD_FACTOR 2.0          /* a server that has just started is slower */
+
+/* ---- Shares ----------------------------------------------------------- */
+
+static gint
+compare_names(gconstpointer left, gconstpointer right)
+{
+    const ps_backend_t *a = *(ps_backend_t *const *)left;
+    const ps_backend_t *b = *(ps_backend_t *const *)right;
+    return strcmp(a->told.name.data, b->told.name.data);
+}
+
+// Leaving servers keep their place until they are gone, so that daemons that
+// have not heard of it yet work out the same shares.
+static void
+share_slots(ps_scheduler_t *scheduler)
+{
+    guint n = scheduler->backends->len;
+    g_ptr_array_sort(scheduler->backends, compare_names);
+    int *slots = g_new0(int, n + 1);
+    int *shares = g_new0(int, n + 1);
+    for (guint i = 0; i < n; i++) {
+        ps_backend_t *backend = scheduler->backends->pdata[i];
+        slots[i] = backend->told.slots;
+    }
+    PsShare_Divide(slots, (int)n, scheduler->n_daemons, scheduler->index,
+                   shares);
+    for (guint i = 0; i < n; i++) {
+        ps_backend_t *backend = scheduler->backends->pdata[i];
+        backend->share = shares[i];
+        if (!scheduler->is_engine) {
+            backend->share = MAX(backend->share + 1, 2);
+        }
+    }
+    g_free(slots);
+    g_free(shares);
+}
+
+/* ---- Health ----------------------------------------------------------- */
+
+static bool
+may_eject_one_more(const ps_scheduler_t *scheduler, int64_t now_ms)
+{
+    guint ejected = 0;
+    for (guint i = 0; i < scheduler->backends->len; i++) {
+        const ps_backend_t *backend = scheduler->backends->pdata[i];
+        ejected += now_ms < backend->ejected_until_ms ? 1 : 0;
+    }
+    return ejected + 1 <=
+           (guint)ceil(EJECTED_SHARE_MAX * scheduler->backends->len);
+}
+
+static double
+get_peers_failure_rate(const ps_scheduler_t *scheduler,
+                       const ps_backend_t *except)
+{
+    double outcomes = 0;
+    double failures = 0;
+    for (guint i = 0; i < scheduler->backends->len; i++) {
+        const ps_backend_t *backend = scheduler->backends->pdata[i];
+        if (backend != except) {
+            outcomes += backend->outcomes;
+            failures += backend->failures;
+        }
+    }
+    return outcomes > 0 ? failures / outcomes : 0.0;
+}
+
+static void
+judge(ps_scheduler_t *scheduler, ps_backend_t *backend, ps_task_end_t end,
+      int64_t now_ms)
+{
+    if (end == PS_TASK_STOPPED) {
+        return;
+    }
+    if (end == PS_TASK_GOOD) {
+        if (backend->is_on_trial) {
+            PsBackend_Readmit(backend);
+        }
+        PsBackend_NoteOutcome(backend, true);
+        return;
+    }
+    PsBackend_NoteOutcome(backend, false);
+    bool is_sick = end == PS_TASK_NO_ROUTE || backend->is_on_trial;
+    if (!is_sick && backend->outcomes >= EJECT_OUTCOMES_LEAST) {
+        double over = PsBackend_GetFailureRate(backend) -
+                      get_peers_failure_rate(scheduler, backend);
+        is_sick = over > EJECT_RATE_OVER;
+    }
+    if (is_sick && now_ms >= backend->ejected_until_ms &&
+        may_eject_one_more(scheduler, now_ms)) {
+        PsBackend_Eject(backend, now_ms);
+    }
+}
+
+/* ---- Placing ---------------------------------------------------------- */
+
+static bool
+was_tried(const ps_task_t *task, const ps_backend_t *backend)
+{
+    for (int i = 0; i < task->n_tried; i++) {
+        if (task->tried[i] == backend->serial) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+has_room(const ps_backend_t *backend, int64_t now_ms)
+{
+    if (!backend->is_listed || backend->told.is_leaving ||
+        now_ms < backend->ejected_until_ms) {
+        return false;
+    }
+    int limit = backend->is_on_trial ? 1 : backend->share;
+    return backend->running < limit;
+}
+
+static double
+get_unread(const ps_backend_t *backend, const ps_task_t *task, int64_t now_ms)
+{
+    double read = 0;
+    for (int i = 0; i < task->n_parts; i++) {
+        if (!PsBackend_HasPart(backend, task->parts[i], now_ms)) {
+            break;
+        }
+        read += task->part_tokens[i];
+    }
+    return MAX(task->prompt_tokens - read, 0.0);
+}
+
+// Predicts the milliseconds until the first event.
+static double
+predict_first(const ps_backend_t *backend, const ps_task_t *task,
+              double unread, int64_t now_ms)
+{
+    (void)task;
+    double tokens = (unread + backend->unread_tokens) / 1000.0;
+    double ms = PsSpeed_GetStep(&backend->first, tokens);
+    return now_ms < backend->cold_until_ms ? ms * COLD_FACTOR : ms;
+}
+
+static double
+predict_cost(const ps_backend_t *backend, const ps_task_t *task,
+             int64_t now_ms)
+{
+    double load = LOAD_STEP_MS * backend->running / MAX(backend->share, 1);
+    if (!task->is_generation) {
+        return PsSpeed_GetStep(&backend->first, 0.0) * 0.1 +
+               LOAD_STEP_MS * 10.0 * backend->running;
+    }
+    double unread = get_unread(backend, task, now_ms);
+    double pace = PsSpeed_GetStep(&backend->pace, backend->running + 1.0);
+    return predict_first(backend, task, unread, now_ms) +
+           task->output_tokens * pace * 0.25 + load;
+}
+
+static ps_backend_t *
+pick(const ps_scheduler_t *scheduler, const ps_task_t *task, int64_t now_ms)
+{
+    ps_backend_t *best = NULL;
+    double least = INFINITY;
+    for (guint i = 0; i < scheduler->backends->len; i++) {
+        ps_backend_t *backend = scheduler->backends->pdata[i];
+        if (!has_room(backend, now_ms) || was_tried(task, backend)) {
+            continue;
+        }
+        double cost = predict_cost(backend, task, now_ms);
+        if (cost < least) {
+            least = cost;
+            best = backend;
+        }
+    }
+    return best;
+}
+
+static void
+start(ps_scheduler_t *scheduler, ps_task_t *task, ps_backend_t *backend,
+      int64_t now_ms)
+{
+    if (task->is_waiting) {
+        g_queue_unlink(&scheduler->waiting, &task->link);
+        task->is_waiting = false;
+    }
+    PsBackend_Hold(backend);
+    task->backend = backend;
+    task->started_ms = now_ms;
+    task->last_ms = now_ms;
+    task->first_ms = 0;
+    task->unread_tokens = get_unread(backend, task, now_ms);
+    task->ahead_tokens = backend->unread_tokens + task->unread_tokens;
+    if (task->n_tried < PS_TASK_TRIED_MAX) {
+        task->tried[task->n_tried++] = backend->serial;
+    }
+    for (int i = 0; i < task->n_parts; i++) {
+        PsBackend_NotePart(backend, task->parts[i], now_ms);
+    }
+    backend->running++;
+    backend->unread_tokens += task->unread_tokens;
+    backend->started_ms = now_ms;
+    scheduler->events->start(scheduler, task);
+}
+
+/* ---- Waiting and refusing --------------------------------------------- */
+
+static bool
+is_late(const ps_scheduler_t *scheduler, const ps_task_t *task, int64_t now_ms)
+{
+    return (double)now_ms + scheduler->first_event_ms > (double)task->due_ms;
+}
+
+// Tells whether @left is to be served before @right.
+static bool
+comes_before(const ps_scheduler_t *scheduler, const ps_task_t *left,
+             const ps_task_t *right, int64_t now_ms)
+{
+    if (left->tier != right->tier) {
+        return left->tier < right->tier;
+    }
+    bool left_late = is_late(scheduler, left, now_ms);
+    bool right_late = is_late(scheduler, right, now_ms);
+    if (left_late != right_late) {
+        return right_late;
+    }
+    return left->arrived_ms < right->arrived_ms;
+}
+
+// Estimates how many tasks leave their servers in a millisecond when all of
+// this daemon's share is in use.
+static double
+get_rate(const ps_scheduler_t *scheduler)
+{
+    int slots = 0;
+    for (guint i = 0; i < scheduler->backends->len; i++) {
+        const ps_backend_t *backend = scheduler->backends->pdata[i];
+        slots += backend->told.is_leaving ? 0 : backend->share;
+    }
+    return MAX(slots, 0.5) / MAX(scheduler->hold_ms, 1.0);
+}
+
+static int64_t
+get_retry_after(ps_scheduler_t *scheduler)
+{
+    double wait = 2.0 * scheduler->waiting.length /
+                  get_rate(scheduler);
+    scheduler->random = scheduler->random * 1664525U + 1013904223U;
+    double spread = 0.75 + 0.5 * (scheduler->random >> 8) / 16777216.0;
+    return (int64_t)CLAMP((RETRY_LEAST_MS + wait) * spread, RETRY_LEAST_MS,
+                          RETRY_MOST_MS);
+}
+
+static void
+refuse(ps_scheduler_t *scheduler, ps_task_t *task, const char *reason)
+{
+    if (task->is_waiting) {
+        g_queue_unlink(&scheduler->waiting, &task->link);
+        task->is_waiting = false;
+    }
+    scheduler->events->refuse(scheduler, task, get_retry_after(scheduler),
+                              reason);
+}
+
+static bool
+waits_lower_tier(const ps_scheduler_t *scheduler, int tier)
+{
+    for (const GList *l = scheduler->waiting.head; l; l = l->next) {
+        const ps_task_t *task = l->data;
+        if (task->tier > tier) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Refuses a task whose turn would come long after its objective. Never while
+// a lower tier waits: that one gives way first.
+static bool
+refuse_early(ps_scheduler_t *scheduler, ps_task_t *task, int64_t now_ms)
+{
+    double wait = PsScheduler_GetWait(scheduler, task->tier);
+    double late = (double)now_ms + wait + scheduler->first_event_ms -
+                  (double)task->due_ms;
+    if (late < LATE_WAIT_MAX_MS ||
+        waits_lower_tier(scheduler, task->tier)) {
+        return false;
+    }
+    refuse(scheduler, task, "would wait past its objective");
+    return true;
+}
+
+static void
+give_up_late(ps_scheduler_t *scheduler, int64_t now_ms)
+{
+    GList *next;
+    for (GList *l = scheduler->waiting.head; l; l = next) {
+        next = l->next;
+        ps_task_t *task = l->data;
+        if (now_ms >= task->give_up_ms) {
+            refuse(scheduler, task, "waited too long");
+        }
+    }
+}
+
+static ps_task_t *
+get_next(const ps_scheduler_t *scheduler, ps_backend_t **backend,
+         int64_t now_ms)
+{
+    ps_task_t *best = NULL;
+    for (GList *l = scheduler->waiting.head; l; l = l->next) {
+        ps_task_t *task = l->data;
+        if (best && !comes_before(scheduler, task, best, now_ms)) {
+            continue;
+        }
+        ps_backend_t *picked = pick(scheduler, task, now_ms);
+        if (picked) {
+            best = task;
+            *backend = picked;
+        }
+    }
+    return best;
+}
+
+static bool
+has_any_room(const ps_scheduler_t *scheduler, int64_t now_ms)
+{
+    for (guint i = 0; i < scheduler->backends->len; i++) {
+        if (has_room(scheduler->backends->pdata[i], now_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* ---- Public functions ------------------------------------------------- */
+
+void
+PsScheduler_Init(ps_scheduler_t *scheduler,
+                 const ps_scheduler_events_t *events, void *user,
+                 const ps_name_t *service, uint32_t seed)
+{
+    *scheduler = (ps_scheduler_t){.events = events,
+                                  .user = user,
+                                  .service = *service,
+                                  .n_daemons = 1,
+                                  .random = seed,
+                                  .hold_ms = HOLD_USUAL_MS,
+                                  .first_event_ms = FIRST_EVENT_USUAL_MS};
+    scheduler->backends = g_ptr_array_new();
+    g_queue_init(&scheduler->waiting);
+}
+
+void
+PsScheduler_Finish(ps_scheduler_t *scheduler)
+{
+    g_ptr_array_unref(scheduler->backends);
+}
+
+void
+PsScheduler_SetDaemons(ps_scheduler_t *scheduler, int n_daemons, int index)
+{
+    scheduler->n_daemons = MAX(n_daemons, 1);
+    scheduler->index = index;
+    share_slots(scheduler);
+}
+
+void
+PsScheduler_List(ps_scheduler_t *scheduler, ps_backend_t *backend)
+{
+    if (!g_ptr_array_find(scheduler->backends, backend, NULL)) {
+        g_ptr_array_add(scheduler->backends, backend);
+    }
+    share_slots(scheduler);
+}
+
+void
+PsScheduler_Unlist(ps_scheduler_t *scheduler, ps_backend_t *backend)
+{
+    g_ptr_array_remove(scheduler->backends, backend);
+    share_slots(scheduler);
+}
+
+double
+PsScheduler_GetWait(const ps_scheduler_t *scheduler, int tier)
+{
+    int ahead = 0;
+    for (const GList *l = scheduler->waiting.head; l; l = l->next) {
+        const ps_task_t *task = l->data;
+        ahead += task->tier <= tier ? 1 : 0;
+    }
+    return ahead / get_rate(scheduler);
+}
+
+void
+PsScheduler_Submit(ps_scheduler_t *scheduler, ps_task_t *task, int64_t now_ms)
+{
+    task->link = (GList){.data = task};
+    if (scheduler->waiting.length == 0) {
+        ps_backend_t *backend = pick(scheduler, task, now_ms);
+        if (backend) {
+            start(scheduler, task, backend, now_ms);
+            return;
+        }
+    }
+    if (scheduler->backends->len == 0) {
+        refuse(scheduler, task, "no backend server is known");
+        return;
+    }
+    if (!refuse_early(scheduler, task, now_ms)) {
+        task->is_waiting = true;
+        g_queue_push_tail_link(&scheduler->waiting, &task->link);
+        PsScheduler_Run(scheduler, now_ms);
+    }
+}
+
+void
+PsScheduler_Withdraw(ps_scheduler_t *scheduler, ps_task_t *task)
+{
+    if (task->is_waiting) {
+        g_queue_unlink(&scheduler->waiting, &task->link);
+        task->is_waiting = false;
+    }
+}
+
+void
+PsScheduler_NoteEvent(ps_scheduler_t *scheduler, ps_task_t *task,
+                      double tokens, int64_t now_ms)
+{
+    ps_backend_t *backend = task->backend;
+    backend->heard_ms = now_ms;
+    if (task->first_ms == 0) {
+        double ms = (double)(now_ms - task->started_ms);
+        task->first_ms = now_ms;
+        backend->unread_tokens =
+            MAX(backend->unread_tokens - task->unread_tokens, 0.0);
+        backend->first_samples++;
+        PsSpeed_AddStep(&backend->first,
+                        MAX(task->ahead_tokens, 1.0) / 1000.0, ms, 1.0);
+        if (task->is_generation) {
+            scheduler->first_event_ms =
+                scheduler->first_event_ms * FIRST_EVENT_KEEP +
+                ms * (1.0 - FIRST_EVENT_KEEP);
+        }
+    }
+    else if (tokens > 0) {
+        double step = (double)(now_ms - task->last_ms) / tokens;
+        PsSpeed_AddStep(&backend->pace, backend->running, step, 0.2);
+    }
+    task->last_ms = now_ms;
+}
+
+void
+PsScheduler_End(ps_scheduler_t *scheduler, ps_task_t *task, ps_task_end_t end,
+                int64_t now_ms)
+{
+    ps_backend_t *backend = task->backend;
+    if (!backend) {
+        return;
+    }
+    if (task->first_ms == 0) {
+        backend->unread_tokens =
+            MAX(backend->unread_tokens - task->unread_tokens, 0.0);
+        if (end == PS_TASK_GOOD && !task->is_generation) {
+            PsSpeed_AddStep(&backend->first, 1.0,
+                            (double)(now_ms - task->started_ms), 1.0);
+        }
+    }
+    if (end != PS_TASK_NO_ROUTE && end != PS_TASK_REJECTED) {
+        double held = (double)(now_ms - task->started_ms);
+        scheduler->hold_ms =
+            scheduler->hold_ms * HOLD_KEEP + held * (1.0 - HOLD_KEEP);
+    }
+    backend->running--;
+    task->backend = NULL;
+    judge(scheduler, backend, end, now_ms);
+    PsBackend_Release(backend);
+    PsScheduler_Run(scheduler, now_ms);
+}
+
+void
+PsScheduler_Run(ps_scheduler_t *scheduler, int64_t now_ms)
+{
+    if (scheduler->is_running || scheduler->waiting.length == 0) {
+        return;
+    }
+    scheduler->is_running = true;
+    give_up_late(scheduler, now_ms);
+    while (scheduler->waiting.length > 0 && has_any_room(scheduler, now_ms)) {
+        ps_backend_t *backend = NULL;
+        ps_task_t *task = get_next(scheduler, &backend, now_ms);
+        if (!task) {
+            break;
+        }
+        start(scheduler, task, backend, now_ms);
+    }
+    scheduler->is_running = false;
+}
--- /dev/null
+++ b/src/scheduler.h
@@ -0,0 +1,141 @@
+/*
+ * scheduler.h - Waiting, refusing and placing of one service's requests.
+ *
+ * Each daemon has one scheduler for each service and decides alone, within
+ * its share of the servers' slots. Waiting requests are ordered strictly by
+ * tier; inside a tier those that can still meet their objective come first.
+ * Load pattern: bursts to twice the capacity on servers of unequal speed.
+ * Pure: no I/O, and time is an argument, in milliseconds of one clock.
+ */
+#ifndef PS_SCHEDULER_H
+#define PS_SCHEDULER_H
+
+#include <glib.h>
+
+#include "backend.h"
+
+#define PS_TASK_PARTS_MAX 8 /* prompt parts known of one request */
+#define PS_TASK_TRIED_MAX 4 /* servers remembered that had it before */
+
+struct ps_scheduler;
+
+/**
+ * enum ps_task_end - How a request ended at a backend server.
+ */
+typedef enum ps_task_end {
+    PS_TASK_GOOD,     /* a whole answer that says nothing bad of the server */
+    PS_TASK_FAILED,   /* a server's error, a broken or a foreign answer */
+    PS_TASK_REJECTED, /* the server has not run it */
+    PS_TASK_NO_ROUTE, /* no connection: the server is not there */
+    PS_TASK_STOPPED   /* stopped from here; nothing is said of the server */
+} ps_task_end_t;
+
+/**
+ * struct ps_task - One request at its scheduler; memory of the user.
+ */
+typedef struct ps_task {
+    void *user;
+    int tier;
+    bool is_generation;
+    int64_t arrived_ms;
+    int64_t due_ms;     /* objective for the first event or whole answer */
+    int64_t give_up_ms; /* waits no longer */
+    double prompt_tokens;
+    double output_tokens; /* expected */
+    int n_parts;
+    uint64_t parts[PS_TASK_PARTS_MAX]; /* each names all parts before it too */
+    uint32_t part_tokens[PS_TASK_PARTS_MAX];
+    int n_tried;
+    uint32_t tried[PS_TASK_TRIED_MAX];
+    /* set by the scheduler */
+    bool is_waiting;
+    GList link;
+    ps_backend_t *backend; /* NULL: not at a server */
+    int64_t started_ms;
+    int64_t first_ms; /* first event; 0: none yet */
+    int64_t last_ms;  /* latest event */
+    double unread_tokens;
+    double ahead_tokens; /* prompts in hand when it was sent, its own included */
+} ps_task_t;
+
+/**
+ * struct ps_scheduler_events - What a scheduler tells its user.
+ * @start: send the task to its backend server now
+ * @refuse: the task has not run and will not; it is the user's again
+ */
+typedef struct ps_scheduler_events {
+    void (*start)(struct ps_scheduler *scheduler, ps_task_t *task);
+    void (*refuse)(struct ps_scheduler *scheduler, ps_task_t *task,
+                   int64_t retry_after_ms, const char *reason);
+} ps_scheduler_events_t;
+
+/**
+ * struct ps_scheduler - Requests of one service at one daemon.
+ */
+typedef struct ps_scheduler {
+    const ps_scheduler_events_t *events;
+    void *user;
+    ps_name_t service;
+    bool is_engine;
+    GPtrArray *backends; /* ps_backend_t by name; listed ones */
+    GQueue waiting;      /* ps_task_t, in order of arrival */
+    int n_daemons;
+    int index;            /* this daemon's place among them */
+    double hold_ms;        /* fading mean of times at a server */
+    double first_event_ms; /* fading mean of waits for a first event */
+    uint32_t random;
+    bool is_running; /* guards against a start that calls back */
+} ps_scheduler_t;
+
+void PsScheduler_Init(ps_scheduler_t *scheduler,
+                      const ps_scheduler_events_t *events, void *user,
+                      const ps_name_t *service, uint32_t seed);
+void PsScheduler_Finish(ps_scheduler_t *scheduler);
+
+/**
+ * PsScheduler_SetDaemons() - Sets among how many daemons slots are shared.
+ */
+void PsScheduler_SetDaemons(ps_scheduler_t *scheduler, int n_daemons,
+                            int index);
+
+/**
+ * PsScheduler_List() - A backend server joins, or its registration changed.
+ */
+void PsScheduler_List(ps_scheduler_t *scheduler, ps_backend_t *backend);
+void PsScheduler_Unlist(ps_scheduler_t *scheduler, ps_backend_t *backend);
+
+/**
+ * PsScheduler_Submit() - Starts, queues or refuses a task.
+ */
+void PsScheduler_Submit(ps_scheduler_t *scheduler, ps_task_t *task,
+                        int64_t now_ms);
+
+/**
+ * PsScheduler_Withdraw() - Takes a waiting task back.
+ */
+void PsScheduler_Withdraw(ps_scheduler_t *scheduler, ps_task_t *task);
+
+/**
+ * PsScheduler_NoteEvent() - A started task's stream has brought an event.
+ * @tokens: output tokens in it
+ */
+void PsScheduler_NoteEvent(ps_scheduler_t *scheduler, ps_task_t *task,
+                           double tokens, int64_t now_ms);
+
+/**
+ * PsScheduler_End() - A started task has left its server.
+ */
+void PsScheduler_End(ps_scheduler_t *scheduler, ps_task_t *task,
+                     ps_task_end_t end, int64_t now_ms);
+
+/**
+ * PsScheduler_Run() - Places what it can and gives up what waits too long.
+ */
+void PsScheduler_Run(ps_scheduler_t *scheduler, int64_t now_ms);
+
+/**
+ * PsScheduler_GetWait() - Estimates how long a new task would wait.
+ */
+double PsScheduler_GetWait(const ps_scheduler_t *scheduler, int tier);
+
+#endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -10,11 +10,13 @@
 
 typedef enum setting_kind {
     SETTING_NAME,
+    SETTING_MODE,
     SETTING_ADDRESS,
     SETTING_TOKEN,
     SETTING_DURATION,
     SETTING_SIZE,
-    SETTING_COUNT
+    SETTING_COUNT,
+    SETTING_REAL
 } setting_kind_t;
 
 typedef struct setting {
@@ -37,6 +39,7 @@
 #define AT(field) offsetof(ps_settings_t, field)
 
 static const setting_t setting_table[] = {
+    {"daemon", "mode", SETTING_MODE, AT(mode), "pools", 0, 0},
     {"daemon", "name", SETTING_NAME, AT(name), NULL, 0, 0},
     {"daemon", "domain", SETTING_NAME, AT(domain), NULL, 0, 0},
     {"listen", "caller", SETTING_ADDRESS, AT(caller_address), NULL, 0, 0},
@@ -59,6 +62,29 @@
     {"limits", "body", SETTING_SIZE, AT(body_bytes), "4MiB", 1024, 67108864},
     {"limits", "open_requests", SETTING_COUNT, AT(open_requests), "4000", 1,
      100000},
+    {"listen", "ready", SETTING_ADDRESS, AT(gateway.ready_address),
+     "0.0.0.0:1", 0, 0},
+    {"listen", "directory", SETTING_ADDRESS, AT(gateway.directory_address),
+     "0.0.0.0:1", 0, 0},
+    {"gateway", "revoke_ms", SETTING_REAL, AT(gateway.revoke_ms), "5000", 100,
+     3600000},
+    {"gateway", "grace_s", SETTING_REAL, AT(gateway.grace_s), "8", 0, 3600},
+    {"gateway", "address_life", SETTING_DURATION, AT(gateway.address_life_ms),
+     "2s", 100, 600000},
+    {"gateway", "retry_ratio", SETTING_REAL, AT(gateway.retry_ratio), "0.2", 0,
+     10},
+    {"gateway", "retry_window", SETTING_REAL, AT(gateway.retry_window_s), "10",
+     1, 3600},
+    {"gateway", "retry_slack", SETTING_REAL, AT(gateway.retry_slack), "50", 0,
+     1000000},
+    {"gateway", "quota_window", SETTING_REAL, AT(gateway.quota_window_s), "8",
+     1, 3600},
+    {"gateway", "quota_overage", SETTING_REAL, AT(gateway.quota_overage),
+     "0.1", 0, 10},
+    {"gateway", "quota_slack", SETTING_REAL, AT(gateway.quota_slack), "0", 0,
+     1000000000},
+    {"gateway", "cpu_share", SETTING_REAL, AT(gateway.cpu_share), "1", 0,
+     1024},
 };
 
 static const unit_t duration_units[] = {
@@ -131,6 +157,10 @@
         ok = PsAddress_IsValid(value);
         allowed = "an address is IP:PORT, such as 10.0.0.1:8080";
     }
+    else if (setting->kind == SETTING_MODE) {
+        ok = strcmp(value, "pools") == 0 || strcmp(value, "gateway") == 0;
+        allowed = "a mode is pools or gateway";
+    }
     else if (setting->kind == SETTING_TOKEN) {
         ok = strlen(value) >= 8 && strlen(value) <= PS_NAME_MAX;
         allowed = "a token has 8 to 127 characters";
@@ -167,6 +197,32 @@
     return allowed;
 }
 
+static const char *
+store_real(const setting_t *setting, const char *value, double *out)
+{
+    static char allowed[160];
+    char *end;
+    *out = g_ascii_strtod(value, &end);
+    if (end != value && *end == '\0' && *out >= (double)setting->least &&
+        *out <= (double)setting->most) {
+        return NULL;
+    }
+    g_snprintf(allowed, sizeof allowed, "allowed is a number from %lld to %lld",
+               (long long)setting->least, (long long)setting->most);
+    return allowed;
+}
+
+static const char *
+store_value(const setting_t *setting, const char *value, void *field)
+{
+    if (setting->kind == SETTING_REAL) {
+        return store_real(setting, value, field);
+    }
+    return setting->kind < SETTING_DURATION
+               ? store_text(setting, value, field)
+               : store_number(setting, value, field);
+}
+
 static ps_status_t
 load_one(ps_settings_t *settings, const setting_t *setting, GKeyFile *file,
          const char *path, const char *text)
@@ -183,9 +239,7 @@
     }
     g_strstrip(value);
     void *field = (char *)settings + setting->offset;
-    const char *allowed = setting->kind < SETTING_DURATION
-                              ? store_text(setting, value, field)
-                              : store_number(setting, value, field);
+    const char *allowed = store_value(setting, value, field);
     ps_status_t status = PS_OK;
     if (allowed) {
         status =
@@ -223,7 +277,7 @@
     if (!is_known_key(group, NULL, allowed)) {
         status = PsStatus_Fail(PS_INVALID,
                                "%s:%d: unknown section [%s]; allowed are "
-                               "daemon listen platform admin timing limits",
+                               "daemon listen platform admin timing limits gateway",
                                path, find_line(text, group, NULL), group);
     }
     for (int i = 0; status == PS_OK && keys && keys[i]; i++) {
@@ -260,6 +314,7 @@
          i++) {
         status = load_one(settings, &setting_table[i], file, path, text);
     }
+    settings->is_gateway = PsName_IsEqualC(&settings->mode, "gateway");
     if (status == PS_OK && settings->lease_ms < 2 * settings->renew_ms) {
         status = PsStatus_Fail(PS_INVALID,
                                "%s:%d: [timing] lease must be at least twice "
--- a/src/settings.h
+++ b/src/settings.h
@@ -11,12 +11,32 @@
 #include "status.h"
 #include "str.h"
 
+/**
+ * struct ps_gateway_settings - Settings of a daemon in gateway mode.
+ */
+typedef struct ps_gateway_settings {
+    ps_name_t ready_address;     /* [listen] ready */
+    ps_name_t directory_address; /* [listen] directory */
+    double revoke_ms;            /* [gateway] revoke_ms, after a key's removal */
+    double grace_s;              /* [gateway] grace_s, of a graceful shutdown */
+    int64_t address_life_ms;     /* [gateway] address_life, of an answer */
+    double retry_ratio;          /* [gateway] retry_ratio, for each request */
+    double retry_window_s;       /* [gateway] retry_window, seconds */
+    double retry_slack;          /* [gateway] retry_slack, over all daemons */
+    double quota_window_s;       /* [gateway] quota_window, seconds */
+    double quota_overage;        /* [gateway] quota_overage, a share */
+    double quota_slack;          /* [gateway] quota_slack, units */
+    double cpu_share;            /* [gateway] cpu_share, of a core */
+} ps_gateway_settings_t;
+
 /**
  * struct ps_settings - Checked settings of one daemon.
  *
  * Addresses are IP:PORT. Durations are in milliseconds, sizes in bytes.
  */
 typedef struct ps_settings {
+    bool is_gateway;          /* [daemon] mode is "gateway" */
+    ps_name_t mode;           /* [daemon] mode: pools or gateway */
     ps_name_t name;           /* [daemon] name, unique in the deployment */
     ps_name_t domain;         /* [daemon] domain, the failure domain */
     ps_name_t caller_address; /* [listen] caller */
@@ -34,6 +54,7 @@
     int64_t ledger_batch_ms;  /* [timing] ledger_batch, group commit */
     int64_t body_bytes;       /* [limits] body, largest request body */
     int64_t open_requests;    /* [limits] open_requests at a time */
+    ps_gateway_settings_t gateway;
 } ps_settings_t;
 
 /**
