--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 	$(CC) $^ $(LIBS) -lpthread -o $@
 
 # The daemon alone, as a deployment builds it.
-target:
+deploy-build:
 	$(MAKE) -s BUILD=target target/pearstaird
 
 packages:
@@ -140,7 +140,7 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all target packages demo rig bench check soak sanitize \
+.PHONY: all deploy-build packages demo rig bench check soak sanitize \
     test-programs lint clean proto
 -include $(wildcard $(BUILD)/*.d $(BUILD)/platform/*.d $(BUILD)/tests/*.d \
     $(BUILD)/bench/*.d)
