Stop taking requests early in a graceful shutdown

Requests are now taken for 0.3 of the grace; later ones are refused as not run with a short Retry-After. Ruled out: a slow exit; the process left on time.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -10,6 +10,7 @@
 #define PATIENCE_MS 1400      /* callers leave a silent stream after 2 s */
 #define PLAIN_PATIENCE_SHARE 0.5 /* of a plain call's time, spent waiting */
 #define MARGIN_MS 30          /* an answer has to be back before the limit */
+#define ELSEWHERE_MS 20       /* Retry-After where another daemon can serve */
 #define TIME_USUAL_MS 15000   /* where neither route nor caller sets a limit */
 #define SENDS_MAX 4           /* connections tried, refused ones included */
 #define IDLE_ONCE_S 1         /* an older idle connection may be closing */
@@ -481,6 +482,10 @@
 {
     ps_gateway_t *gateway = exchange->gateway;
     ps_http_request_t *request = exchange->request;
+    if (!PsGateway_TakesRequests(gateway, now_ms)) {
+        answer_not_run(exchange, 503, ELSEWHERE_MS, "this daemon is leaving");
+        return false;
+    }
     if (!gateway->catalog) {
         answer_not_run(exchange, 503, 1000, "no configuration yet");
         return false;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -11,9 +11,9 @@
 #define TICK_S 0.025              /* looks for what is due */
 #define CALLER_BODY_MAX (8 * 1024 * 1024) /* bytes; the configuration has less */
 #define KEY_MARGIN_MS 400         /* kept free of the time a key lives on */
-#define LINGER_MS 1500            /* callers drop this address by then */
-#define GRACE_MARGIN_MS 1000      /* left of the grace when the process ends */
-#define OPEN_LINGER_MS 5000       /* for callers that keep connections open */
+#define GRACE_MARGIN_MS 400       /* left of the grace when the process ends */
+#define TAKE_SHARE 0.3            /* of the grace, in which requests are taken */
+#define OPEN_LINGER_SHARE 0.7     /* of the grace, for connections kept open */
 
 /* ---- Members ---------------------------------------------------------- */
 
@@ -423,15 +423,22 @@
     if (!gateway->is_leaving) {
         return false;
     }
-    int64_t passed = PsClock_Now() - gateway->leaving_ms;
-    int64_t most =
-        (int64_t)(gateway->settings.gateway.grace_s * 1000) - GRACE_MARGIN_MS;
-    return passed >= most ||
-           (passed >= MIN(OPEN_LINGER_MS, most) &&
+    double grace_ms = gateway->settings.gateway.grace_s * 1000.0;
+    double passed = (double)(PsClock_Now() - gateway->leaving_ms);
+    return passed >= grace_ms - GRACE_MARGIN_MS ||
+           (passed >= grace_ms * OPEN_LINGER_SHARE &&
             gateway->exchanges.length == 0 &&
             PsHttpServer_GetOpen(&gateway->callers) == 0);
 }
 
+bool
+PsGateway_TakesRequests(const ps_gateway_t *gateway, int64_t now_ms)
+{
+    double grace_ms = gateway->settings.gateway.grace_s * 1000.0;
+    return !gateway->is_leaving ||
+           (double)(now_ms - gateway->leaving_ms) < grace_ms * TAKE_SHARE;
+}
+
 bool
 PsGateway_IsReady(const ps_gateway_t *gateway)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -101,6 +101,13 @@
  */
 bool PsGateway_HasLeft(const ps_gateway_t *gateway);
 
+/**
+ * PsGateway_TakesRequests() - Tells whether there is time for new requests.
+ *
+ * Callers may send for a while on connections that they keep open.
+ */
+bool PsGateway_TakesRequests(const ps_gateway_t *gateway, int64_t now_ms);
+
 /**
  * PsGateway_IsReady() - Tells whether callers should be sent here.
  */
