--- /dev/null
+++ b/src/allocator.c
@@ -0,0 +1,353 @@
+/* allocator.c - Rounds of dividing free slots and quotas. */
+#include "allocator.h"
+
+#include <math.h>
+
+#define EVEN_SHARE 0.4 /* of a quota; the rest follows what is asked for */
+
+/* ---- Memory ----------------------------------------------------------- */
+
+static void
+free_use(gpointer data)
+{
+    ps_service_use_t *use = data;
+    g_array_free(use->running, TRUE);
+    g_array_free(use->waiting, TRUE);
+    g_array_free(use->limits, TRUE);
+    g_free(use);
+}
+
+static void
+free_reporter(gpointer data)
+{
+    ps_reporter_t *reporter = data;
+    g_hash_table_destroy(reporter->services);
+    g_hash_table_destroy(reporter->teams);
+    g_free(reporter);
+}
+
+static GHashTable *
+new_by_name(GDestroyNotify free_value)
+{
+    return g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free,
+                                 free_value);
+}
+
+/* ---- Slots ------------------------------------------------------------ */
+
+static bool
+is_fresh(const ps_reporter_t *reporter, int64_t now_ms)
+{
+    return now_ms - reporter->reported_ms <= PS_REPORT_FRESH_MS;
+}
+
+// Lists the uses of a service by the daemons that report.
+static GPtrArray *
+list_uses(ps_allocator_t *allocator, const ps_name_t *service, int64_t now_ms)
+{
+    GPtrArray *uses = g_ptr_array_new();
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, allocator->reporters);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_reporter_t *reporter = value;
+        if (is_fresh(reporter, now_ms)) {
+            g_ptr_array_add(uses, PsReporter_GetService(reporter, service));
+        }
+    }
+    return uses;
+}
+
+static int *
+find_count(GArray *counts, uint32_t server)
+{
+    for (guint i = 0; i < counts->len; i++) {
+        ps_slot_count_t *each = &g_array_index(counts, ps_slot_count_t, i);
+        if (each->server == server) {
+            return &each->count;
+        }
+    }
+    return NULL;
+}
+
+static void
+add_slot(ps_service_use_t *use, uint32_t server)
+{
+    int *count = find_count(use->limits, server);
+    if (count) {
+        (*count)++;
+        return;
+    }
+    ps_slot_count_t one = {server, 1};
+    g_array_append_val(use->limits, one);
+}
+
+// Works out how many slots of a server are free for the daemons that report.
+static int
+count_free(const GPtrArray *uses, const ps_slot_count_t *slots, int n_daemons)
+{
+    double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
+    int free_slots = (int)floor(slots->count * part + 1e-9);
+    for (guint i = 0; i < uses->len; i++) {
+        const ps_service_use_t *use = uses->pdata[i];
+        const int *running = find_count(use->running, slots->server);
+        free_slots -= running ? *running : 0;
+    }
+    return MAX(free_slots, 0);
+}
+
+static int
+find_freest(const int *free_slots, const ps_slot_count_t *slots, int n)
+{
+    int best = -1;
+    double most = 0;
+    for (int i = 0; i < n; i++) {
+        double part = (double)free_slots[i] / MAX(slots[i].count, 1);
+        if (part > most) {
+            most = part;
+            best = i;
+        }
+    }
+    return best;
+}
+
+// Returns the lowest rank that still waits above @above; -1: none.
+static int64_t
+next_rank(const GPtrArray *uses, int64_t above)
+{
+    int64_t best = -1;
+    for (guint i = 0; i < uses->len; i++) {
+        const ps_service_use_t *use = uses->pdata[i];
+        for (guint k = 0; k < use->waiting->len; k++) {
+            int64_t rank =
+                g_array_index(use->waiting, ps_waiting_count_t, k).rank;
+            if (rank > above && (best < 0 || rank < best)) {
+                best = rank;
+            }
+        }
+    }
+    return best;
+}
+
+static ps_waiting_count_t *
+find_rank(const ps_service_use_t *use, int64_t rank)
+{
+    for (guint k = 0; k < use->waiting->len; k++) {
+        ps_waiting_count_t *each =
+            &g_array_index(use->waiting, ps_waiting_count_t, k);
+        if (each->rank == rank) {
+            return each;
+        }
+    }
+    return NULL;
+}
+
+// Gives one slot to each daemon that waits in this rank, in turn, until none
+// waits or none is free.
+static void
+serve_rank(ps_allocator_t *allocator, const GPtrArray *uses, int64_t rank,
+           const ps_slot_count_t *slots, int *free_slots, int n)
+{
+    bool has_served = true;
+    while (has_served) {
+        has_served = false;
+        for (guint i = 0; i < uses->len; i++) {
+            ps_service_use_t *use =
+                uses->pdata[(i + allocator->turn) % uses->len];
+            ps_waiting_count_t *waiting = find_rank(use, rank);
+            int server = find_freest(free_slots, slots, n);
+            if (server < 0) {
+                return;
+            }
+            if (waiting && waiting->count > 0) {
+                waiting->count--;
+                free_slots[server]--;
+                add_slot(use, slots[server].server);
+                has_served = true;
+            }
+        }
+    }
+}
+
+// Spreads what nobody waits for, so that a new request finds a slot at once.
+static void
+spread_rest(ps_allocator_t *allocator, const GPtrArray *uses,
+            const ps_slot_count_t *slots, int *free_slots, int n)
+{
+    guint turn = allocator->turn;
+    for (int server = 0; server < n; server++) {
+        for (; free_slots[server] > 0; free_slots[server]--) {
+            add_slot(uses->pdata[turn++ % uses->len], slots[server].server);
+        }
+    }
+}
+
+/* ---- Quotas ----------------------------------------------------------- */
+
+static void
+divide_quota(ps_allocator_t *allocator, const ps_name_t *team, double limit,
+             int n_daemons, int64_t now_ms)
+{
+    GPtrArray *uses = g_ptr_array_new();
+    double wanted = 0;
+    double spent = 0;
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, allocator->reporters);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        if (is_fresh(value, now_ms)) {
+            ps_team_use_t *use = PsReporter_GetTeam(value, team);
+            wanted += use->wanted;
+            spent += use->spent;
+            g_ptr_array_add(uses, use);
+        }
+    }
+    double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
+    double left = MAX(limit * part - spent, 0.0);
+    for (guint i = 0; i < uses->len; i++) {
+        ps_team_use_t *use = uses->pdata[i];
+        double even = 1.0 / uses->len;
+        double asked = wanted > 0 ? use->wanted / wanted : even;
+        use->granted =
+            left * (EVEN_SHARE * even + (1 - EVEN_SHARE) * asked);
+    }
+    g_ptr_array_unref(uses);
+}
+
+/* ---- Public functions ------------------------------------------------- */
+
+void
+PsAllocator_Init(ps_allocator_t *allocator)
+{
+    *allocator = (ps_allocator_t){0};
+    allocator->reporters = new_by_name(free_reporter);
+    allocator->limits = new_by_name(g_free);
+}
+
+void
+PsAllocator_Finish(ps_allocator_t *allocator)
+{
+    g_hash_table_destroy(allocator->reporters);
+    g_hash_table_destroy(allocator->limits);
+}
+
+ps_service_use_t *
+PsReporter_GetService(ps_reporter_t *reporter, const ps_name_t *service)
+{
+    ps_service_use_t *use = g_hash_table_lookup(reporter->services, service);
+    if (!use) {
+        use = g_new0(ps_service_use_t, 1);
+        use->running = g_array_new(FALSE, FALSE, sizeof(ps_slot_count_t));
+        use->waiting = g_array_new(FALSE, FALSE, sizeof(ps_waiting_count_t));
+        use->limits = g_array_new(FALSE, FALSE, sizeof(ps_slot_count_t));
+        g_hash_table_insert(reporter->services,
+                            g_memdup2(service, sizeof *service), use);
+    }
+    return use;
+}
+
+ps_team_use_t *
+PsReporter_GetTeam(ps_reporter_t *reporter, const ps_name_t *team)
+{
+    ps_team_use_t *use = g_hash_table_lookup(reporter->teams, team);
+    if (!use) {
+        use = g_new0(ps_team_use_t, 1);
+        g_hash_table_insert(reporter->teams, g_memdup2(team, sizeof *team),
+                            use);
+    }
+    return use;
+}
+
+ps_reporter_t *
+PsAllocator_Reporter(ps_allocator_t *allocator, const ps_name_t *name,
+                     uint64_t incarnation, int64_t now_ms)
+{
+    ps_reporter_t *reporter =
+        g_hash_table_lookup(allocator->reporters, name);
+    if (reporter && reporter->incarnation != incarnation) {
+        g_hash_table_remove(allocator->reporters, name);
+        reporter = NULL;
+    }
+    if (!reporter) {
+        reporter = g_new0(ps_reporter_t, 1);
+        reporter->name = *name;
+        reporter->incarnation = incarnation;
+        reporter->services = new_by_name(free_use);
+        reporter->teams = new_by_name(g_free);
+        g_hash_table_insert(allocator->reporters,
+                            g_memdup2(name, sizeof *name), reporter);
+    }
+    reporter->reported_ms = now_ms;
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, reporter->services);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_service_use_t *use = value;
+        g_array_set_size(use->running, 0);
+        g_array_set_size(use->waiting, 0);
+    }
+    return reporter;
+}
+
+void
+PsAllocator_Forget(ps_allocator_t *allocator, const ps_name_t *name)
+{
+    g_hash_table_remove(allocator->reporters, name);
+}
+
+void
+PsAllocator_SetLimit(ps_allocator_t *allocator, const ps_name_t *team,
+                     double limit)
+{
+    if (limit <= 0) {
+        g_hash_table_remove(allocator->limits, team);
+        return;
+    }
+    g_hash_table_replace(allocator->limits, g_memdup2(team, sizeof *team),
+                         g_memdup2(&limit, sizeof limit));
+}
+
+void
+PsAllocator_DivideSlots(ps_allocator_t *allocator, const ps_name_t *service,
+                        const ps_slot_count_t *slots, int n_slots,
+                        int n_daemons, int64_t now_ms)
+{
+    GPtrArray *uses = list_uses(allocator, service, now_ms);
+    if (uses->len == 0 || n_slots == 0) {
+        g_ptr_array_unref(uses);
+        return;
+    }
+    int *free_slots = g_new(int, n_slots);
+    for (int i = 0; i < n_slots; i++) {
+        free_slots[i] = count_free(uses, &slots[i], n_daemons);
+    }
+    for (guint i = 0; i < uses->len; i++) {
+        ps_service_use_t *use = uses->pdata[i];
+        g_array_set_size(use->limits, 0);
+        if (use->running->len > 0) {
+            g_array_append_vals(use->limits, use->running->data,
+                                use->running->len);
+        }
+    }
+    int64_t rank = -1;
+    while ((rank = next_rank(uses, rank)) >= 0) {
+        serve_rank(allocator, uses, rank, slots, free_slots, n_slots);
+    }
+    spread_rest(allocator, uses, slots, free_slots, n_slots);
+    allocator->turn++;
+    g_free(free_slots);
+    g_ptr_array_unref(uses);
+}
+
+void
+PsAllocator_DivideQuotas(ps_allocator_t *allocator, int n_daemons,
+                         int64_t now_ms)
+{
+    GHashTableIter each;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&each, allocator->limits);
+    while (g_hash_table_iter_next(&each, &key, &value)) {
+        divide_quota(allocator, key, *(double *)value, n_daemons, now_ms);
+    }
+}
--- /dev/null
+++ b/src/allocator.h
@@ -0,0 +1,112 @@
+/*
+ * allocator.h - Divides slots and quotas among daemons by what they need.
+ *
+ * One daemon runs it for all. Each round every daemon reports what it has at
+ * each server and what waits, and gets limits in return: what it has, plus
+ * free slots, first to the waiting requests that come first in order, then
+ * evenly. What is left of a team's quota is granted in the same way. An allocator gives out only
+ * the part of slots and quotas that belongs to the daemons that report to
+ * it, so two at once do no harm. Load pattern: callers spread unevenly over
+ * many daemons, so that even shares leave slots idle at some while requests
+ * wait at others. Pure: time is an argument.
+ */
+#ifndef PS_ALLOCATOR_H
+#define PS_ALLOCATOR_H
+
+#include <glib.h>
+
+#include "scheduler.h"
+
+#define PS_REPORT_FRESH_MS 500 /* older reports count for nothing */
+
+/**
+ * struct ps_slot_count - A number of requests at one server.
+ */
+typedef struct ps_slot_count {
+    uint32_t server; /* hash of its name */
+    int count;
+} ps_slot_count_t;
+
+/**
+ * struct ps_service_use - One daemon's use of one service.
+ */
+typedef struct ps_service_use {
+    GArray *running; /* ps_slot_count_t; only servers in use */
+    GArray *waiting; /* ps_waiting_count_t */
+    GArray *limits;  /* ps_slot_count_t, set by the division */
+} ps_service_use_t;
+
+/**
+ * struct ps_team_use - One daemon's use of one team's quota.
+ */
+typedef struct ps_team_use {
+    double spent;   /* units in the window before its report */
+    double wanted;  /* units asked for lately, refused ones included */
+    double granted; /* units it may spend now */
+} ps_team_use_t;
+
+/**
+ * struct ps_reporter - One daemon as the allocator knows it.
+ */
+typedef struct ps_reporter {
+    ps_name_t name;
+    uint64_t incarnation;
+    int64_t reported_ms;
+    uint64_t round;       /* of its last report */
+    bool is_leaving;
+    GHashTable *services; /* name to ps_service_use_t */
+    GHashTable *teams;    /* name to ps_team_use_t */
+} ps_reporter_t;
+
+/**
+ * struct ps_allocator - The state of all rounds.
+ */
+typedef struct ps_allocator {
+    GHashTable *reporters; /* name to ps_reporter_t */
+    GHashTable *limits;    /* team to the units of a window, double */
+    guint turn;            /* whose turn it is to get the odd slot */
+} ps_allocator_t;
+
+void PsAllocator_Init(ps_allocator_t *allocator);
+void PsAllocator_Finish(ps_allocator_t *allocator);
+
+/**
+ * PsAllocator_Reporter() - Starts a report of a daemon.
+ *
+ * Return: its entry, with earlier uses and waits cleared.
+ */
+ps_reporter_t *PsAllocator_Reporter(ps_allocator_t *allocator,
+                                    const ps_name_t *name,
+                                    uint64_t incarnation, int64_t now_ms);
+ps_service_use_t *PsReporter_GetService(ps_reporter_t *reporter,
+                                        const ps_name_t *service);
+
+ps_team_use_t *PsReporter_GetTeam(ps_reporter_t *reporter,
+                                  const ps_name_t *team);
+void PsAllocator_Forget(ps_allocator_t *allocator, const ps_name_t *name);
+
+/**
+ * PsAllocator_SetLimit() - Sets what all daemons may spend in a window.
+ * @limit: units; 0: no quota
+ */
+void PsAllocator_SetLimit(ps_allocator_t *allocator, const ps_name_t *team,
+                          double limit);
+
+/**
+ * PsAllocator_DivideSlots() - Works out the limits of one service.
+ * @slots: of each server
+ * @n_slots: how many servers
+ * @n_daemons: all daemons, reporting or not
+ */
+void PsAllocator_DivideSlots(ps_allocator_t *allocator,
+                             const ps_name_t *service,
+                             const ps_slot_count_t *slots, int n_slots,
+                             int n_daemons, int64_t now_ms);
+
+/**
+ * PsAllocator_DivideQuotas() - Works out what each daemon may spend.
+ */
+void PsAllocator_DivideQuotas(ps_allocator_t *allocator, int n_daemons,
+                              int64_t now_ms);
+
+#endif
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -17,6 +17,8 @@
 #define IDLE_REPEAT_S 3       /* the same, where a repeat is allowed */
 #define BODY_MAX (16 * 1024 * 1024) /* bytes of a whole answer */
 #define EVENT_MAX (1024 * 1024)     /* bytes of one event */
+#define DEATHS_BANNED 3       /* lost connections until a content is refused */
+#define RETRY_OVER_QUOTA_MS 1500 /* some of the window has passed by then */
 #define OUTPUT_SHARE 0.3      /* of the most output tokens, without a hint */
 
 /* ---- Answers ---------------------------------------------------------- */
@@ -402,7 +404,9 @@
                      transfer->error, "end", (int)end);
     }
     bool was_cut = result == PS_TRANSFER_BROKEN && !exchange->has_head;
-    if (was_cut) {
+    if (was_cut && exchange->content_hash != 0) {
+        PsSharing_AddSuspect(&exchange->gateway->sharing,
+                             exchange->content_hash);
         PsSuspects_AddDeath(&exchange->gateway->suspects,
                             exchange->content_hash, now_ms);
     }
@@ -464,10 +468,14 @@
     }
 }
 
+// Returns 0 for a request without a body: many callers send the same one.
 static uint64_t
 hash_content(const ps_exchange_t *exchange)
 {
     const ps_http_request_t *request = exchange->request;
+    if (request->body.len == 0) {
+        return 0;
+    }
     uint64_t hash = XXH64(request->path.data, request->path.len, 0);
     if (exchange->team) {
         hash = XXH64(exchange->team->name.data, exchange->team->name.len,
@@ -532,14 +540,14 @@
                           exchange->inbound.output_tokens_max
                     : team->plain_tokens;
     }
-    int64_t wait_ms;
-    ps_quota_t *quota = PsGateway_GetQuota(exchange->gateway, &team->name);
-    if (!PsQuota_Take(quota, units, now_ms, &wait_ms)) {
-        PsEvents_Add("request.over_quota", "{s:s,s:s,s:f,s:f,s:f}", "id",
+    if (!PsSharing_TakeQuota(&exchange->gateway->sharing, &team->name, units,
+                             now_ms)) {
+        PsEvents_Add("request.over_quota", "{s:s,s:s,s:f,s:f,s:b}", "id",
                      exchange->inbound.request_id.data, "team",
-                     team->name.data, "units", units, "level", quota->level,
-                     "rate", quota->rate);
-        answer_not_run(exchange, 429, wait_ms, "team is over its quota");
+                     team->name.data, "units", units, "rate", team->rate,
+                     "even_share", (int)exchange->gateway->sharing.is_even);
+        answer_not_run(exchange, 429, RETRY_OVER_QUOTA_MS,
+                       "team is over its quota");
         return false;
     }
     exchange->quota_units = units;
@@ -582,8 +590,8 @@
     }
     exchange->last_event = exchange->inbound.last_event;
     exchange->content_hash = hash_content(exchange);
-    if (PsSuspects_IsBanned(&gateway->suspects, exchange->content_hash,
-                            now_ms)) {
+    if (PsSuspects_GetDeaths(&gateway->suspects, exchange->content_hash,
+                             now_ms) >= DEATHS_BANNED) {
         answer_not_run(exchange, 503, 0, "content was in flight at crashes");
         return;
     }
--- a/src/feed.h
+++ b/src/feed.h
@@ -21,6 +21,8 @@
     uint64_t incarnation; /* differs at each start */
     double cpu_share;     /* of a core */
     uint64_t revision;    /* of its object in the store */
+    int64_t joined_ms;    /* this daemon learnt of it then */
+    bool is_removed;      /* its removal was asked for */
 } ps_member_t;
 
 /**
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -60,21 +60,15 @@
     const ps_gateway_settings_t *set = &gateway->settings.gateway;
     ps_quota_terms_t terms = {set->quota_window_s, set->quota_overage,
                               set->quota_slack};
-    int n = (int)g_hash_table_size(gateway->members);
     for (guint i = 0; i < gateway->catalog->teams->len; i++) {
         const ps_team_t *team = gateway->catalog->teams->pdata[i];
-        PsQuota_Set(PsGateway_GetQuota(gateway, &team->name), team->rate,
-                    team->burst, n, &terms, PsClock_Now());
+        double limit = PsQuota_GetLimit(team->rate, team->burst, &terms);
+        PsQuota_Set(PsGateway_GetQuota(gateway, &team->name), limit,
+                    terms.window_s, gateway->started_ms);
+        PsAllocator_SetLimit(&gateway->sharing.allocator, &team->name, limit);
     }
 }
 
-static void
-members_changed(ps_gateway_t *gateway)
-{
-    set_shares(gateway);
-    set_quotas(gateway);
-}
-
 /* ---- News from the store ---------------------------------------------- */
 
 static void
@@ -103,7 +97,8 @@
         desk->tokens_per_event = service->tokens_per_event;
     }
     PsHttpServer_SetIdle(&gateway->callers, catalog->limits.idle_ms);
-    members_changed(gateway);
+    set_shares(gateway);
+    set_quotas(gateway);
 }
 
 static void
@@ -146,8 +141,10 @@
                  told->domain.data);
     g_hash_table_remove(gateway->members, &told->name);
     ps_member_t *member = g_memdup2(told, sizeof *told);
+    member->joined_ms = PsClock_Now();
     g_hash_table_insert(gateway->members, &member->name, member);
-    members_changed(gateway);
+    set_shares(gateway);
+    PsSharing_MemberChanged(&gateway->sharing, member);
 }
 
 static void
@@ -157,8 +154,10 @@
     if (!PsName_IsEqual(name, &gateway->self.name) &&
         g_hash_table_contains(gateway->members, name)) {
         PsEvents_Add("member.leave", "{s:s}", "name", name->data);
+        PsAllocator_Forget(&gateway->sharing.allocator, name);
         g_hash_table_remove(gateway->members, name);
-        members_changed(gateway);
+        set_shares(gateway);
+        PsSharing_MemberChanged(&gateway->sharing, &gateway->self);
     }
 }
 
@@ -308,6 +307,7 @@
     ps_gateway_t *gateway = timer->data;
     int64_t now_ms = PsClock_Now();
     PsRoster_Run(&gateway->roster, now_ms);
+    PsSharing_Run(&gateway->sharing, now_ms);
     run_desks(gateway, now_ms);
     GList *next;
     for (GList *l = gateway->exchanges.head; l; l = next) {
@@ -353,6 +353,7 @@
     static const ps_roster_events_t roster_events = {on_listed, on_unlisted};
     *gateway = (ps_gateway_t){
         .settings = *settings, .loop = loop, .dialect = dialect};
+    gateway->started_ms = PsClock_Now();
     PsHttpClient_Init(&gateway->client, loop);
     PsRoster_Init(&gateway->roster, &roster_events, gateway);
     PsSuspects_Init(&gateway->suspects);
@@ -373,7 +374,10 @@
     ev_timer_init(&gateway->tick, on_tick, TICK_S, TICK_S);
     gateway->tick.data = gateway;
     ev_timer_start(loop, &gateway->tick);
-    return listen_all(gateway, check_events, directory_events);
+    ps_status_t status = PsSharing_Init(&gateway->sharing, gateway, loop);
+    return status == PS_OK
+               ? listen_all(gateway, check_events, directory_events)
+               : status;
 }
 
 void
@@ -384,6 +388,7 @@
     PsHttpServer_Finish(&gateway->checks);
     PsHttpServer_Finish(&gateway->directory);
     PsHttpServer_Finish(&gateway->metrics);
+    PsSharing_Finish(&gateway->sharing);
     PsEvents_Flush();
 }
 
@@ -470,7 +475,11 @@
             const ps_member_t *member = value;
             bool is_self =
                 PsName_IsEqual(&member->name, &gateway->self.name);
-            if (!is_self || PsGateway_IsReady(gateway)) {
+            bool serves =
+                is_self ? PsGateway_IsReady(gateway)
+                        : !PsSharing_IsSilent(&gateway->sharing,
+                                              &member->name);
+            if (serves) {
                 add_address(member, domain, pass == 0, addresses, &n, max);
             }
         }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -19,6 +19,7 @@
 #include "retry_budget.h"
 #include "roster.h"
 #include "scheduler.h"
+#include "sharing.h"
 #include "settings.h"
 #include "suspects.h"
 
@@ -67,8 +68,13 @@
     ps_suspects_t suspects;
     ps_member_t self;
     GHashTable *members;        /* name to ps_member_t; with this daemon */
+    ps_sharing_t sharing;
+    void (*remove_member)(struct ps_gateway *gateway,
+                          const ps_member_t *member); /* from the store */
+    void *store;                /* for @remove_member */
     GQueue exchanges;           /* ps_exchange_t in progress */
     ev_timer tick;
+    int64_t started_ms;
     bool is_store_lost;
     bool is_leaving;
     int64_t leaving_ms;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -772,7 +772,367 @@
   assert(message->base.descriptor == &ps__cancel__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ps__frame__field_descriptors[14] =
+void   ps__server_count__init
+                     (Ps__ServerCount         *message)
+{
+  static const Ps__ServerCount init_value = PS__SERVER_COUNT__INIT;
+  *message = init_value;
+}
+size_t ps__server_count__get_packed_size
+                     (const Ps__ServerCount *message)
+{
+  assert(message->base.descriptor == &ps__server_count__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__server_count__pack
+                     (const Ps__ServerCount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__server_count__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__server_count__pack_to_buffer
+                     (const Ps__ServerCount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__server_count__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ServerCount *
+       ps__server_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ServerCount *)
+     protobuf_c_message_unpack (&ps__server_count__descriptor,
+                                allocator, len, data);
+}
+void   ps__server_count__free_unpacked
+                     (Ps__ServerCount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__server_count__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ps__waiting_count__init
+                     (Ps__WaitingCount         *message)
+{
+  static const Ps__WaitingCount init_value = PS__WAITING_COUNT__INIT;
+  *message = init_value;
+}
+size_t ps__waiting_count__get_packed_size
+                     (const Ps__WaitingCount *message)
+{
+  assert(message->base.descriptor == &ps__waiting_count__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__waiting_count__pack
+                     (const Ps__WaitingCount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__waiting_count__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__waiting_count__pack_to_buffer
+                     (const Ps__WaitingCount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__waiting_count__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__WaitingCount *
+       ps__waiting_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__WaitingCount *)
+     protobuf_c_message_unpack (&ps__waiting_count__descriptor,
+                                allocator, len, data);
+}
+void   ps__waiting_count__free_unpacked
+                     (Ps__WaitingCount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__waiting_count__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ps__service_use__init
+                     (Ps__ServiceUse         *message)
+{
+  static const Ps__ServiceUse init_value = PS__SERVICE_USE__INIT;
+  *message = init_value;
+}
+size_t ps__service_use__get_packed_size
+                     (const Ps__ServiceUse *message)
+{
+  assert(message->base.descriptor == &ps__service_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__service_use__pack
+                     (const Ps__ServiceUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__service_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__service_use__pack_to_buffer
+                     (const Ps__ServiceUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__service_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ServiceUse *
+       ps__service_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ServiceUse *)
+     protobuf_c_message_unpack (&ps__service_use__descriptor,
+                                allocator, len, data);
+}
+void   ps__service_use__free_unpacked
+                     (Ps__ServiceUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__service_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ps__team_use__init
+                     (Ps__TeamUse         *message)
+{
+  static const Ps__TeamUse init_value = PS__TEAM_USE__INIT;
+  *message = init_value;
+}
+size_t ps__team_use__get_packed_size
+                     (const Ps__TeamUse *message)
+{
+  assert(message->base.descriptor == &ps__team_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__team_use__pack
+                     (const Ps__TeamUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__team_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__team_use__pack_to_buffer
+                     (const Ps__TeamUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__team_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__TeamUse *
+       ps__team_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__TeamUse *)
+     protobuf_c_message_unpack (&ps__team_use__descriptor,
+                                allocator, len, data);
+}
+void   ps__team_use__free_unpacked
+                     (Ps__TeamUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__team_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ps__share_report__init
+                     (Ps__ShareReport         *message)
+{
+  static const Ps__ShareReport init_value = PS__SHARE_REPORT__INIT;
+  *message = init_value;
+}
+size_t ps__share_report__get_packed_size
+                     (const Ps__ShareReport *message)
+{
+  assert(message->base.descriptor == &ps__share_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__share_report__pack
+                     (const Ps__ShareReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__share_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__share_report__pack_to_buffer
+                     (const Ps__ShareReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__share_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ShareReport *
+       ps__share_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ShareReport *)
+     protobuf_c_message_unpack (&ps__share_report__descriptor,
+                                allocator, len, data);
+}
+void   ps__share_report__free_unpacked
+                     (Ps__ShareReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__share_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ps__service_grant__init
+                     (Ps__ServiceGrant         *message)
+{
+  static const Ps__ServiceGrant init_value = PS__SERVICE_GRANT__INIT;
+  *message = init_value;
+}
+size_t ps__service_grant__get_packed_size
+                     (const Ps__ServiceGrant *message)
+{
+  assert(message->base.descriptor == &ps__service_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__service_grant__pack
+                     (const Ps__ServiceGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__service_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__service_grant__pack_to_buffer
+                     (const Ps__ServiceGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__service_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ServiceGrant *
+       ps__service_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ServiceGrant *)
+     protobuf_c_message_unpack (&ps__service_grant__descriptor,
+                                allocator, len, data);
+}
+void   ps__service_grant__free_unpacked
+                     (Ps__ServiceGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__service_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ps__team_grant__init
+                     (Ps__TeamGrant         *message)
+{
+  static const Ps__TeamGrant init_value = PS__TEAM_GRANT__INIT;
+  *message = init_value;
+}
+size_t ps__team_grant__get_packed_size
+                     (const Ps__TeamGrant *message)
+{
+  assert(message->base.descriptor == &ps__team_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__team_grant__pack
+                     (const Ps__TeamGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__team_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__team_grant__pack_to_buffer
+                     (const Ps__TeamGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__team_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__TeamGrant *
+       ps__team_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__TeamGrant *)
+     protobuf_c_message_unpack (&ps__team_grant__descriptor,
+                                allocator, len, data);
+}
+void   ps__team_grant__free_unpacked
+                     (Ps__TeamGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__team_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ps__share_grant__init
+                     (Ps__ShareGrant         *message)
+{
+  static const Ps__ShareGrant init_value = PS__SHARE_GRANT__INIT;
+  *message = init_value;
+}
+size_t ps__share_grant__get_packed_size
+                     (const Ps__ShareGrant *message)
+{
+  assert(message->base.descriptor == &ps__share_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__share_grant__pack
+                     (const Ps__ShareGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__share_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__share_grant__pack_to_buffer
+                     (const Ps__ShareGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__share_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ShareGrant *
+       ps__share_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ShareGrant *)
+     protobuf_c_message_unpack (&ps__share_grant__descriptor,
+                                allocator, len, data);
+}
+void   ps__share_grant__free_unpacked
+                     (Ps__ShareGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__share_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor ps__frame__field_descriptors[16] =
 {
   {
     "protocol",
@@ -942,6 +1302,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "share_report",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__Frame, body_case),
+    offsetof(Ps__Frame, share_report),
+    &ps__share_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share_grant",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__Frame, body_case),
+    offsetof(Ps__Frame, share_grant),
+    &ps__share_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
@@ -957,12 +1341,14 @@
   0,   /* field[0] = protocol */
   9,   /* field[9] = recover_answer */
   8,   /* field[8] = recover_ask */
+  15,   /* field[15] = share_grant */
+  14,   /* field[14] = share_report */
   7,   /* field[7] = withdraw */
 };
 static const ProtobufCIntRange ps__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor ps__frame__descriptor =
 {
@@ -972,14 +1358,14 @@
   "Ps__Frame",
   "ps",
   sizeof(Ps__Frame),
-  14,
+  16,
   ps__frame__field_descriptors,
   ps__frame__field_indices_by_name,
   1,  ps__frame__number_ranges,
   (ProtobufCMessageInit) ps__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__hello__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ps__hello__field_descriptors[4] =
 {
   {
     "daemon",
@@ -1017,16 +1403,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "renew",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__Hello, renew),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = daemon */
   1,   /* field[1] = incarnation */
+  3,   /* field[3] = renew */
 };
 static const ProtobufCIntRange ps__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ps__hello__descriptor =
 {
@@ -1036,7 +1435,7 @@
   "Ps__Hello",
   "ps",
   sizeof(Ps__Hello),
-  3,
+  4,
   ps__hello__field_descriptors,
   ps__hello__field_indices_by_name,
   1,  ps__hello__number_ranges,
@@ -2335,3 +2734,528 @@
   (ProtobufCMessageInit) ps__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ps__server_count__field_descriptors[2] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerCount, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerCount, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__server_count__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange ps__server_count__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ps__server_count__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ServerCount",
+  "ServerCount",
+  "Ps__ServerCount",
+  "ps",
+  sizeof(Ps__ServerCount),
+  2,
+  ps__server_count__field_descriptors,
+  ps__server_count__field_indices_by_name,
+  1,  ps__server_count__number_ranges,
+  (ProtobufCMessageInit) ps__server_count__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__waiting_count__field_descriptors[2] =
+{
+  {
+    "rank",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__WaitingCount, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__WaitingCount, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__waiting_count__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = rank */
+};
+static const ProtobufCIntRange ps__waiting_count__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ps__waiting_count__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.WaitingCount",
+  "WaitingCount",
+  "Ps__WaitingCount",
+  "ps",
+  sizeof(Ps__WaitingCount),
+  2,
+  ps__waiting_count__field_descriptors,
+  ps__waiting_count__field_indices_by_name,
+  1,  ps__waiting_count__number_ranges,
+  (ProtobufCMessageInit) ps__waiting_count__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServiceUse, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceUse, n_running),
+    offsetof(Ps__ServiceUse, running),
+    &ps__server_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceUse, n_waiting),
+    offsetof(Ps__ServiceUse, waiting),
+    &ps__waiting_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__service_use__field_indices_by_name[] = {
+  1,   /* field[1] = running */
+  0,   /* field[0] = service */
+  2,   /* field[2] = waiting */
+};
+static const ProtobufCIntRange ps__service_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ps__service_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ServiceUse",
+  "ServiceUse",
+  "Ps__ServiceUse",
+  "ps",
+  sizeof(Ps__ServiceUse),
+  3,
+  ps__service_use__field_descriptors,
+  ps__service_use__field_indices_by_name,
+  1,  ps__service_use__number_ranges,
+  (ProtobufCMessageInit) ps__service_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__team_use__field_descriptors[3] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamUse, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spent",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamUse, spent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamUse, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__team_use__field_indices_by_name[] = {
+  1,   /* field[1] = spent */
+  0,   /* field[0] = team */
+  2,   /* field[2] = wanted */
+};
+static const ProtobufCIntRange ps__team_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ps__team_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.TeamUse",
+  "TeamUse",
+  "Ps__TeamUse",
+  "ps",
+  sizeof(Ps__TeamUse),
+  3,
+  ps__team_use__field_descriptors,
+  ps__team_use__field_indices_by_name,
+  1,  ps__team_use__number_ranges,
+  (ProtobufCMessageInit) ps__team_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__share_report__field_descriptors[5] =
+{
+  {
+    "round",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareReport, round),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ShareReport, n_services),
+    offsetof(Ps__ShareReport, services),
+    &ps__service_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "teams",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ShareReport, n_teams),
+    offsetof(Ps__ShareReport, teams),
+    &ps__team_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ps__ShareReport, n_suspects),
+    offsetof(Ps__ShareReport, suspects),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareReport, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__share_report__field_indices_by_name[] = {
+  4,   /* field[4] = leaving */
+  0,   /* field[0] = round */
+  1,   /* field[1] = services */
+  3,   /* field[3] = suspects */
+  2,   /* field[2] = teams */
+};
+static const ProtobufCIntRange ps__share_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ps__share_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ShareReport",
+  "ShareReport",
+  "Ps__ShareReport",
+  "ps",
+  sizeof(Ps__ShareReport),
+  5,
+  ps__share_report__field_descriptors,
+  ps__share_report__field_indices_by_name,
+  1,  ps__share_report__number_ranges,
+  (ProtobufCMessageInit) ps__share_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServiceGrant, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceGrant, n_limits),
+    offsetof(Ps__ServiceGrant, limits),
+    &ps__server_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__service_grant__field_indices_by_name[] = {
+  1,   /* field[1] = limits */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange ps__service_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ps__service_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ServiceGrant",
+  "ServiceGrant",
+  "Ps__ServiceGrant",
+  "ps",
+  sizeof(Ps__ServiceGrant),
+  2,
+  ps__service_grant__field_descriptors,
+  ps__service_grant__field_indices_by_name,
+  1,  ps__service_grant__number_ranges,
+  (ProtobufCMessageInit) ps__service_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__team_grant__field_descriptors[3] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamGrant, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "units",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamGrant, units),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamGrant, open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__team_grant__field_indices_by_name[] = {
+  2,   /* field[2] = open */
+  0,   /* field[0] = team */
+  1,   /* field[1] = units */
+};
+static const ProtobufCIntRange ps__team_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ps__team_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.TeamGrant",
+  "TeamGrant",
+  "Ps__TeamGrant",
+  "ps",
+  sizeof(Ps__TeamGrant),
+  3,
+  ps__team_grant__field_descriptors,
+  ps__team_grant__field_indices_by_name,
+  1,  ps__team_grant__number_ranges,
+  (ProtobufCMessageInit) ps__team_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[5] =
+{
+  {
+    "round",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareGrant, round),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ShareGrant, n_services),
+    offsetof(Ps__ShareGrant, services),
+    &ps__service_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "teams",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ShareGrant, n_teams),
+    offsetof(Ps__ShareGrant, teams),
+    &ps__team_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "silent",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Ps__ShareGrant, n_silent),
+    offsetof(Ps__ShareGrant, silent),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "banned",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ps__ShareGrant, n_banned),
+    offsetof(Ps__ShareGrant, banned),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__share_grant__field_indices_by_name[] = {
+  4,   /* field[4] = banned */
+  0,   /* field[0] = round */
+  1,   /* field[1] = services */
+  3,   /* field[3] = silent */
+  2,   /* field[2] = teams */
+};
+static const ProtobufCIntRange ps__share_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ps__share_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ShareGrant",
+  "ShareGrant",
+  "Ps__ShareGrant",
+  "ps",
+  sizeof(Ps__ShareGrant),
+  5,
+  ps__share_grant__field_descriptors,
+  ps__share_grant__field_indices_by_name,
+  1,  ps__share_grant__number_ranges,
+  (ProtobufCMessageInit) ps__share_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -32,6 +32,14 @@
 typedef struct Ps__StreamProgress Ps__StreamProgress;
 typedef struct Ps__Progress Ps__Progress;
 typedef struct Ps__Cancel Ps__Cancel;
+typedef struct Ps__ServerCount Ps__ServerCount;
+typedef struct Ps__WaitingCount Ps__WaitingCount;
+typedef struct Ps__ServiceUse Ps__ServiceUse;
+typedef struct Ps__TeamUse Ps__TeamUse;
+typedef struct Ps__ShareReport Ps__ShareReport;
+typedef struct Ps__ServiceGrant Ps__ServiceGrant;
+typedef struct Ps__TeamGrant Ps__TeamGrant;
+typedef struct Ps__ShareGrant Ps__ShareGrant;
 
 
 /* --- enums --- */
@@ -60,7 +68,9 @@
   PS__FRAME__BODY_CONFIG_FETCH = 11,
   PS__FRAME__BODY_CONFIG = 12,
   PS__FRAME__BODY_PROGRESS = 13,
-  PS__FRAME__BODY_CANCEL = 14
+  PS__FRAME__BODY_CANCEL = 14,
+  PS__FRAME__BODY_SHARE_REPORT = 15,
+  PS__FRAME__BODY_SHARE_GRANT = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PS__FRAME__BODY__CASE)
 } Ps__Frame__BodyCase;
 
@@ -86,6 +96,8 @@
     Ps__Config *config;
     Ps__Progress *progress;
     Ps__Cancel *cancel;
+    Ps__ShareReport *share_report;
+    Ps__ShareGrant *share_grant;
   };
 };
 #define PS__FRAME__INIT \
@@ -105,10 +117,14 @@
    * where the sender listens for peers
    */
   char *address;
+  /*
+   * the receiver is to dial its own link anew
+   */
+  protobuf_c_boolean renew;
 };
 #define PS__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Ps__PoolEpoch
@@ -381,6 +397,153 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Gateway mode: a daemon's use of the services, to the daemon that divides
+ * their slots; sent at a steady pace.
+ */
+struct  Ps__ServerCount
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the backend server's name
+   */
+  uint32_t server;
+  uint32_t count;
+};
+#define PS__SERVER_COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__server_count__descriptor) \
+    , 0, 0 }
+
+
+struct  Ps__WaitingCount
+{
+  ProtobufCMessage base;
+  /*
+   * order of waiting; 0 comes first
+   */
+  uint32_t rank;
+  uint32_t count;
+};
+#define PS__WAITING_COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__waiting_count__descriptor) \
+    , 0, 0 }
+
+
+struct  Ps__ServiceUse
+{
+  ProtobufCMessage base;
+  char *service;
+  size_t n_running;
+  Ps__ServerCount **running;
+  size_t n_waiting;
+  Ps__WaitingCount **waiting;
+};
+#define PS__SERVICE_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__service_use__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+
+
+struct  Ps__TeamUse
+{
+  ProtobufCMessage base;
+  char *team;
+  /*
+   * units since the sender's start
+   */
+  double spent;
+  /*
+   * units asked for lately, refused ones included
+   */
+  double wanted;
+};
+#define PS__TEAM_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__team_use__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Ps__ShareReport
+{
+  ProtobufCMessage base;
+  uint64_t round;
+  size_t n_services;
+  Ps__ServiceUse **services;
+  size_t n_teams;
+  Ps__TeamUse **teams;
+  /*
+   * contents in flight at lost connections
+   */
+  size_t n_suspects;
+  uint64_t *suspects;
+  protobuf_c_boolean leaving;
+};
+#define PS__SHARE_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__share_report__descriptor) \
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
+/*
+ * What one daemon may use until the next grant.
+ */
+struct  Ps__ServiceGrant
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * requests at a time; others: none
+   */
+  size_t n_limits;
+  Ps__ServerCount **limits;
+};
+#define PS__SERVICE_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__service_grant__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  Ps__TeamGrant
+{
+  ProtobufCMessage base;
+  char *team;
+  /*
+   * that may be spent beyond what was reported
+   */
+  double units;
+  /*
+   * the quota is far from used up
+   */
+  protobuf_c_boolean open;
+};
+#define PS__TEAM_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__team_grant__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Ps__ShareGrant
+{
+  ProtobufCMessage base;
+  /*
+   * of the report that it answers
+   */
+  uint64_t round;
+  size_t n_services;
+  Ps__ServiceGrant **services;
+  size_t n_teams;
+  Ps__TeamGrant **teams;
+  /*
+   * daemons that do not report
+   */
+  size_t n_silent;
+  char **silent;
+  /*
+   * contents that crash backend servers
+   */
+  size_t n_banned;
+  uint64_t *banned;
+};
+#define PS__SHARE_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__share_grant__descriptor) \
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
 /* Ps__Frame methods */
 void   ps__frame__init
                      (Ps__Frame         *message);
@@ -704,6 +867,158 @@
 void   ps__cancel__free_unpacked
                      (Ps__Cancel *message,
                       ProtobufCAllocator *allocator);
+/* Ps__ServerCount methods */
+void   ps__server_count__init
+                     (Ps__ServerCount         *message);
+size_t ps__server_count__get_packed_size
+                     (const Ps__ServerCount   *message);
+size_t ps__server_count__pack
+                     (const Ps__ServerCount   *message,
+                      uint8_t             *out);
+size_t ps__server_count__pack_to_buffer
+                     (const Ps__ServerCount   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ServerCount *
+       ps__server_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__server_count__free_unpacked
+                     (Ps__ServerCount *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__WaitingCount methods */
+void   ps__waiting_count__init
+                     (Ps__WaitingCount         *message);
+size_t ps__waiting_count__get_packed_size
+                     (const Ps__WaitingCount   *message);
+size_t ps__waiting_count__pack
+                     (const Ps__WaitingCount   *message,
+                      uint8_t             *out);
+size_t ps__waiting_count__pack_to_buffer
+                     (const Ps__WaitingCount   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__WaitingCount *
+       ps__waiting_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__waiting_count__free_unpacked
+                     (Ps__WaitingCount *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__ServiceUse methods */
+void   ps__service_use__init
+                     (Ps__ServiceUse         *message);
+size_t ps__service_use__get_packed_size
+                     (const Ps__ServiceUse   *message);
+size_t ps__service_use__pack
+                     (const Ps__ServiceUse   *message,
+                      uint8_t             *out);
+size_t ps__service_use__pack_to_buffer
+                     (const Ps__ServiceUse   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ServiceUse *
+       ps__service_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__service_use__free_unpacked
+                     (Ps__ServiceUse *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__TeamUse methods */
+void   ps__team_use__init
+                     (Ps__TeamUse         *message);
+size_t ps__team_use__get_packed_size
+                     (const Ps__TeamUse   *message);
+size_t ps__team_use__pack
+                     (const Ps__TeamUse   *message,
+                      uint8_t             *out);
+size_t ps__team_use__pack_to_buffer
+                     (const Ps__TeamUse   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__TeamUse *
+       ps__team_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__team_use__free_unpacked
+                     (Ps__TeamUse *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__ShareReport methods */
+void   ps__share_report__init
+                     (Ps__ShareReport         *message);
+size_t ps__share_report__get_packed_size
+                     (const Ps__ShareReport   *message);
+size_t ps__share_report__pack
+                     (const Ps__ShareReport   *message,
+                      uint8_t             *out);
+size_t ps__share_report__pack_to_buffer
+                     (const Ps__ShareReport   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ShareReport *
+       ps__share_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__share_report__free_unpacked
+                     (Ps__ShareReport *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__ServiceGrant methods */
+void   ps__service_grant__init
+                     (Ps__ServiceGrant         *message);
+size_t ps__service_grant__get_packed_size
+                     (const Ps__ServiceGrant   *message);
+size_t ps__service_grant__pack
+                     (const Ps__ServiceGrant   *message,
+                      uint8_t             *out);
+size_t ps__service_grant__pack_to_buffer
+                     (const Ps__ServiceGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ServiceGrant *
+       ps__service_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__service_grant__free_unpacked
+                     (Ps__ServiceGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__TeamGrant methods */
+void   ps__team_grant__init
+                     (Ps__TeamGrant         *message);
+size_t ps__team_grant__get_packed_size
+                     (const Ps__TeamGrant   *message);
+size_t ps__team_grant__pack
+                     (const Ps__TeamGrant   *message,
+                      uint8_t             *out);
+size_t ps__team_grant__pack_to_buffer
+                     (const Ps__TeamGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__TeamGrant *
+       ps__team_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__team_grant__free_unpacked
+                     (Ps__TeamGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__ShareGrant methods */
+void   ps__share_grant__init
+                     (Ps__ShareGrant         *message);
+size_t ps__share_grant__get_packed_size
+                     (const Ps__ShareGrant   *message);
+size_t ps__share_grant__pack
+                     (const Ps__ShareGrant   *message,
+                      uint8_t             *out);
+size_t ps__share_grant__pack_to_buffer
+                     (const Ps__ShareGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ShareGrant *
+       ps__share_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__share_grant__free_unpacked
+                     (Ps__ShareGrant *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Ps__Frame_Closure)
@@ -757,6 +1072,30 @@
 typedef void (*Ps__Cancel_Closure)
                  (const Ps__Cancel *message,
                   void *closure_data);
+typedef void (*Ps__ServerCount_Closure)
+                 (const Ps__ServerCount *message,
+                  void *closure_data);
+typedef void (*Ps__WaitingCount_Closure)
+                 (const Ps__WaitingCount *message,
+                  void *closure_data);
+typedef void (*Ps__ServiceUse_Closure)
+                 (const Ps__ServiceUse *message,
+                  void *closure_data);
+typedef void (*Ps__TeamUse_Closure)
+                 (const Ps__TeamUse *message,
+                  void *closure_data);
+typedef void (*Ps__ShareReport_Closure)
+                 (const Ps__ShareReport *message,
+                  void *closure_data);
+typedef void (*Ps__ServiceGrant_Closure)
+                 (const Ps__ServiceGrant *message,
+                  void *closure_data);
+typedef void (*Ps__TeamGrant_Closure)
+                 (const Ps__TeamGrant *message,
+                  void *closure_data);
+typedef void (*Ps__ShareGrant_Closure)
+                 (const Ps__ShareGrant *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -781,6 +1120,14 @@
 extern const ProtobufCMessageDescriptor ps__stream_progress__descriptor;
 extern const ProtobufCMessageDescriptor ps__progress__descriptor;
 extern const ProtobufCMessageDescriptor ps__cancel__descriptor;
+extern const ProtobufCMessageDescriptor ps__server_count__descriptor;
+extern const ProtobufCMessageDescriptor ps__waiting_count__descriptor;
+extern const ProtobufCMessageDescriptor ps__service_use__descriptor;
+extern const ProtobufCMessageDescriptor ps__team_use__descriptor;
+extern const ProtobufCMessageDescriptor ps__share_report__descriptor;
+extern const ProtobufCMessageDescriptor ps__service_grant__descriptor;
+extern const ProtobufCMessageDescriptor ps__team_grant__descriptor;
+extern const ProtobufCMessageDescriptor ps__share_grant__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/peers.c
+++ b/src/peers.c
@@ -16,6 +16,7 @@
 #define OUT_MAX (4 * 1024 * 1024) /* unsent bytes of one peer */
 #define READ_BLOCK (64 * 1024)    /* bytes read at a time */
 #define RETRY_MS 250              /* pause after a failed dial */
+#define UNACKED_TIMEOUT_MS 2000   /* sent bytes that a peer's host ignores */
 #define IN_USE_MS 60000           /* a peer is in use after a message */
 
 /* ---- Types ------------------------------------------------------------ */
@@ -137,6 +138,8 @@
     hello.daemon = peer->peers->self.data;
     hello.address = peer->peers->address.data;
     hello.incarnation = peer->peers->incarnation;
+    hello.renew = peer->must_renew;
+    peer->must_renew = false;
     Ps__Frame frame = PS__FRAME__INIT;
     frame.protocol = PS_PEER_PROTOCOL;
     frame.body_case = PS__FRAME__BODY_HELLO;
@@ -157,6 +160,9 @@
     peer->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     int one = 1;
     setsockopt(peer->fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    unsigned int unacked = UNACKED_TIMEOUT_MS;
+    setsockopt(peer->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
+               sizeof unacked);
     if (connect(peer->fd, (struct sockaddr *)&in, sizeof in) < 0 &&
         errno != EINPROGRESS) {
         close_out(peer);
@@ -215,6 +221,11 @@
         ps_name_t address = PsName_FromC(hello->address);
         PsPeers_SetAddress(in->peers, &in->peer, &address);
     }
+    if (hello->renew) {
+        ps_peer_t *peer = get_peer(in->peers, &in->peer);
+        close_out(peer);
+        peer->retry_ms = 0;
+    }
 }
 
 // Takes one frame in; false when the connection has to be dropped.
@@ -492,6 +503,18 @@
     }
 }
 
+void
+PsPeers_Renew(ps_peers_t *peers, const ps_name_t *name)
+{
+    if (PsName_IsEqual(name, &peers->self)) {
+        return;
+    }
+    ps_peer_t *peer = get_peer(peers, name);
+    close_out(peer);
+    peer->retry_ms = 0;
+    peer->must_renew = true;
+}
+
 void
 PsPeers_Use(ps_peers_t *peers, const ps_name_t *name, int64_t now_ms)
 {
--- a/src/peers.h
+++ b/src/peers.h
@@ -48,6 +48,7 @@
     int64_t heard_ms; /* last frame from it, or start of its use */
     int64_t used_ms;  /* last frame to it other than a heartbeat */
     bool is_silent;
+    bool must_renew; /* its own link to this daemon too */
 } ps_peer_t;
 
 /**
@@ -109,6 +110,12 @@
  */
 void PsPeers_Forgive(ps_peers_t *peers, int64_t now_ms);
 
+/**
+ * PsPeers_Renew() - Dials a peer anew and asks it to do the same, because the
+ * links may have gone silent.
+ */
+void PsPeers_Renew(ps_peers_t *peers, const ps_name_t *name);
+
 /**
  * PsPeers_Use() - Marks a peer as in use, so that its silence is noticed.
  */
--- a/src/quota.c
+++ b/src/quota.c
@@ -1,61 +1,86 @@
-/* quota.c - A token bucket for one daemon's part of a team's quota. */
+/* quota.c - Spending in a sliding window of buckets. */
 #include "quota.h"
 
 #include <glib.h>
 
-#define SLACK_SHARE 0.7 /* of the slack; the rest covers members that change */
+#define TOLERANCE_USED 0.5 /* of overage and slack; rounds are not exact */
 
 /* ---- Internal functions ----------------------------------------------- */
 
 static void
-fill(ps_quota_t *quota, int64_t now_ms)
+move_window(ps_quota_t *quota, int64_t now_ms)
 {
-    double passed = (double)(now_ms - quota->filled_ms);
-    quota->filled_ms = now_ms;
-    quota->level =
-        MIN(quota->level + passed * quota->rate / 1000.0, quota->depth);
+    int64_t bucket = now_ms / MAX(quota->bucket_ms, 1);
+    int64_t first =
+        MAX(quota->current + 1, bucket - PS_QUOTA_BUCKETS + 1);
+    for (int64_t b = first; b <= bucket; b++) {
+        quota->spent[b % PS_QUOTA_BUCKETS] = 0;
+    }
+    quota->current = MAX(quota->current, bucket);
 }
 
 /* ---- Public functions ------------------------------------------------- */
 
+double
+PsQuota_GetLimit(double rate, double burst, const ps_quota_terms_t *terms)
+{
+    if (rate <= 0) {
+        return 0;
+    }
+    double plain = rate * terms->window_s + burst;
+    return plain + TOLERANCE_USED * (terms->overage * plain + terms->slack);
+}
+
 void
-PsQuota_Set(ps_quota_t *quota, double rate, double burst, int n_daemons,
-            const ps_quota_terms_t *terms, int64_t now_ms)
+PsQuota_Set(ps_quota_t *quota, double limit, double window_s,
+            int64_t started_ms)
+{
+    quota->limit = limit;
+    quota->started_ms = started_ms;
+    quota->bucket_ms =
+        (int64_t)(window_s * 1000.0 / (PS_QUOTA_BUCKETS - 1));
+}
+
+double
+PsQuota_GetSpent(ps_quota_t *quota, int n_daemons, int64_t now_ms)
 {
-    bool is_new = quota->filled_ms == 0 || quota->rate == 0;
-    if (!is_new) {
-        fill(quota, now_ms);
+    move_window(quota, now_ms);
+    double window_ms = (double)quota->bucket_ms * (PS_QUOTA_BUCKETS - 1);
+    double unknown_ms = window_ms - (double)(now_ms - quota->started_ms);
+    double spent = MAX(unknown_ms, 0.0) / MAX(window_ms, 1.0) *
+                   quota->limit / MAX(n_daemons, 1);
+    for (int i = 0; i < PS_QUOTA_BUCKETS; i++) {
+        spent += quota->spent[i];
     }
-    quota->filled_ms = now_ms;
-    double over = terms->overage * (rate * terms->window_s + burst);
-    double depth =
-        (burst + SLACK_SHARE * (over + terms->slack)) / MAX(n_daemons, 1);
-    quota->rate = rate / MAX(n_daemons, 1);
-    quota->level = is_new ? depth : MIN(quota->level, depth);
-    quota->depth = depth;
+    return spent;
+}
+
+void
+PsQuota_Charge(ps_quota_t *quota, double units, int64_t now_ms)
+{
+    move_window(quota, now_ms);
+    quota->spent[quota->current % PS_QUOTA_BUCKETS] += units;
+    quota->total += units;
 }
 
 bool
-PsQuota_Take(ps_quota_t *quota, double units, int64_t now_ms, int64_t *wait_ms)
+PsQuota_TakeEven(ps_quota_t *quota, double units, int n_daemons,
+                 int64_t now_ms)
 {
-    *wait_ms = 0;
-    if (quota->rate <= 0) {
-        return true;
-    }
-    fill(quota, now_ms);
-    double needed = MIN(units, quota->depth);
-    if (quota->level >= needed) {
-        quota->level -= units;
-        return true;
+    double part = quota->limit / MAX(n_daemons, 1);
+    double needed = MIN(units, part);
+    if (quota->limit > 0 &&
+        PsQuota_GetSpent(quota, n_daemons, now_ms) + needed > part) {
+        return false;
     }
-    *wait_ms = (int64_t)((needed - quota->level) * 1000.0 / quota->rate) + 1;
-    return false;
+    PsQuota_Charge(quota, units, now_ms);
+    return true;
 }
 
 void
 PsQuota_Return(ps_quota_t *quota, double units)
 {
-    if (quota->rate > 0) {
-        quota->level = MIN(quota->level + units, quota->depth);
-    }
+    double *newest = &quota->spent[quota->current % PS_QUOTA_BUCKETS];
+    *newest = MAX(*newest - units, 0.0);
+    quota->total -= units;
 }
--- a/src/quota.h
+++ b/src/quota.h
@@ -1,10 +1,12 @@
 /*
- * quota.h - A team's quota, shared out evenly over the daemons.
+ * quota.h - What a team has spent in a sliding window, and what is left.
  *
- * Each daemon spends from a part of its own, so the sum over all daemons
- * stays bounded whichever of them cannot reach each other. Load pattern: one
- * team sends many times its usual, at all daemons at once, also right after
- * its quota was lowered. Pure: time is an argument.
+ * A quota of a rate and a burst allows rate x window + burst in any window.
+ * Each daemon meters what it lets pass itself; the sums are reported to the
+ * allocator, and without grants each daemon keeps to an even part, so that
+ * the sum over all daemons stays bounded whichever of them cannot reach each
+ * other. Load pattern: one team sends many times its usual, at all daemons at
+ * once, also right after its quota was lowered. Pure: time is an argument.
  */
 #ifndef PS_QUOTA_H
 #define PS_QUOTA_H
@@ -12,18 +14,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/**
- * struct ps_quota - What one daemon may still let pass of one team.
- */
-typedef struct ps_quota {
-    double rate;  /* per second, this daemon's part; 0: no quota */
-    double depth; /* most that can be saved up */
-    double level; /* may be negative after a large request */
-    int64_t filled_ms;
-} ps_quota_t;
+#define PS_QUOTA_BUCKETS 33 /* parts of the window, one of them in progress */
 
 /**
- * struct ps_quota_terms - How far a quota may be exceeded for a while.
+ * struct ps_quota_terms - The window, and how far a quota may be exceeded.
  * @window_s: span over which the sum is judged, seconds
  * @overage: share by which rate and burst may be exceeded
  * @slack: units that may be exceeded besides
@@ -35,20 +29,51 @@
 } ps_quota_terms_t;
 
 /**
- * PsQuota_Set() - Sets a daemon's part; what was spent stays spent.
- * @rate: team's units a second over all daemons; 0: no quota
- * @burst: team's burst over all daemons
- * @n_daemons: daemons that share it, at least 1
+ * struct ps_quota - One team at one daemon.
+ */
+typedef struct ps_quota {
+    double limit;      /* units in a window over all daemons; 0: no quota */
+    int64_t bucket_ms;
+    int64_t started_ms; /* this daemon's start: unknown before */
+    int64_t current;   /* number of the newest bucket */
+    double spent[PS_QUOTA_BUCKETS];
+    double total;      /* units since the start */
+} ps_quota_t;
+
+/**
+ * PsQuota_GetLimit() - Works out what any window may hold.
+ * @rate: units a second over all daemons; 0: no quota
+ * @burst: units besides
+ */
+double PsQuota_GetLimit(double rate, double burst,
+                        const ps_quota_terms_t *terms);
+
+/**
+ * PsQuota_Set() - Sets limit and window; what was spent stays spent.
+ * @started_ms: the daemon's start
+ */
+void PsQuota_Set(ps_quota_t *quota, double limit, double window_s,
+                 int64_t started_ms);
+
+/**
+ * PsQuota_GetSpent() - Returns the units spent in the window before now.
+ *
+ * Before its start a daemon may have spent its even part of the limit: a
+ * process that was killed and started again does not remember.
+ */
+double PsQuota_GetSpent(ps_quota_t *quota, int n_daemons, int64_t now_ms);
+
+/**
+ * PsQuota_Charge() - Spends units.
  */
-void PsQuota_Set(ps_quota_t *quota, double rate, double burst, int n_daemons,
-                 const ps_quota_terms_t *terms, int64_t now_ms);
+void PsQuota_Charge(ps_quota_t *quota, double units, int64_t now_ms);
 
 /**
- * PsQuota_Take() - Spends units if the part allows it.
- * @wait_ms: receives the time after which it would be allowed
+ * PsQuota_TakeEven() - Spends units if an even part of the limit allows it.
+ * @n_daemons: daemons that share the limit
  */
-bool PsQuota_Take(ps_quota_t *quota, double units, int64_t now_ms,
-                  int64_t *wait_ms);
+bool PsQuota_TakeEven(ps_quota_t *quota, double units, int n_daemons,
+                      int64_t now_ms);
 
 /**
  * PsQuota_Return() - Gives back units of a request that did not run.
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -6,11 +6,14 @@
 
 #include "share.h"
 
+#define RATE_KEEP_MS 500.0       /* span over which start rates are taken */
+#define RATE_FIRST 3.0           /* starts in it, before any is known */
+#define RATE_LEAST 0.05          /* starts in it that still count */
 #define HOLD_KEEP 0.97           /* weight kept of older times at a server */
 #define HOLD_USUAL_MS 1000       /* before any is known */
 #define FIRST_EVENT_KEEP 0.95    /* weight kept of older first-event times */
 #define FIRST_EVENT_USUAL_MS 80  /* before any is known */
-#define LATE_WAIT_MAX_MS 700.0   /* a longer wait past the objective: refused */
+#define LATE_WAIT_MAX_MS 400.0   /* a longer wait past the objective: refused */
 #define RETRY_LEAST_MS 400.0     /* shortest Retry-After */
 #define RETRY_MOST_MS 4000.0     /* longest; callers wait a third of their time */
 #define EJECTED_SHARE_MAX 0.34   /* of a service's servers */
@@ -35,6 +38,9 @@
 share_slots(ps_scheduler_t *scheduler)
 {
     guint n = scheduler->backends->len;
+    if (scheduler->is_granted) {
+        return;
+    }
     g_ptr_array_sort(scheduler->backends, compare_names);
     int *slots = g_new0(int, n + 1);
     int *shares = g_new0(int, n + 1);
@@ -194,6 +200,38 @@
     return best;
 }
 
+static bool
+is_late(const ps_scheduler_t *scheduler, const ps_task_t *task, int64_t now_ms)
+{
+    return (double)now_ms + scheduler->first_event_ms > (double)task->due_ms;
+}
+
+static uint32_t
+get_rank(const ps_scheduler_t *scheduler, const ps_task_t *task,
+         int64_t now_ms)
+{
+    return (uint32_t)MAX(task->tier, 0) * 2 +
+           (is_late(scheduler, task, now_ms) ? 1 : 0);
+}
+
+// Returns a rank's rate, faded to now; ranks beyond the table share the last.
+static ps_rank_rate_t *
+get_rank_rate(ps_scheduler_t *scheduler, uint32_t rank, int64_t now_ms)
+{
+    int i = 0;
+    while (i < scheduler->n_rates && scheduler->rates[i].rank != rank) {
+        i++;
+    }
+    if (i == scheduler->n_rates && i < PS_RANKS_MAX) {
+        scheduler->rates[scheduler->n_rates++] =
+            (ps_rank_rate_t){rank, RATE_FIRST, now_ms};
+    }
+    ps_rank_rate_t *rate = &scheduler->rates[MIN(i, PS_RANKS_MAX - 1)];
+    rate->starts *= exp(-(double)(now_ms - rate->at_ms) / RATE_KEEP_MS);
+    rate->at_ms = now_ms;
+    return rate;
+}
+
 static void
 start(ps_scheduler_t *scheduler, ps_task_t *task, ps_backend_t *backend,
       int64_t now_ms)
@@ -202,6 +240,8 @@
         g_queue_unlink(&scheduler->waiting, &task->link);
         task->is_waiting = false;
     }
+    uint32_t rank = get_rank(scheduler, task, now_ms);
+    get_rank_rate(scheduler, rank, now_ms)->starts += 1.0;
     PsBackend_Hold(backend);
     task->backend = backend;
     task->started_ms = now_ms;
@@ -223,12 +263,6 @@
 
 /* ---- Waiting and refusing --------------------------------------------- */
 
-static bool
-is_late(const ps_scheduler_t *scheduler, const ps_task_t *task, int64_t now_ms)
-{
-    return (double)now_ms + scheduler->first_event_ms > (double)task->due_ms;
-}
-
 // Tells whether @left is to be served before @right.
 static bool
 comes_before(const ps_scheduler_t *scheduler, const ps_task_t *left,
@@ -280,34 +314,45 @@
                               reason);
 }
 
-static bool
-waits_lower_tier(const ps_scheduler_t *scheduler, int tier)
+// Lets lower tiers give way: what waits there is refused before a higher
+// tier is.
+static void
+shed_lower_tiers(ps_scheduler_t *scheduler, int tier)
 {
-    for (const GList *l = scheduler->waiting.head; l; l = l->next) {
-        const ps_task_t *task = l->data;
+    GList *next;
+    for (GList *l = scheduler->waiting.head; l; l = next) {
+        next = l->next;
+        ps_task_t *task = l->data;
         if (task->tier > tier) {
-            return true;
+            refuse(scheduler, task, "gave way to a higher tier");
         }
     }
-    return false;
 }
 
-// Refuses a task whose turn would come long after its objective. Never while
-// a lower tier waits: that one gives way first.
+// Tells whether a task's turn would come long after its objective.
+static bool
+is_hopeless(ps_scheduler_t *scheduler, const ps_task_t *task, int64_t now_ms)
+{
+    uint32_t rank = get_rank(scheduler, task, now_ms);
+    double wait = PsScheduler_GetWait(scheduler, rank, now_ms);
+    double due = MAX((double)task->due_ms,
+                     (double)now_ms + scheduler->first_event_ms);
+    return (double)now_ms + wait + scheduler->first_event_ms >
+           due + LATE_WAIT_MAX_MS;
+}
+
 static bool
 refuse_early(ps_scheduler_t *scheduler, ps_task_t *task, int64_t now_ms)
 {
-    double wait = PsScheduler_GetWait(scheduler, task->tier);
-    double late = (double)now_ms + wait + scheduler->first_event_ms -
-                  (double)task->due_ms;
-    if (late < LATE_WAIT_MAX_MS ||
-        waits_lower_tier(scheduler, task->tier)) {
+    if (!is_hopeless(scheduler, task, now_ms)) {
         return false;
     }
+    shed_lower_tiers(scheduler, task->tier);
     refuse(scheduler, task, "would wait past its objective");
     return true;
 }
 
+// Gives up what has waited too long, and late work that nothing is left for.
 static void
 give_up_late(ps_scheduler_t *scheduler, int64_t now_ms)
 {
@@ -318,6 +363,12 @@
         if (now_ms >= task->give_up_ms) {
             refuse(scheduler, task, "waited too long");
         }
+        else if (!task->was_late && is_late(scheduler, task, now_ms)) {
+            task->was_late = true;
+            if (is_hopeless(scheduler, task, now_ms)) {
+                refuse(scheduler, task, "too late for its objective");
+            }
+        }
     }
 }
 
@@ -399,15 +450,47 @@
     share_slots(scheduler);
 }
 
+void
+PsScheduler_ShareEvenly(ps_scheduler_t *scheduler)
+{
+    scheduler->is_granted = false;
+    share_slots(scheduler);
+}
+
+int
+PsScheduler_CountWaiting(const ps_scheduler_t *scheduler,
+                         ps_waiting_count_t *counts, int max, int64_t now_ms)
+{
+    int n = 0;
+    for (const GList *l = scheduler->waiting.head; l; l = l->next) {
+        const ps_task_t *task = l->data;
+        uint32_t rank = get_rank(scheduler, task, now_ms);
+        int i = 0;
+        while (i < n && counts[i].rank != rank) {
+            i++;
+        }
+        if (i == n && n < max) {
+            counts[n++] = (ps_waiting_count_t){rank, 0};
+        }
+        if (i < n) {
+            counts[i].count++;
+        }
+    }
+    return n;
+}
+
 double
-PsScheduler_GetWait(const ps_scheduler_t *scheduler, int tier)
+PsScheduler_GetWait(ps_scheduler_t *scheduler, uint32_t rank, int64_t now_ms)
 {
     int ahead = 0;
     for (const GList *l = scheduler->waiting.head; l; l = l->next) {
-        const ps_task_t *task = l->data;
-        ahead += task->tier <= tier ? 1 : 0;
+        ahead += get_rank(scheduler, l->data, now_ms) == rank ? 1 : 0;
+    }
+    if (ahead == 0) {
+        return 0;
     }
-    return ahead / get_rate(scheduler);
+    ps_rank_rate_t *rate = get_rank_rate(scheduler, rank, now_ms);
+    return ahead * RATE_KEEP_MS / MAX(rate->starts, RATE_LEAST);
 }
 
 void
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -16,6 +16,7 @@
 
 #define PS_TASK_PARTS_MAX 8 /* prompt parts known of one request */
 #define PS_TASK_TRIED_MAX 4 /* servers remembered that had it before */
+#define PS_RANKS_MAX 16     /* ranks told apart in a count of what waits */
 
 struct ps_scheduler;
 
@@ -49,6 +50,7 @@
     uint32_t tried[PS_TASK_TRIED_MAX];
     /* set by the scheduler */
     bool is_waiting;
+    bool was_late; /* its objective passed while it waited */
     GList link;
     ps_backend_t *backend; /* NULL: not at a server */
     int64_t started_ms;
@@ -58,6 +60,23 @@
     double ahead_tokens; /* prompts in hand when it was sent, its own included */
 } ps_task_t;
 
+/**
+ * struct ps_waiting_count - Requests of one rank that wait.
+ */
+typedef struct ps_waiting_count {
+    uint32_t rank; /* 0 comes first */
+    int count;
+} ps_waiting_count_t;
+
+/**
+ * struct ps_rank_rate - How often tasks of one rank are started.
+ */
+typedef struct ps_rank_rate {
+    uint32_t rank;
+    double starts; /* fading count */
+    int64_t at_ms; /* time of @starts */
+} ps_rank_rate_t;
+
 /**
  * struct ps_scheduler_events - What a scheduler tells its user.
  * @start: send the task to its backend server now
@@ -81,9 +100,12 @@
     GQueue waiting;      /* ps_task_t, in order of arrival */
     int n_daemons;
     int index;            /* this daemon's place among them */
+    ps_rank_rate_t rates[PS_RANKS_MAX];
+    int n_rates;
     double hold_ms;        /* fading mean of times at a server */
     double first_event_ms; /* fading mean of waits for a first event */
     uint32_t random;
+    bool is_granted; /* the backend servers' shares were granted */
     bool is_running; /* guards against a start that calls back */
 } ps_scheduler_t;
 
@@ -134,8 +156,25 @@
 void PsScheduler_Run(ps_scheduler_t *scheduler, int64_t now_ms);
 
 /**
- * PsScheduler_GetWait() - Estimates how long a new task would wait.
+ * PsScheduler_ShareEvenly() - Goes back from granted shares to even ones.
+ */
+void PsScheduler_ShareEvenly(ps_scheduler_t *scheduler);
+
+/**
+ * PsScheduler_CountWaiting() - Counts what waits by its order.
+ * @counts: receives at most @max counts
+ *
+ * Return: how many.
+ */
+int PsScheduler_CountWaiting(const ps_scheduler_t *scheduler,
+                             ps_waiting_count_t *counts, int max,
+                             int64_t now_ms);
+
+/**
+ * PsScheduler_GetWait() - Estimates how long a new task of a rank would wait,
+ * in milliseconds, from what waits and how often such tasks are started.
  */
-double PsScheduler_GetWait(const ps_scheduler_t *scheduler, int tier);
+double PsScheduler_GetWait(ps_scheduler_t *scheduler, uint32_t rank,
+                           int64_t now_ms);
 
 #endif
--- /dev/null
+++ b/src/sharing.c
@@ -0,0 +1,676 @@
+/* sharing.c - Rounds of reports and grants between daemons. */
+#include "sharing.h"
+
+#include <math.h>
+#include <xxhash.h>
+
+#include "clock.h"
+#include "events_log.h"
+#include "gateway.h"
+
+#define ROUND_LEAST_MS 40     /* between reports, few daemons */
+#define ROUND_MOST_MS 150     /* the same, many */
+#define ROUND_PER_DAEMON_MS 1.2 /* keeps the allocator's load bounded */
+#define GRANT_FRESH_MS 400    /* without one for so long: even shares */
+#define RENEW_MS 300          /* without one: the link may have gone silent */
+#define GIVE_UP_MS 900        /* without one: the next candidate is asked */
+#define AVOID_MS 3000         /* it is not asked again before */
+#define SILENT_MS 700         /* a member without reports is taken for dead */
+#define DEAD_MS 3000          /* its registration is removed */
+#define PAUSE_MS 300          /* between turns of the loop: it was paused */
+#define WANTED_KEEP 0.95      /* of what was asked for, at each round */
+#define BANNED_MAX 64         /* contents named in one grant */
+#define DEATHS_BANNED 3       /* lost connections until a content is refused */
+
+/* ---- Choice of the allocator ------------------------------------------ */
+
+static double
+get_weight(const ps_member_t *member)
+{
+    uint64_t hash = XXH64(member->name.data, member->name.len, 0);
+    double unit = ((double)(hash >> 11) + 0.5) / 9007199254740992.0;
+    return MAX(member->cpu_share, 0.01) * MAX(member->cpu_share, 0.01) /
+           -log(unit);
+}
+
+static bool
+is_avoided(const ps_sharing_t *sharing, const ps_name_t *name, int64_t now_ms)
+{
+    const int64_t *until = g_hash_table_lookup(sharing->avoided, name);
+    return until && now_ms < *until;
+}
+
+static void
+choose(ps_sharing_t *sharing, int64_t now_ms)
+{
+    const ps_member_t *best = NULL;
+    double most = -1;
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, sharing->gateway->members);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_member_t *member = value;
+        if (get_weight(member) > most &&
+            !is_avoided(sharing, &member->name, now_ms)) {
+            most = get_weight(member);
+            best = member;
+        }
+    }
+    if (best && !PsName_IsEqual(&best->name, &sharing->chosen)) {
+        PsEvents_Add("sharing.allocator", "{s:s,s:s,s:i}", "name",
+                     best->name.data, "before", sharing->chosen.data,
+                     "members",
+                     (int)g_hash_table_size(sharing->gateway->members));
+        sharing->chosen = best->name;
+        sharing->chosen_ms = now_ms;
+    }
+}
+
+static void
+avoid_chosen(ps_sharing_t *sharing, int64_t now_ms)
+{
+    int64_t until = now_ms + AVOID_MS;
+    PsEvents_Add("sharing.silent", "{s:s,s:I}", "allocator",
+                 sharing->chosen.data, "last_grant_ms",
+                 (json_int_t)(now_ms - sharing->granted_ms));
+    g_hash_table_replace(
+        sharing->avoided,
+        g_memdup2(&sharing->chosen, sizeof sharing->chosen),
+        g_memdup2(&until, sizeof until));
+    choose(sharing, now_ms);
+}
+
+/* ---- Reports ---------------------------------------------------------- */
+
+static uint32_t
+hash_server(const ps_backend_t *backend)
+{
+    return XXH32(backend->told.name.data, backend->told.name.len, 0);
+}
+
+static ps_spending_t *
+get_spending(ps_sharing_t *sharing, const ps_name_t *team)
+{
+    ps_spending_t *spending = g_hash_table_lookup(sharing->spending, team);
+    if (!spending) {
+        spending = g_new0(ps_spending_t, 1);
+        spending->team = *team;
+        g_hash_table_insert(sharing->spending, &spending->team, spending);
+    }
+    return spending;
+}
+
+static Ps__ServiceUse *
+make_service_use(const ps_service_desk_t *desk, int64_t now_ms)
+{
+    Ps__ServiceUse *use = g_new(Ps__ServiceUse, 1);
+    ps__service_use__init(use);
+    use->service = (char *)(uintptr_t)desk->name.data;
+    const GPtrArray *backends = desk->scheduler.backends;
+    use->running = g_new0(Ps__ServerCount *, backends->len + 1);
+    for (guint i = 0; i < backends->len; i++) {
+        const ps_backend_t *backend = backends->pdata[i];
+        if (backend->running > 0) {
+            Ps__ServerCount *count = g_new(Ps__ServerCount, 1);
+            ps__server_count__init(count);
+            count->server = hash_server(backend);
+            count->count = (uint32_t)backend->running;
+            use->running[use->n_running++] = count;
+        }
+    }
+    ps_waiting_count_t ranks[PS_RANKS_MAX];
+    int n = PsScheduler_CountWaiting(&desk->scheduler, ranks, PS_RANKS_MAX,
+                                     now_ms);
+    use->waiting = g_new0(Ps__WaitingCount *, n + 1);
+    for (int i = 0; i < n; i++) {
+        Ps__WaitingCount *count = g_new(Ps__WaitingCount, 1);
+        ps__waiting_count__init(count);
+        count->rank = ranks[i].rank;
+        count->count = (uint32_t)ranks[i].count;
+        use->waiting[use->n_waiting++] = count;
+    }
+    return use;
+}
+
+static void
+free_service_use(Ps__ServiceUse *use)
+{
+    for (size_t i = 0; i < use->n_running; i++) {
+        g_free(use->running[i]);
+    }
+    for (size_t i = 0; i < use->n_waiting; i++) {
+        g_free(use->waiting[i]);
+    }
+    g_free(use->running);
+    g_free(use->waiting);
+    g_free(use);
+}
+
+static void
+add_team_uses(ps_sharing_t *sharing, Ps__ShareReport *report, int64_t now_ms)
+{
+    report->teams = g_new0(Ps__TeamUse *,
+                           g_hash_table_size(sharing->spending) + 1);
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, sharing->spending);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_spending_t *spending = value;
+        Ps__TeamUse *use = g_new(Ps__TeamUse, 1);
+        ps__team_use__init(use);
+        use->team = spending->team.data;
+        ps_quota_t *quota =
+            PsGateway_GetQuota(sharing->gateway, &spending->team);
+        use->spent = PsQuota_GetSpent(
+            quota, (int)g_hash_table_size(sharing->gateway->members), now_ms);
+        use->wanted = spending->wanted;
+        spending->reported[sharing->round % PS_SHARING_ROUNDS] = quota->total;
+        spending->wanted *= WANTED_KEEP;
+        report->teams[report->n_teams++] = use;
+    }
+}
+
+static void
+send_report(ps_sharing_t *sharing, int64_t now_ms)
+{
+    ps_gateway_t *gateway = sharing->gateway;
+    Ps__ShareReport report = PS__SHARE_REPORT__INIT;
+    report.round = ++sharing->round;
+    report.leaving = gateway->is_leaving;
+    report.services = g_new0(Ps__ServiceUse *,
+                             g_hash_table_size(gateway->desks) + 1);
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->desks);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_service_desk_t *desk = value;
+        if (desk->scheduler.is_engine) {
+            report.services[report.n_services++] =
+                make_service_use(desk, now_ms);
+        }
+    }
+    add_team_uses(sharing, &report, now_ms);
+    report.suspects = (uint64_t *)(void *)sharing->suspects->data;
+    report.n_suspects = sharing->suspects->len;
+    Ps__Frame frame = PS__FRAME__INIT;
+    frame.body_case = PS__FRAME__BODY_SHARE_REPORT;
+    frame.share_report = &report;
+    PsPeers_Send(&sharing->peers, &sharing->chosen, &frame);
+    g_array_set_size(sharing->suspects, 0);
+    for (size_t i = 0; i < report.n_services; i++) {
+        free_service_use(report.services[i]);
+    }
+    for (size_t i = 0; i < report.n_teams; i++) {
+        g_free(report.teams[i]);
+    }
+    g_free(report.services);
+    g_free(report.teams);
+}
+
+/* ---- The allocator's side --------------------------------------------- */
+
+static void
+take_report(ps_sharing_t *sharing, const ps_name_t *from,
+            const Ps__ShareReport *report, int64_t now_ms)
+{
+    ps_allocator_t *allocator = &sharing->allocator;
+    ps_reporter_t *reporter =
+        PsAllocator_Reporter(allocator, from, 0, now_ms);
+    reporter->round = report->round;
+    for (size_t i = 0; i < report->n_services; i++) {
+        const Ps__ServiceUse *told = report->services[i];
+        ps_name_t service = PsName_FromC(told->service);
+        ps_service_use_t *use = PsReporter_GetService(reporter, &service);
+        for (size_t k = 0; k < told->n_running; k++) {
+            ps_slot_count_t count = {told->running[k]->server,
+                                     (int)told->running[k]->count};
+            g_array_append_val(use->running, count);
+        }
+        for (size_t k = 0; k < told->n_waiting; k++) {
+            ps_waiting_count_t count = {told->waiting[k]->rank,
+                                        (int)told->waiting[k]->count};
+            g_array_append_val(use->waiting, count);
+        }
+    }
+    for (size_t i = 0; i < report->n_teams; i++) {
+        ps_name_t team = PsName_FromC(report->teams[i]->team);
+        ps_team_use_t *use = PsReporter_GetTeam(reporter, &team);
+        use->spent = report->teams[i]->spent;
+        use->wanted = report->teams[i]->wanted;
+    }
+    for (size_t i = 0; i < report->n_suspects; i++) {
+        PsSuspects_AddDeath(&sharing->gateway->suspects, report->suspects[i],
+                            now_ms);
+    }
+    if (report->leaving) {
+        reporter->is_leaving = true;
+    }
+}
+
+static void
+divide_service(ps_sharing_t *sharing, const ps_service_desk_t *desk,
+               int64_t now_ms)
+{
+    const GPtrArray *backends = desk->scheduler.backends;
+    ps_slot_count_t *slots = g_new0(ps_slot_count_t, backends->len + 1);
+    int n = 0;
+    for (guint i = 0; i < backends->len; i++) {
+        const ps_backend_t *backend = backends->pdata[i];
+        if (!backend->told.is_leaving) {
+            slots[n].server = hash_server(backend);
+            slots[n++].count = backend->told.slots;
+        }
+    }
+    int members = (int)g_hash_table_size(sharing->gateway->members);
+    PsAllocator_DivideSlots(&sharing->allocator, &desk->name, slots, n,
+                            members, now_ms);
+    g_free(slots);
+}
+
+static Ps__ServiceGrant *
+make_service_grant(const ps_name_t *service, const ps_service_use_t *use)
+{
+    Ps__ServiceGrant *grant = g_new(Ps__ServiceGrant, 1);
+    ps__service_grant__init(grant);
+    grant->service = (char *)(uintptr_t)service->data;
+    grant->limits = g_new0(Ps__ServerCount *, use->limits->len + 1);
+    for (guint i = 0; i < use->limits->len; i++) {
+        const ps_slot_count_t *limit =
+            &g_array_index(use->limits, ps_slot_count_t, i);
+        Ps__ServerCount *count = g_new(Ps__ServerCount, 1);
+        ps__server_count__init(count);
+        count->server = limit->server;
+        count->count = (uint32_t)limit->count;
+        grant->limits[grant->n_limits++] = count;
+    }
+    return grant;
+}
+
+static void
+add_service_grants(Ps__ShareGrant *grant, ps_reporter_t *reporter)
+{
+    grant->services = g_new0(Ps__ServiceGrant *,
+                             g_hash_table_size(reporter->services) + 1);
+    GHashTableIter each;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&each, reporter->services);
+    while (g_hash_table_iter_next(&each, &key, &value)) {
+        grant->services[grant->n_services++] = make_service_grant(key, value);
+    }
+}
+
+static void
+add_team_grants(const ps_allocator_t *allocator, Ps__ShareGrant *grant,
+                ps_reporter_t *reporter)
+{
+    grant->teams =
+        g_new0(Ps__TeamGrant *, g_hash_table_size(reporter->teams) + 1);
+    GHashTableIter each;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&each, reporter->teams);
+    while (g_hash_table_iter_next(&each, &key, &value)) {
+        if (!g_hash_table_contains(allocator->limits, key)) {
+            continue;
+        }
+        Ps__TeamGrant *team = g_new(Ps__TeamGrant, 1);
+        ps__team_grant__init(team);
+        team->team = ((ps_name_t *)key)->data;
+        team->units = ((ps_team_use_t *)value)->granted;
+        grant->teams[grant->n_teams++] = team;
+    }
+}
+
+static size_t
+list_banned(ps_sharing_t *sharing, uint64_t *banned, int64_t now_ms)
+{
+    size_t n = 0;
+    GHashTableIter each;
+    gpointer key;
+    g_hash_table_iter_init(&each, sharing->gateway->suspects.by_hash);
+    while (n < BANNED_MAX && g_hash_table_iter_next(&each, &key, NULL)) {
+        uint64_t content = *(const uint64_t *)key;
+        if (PsSuspects_GetDeaths(&sharing->gateway->suspects, content,
+                                 now_ms) >= DEATHS_BANNED) {
+            banned[n++] = content;
+        }
+    }
+    return n;
+}
+
+static void
+send_grant(ps_sharing_t *sharing, ps_reporter_t *reporter, char **silent,
+           size_t n_silent, uint64_t *banned, size_t n_banned)
+{
+    Ps__ShareGrant grant = PS__SHARE_GRANT__INIT;
+    grant.round = reporter->round;
+    add_service_grants(&grant, reporter);
+    add_team_grants(&sharing->allocator, &grant, reporter);
+    grant.silent = silent;
+    grant.n_silent = n_silent;
+    grant.banned = banned;
+    grant.n_banned = n_banned;
+    Ps__Frame frame = PS__FRAME__INIT;
+    frame.body_case = PS__FRAME__BODY_SHARE_GRANT;
+    frame.share_grant = &grant;
+    PsPeers_Send(&sharing->peers, &reporter->name, &frame);
+    for (size_t i = 0; i < grant.n_services; i++) {
+        Ps__ServiceGrant *each = grant.services[i];
+        for (size_t k = 0; k < each->n_limits; k++) {
+            g_free(each->limits[k]);
+        }
+        g_free(each->limits);
+        g_free(each);
+    }
+    for (size_t i = 0; i < grant.n_teams; i++) {
+        g_free(grant.teams[i]);
+    }
+    g_free(grant.services);
+    g_free(grant.teams);
+}
+
+// Tells whether most members report here. A daemon that was cut off or paused
+// must not take all others for dead.
+static bool
+is_heard_by_most(const ps_sharing_t *sharing, int64_t now_ms)
+{
+    guint fresh = 0;
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, sharing->allocator.reporters);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_reporter_t *reporter = value;
+        fresh += now_ms - reporter->reported_ms <= PS_REPORT_FRESH_MS ? 1 : 0;
+    }
+    return fresh * 2 > g_hash_table_size(sharing->gateway->members);
+}
+
+// Lists members whose reports have stopped, and removes the dead ones.
+static GPtrArray *
+list_silent(ps_sharing_t *sharing, int64_t now_ms)
+{
+    GPtrArray *silent = g_ptr_array_new();
+    if (!is_heard_by_most(sharing, now_ms)) {
+        return silent;
+    }
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, sharing->gateway->members);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_member_t *member = value;
+        const ps_reporter_t *reporter = g_hash_table_lookup(
+            sharing->allocator.reporters, &member->name);
+        int64_t heard_ms = MAX(reporter ? reporter->reported_ms : 0,
+                               MAX(member->joined_ms, sharing->chosen_ms));
+        if (now_ms - heard_ms > SILENT_MS) {
+            g_ptr_array_add(silent, member->name.data);
+        }
+        if (now_ms - heard_ms > DEAD_MS && !member->is_removed) {
+            member->is_removed = true;
+            PsEvents_Add("member.dead", "{s:s,s:I}", "name",
+                         member->name.data, "silent_ms",
+                         (json_int_t)(now_ms - heard_ms));
+            sharing->gateway->remove_member(sharing->gateway, member);
+        }
+    }
+    return silent;
+}
+
+static void
+divide(ps_sharing_t *sharing, int64_t now_ms)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, sharing->gateway->desks);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_service_desk_t *desk = value;
+        if (desk->scheduler.is_engine) {
+            divide_service(sharing, desk, now_ms);
+        }
+    }
+    int members = (int)g_hash_table_size(sharing->gateway->members);
+    PsAllocator_DivideQuotas(&sharing->allocator, members, now_ms);
+    GPtrArray *silent = list_silent(sharing, now_ms);
+    uint64_t banned[BANNED_MAX];
+    size_t n_banned = list_banned(sharing, banned, now_ms);
+    g_hash_table_iter_init(&each, sharing->allocator.reporters);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_reporter_t *reporter = value;
+        if (now_ms - reporter->reported_ms <= PS_REPORT_FRESH_MS) {
+            send_grant(sharing, reporter, (char **)silent->pdata, silent->len,
+                       banned, n_banned);
+        }
+    }
+    g_ptr_array_unref(silent);
+}
+
+/* ---- Grants ----------------------------------------------------------- */
+
+static void
+apply_slots(ps_sharing_t *sharing, const Ps__ServiceGrant *grant,
+            int64_t now_ms)
+{
+    ps_name_t name = PsName_FromC(grant->service);
+    ps_service_desk_t *desk = PsGateway_GetDesk(sharing->gateway, &name);
+    const GPtrArray *backends = desk->scheduler.backends;
+    for (guint i = 0; i < backends->len; i++) {
+        ps_backend_t *backend = backends->pdata[i];
+        uint32_t hash = hash_server(backend);
+        backend->share = 0;
+        for (size_t k = 0; k < grant->n_limits; k++) {
+            if (grant->limits[k]->server == hash) {
+                backend->share = (int)grant->limits[k]->count;
+            }
+        }
+    }
+    desk->scheduler.is_granted = true;
+    PsScheduler_Run(&desk->scheduler, now_ms);
+}
+
+static void
+take_grant(ps_sharing_t *sharing, const Ps__ShareGrant *grant, int64_t now_ms)
+{
+    if (sharing->round - grant->round >= PS_SHARING_ROUNDS) {
+        return;
+    }
+    if (sharing->is_even) {
+        PsEvents_Add("sharing.granted", "{s:s}", "allocator",
+                     sharing->chosen.data);
+    }
+    sharing->is_even = false;
+    sharing->granted_ms = now_ms;
+    sharing->grants++;
+    for (size_t i = 0; i < grant->n_teams; i++) {
+        ps_name_t team = PsName_FromC(grant->teams[i]->team);
+        ps_spending_t *spending = get_spending(sharing, &team);
+        spending->granted = grant->teams[i]->units;
+        spending->granted_from =
+            spending->reported[grant->round % PS_SHARING_ROUNDS];
+        spending->granted_ms = now_ms;
+    }
+    g_hash_table_remove_all(sharing->silent);
+    for (size_t i = 0; i < grant->n_silent; i++) {
+        ps_name_t name = PsName_FromC(grant->silent[i]);
+        g_hash_table_add(sharing->silent, g_memdup2(&name, sizeof name));
+    }
+    for (size_t i = 0; i < grant->n_banned; i++) {
+        ps_suspects_t *suspects = &sharing->gateway->suspects;
+        while (PsSuspects_GetDeaths(suspects, grant->banned[i], now_ms) <
+               DEATHS_BANNED) {
+            PsSuspects_AddDeath(suspects, grant->banned[i], now_ms);
+        }
+    }
+    for (size_t i = 0; i < grant->n_services; i++) {
+        apply_slots(sharing, grant->services[i], now_ms);
+    }
+}
+
+/* ---- Links ------------------------------------------------------------ */
+
+static void
+on_frame(ps_peers_t *peers, const ps_name_t *from, const Ps__Frame *frame)
+{
+    ps_sharing_t *sharing = peers->user;
+    int64_t now_ms = PsClock_Now();
+    if (frame->body_case == PS__FRAME__BODY_SHARE_REPORT) {
+        take_report(sharing, from, frame->share_report, now_ms);
+    }
+    else if (frame->body_case == PS__FRAME__BODY_SHARE_GRANT &&
+             PsName_IsEqual(from, &sharing->chosen)) {
+        take_grant(sharing, frame->share_grant, now_ms);
+    }
+}
+
+static void
+on_silent(ps_peers_t *peers, const ps_name_t *peer)
+{
+    (void)peers;
+    (void)peer;
+}
+
+static const ps_peers_events_t peer_events = {on_frame, on_silent, on_silent};
+
+static int64_t
+get_round_ms(const ps_sharing_t *sharing)
+{
+    guint n = g_hash_table_size(sharing->gateway->members);
+    return (int64_t)CLAMP(ROUND_PER_DAEMON_MS * n, ROUND_LEAST_MS,
+                          ROUND_MOST_MS);
+}
+
+static void
+use_even_shares(ps_sharing_t *sharing, int64_t now_ms)
+{
+    if (!sharing->is_even) {
+        PsEvents_Add("sharing.even", "{s:s,s:I}", "allocator",
+                     sharing->chosen.data, "last_grant_ms",
+                     (json_int_t)(now_ms - sharing->granted_ms));
+    }
+    sharing->is_even = true;
+    g_hash_table_remove_all(sharing->silent);
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, sharing->gateway->desks);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_service_desk_t *desk = value;
+        if (desk->scheduler.is_granted) {
+            PsScheduler_ShareEvenly(&desk->scheduler);
+            PsScheduler_Run(&desk->scheduler, now_ms);
+        }
+    }
+}
+
+static void
+watch_chosen(ps_sharing_t *sharing, int64_t now_ms)
+{
+    int64_t waited_ms =
+        now_ms - MAX(sharing->granted_ms, sharing->chosen_ms);
+    if (now_ms - sharing->granted_ms > GRANT_FRESH_MS) {
+        use_even_shares(sharing, now_ms);
+    }
+    if (waited_ms > RENEW_MS && now_ms - sharing->renewed_ms > RENEW_MS) {
+        sharing->renewed_ms = now_ms;
+        PsPeers_Renew(&sharing->peers, &sharing->chosen);
+    }
+    if (waited_ms > GIVE_UP_MS) {
+        avoid_chosen(sharing, now_ms);
+    }
+}
+
+/* ---- Public functions ------------------------------------------------- */
+
+ps_status_t
+PsSharing_Init(ps_sharing_t *sharing, ps_gateway_t *gateway,
+               struct ev_loop *loop)
+{
+    *sharing = (ps_sharing_t){.gateway = gateway, .is_even = true};
+    PsAllocator_Init(&sharing->allocator);
+    sharing->avoided =
+        g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
+    sharing->silent =
+        g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, NULL);
+    sharing->spending =
+        g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, NULL, g_free);
+    sharing->suspects = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    return PsPeers_Init(&sharing->peers, &peer_events, sharing, loop,
+                        &gateway->settings.peer_address, &gateway->self.name,
+                        gateway->self.incarnation);
+}
+
+void
+PsSharing_Finish(ps_sharing_t *sharing)
+{
+    PsPeers_Finish(&sharing->peers);
+    PsAllocator_Finish(&sharing->allocator);
+    g_hash_table_destroy(sharing->avoided);
+    g_hash_table_destroy(sharing->silent);
+    g_hash_table_destroy(sharing->spending);
+    g_array_unref(sharing->suspects);
+}
+
+void
+PsSharing_Run(ps_sharing_t *sharing, int64_t now_ms)
+{
+    if (!sharing->gateway->catalog) {
+        return;
+    }
+    if (PsName_IsEmpty(&sharing->chosen)) {
+        choose(sharing, now_ms);
+    }
+    if (now_ms - sharing->run_ms > PAUSE_MS) {
+        PsEvents_Add("daemon.paused", "{s:I}", "ms",
+                     (json_int_t)(now_ms - sharing->run_ms));
+        sharing->chosen_ms = now_ms;
+    }
+    sharing->run_ms = now_ms;
+    watch_chosen(sharing, now_ms);
+    if (now_ms < sharing->next_round_ms) {
+        return;
+    }
+    sharing->next_round_ms = now_ms + get_round_ms(sharing);
+    send_report(sharing, now_ms);
+    if (g_hash_table_size(sharing->allocator.reporters) > 0) {
+        divide(sharing, now_ms);
+    }
+}
+
+void
+PsSharing_MemberChanged(ps_sharing_t *sharing, const ps_member_t *member)
+{
+    PsPeers_SetAddress(&sharing->peers, &member->name, &member->peer_address);
+    choose(sharing, PsClock_Now());
+}
+
+bool
+PsSharing_IsSilent(const ps_sharing_t *sharing, const ps_name_t *member)
+{
+    return g_hash_table_contains(sharing->silent, member);
+}
+
+bool
+PsSharing_TakeQuota(ps_sharing_t *sharing, const ps_name_t *team, double units,
+                    int64_t now_ms)
+{
+    ps_spending_t *spending = get_spending(sharing, team);
+    ps_quota_t *quota = PsGateway_GetQuota(sharing->gateway, team);
+    spending->wanted += units;
+    bool is_granted = !sharing->is_even && spending->granted_ms > 0 &&
+                      now_ms - spending->granted_ms <= GRANT_FRESH_MS;
+    if (!is_granted) {
+        int n = (int)g_hash_table_size(sharing->gateway->members);
+        return PsQuota_TakeEven(quota, units, n, now_ms);
+    }
+    double left =
+        spending->granted - (quota->total - spending->granted_from);
+    if (left > 0) {
+        PsQuota_Charge(quota, units, now_ms);
+    }
+    return left > 0;
+}
+
+void
+PsSharing_AddSuspect(ps_sharing_t *sharing, uint64_t content)
+{
+    g_array_append_val(sharing->suspects, content);
+}
--- /dev/null
+++ b/src/sharing.h
@@ -0,0 +1,82 @@
+/*
+ * sharing.h - Reports to the allocator, and the grants that come back.
+ *
+ * Rendezvous hashing over the members, weighted by processor share, names the
+ * allocator. A daemon that misses its grants goes on with even shares of
+ * slots and quotas until they come again, and turns to the next candidate.
+ * Nothing here waits for the store.
+ */
+#ifndef PS_SHARING_H
+#define PS_SHARING_H
+
+#include "allocator.h"
+#include "feed.h"
+#include "peers.h"
+
+struct ps_gateway;
+
+#define PS_SHARING_ROUNDS 16 /* rounds whose spending is remembered */
+
+/**
+ * struct ps_spending - What this daemon has spent of one team's quota.
+ */
+typedef struct ps_spending {
+    ps_name_t team;
+    double wanted;  /* fading sum of units asked for */
+    double reported[PS_SHARING_ROUNDS]; /* total spent, at each round */
+    double granted; /* may be spent beyond @granted_from */
+    double granted_from;
+    int64_t granted_ms; /* 0: never */
+} ps_spending_t;
+
+/**
+ * struct ps_sharing - One daemon's side and, when chosen, the allocator's.
+ */
+typedef struct ps_sharing {
+    struct ps_gateway *gateway;
+    ps_peers_t peers;
+    ps_allocator_t allocator;
+    ps_name_t chosen;       /* the allocator; may be this daemon */
+    int64_t chosen_ms;
+    int64_t granted_ms;     /* last grant; 0: never */
+    int64_t renewed_ms;     /* its links were dialled anew */
+    uint64_t round;
+    int64_t run_ms;         /* last turn of the loop */
+    int64_t next_round_ms;
+    GHashTable *avoided;    /* name to the time until which it is avoided */
+    GHashTable *silent;     /* names of members that do not report */
+    GHashTable *spending;   /* team to ps_spending_t */
+    GArray *suspects;       /* uint64_t, to be reported */
+    bool is_even;           /* even shares are in use */
+    uint64_t grants;
+} ps_sharing_t;
+
+/**
+ * PsSharing_Init() - Listens for peers.
+ *
+ * Return: PS_OK or PS_UNAVAILABLE with the reason.
+ */
+ps_status_t PsSharing_Init(ps_sharing_t *sharing, struct ps_gateway *gateway,
+                           struct ev_loop *loop);
+void PsSharing_Finish(ps_sharing_t *sharing);
+
+/**
+ * PsSharing_Run() - Reports, divides and falls back as due; call each tick.
+ */
+void PsSharing_Run(ps_sharing_t *sharing, int64_t now_ms);
+void PsSharing_MemberChanged(ps_sharing_t *sharing, const ps_member_t *member);
+bool PsSharing_IsSilent(const ps_sharing_t *sharing, const ps_name_t *member);
+
+/**
+ * PsSharing_TakeQuota() - Spends units of a team's quota: of what was granted
+ * or, without a fresh grant, of this daemon's even part.
+ */
+bool PsSharing_TakeQuota(ps_sharing_t *sharing, const ps_name_t *team,
+                         double units, int64_t now_ms);
+
+/**
+ * PsSharing_AddSuspect() - A content was in flight at a lost connection.
+ */
+void PsSharing_AddSuspect(ps_sharing_t *sharing, uint64_t content);
+
+#endif
