Keep what teams have spent in the store

The allocator now records the use of teams that have spent much; new daemons read it. Without a record the window before the start counts as evenly spent. Ruled out: assuming all of it spent (refuses every team for the whole window after each restart).

--- a/src/allocator.c
+++ b/src/allocator.c
@@ -3,6 +3,7 @@
 
 #include <math.h>
 
+#define RECORD_SHARE 0.4 /* of a limit; less need not outlast the daemons */
 #define EVEN_SHARE 0.4 /* of a quota; the rest follows what is asked for */
 
 /* ---- Memory ----------------------------------------------------------- */
@@ -184,26 +185,51 @@
 
 /* ---- Quotas ----------------------------------------------------------- */
 
+static ps_team_use_t *
+get_team(ps_reporter_t *reporter, const ps_name_t *team)
+{
+    ps_team_use_t *use = g_hash_table_lookup(reporter->teams, team);
+    if (!use) {
+        use = g_new0(ps_team_use_t, 1);
+        g_hash_table_insert(reporter->teams, g_memdup2(team, sizeof *team),
+                            use);
+    }
+    return use;
+}
+
+// What was spent before a start without a record: the window's limit, evenly.
+static double
+get_unknown(const ps_allocator_t *allocator, double limit, int64_t now_ms)
+{
+    double window_ms = allocator->window_s * 1000.0;
+    double passed = (double)(now_ms - allocator->unknown_ms);
+    return allocator->unknown_ms > 0 && passed < window_ms
+               ? limit * (1.0 - passed / window_ms)
+               : 0.0;
+}
+
 static void
-divide_quota(ps_allocator_t *allocator, const ps_name_t *team, double limit,
-             int n_daemons, int64_t now_ms)
+divide_quota(ps_allocator_t *allocator, const ps_name_t *team,
+             ps_quota_t *pooled, int n_daemons, int64_t now_ms)
 {
     GPtrArray *uses = g_ptr_array_new();
     double wanted = 0;
-    double spent = 0;
+    double reported = 0;
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, allocator->reporters);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         if (is_fresh(value, now_ms)) {
-            ps_team_use_t *use = PsReporter_GetTeam(value, team);
+            ps_team_use_t *use = get_team(value, team);
             wanted += use->wanted;
-            spent += use->spent;
+            reported += use->spent;
             g_ptr_array_add(uses, use);
         }
     }
+    double known = PsQuota_GetSpent(pooled, now_ms) +
+                   get_unknown(allocator, pooled->limit, now_ms);
     double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
-    double left = MAX(limit * part - spent, 0.0);
+    double left = MAX(pooled->limit * part - MAX(known, reported), 0.0);
     for (guint i = 0; i < uses->len; i++) {
         ps_team_use_t *use = uses->pdata[i];
         double even = 1.0 / uses->len;
@@ -221,14 +247,14 @@
 {
     *allocator = (ps_allocator_t){0};
     allocator->reporters = new_by_name(free_reporter);
-    allocator->limits = new_by_name(g_free);
+    allocator->pooled = new_by_name(g_free);
 }
 
 void
 PsAllocator_Finish(ps_allocator_t *allocator)
 {
     g_hash_table_destroy(allocator->reporters);
-    g_hash_table_destroy(allocator->limits);
+    g_hash_table_destroy(allocator->pooled);
 }
 
 ps_service_use_t *
@@ -246,18 +272,6 @@
     return use;
 }
 
-ps_team_use_t *
-PsReporter_GetTeam(ps_reporter_t *reporter, const ps_name_t *team)
-{
-    ps_team_use_t *use = g_hash_table_lookup(reporter->teams, team);
-    if (!use) {
-        use = g_new0(ps_team_use_t, 1);
-        g_hash_table_insert(reporter->teams, g_memdup2(team, sizeof *team),
-                            use);
-    }
-    return use;
-}
-
 ps_reporter_t *
 PsAllocator_Reporter(ps_allocator_t *allocator, const ps_name_t *name,
                      uint64_t incarnation, int64_t now_ms)
@@ -296,15 +310,80 @@
 }
 
 void
-PsAllocator_SetLimit(ps_allocator_t *allocator, const ps_name_t *team,
-                     double limit)
+PsAllocator_NoteSpent(ps_allocator_t *allocator, ps_reporter_t *reporter,
+                      const ps_name_t *team, double spent, double wanted,
+                      double total, int64_t now_ms)
 {
-    if (limit <= 0) {
-        g_hash_table_remove(allocator->limits, team);
-        return;
+    ps_team_use_t *use = get_team(reporter, team);
+    ps_quota_t *pooled = g_hash_table_lookup(allocator->pooled, team);
+    if (pooled && use->total > 0 && total > use->total) {
+        PsQuota_Charge(pooled, total - use->total, now_ms);
     }
-    g_hash_table_replace(allocator->limits, g_memdup2(team, sizeof *team),
-                         g_memdup2(&limit, sizeof limit));
+    use->spent = spent;
+    use->wanted = wanted;
+    use->total = total;
+}
+
+static ps_quota_t *
+get_pooled(ps_allocator_t *allocator, const ps_name_t *team)
+{
+    ps_quota_t *pooled = g_hash_table_lookup(allocator->pooled, team);
+    if (!pooled) {
+        pooled = g_new0(ps_quota_t, 1);
+        PsQuota_Set(pooled, 0, allocator->window_s);
+        g_hash_table_insert(allocator->pooled, g_memdup2(team, sizeof *team),
+                            pooled);
+    }
+    return pooled;
+}
+
+void
+PsAllocator_TakeRecord(ps_allocator_t *allocator,
+                       const ps_spent_record_t *records, int n, int64_t age_ms,
+                       int64_t now_ms)
+{
+    allocator->unknown_ms = 0;
+    double part_ms = allocator->window_s * 1000.0 / PS_SPENT_PARTS;
+    for (int i = 0; i < n; i++) {
+        ps_quota_t *pooled = get_pooled(allocator, &records[i].team);
+        for (int k = 0; k < PS_SPENT_PARTS; k++) {
+            PsQuota_ChargePast(pooled, records[i].spent[k],
+                               age_ms + (int64_t)(part_ms * k), now_ms);
+        }
+    }
+}
+
+int
+PsAllocator_MakeRecord(ps_allocator_t *allocator, ps_spent_record_t *records,
+                       int max, int64_t now_ms)
+{
+    int n = 0;
+    int64_t part_ms = (int64_t)(allocator->window_s * 1000.0 / PS_SPENT_PARTS);
+    GHashTableIter each;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&each, allocator->pooled);
+    while (n < max && g_hash_table_iter_next(&each, &key, &value)) {
+        if (PsQuota_GetSpent(value, now_ms) <
+            RECORD_SHARE * ((ps_quota_t *)value)->limit) {
+            continue;
+        }
+        records[n].team = *(ps_name_t *)key;
+        for (int k = 0; k < PS_SPENT_PARTS; k++) {
+            records[n].spent[k] = PsQuota_GetPart(value, part_ms * k,
+                                                  part_ms * (k + 1), now_ms);
+        }
+        n++;
+    }
+    return n;
+}
+
+void
+PsAllocator_SetLimit(ps_allocator_t *allocator, const ps_name_t *team,
+                     double limit, double window_s)
+{
+    allocator->window_s = window_s;
+    PsQuota_Set(get_pooled(allocator, team), limit, window_s);
 }
 
 void
@@ -346,8 +425,8 @@
     GHashTableIter each;
     gpointer key;
     gpointer value;
-    g_hash_table_iter_init(&each, allocator->limits);
+    g_hash_table_iter_init(&each, allocator->pooled);
     while (g_hash_table_iter_next(&each, &key, &value)) {
-        divide_quota(allocator, key, *(double *)value, n_daemons, now_ms);
+        divide_quota(allocator, key, value, n_daemons, now_ms);
     }
 }
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -15,6 +15,8 @@
 
 #include <glib.h>
 
+#include "feed.h"
+#include "quota.h"
 #include "scheduler.h"
 
 #define PS_REPORT_FRESH_MS 500 /* older reports count for nothing */
@@ -41,6 +43,7 @@
  */
 typedef struct ps_team_use {
     double spent;   /* units in the window before its report */
+    double total;   /* units since the daemon's start; 0: not reported yet */
     double wanted;  /* units asked for lately, refused ones included */
     double granted; /* units it may spend now */
 } ps_team_use_t;
@@ -63,7 +66,10 @@
  */
 typedef struct ps_allocator {
     GHashTable *reporters; /* name to ps_reporter_t */
-    GHashTable *limits;    /* team to the units of a window, double */
+    GHashTable *pooled;    /* team to ps_quota_t, over all daemons */
+    double window_s;       /* of the quotas */
+    int64_t unknown_ms;    /* what was spent before that time is unknown; 0:
+                              all is known */
     guint turn;            /* whose turn it is to get the odd slot */
 } ps_allocator_t;
 
@@ -81,8 +87,34 @@
 ps_service_use_t *PsReporter_GetService(ps_reporter_t *reporter,
                                         const ps_name_t *service);
 
-ps_team_use_t *PsReporter_GetTeam(ps_reporter_t *reporter,
-                                  const ps_name_t *team);
+
+/**
+ * PsAllocator_NoteSpent() - Takes a daemon's use of a team's quota in.
+ * @spent: units in the window
+ * @wanted: units asked for lately, refused ones included
+ * @total: units since the daemon's start
+ */
+void PsAllocator_NoteSpent(ps_allocator_t *allocator, ps_reporter_t *reporter,
+                           const ps_name_t *team, double spent, double wanted,
+                           double total, int64_t now_ms);
+
+/**
+ * PsAllocator_TakeRecord() - Takes in what was spent before this daemon's
+ * start.
+ * @age_ms: of the record
+ */
+void PsAllocator_TakeRecord(ps_allocator_t *allocator,
+                            const ps_spent_record_t *records, int n,
+                            int64_t age_ms, int64_t now_ms);
+
+/**
+ * PsAllocator_MakeRecord() - Lists the teams that have spent much of theirs.
+ *
+ * Return: how many, at most @max.
+ */
+int PsAllocator_MakeRecord(ps_allocator_t *allocator,
+                           ps_spent_record_t *records, int max,
+                           int64_t now_ms);
 void PsAllocator_Forget(ps_allocator_t *allocator, const ps_name_t *name);
 
 /**
@@ -90,7 +122,7 @@
  * @limit: units; 0: no quota
  */
 void PsAllocator_SetLimit(ps_allocator_t *allocator, const ps_name_t *team,
-                          double limit);
+                          double limit, double window_s);
 
 /**
  * PsAllocator_DivideSlots() - Works out the limits of one service.
--- a/src/feed.h
+++ b/src/feed.h
@@ -25,6 +25,20 @@
     bool is_removed;      /* its removal was asked for */
 } ps_member_t;
 
+#define PS_SPENT_PARTS 8 /* parts of the window in a record */
+
+/**
+ * struct ps_spent_record - What a team had spent of its quota.
+ *
+ * The allocator keeps it in the store, so that daemons which all start anew
+ * do not give the window's quota out twice.
+ */
+typedef struct ps_spent_record {
+    ps_name_t team;
+    double spent[PS_SPENT_PARTS]; /* units in each part of the window, newest
+                                     first */
+} ps_spent_record_t;
+
 /**
  * struct ps_feed_events - News from the store.
  * @catalog: a configuration; a reference is handed over
@@ -35,6 +49,7 @@
  * @member: a daemon's registration
  * @member_gone: it was removed
  * @members_listed: like @servers_listed
+ * @spent: the record of the quotas' use, read once at the start; none: 0
  * @lost: the store does not answer
  * @back: it answers again
  */
@@ -47,6 +62,8 @@
     void (*member)(void *user, const ps_member_t *member);
     void (*member_gone)(void *user, const ps_name_t *name);
     void (*members_listed)(void *user, GHashTable *names);
+    void (*spent)(void *user, const ps_spent_record_t *records, int n,
+                  int64_t age_ms);
     void (*lost)(void *user, const char *reason);
     void (*back)(void *user);
 } ps_feed_events_t;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -64,8 +64,9 @@
         const ps_team_t *team = gateway->catalog->teams->pdata[i];
         double limit = PsQuota_GetLimit(team->rate, team->burst, &terms);
         PsQuota_Set(PsGateway_GetQuota(gateway, &team->name), limit,
-                    terms.window_s, gateway->started_ms);
-        PsAllocator_SetLimit(&gateway->sharing.allocator, &team->name, limit);
+                    terms.window_s);
+        PsAllocator_SetLimit(&gateway->sharing.allocator, &team->name, limit,
+                             terms.window_s);
     }
 }
 
@@ -176,6 +177,18 @@
     g_list_free(known);
 }
 
+static void
+on_spent(void *user, const ps_spent_record_t *records, int n, int64_t age_ms)
+{
+    ps_gateway_t *gateway = user;
+    PsEvents_Add("quota.recover", "{s:i,s:I}", "teams", n, "age_ms",
+                 (json_int_t)age_ms);
+    gateway->sharing.allocator.window_s =
+        gateway->settings.gateway.quota_window_s;
+    PsAllocator_TakeRecord(&gateway->sharing.allocator, records, n, age_ms,
+                           PsClock_Now());
+}
+
 static void
 on_lost(void *user, const char *reason)
 {
@@ -375,6 +388,7 @@
     gateway->tick.data = gateway;
     ev_timer_start(loop, &gateway->tick);
     ps_status_t status = PsSharing_Init(&gateway->sharing, gateway, loop);
+    gateway->sharing.allocator.unknown_ms = gateway->started_ms;
     return status == PS_OK
                ? listen_all(gateway, check_events, directory_events)
                : status;
@@ -404,6 +418,7 @@
         .member = on_member,
         .member_gone = on_member_gone,
         .members_listed = on_members_listed,
+        .spent = on_spent,
         .lost = on_lost,
         .back = on_back};
     return &events;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -71,7 +71,10 @@
     ps_sharing_t sharing;
     void (*remove_member)(struct ps_gateway *gateway,
                           const ps_member_t *member); /* from the store */
-    void *store;                /* for @remove_member */
+    void (*keep_spent)(struct ps_gateway *gateway,
+                       const ps_spent_record_t *records,
+                       int n);  /* in the store */
+    void *store;                /* for these two */
     GQueue exchanges;           /* ps_exchange_t in progress */
     ev_timer tick;
     int64_t started_ms;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -2900,7 +2900,7 @@
   (ProtobufCMessageInit) ps__service_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__team_use__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ps__team_use__field_descriptors[4] =
 {
   {
     "team",
@@ -2938,16 +2938,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "total",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamUse, total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__team_use__field_indices_by_name[] = {
   1,   /* field[1] = spent */
   0,   /* field[0] = team */
+  3,   /* field[3] = total */
   2,   /* field[2] = wanted */
 };
 static const ProtobufCIntRange ps__team_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ps__team_use__descriptor =
 {
@@ -2957,7 +2970,7 @@
   "Ps__TeamUse",
   "ps",
   sizeof(Ps__TeamUse),
-  3,
+  4,
   ps__team_use__field_descriptors,
   ps__team_use__field_indices_by_name,
   1,  ps__team_use__number_ranges,
@@ -3105,7 +3118,7 @@
   (ProtobufCMessageInit) ps__service_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__team_grant__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ps__team_grant__field_descriptors[2] =
 {
   {
     "team",
@@ -3131,28 +3144,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "open",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Ps__TeamGrant, open),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned ps__team_grant__field_indices_by_name[] = {
-  2,   /* field[2] = open */
   0,   /* field[0] = team */
   1,   /* field[1] = units */
 };
 static const ProtobufCIntRange ps__team_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ps__team_grant__descriptor =
 {
@@ -3162,7 +3162,7 @@
   "Ps__TeamGrant",
   "ps",
   sizeof(Ps__TeamGrant),
-  3,
+  2,
   ps__team_grant__field_descriptors,
   ps__team_grant__field_indices_by_name,
   1,  ps__team_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -448,17 +448,21 @@
   ProtobufCMessage base;
   char *team;
   /*
-   * units since the sender's start
+   * units in the quota's window
    */
   double spent;
   /*
    * units asked for lately, refused ones included
    */
   double wanted;
+  /*
+   * units since the sender's start
+   */
+  double total;
 };
 #define PS__TEAM_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__team_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Ps__ShareReport
@@ -507,14 +511,10 @@
    * that may be spent beyond what was reported
    */
   double units;
-  /*
-   * the quota is far from used up
-   */
-  protobuf_c_boolean open;
 };
 #define PS__TEAM_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__team_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Ps__ShareGrant
--- a/src/quota.c
+++ b/src/quota.c
@@ -32,29 +32,52 @@
 }
 
 void
-PsQuota_Set(ps_quota_t *quota, double limit, double window_s,
-            int64_t started_ms)
+PsQuota_Set(ps_quota_t *quota, double limit, double window_s)
 {
     quota->limit = limit;
-    quota->started_ms = started_ms;
     quota->bucket_ms =
         (int64_t)(window_s * 1000.0 / (PS_QUOTA_BUCKETS - 1));
 }
 
 double
-PsQuota_GetSpent(ps_quota_t *quota, int n_daemons, int64_t now_ms)
+PsQuota_GetSpent(ps_quota_t *quota, int64_t now_ms)
 {
     move_window(quota, now_ms);
-    double window_ms = (double)quota->bucket_ms * (PS_QUOTA_BUCKETS - 1);
-    double unknown_ms = window_ms - (double)(now_ms - quota->started_ms);
-    double spent = MAX(unknown_ms, 0.0) / MAX(window_ms, 1.0) *
-                   quota->limit / MAX(n_daemons, 1);
+    double spent = 0;
     for (int i = 0; i < PS_QUOTA_BUCKETS; i++) {
         spent += quota->spent[i];
     }
     return spent;
 }
 
+double
+PsQuota_GetPart(ps_quota_t *quota, int64_t from_ms, int64_t to_ms,
+                int64_t now_ms)
+{
+    move_window(quota, now_ms);
+    int64_t width = MAX(quota->bucket_ms, 1);
+    double spent = 0;
+    for (int64_t back = from_ms / width; back < to_ms / width; back++) {
+        int64_t bucket = quota->current - back;
+        if (back < PS_QUOTA_BUCKETS && bucket >= 0) {
+            spent += quota->spent[bucket % PS_QUOTA_BUCKETS];
+        }
+    }
+    return spent;
+}
+
+void
+PsQuota_ChargePast(ps_quota_t *quota, double units, int64_t age_ms,
+                   int64_t now_ms)
+{
+    move_window(quota, now_ms);
+    int64_t back = age_ms / MAX(quota->bucket_ms, 1);
+    int64_t bucket = quota->current - back;
+    if (back < PS_QUOTA_BUCKETS && bucket >= 0) {
+        quota->spent[bucket % PS_QUOTA_BUCKETS] += units;
+    }
+}
+
 void
 PsQuota_Charge(ps_quota_t *quota, double units, int64_t now_ms)
 {
@@ -70,7 +93,7 @@
     double part = quota->limit / MAX(n_daemons, 1);
     double needed = MIN(units, part);
     if (quota->limit > 0 &&
-        PsQuota_GetSpent(quota, n_daemons, now_ms) + needed > part) {
+        PsQuota_GetSpent(quota, now_ms) + needed > part) {
         return false;
     }
     PsQuota_Charge(quota, units, now_ms);
--- a/src/quota.h
+++ b/src/quota.h
@@ -34,7 +34,6 @@
 typedef struct ps_quota {
     double limit;      /* units in a window over all daemons; 0: no quota */
     int64_t bucket_ms;
-    int64_t started_ms; /* this daemon's start: unknown before */
     int64_t current;   /* number of the newest bucket */
     double spent[PS_QUOTA_BUCKETS];
     double total;      /* units since the start */
@@ -50,18 +49,26 @@
 
 /**
  * PsQuota_Set() - Sets limit and window; what was spent stays spent.
- * @started_ms: the daemon's start
  */
-void PsQuota_Set(ps_quota_t *quota, double limit, double window_s,
-                 int64_t started_ms);
+void PsQuota_Set(ps_quota_t *quota, double limit, double window_s);
 
 /**
  * PsQuota_GetSpent() - Returns the units spent in the window before now.
- *
- * Before its start a daemon may have spent its even part of the limit: a
- * process that was killed and started again does not remember.
  */
-double PsQuota_GetSpent(ps_quota_t *quota, int n_daemons, int64_t now_ms);
+double PsQuota_GetSpent(ps_quota_t *quota, int64_t now_ms);
+
+/**
+ * PsQuota_GetPart() - Returns the units spent in a part of the window.
+ * @from_ms, @to_ms: ages, @from_ms being the lesser
+ */
+double PsQuota_GetPart(ps_quota_t *quota, int64_t from_ms, int64_t to_ms,
+                       int64_t now_ms);
+
+/**
+ * PsQuota_ChargePast() - Notes units that were spent some time ago.
+ */
+void PsQuota_ChargePast(ps_quota_t *quota, double units, int64_t age_ms,
+                        int64_t now_ms);
 
 /**
  * PsQuota_Charge() - Spends units.
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -19,6 +19,8 @@
 #define DEAD_MS 3000          /* its registration is removed */
 #define PAUSE_MS 300          /* between turns of the loop: it was paused */
 #define WANTED_KEEP 0.95      /* of what was asked for, at each round */
+#define RECORD_PACE_MS 700    /* between records of what teams have spent */
+#define RECORDS_MAX 64        /* teams in one record */
 #define BANNED_MAX 64         /* contents named in one grant */
 #define DEATHS_BANNED 3       /* lost connections until a content is refused */
 
@@ -161,8 +163,8 @@
         use->team = spending->team.data;
         ps_quota_t *quota =
             PsGateway_GetQuota(sharing->gateway, &spending->team);
-        use->spent = PsQuota_GetSpent(
-            quota, (int)g_hash_table_size(sharing->gateway->members), now_ms);
+        use->spent = PsQuota_GetSpent(quota, now_ms);
+        use->total = quota->total;
         use->wanted = spending->wanted;
         spending->reported[sharing->round % PS_SHARING_ROUNDS] = quota->total;
         spending->wanted *= WANTED_KEEP;
@@ -234,9 +236,10 @@
     }
     for (size_t i = 0; i < report->n_teams; i++) {
         ps_name_t team = PsName_FromC(report->teams[i]->team);
-        ps_team_use_t *use = PsReporter_GetTeam(reporter, &team);
-        use->spent = report->teams[i]->spent;
-        use->wanted = report->teams[i]->wanted;
+        PsAllocator_NoteSpent(allocator, reporter, &team,
+                              report->teams[i]->spent,
+                              report->teams[i]->wanted,
+                              report->teams[i]->total, now_ms);
     }
     for (size_t i = 0; i < report->n_suspects; i++) {
         PsSuspects_AddDeath(&sharing->gateway->suspects, report->suspects[i],
@@ -311,7 +314,9 @@
     gpointer value;
     g_hash_table_iter_init(&each, reporter->teams);
     while (g_hash_table_iter_next(&each, &key, &value)) {
-        if (!g_hash_table_contains(allocator->limits, key)) {
+        const ps_quota_t *pooled =
+            g_hash_table_lookup(allocator->pooled, key);
+        if (!pooled || pooled->limit <= 0) {
             continue;
         }
         Ps__TeamGrant *team = g_new(Ps__TeamGrant, 1);
@@ -417,6 +422,23 @@
     return silent;
 }
 
+// Keeps what teams near their limits have spent in the store.
+static void
+keep_record(ps_sharing_t *sharing, int64_t now_ms)
+{
+    if (now_ms < sharing->next_record_ms ||
+        !PsName_IsEqual(&sharing->chosen, &sharing->gateway->self.name)) {
+        return;
+    }
+    ps_spent_record_t records[RECORDS_MAX];
+    int n = PsAllocator_MakeRecord(&sharing->allocator, records, RECORDS_MAX,
+                                   now_ms);
+    if (n > 0) {
+        sharing->next_record_ms = now_ms + RECORD_PACE_MS;
+        sharing->gateway->keep_spent(sharing->gateway, records, n);
+    }
+}
+
 static void
 divide(ps_sharing_t *sharing, int64_t now_ms)
 {
@@ -431,6 +453,7 @@
     }
     int members = (int)g_hash_table_size(sharing->gateway->members);
     PsAllocator_DivideQuotas(&sharing->allocator, members, now_ms);
+    keep_record(sharing, now_ms);
     GPtrArray *silent = list_silent(sharing, now_ms);
     uint64_t banned[BANNED_MAX];
     size_t n_banned = list_banned(sharing, banned, now_ms);
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -43,6 +43,7 @@
     uint64_t round;
     int64_t run_ms;         /* last turn of the loop */
     int64_t next_round_ms;
+    int64_t next_record_ms;
     GHashTable *avoided;    /* name to the time until which it is avoided */
     GHashTable *silent;     /* names of members that do not report */
     GHashTable *spending;   /* team to ps_spending_t */
