--- a/Makefile
+++ b/Makefile
@@ -97,7 +97,8 @@
 
 # Tests
 
-TESTS := test_tables test_pool test_ledger test_contract test_world
+TESTS := test_tables test_pool test_ledger test_contract test_world \
+    test_gateway
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
--- a/src/feed.h
+++ b/src/feed.h
@@ -11,9 +11,9 @@
 #include "catalog.h"
 
 /**
- * struct ps_member - A daemon of the deployment, as it registered itself.
+ * struct ps_daemon_info - A daemon of the deployment, as it registered itself.
  */
-typedef struct ps_member {
+typedef struct ps_daemon_info {
     ps_name_t name;
     ps_name_t domain;
     ps_name_t caller_address;
@@ -23,7 +23,7 @@
     uint64_t revision;    /* of its object in the store */
     int64_t joined_ms;    /* this daemon learnt of it then */
     bool is_removed;      /* its removal was asked for */
-} ps_member_t;
+} ps_daemon_info_t;
 
 #define PS_SPENT_PARTS 8 /* parts of the window in a record */
 
@@ -59,7 +59,7 @@
     void (*server)(void *user, const ps_registration_t *told);
     void (*server_gone)(void *user, const ps_name_t *name);
     void (*servers_listed)(void *user, GHashTable *names);
-    void (*member)(void *user, const ps_member_t *member);
+    void (*member)(void *user, const ps_daemon_info_t *member);
     void (*member_gone)(void *user, const ps_name_t *name);
     void (*members_listed)(void *user, GHashTable *names);
     void (*spent)(void *user, const ps_spent_record_t *records, int n,
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -20,8 +20,8 @@
 static gint
 compare_names(gconstpointer left, gconstpointer right)
 {
-    const ps_member_t *a = left;
-    const ps_member_t *b = right;
+    const ps_daemon_info_t *a = left;
+    const ps_daemon_info_t *b = right;
     return strcmp(a->name.data, b->name.data);
 }
 
@@ -33,7 +33,7 @@
     int n = 0;
     int index = 0;
     for (GList *l = all; l; l = l->next, n++) {
-        const ps_member_t *member = l->data;
+        const ps_daemon_info_t *member = l->data;
         if (PsName_IsEqual(&member->name, &gateway->self.name)) {
             index = n;
         }
@@ -131,7 +131,7 @@
 }
 
 static void
-on_member(void *user, const ps_member_t *told)
+on_member(void *user, const ps_daemon_info_t *told)
 {
     ps_gateway_t *gateway = user;
     if (PsName_IsEqual(&told->name, &gateway->self.name)) {
@@ -141,7 +141,7 @@
                  "address", told->caller_address.data, "domain",
                  told->domain.data);
     g_hash_table_remove(gateway->members, &told->name);
-    ps_member_t *member = g_memdup2(told, sizeof *told);
+    ps_daemon_info_t *member = g_memdup2(told, sizeof *told);
     member->joined_ms = PsClock_Now();
     g_hash_table_insert(gateway->members, &member->name, member);
     set_shares(gateway);
@@ -168,7 +168,7 @@
     ps_gateway_t *gateway = user;
     GList *known = g_hash_table_get_values(gateway->members);
     for (GList *l = known; l; l = l->next) {
-        const ps_member_t *member = l->data;
+        const ps_daemon_info_t *member = l->data;
         if (!g_hash_table_contains(names, &member->name)) {
             ps_name_t name = member->name;
             on_member_gone(gateway, &name);
@@ -375,13 +375,13 @@
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
     gateway->members =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, NULL, g_free);
-    gateway->self = (ps_member_t){.name = settings->name,
+    gateway->self = (ps_daemon_info_t){.name = settings->name,
                                   .domain = settings->domain,
                                   .caller_address = settings->caller_address,
                                   .peer_address = settings->peer_address,
                                   .incarnation = (uint64_t)g_get_real_time(),
                                   .cpu_share = settings->gateway.cpu_share};
-    ps_member_t *self = g_memdup2(&gateway->self, sizeof gateway->self);
+    ps_daemon_info_t *self = g_memdup2(&gateway->self, sizeof gateway->self);
     g_hash_table_insert(gateway->members, &self->name, self);
     g_queue_init(&gateway->exchanges);
     ev_timer_init(&gateway->tick, on_tick, TICK_S, TICK_S);
@@ -466,7 +466,7 @@
 }
 
 static bool
-add_address(const ps_member_t *member, const char *domain, bool is_near,
+add_address(const ps_daemon_info_t *member, const char *domain, bool is_near,
             const ps_name_t **addresses, int *n, int max)
 {
     bool matches =
@@ -487,7 +487,7 @@
         gpointer value;
         g_hash_table_iter_init(&each, gateway->members);
         while (g_hash_table_iter_next(&each, NULL, &value)) {
-            const ps_member_t *member = value;
+            const ps_daemon_info_t *member = value;
             bool is_self =
                 PsName_IsEqual(&member->name, &gateway->self.name);
             bool serves =
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -66,11 +66,11 @@
     GHashTable *desks;          /* service name to ps_service_desk_t */
     GHashTable *quotas;         /* team name to ps_quota_t */
     ps_suspects_t suspects;
-    ps_member_t self;
-    GHashTable *members;        /* name to ps_member_t; with this daemon */
+    ps_daemon_info_t self;
+    GHashTable *members;        /* name to ps_daemon_info_t; with this daemon */
     ps_sharing_t sharing;
     void (*remove_member)(struct ps_gateway *gateway,
-                          const ps_member_t *member); /* from the store */
+                          const ps_daemon_info_t *member); /* from the store */
     void (*keep_spent)(struct ps_gateway *gateway,
                        const ps_spent_record_t *records,
                        int n);  /* in the store */
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -27,7 +27,7 @@
 /* ---- Choice of the allocator ------------------------------------------ */
 
 static double
-get_weight(const ps_member_t *member)
+get_weight(const ps_daemon_info_t *member)
 {
     uint64_t hash = XXH64(member->name.data, member->name.len, 0);
     double unit = ((double)(hash >> 11) + 0.5) / 9007199254740992.0;
@@ -45,13 +45,13 @@
 static void
 choose(ps_sharing_t *sharing, int64_t now_ms)
 {
-    const ps_member_t *best = NULL;
+    const ps_daemon_info_t *best = NULL;
     double most = -1;
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, sharing->gateway->members);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const ps_member_t *member = value;
+        const ps_daemon_info_t *member = value;
         if (get_weight(member) > most &&
             !is_avoided(sharing, &member->name, now_ms)) {
             most = get_weight(member);
@@ -403,7 +403,7 @@
     gpointer value;
     g_hash_table_iter_init(&each, sharing->gateway->members);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
-        ps_member_t *member = value;
+        ps_daemon_info_t *member = value;
         const ps_reporter_t *reporter = g_hash_table_lookup(
             sharing->allocator.reporters, &member->name);
         int64_t heard_ms = MAX(reporter ? reporter->reported_ms : 0,
@@ -659,7 +659,7 @@
 }
 
 void
-PsSharing_MemberChanged(ps_sharing_t *sharing, const ps_member_t *member)
+PsSharing_MemberChanged(ps_sharing_t *sharing, const ps_daemon_info_t *member)
 {
     PsPeers_SetAddress(&sharing->peers, &member->name, &member->peer_address);
     choose(sharing, PsClock_Now());
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -65,7 +65,7 @@
  * PsSharing_Run() - Reports, divides and falls back as due; call each tick.
  */
 void PsSharing_Run(ps_sharing_t *sharing, int64_t now_ms);
-void PsSharing_MemberChanged(ps_sharing_t *sharing, const ps_member_t *member);
+void PsSharing_MemberChanged(ps_sharing_t *sharing, const ps_daemon_info_t *member);
 bool PsSharing_IsSilent(const ps_sharing_t *sharing, const ps_name_t *member);
 
 /**
