Let one daemon read the store for all

The allocator now reads often and its grants carry the configuration's version, the age of its proof and a hash of the known servers; a daemon that hears them reads rarely, and at once when they differ. The proof's age counts from when the answered report was sent, so a delayed grant is never taken for fresher than it is.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -2,6 +2,7 @@
 #include "gateway.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "clock.h"
 #include "counters.h"
@@ -11,6 +12,9 @@
 #define TICK_S 0.025              /* looks for what is due */
 #define CALLER_BODY_MAX (8 * 1024 * 1024) /* bytes; the configuration has less */
 #define KEY_MARGIN_MS 400         /* kept free of the time a key lives on */
+#define DIFFER_MS 120             /* longer than a change takes to reach all */
+#define NEWS_FRESH_MS 500         /* news of the allocator are relied on */
+#define PROOF_FRESH_MS 2200       /* it has read the store since */
 #define GRACE_MARGIN_MS 400       /* left of the grace when the process ends */
 #define TAKE_SHARE 0.3            /* of the grace, in which requests are taken */
 #define OPEN_LINGER_SHARE 0.7     /* of the grace, for connections kept open */
@@ -312,6 +316,18 @@
     }
 }
 
+// A daemon that hears fresh news from the allocator reads the store rarely.
+static void
+set_pace(ps_gateway_t *gateway, int64_t now_ms)
+{
+    bool is_allocator =
+        PsName_IsEqual(&gateway->sharing.chosen, &gateway->self.name);
+    bool is_relaxed = !is_allocator && !gateway->sharing.is_even &&
+                      now_ms - gateway->news_ms < NEWS_FRESH_MS &&
+                      now_ms - gateway->catalog_proven_ms < PROOF_FRESH_MS;
+    gateway->store->relax(gateway->store, is_relaxed);
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -321,6 +337,7 @@
     int64_t now_ms = PsClock_Now();
     PsRoster_Run(&gateway->roster, now_ms);
     PsSharing_Run(&gateway->sharing, now_ms);
+    set_pace(gateway, now_ms);
     run_desks(gateway, now_ms);
     GList *next;
     for (GList *l = gateway->exchanges.head; l; l = next) {
@@ -530,6 +547,52 @@
     return quota;
 }
 
+uint64_t
+PsGateway_HashServers(const ps_gateway_t *gateway)
+{
+    uint64_t sum = 0;
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->desks);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const GPtrArray *backends =
+            ((ps_service_desk_t *)value)->scheduler.backends;
+        for (guint i = 0; i < backends->len; i++) {
+            const ps_backend_t *backend = backends->pdata[i];
+            uint64_t seed = (uint64_t)backend->told.started_ms * 2 +
+                            (backend->told.is_leaving ? 1 : 0);
+            sum += XXH64(backend->told.name.data, backend->told.name.len,
+                         seed);
+        }
+    }
+    return sum;
+}
+
+void
+PsGateway_TakeNews(ps_gateway_t *gateway, uint64_t version, int64_t proven_ms,
+                   uint64_t servers_hash, int64_t now_ms)
+{
+    uint64_t own = gateway->catalog ? gateway->catalog->version : 0;
+    bool is_same = servers_hash == PsGateway_HashServers(gateway);
+    if (is_same) {
+        gateway->servers_differ_ms = 0;
+    }
+    else if (gateway->servers_differ_ms == 0) {
+        gateway->servers_differ_ms = now_ms;
+    }
+    bool differs = gateway->servers_differ_ms > 0 &&
+                   now_ms - gateway->servers_differ_ms > DIFFER_MS;
+    if (version > own || differs) {
+        gateway->servers_differ_ms = 0;
+        gateway->store->read_now(gateway->store);
+    }
+    if (version == own) {
+        gateway->catalog_proven_ms =
+            MAX(gateway->catalog_proven_ms, proven_ms);
+    }
+    gateway->news_ms = now_ms;
+}
+
 bool
 PsGateway_IsProven(const ps_gateway_t *gateway, int64_t now_ms)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -48,6 +48,22 @@
     uint64_t repeats;
 } ps_gateway_stats_t;
 
+/**
+ * struct ps_gateway_store - What a gateway asks of the store's client.
+ * @remove_member: removes a dead daemon's registration
+ * @keep_spent: keeps the record of the quotas' use
+ * @read_now: reads configuration and servers at once
+ * @relax: reads them rarely, because a peer does it for all; false: often
+ */
+typedef struct ps_gateway_store {
+    void (*remove_member)(const struct ps_gateway_store *store,
+                          const ps_daemon_info_t *member);
+    void (*keep_spent)(const struct ps_gateway_store *store,
+                       const ps_spent_record_t *records, int n);
+    void (*read_now)(const struct ps_gateway_store *store);
+    void (*relax)(const struct ps_gateway_store *store, bool is_relaxed);
+} ps_gateway_store_t;
+
 /**
  * struct ps_gateway - A gateway; memory of the caller.
  */
@@ -69,12 +85,10 @@
     ps_daemon_info_t self;
     GHashTable *members;        /* name to ps_daemon_info_t; with this daemon */
     ps_sharing_t sharing;
-    void (*remove_member)(struct ps_gateway *gateway,
-                          const ps_daemon_info_t *member); /* from the store */
-    void (*keep_spent)(struct ps_gateway *gateway,
-                       const ps_spent_record_t *records,
-                       int n);  /* in the store */
-    void *store;                /* for these two */
+    const ps_gateway_store_t *store; /* set before the loop runs */
+    int64_t news_ms;                 /* last news from the allocator */
+    int64_t servers_differ_ms;       /* since when the allocator knows others;
+                                        0: it knows the same */
     GQueue exchanges;           /* ps_exchange_t in progress */
     ev_timer tick;
     int64_t started_ms;
@@ -135,6 +149,20 @@
                                      const ps_name_t *service);
 ps_quota_t *PsGateway_GetQuota(ps_gateway_t *gateway, const ps_name_t *team);
 
+/**
+ * PsGateway_HashServers() - Names the set of known backend servers and their
+ * states; the same for two daemons that know the same.
+ */
+uint64_t PsGateway_HashServers(const ps_gateway_t *gateway);
+
+/**
+ * PsGateway_TakeNews() - Takes in what the allocator believes of the store.
+ * @proven_ms: the version was the newest at that time, by this clock
+ */
+void PsGateway_TakeNews(ps_gateway_t *gateway, uint64_t version,
+                        int64_t proven_ms, uint64_t servers_hash,
+                        int64_t now_ms);
+
 /**
  * PsGateway_IsProven() - Tells whether API keys may still be relied on.
  */
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -3169,7 +3169,7 @@
   (ProtobufCMessageInit) ps__team_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[8] =
 {
   {
     "round",
@@ -3231,10 +3231,49 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareGrant, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareGrant, config_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers_hash",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareGrant, servers_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_grant__field_indices_by_name[] = {
   4,   /* field[4] = banned */
+  6,   /* field[6] = config_age_ms */
+  5,   /* field[5] = config_version */
   0,   /* field[0] = round */
+  7,   /* field[7] = servers_hash */
   1,   /* field[1] = services */
   3,   /* field[3] = silent */
   2,   /* field[2] = teams */
@@ -3242,7 +3281,7 @@
 static const ProtobufCIntRange ps__share_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ps__share_grant__descriptor =
 {
@@ -3252,7 +3291,7 @@
   "Ps__ShareGrant",
   "ps",
   sizeof(Ps__ShareGrant),
-  5,
+  8,
   ps__share_grant__field_descriptors,
   ps__share_grant__field_indices_by_name,
   1,  ps__share_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -538,10 +538,22 @@
    */
   size_t n_banned;
   uint64_t *banned;
+  /*
+   * in force at the sender
+   */
+  uint64_t config_version;
+  /*
+   * since it was last known to be the newest
+   */
+  uint32_t config_age_ms;
+  /*
+   * of the backend servers that it knows
+   */
+  uint64_t servers_hash;
 };
 #define PS__SHARE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_grant__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /* Ps__Frame methods */
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -178,6 +178,7 @@
     ps_gateway_t *gateway = sharing->gateway;
     Ps__ShareReport report = PS__SHARE_REPORT__INIT;
     report.round = ++sharing->round;
+    sharing->sent_ms[sharing->round % PS_SHARING_ROUNDS] = now_ms;
     report.leaving = gateway->is_leaving;
     report.services = g_new0(Ps__ServiceUse *,
                              g_hash_table_size(gateway->desks) + 1);
@@ -344,6 +345,16 @@
     return n;
 }
 
+static void
+add_news(const ps_sharing_t *sharing, Ps__ShareGrant *grant)
+{
+    const ps_gateway_t *gateway = sharing->gateway;
+    int64_t age_ms = PsClock_Now() - gateway->catalog_proven_ms;
+    grant->config_version = gateway->catalog ? gateway->catalog->version : 0;
+    grant->config_age_ms = (uint32_t)CLAMP(age_ms, 0, INT32_MAX);
+    grant->servers_hash = PsGateway_HashServers(gateway);
+}
+
 static void
 send_grant(ps_sharing_t *sharing, ps_reporter_t *reporter, char **silent,
            size_t n_silent, uint64_t *banned, size_t n_banned)
@@ -356,6 +367,7 @@
     grant.n_silent = n_silent;
     grant.banned = banned;
     grant.n_banned = n_banned;
+    add_news(sharing, &grant);
     Ps__Frame frame = PS__FRAME__INIT;
     frame.body_case = PS__FRAME__BODY_SHARE_GRANT;
     frame.share_grant = &grant;
@@ -416,7 +428,8 @@
             PsEvents_Add("member.dead", "{s:s,s:I}", "name",
                          member->name.data, "silent_ms",
                          (json_int_t)(now_ms - heard_ms));
-            sharing->gateway->remove_member(sharing->gateway, member);
+            sharing->gateway->store->remove_member(sharing->gateway->store,
+                                                   member);
         }
     }
     return silent;
@@ -435,7 +448,8 @@
                                    now_ms);
     if (n > 0) {
         sharing->next_record_ms = now_ms + RECORD_PACE_MS;
-        sharing->gateway->keep_spent(sharing->gateway, records, n);
+        sharing->gateway->store->keep_spent(sharing->gateway->store, records,
+                                            n);
     }
 }
 
@@ -503,6 +517,11 @@
     }
     sharing->is_even = false;
     sharing->granted_ms = now_ms;
+    // The grant was made after the report that it answers was sent.
+    int64_t sent_ms = sharing->sent_ms[grant->round % PS_SHARING_ROUNDS];
+    PsGateway_TakeNews(sharing->gateway, grant->config_version,
+                       sent_ms - (int64_t)grant->config_age_ms,
+                       grant->servers_hash, now_ms);
     sharing->grants++;
     for (size_t i = 0; i < grant->n_teams; i++) {
         ps_name_t team = PsName_FromC(grant->teams[i]->team);
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -41,6 +41,7 @@
     int64_t granted_ms;     /* last grant; 0: never */
     int64_t renewed_ms;     /* its links were dialled anew */
     uint64_t round;
+    int64_t sent_ms[PS_SHARING_ROUNDS]; /* reports of the last rounds */
     int64_t run_ms;         /* last turn of the loop */
     int64_t next_round_ms;
     int64_t next_record_ms;
