Leave silent servers, pass on a server's last error, change allocators well

A whole error of a server was replaced by 502 when no repeat was left: it is passed on. A cut-off allocator kept its part: it gives way to one that can read the store.

--- a/src/allocator.c
+++ b/src/allocator.c
@@ -3,7 +3,8 @@
 
 #include <math.h>
 
-#define RECORD_SHARE 0.4 /* of a limit; less need not outlast the daemons */
+#define RECORD_SHARE 0.25 /* of a limit; less need not outlast the daemons */
+#define UNRECORDED_MOST_MS 1000.0 /* twice the pace of records */
 #define EVEN_SHARE 0.4 /* of a quota; the rest follows what is asked for */
 
 /* ---- Memory ----------------------------------------------------------- */
@@ -337,6 +338,19 @@
     return pooled;
 }
 
+// What was probably spent after the record was written: as much as in its
+// busiest part, for as long as spending may have gone on.
+static double
+guess_unrecorded(const ps_spent_record_t *record, double part_ms,
+                 int64_t age_ms)
+{
+    double most = 0;
+    for (int k = 0; k < PS_SPENT_PARTS; k++) {
+        most = MAX(most, record->spent[k]);
+    }
+    return most * MIN((double)age_ms, UNRECORDED_MOST_MS) / part_ms;
+}
+
 void
 PsAllocator_TakeRecord(ps_allocator_t *allocator,
                        const ps_spent_record_t *records, int n, int64_t age_ms,
@@ -350,6 +364,8 @@
             PsQuota_ChargePast(pooled, records[i].spent[k],
                                age_ms + (int64_t)(part_ms * k), now_ms);
         }
+        PsQuota_Charge(pooled, guess_unrecorded(&records[i], part_ms, age_ms),
+                       now_ms);
     }
 }
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -17,12 +17,20 @@
 #define IDLE_REPEAT_S 3       /* the same, where a repeat is allowed */
 #define BODY_MAX (16 * 1024 * 1024) /* bytes of a whole answer */
 #define EVENT_MAX (1024 * 1024)     /* bytes of one event */
+#define RETRY_REJECTED_MS 300 /* servers that reject are full for a moment */
 #define DEATHS_BANNED 3       /* lost connections until a content is refused */
 #define RETRY_OVER_QUOTA_MS 1500 /* some of the window has passed by then */
 #define OUTPUT_SHARE 0.3      /* of the most output tokens, without a hint */
 
 /* ---- Answers ---------------------------------------------------------- */
 
+static void
+close_transfer(ps_exchange_t *exchange)
+{
+    PsTransfer_Finish(&exchange->transfer);
+    exchange->is_transferring = false;
+}
+
 static void
 free_exchange(ps_exchange_t *exchange)
 {
@@ -31,7 +39,7 @@
     }
     if (exchange->is_transferring) {
         PsTransfer_Cancel(&exchange->gateway->client, &exchange->transfer);
-        PsTransfer_Finish(&exchange->transfer);
+        close_transfer(exchange);
     }
     g_queue_unlink(&exchange->gateway->exchanges, &exchange->link);
     PsBuf_Finish(&exchange->body);
@@ -187,7 +195,8 @@
             answer_failed(exchange, 502, "API keys not confirmed lately");
             return;
         }
-        answer_not_run(exchange, 503, 1000, "API keys not confirmed lately");
+        answer_not_run(exchange, 503, ELSEWHERE_MS,
+                       "API keys not confirmed lately");
         return;
     }
     send_now(exchange, now_ms);
@@ -323,8 +332,7 @@
         copy_head(exchange, status, false);
         PsHttpRequest_Send(exchange->request, PsBuf_View(&exchange->body));
     }
-    PsTransfer_Finish(&exchange->transfer);
-    exchange->is_transferring = false;
+    close_transfer(exchange);
     free_exchange(exchange);
 }
 
@@ -336,34 +344,42 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-// Tries once more, or gives the request up.
-static void
-go_on(ps_exchange_t *exchange, ps_task_end_t end, const char *reason)
+// Tells whether the request may be sent once more after this end. Spends from
+// the retry budget.
+static bool
+take_repeat(ps_exchange_t *exchange, ps_task_end_t end, int64_t now_ms)
 {
-    int64_t now_ms = PsClock_Now();
-    bool reached = end != PS_TASK_NO_ROUTE;
     bool has_run = end == PS_TASK_FAILED || end == PS_TASK_STOPPED;
-    exchange->was_run |= has_run;
-    bool is_allowed = !has_run || may_repeat(exchange);
-    int reached_sends = exchange->task.n_tried;
-    if (is_allowed && now_ms + MARGIN_MS < exchange->time_out_ms &&
-        exchange->sends < SENDS_MAX &&
-        (!reached || (reached_sends < exchange->route->attempts_max &&
-                      PsRetryBudget_Take(&exchange->desk->retries, now_ms)))) {
-        exchange->gateway->stats.repeats += reached ? 1 : 0;
-        exchange->task.give_up_ms =
-            MIN(now_ms + PATIENCE_MS, exchange->time_out_ms - MARGIN_MS);
-        PsEvents_Add("request.repeat", "{s:s,s:s,s:i}", "id",
-                     exchange->inbound.request_id.data, "reason", reason,
-                     "sends", exchange->sends);
-        PsScheduler_Submit(&exchange->desk->scheduler, &exchange->task,
-                           now_ms);
-    }
-    else if (exchange->was_run || exchange->is_relaying) {
+    if ((has_run && !may_repeat(exchange)) ||
+        now_ms + MARGIN_MS >= exchange->time_out_ms ||
+        exchange->sends >= SENDS_MAX) {
+        return false;
+    }
+    return end == PS_TASK_NO_ROUTE ||
+           (exchange->task.n_tried < exchange->route->attempts_max &&
+            PsRetryBudget_Take(&exchange->desk->retries, now_ms));
+}
+
+static void
+send_again(ps_exchange_t *exchange, const char *reason, int64_t now_ms)
+{
+    exchange->gateway->stats.repeats++;
+    exchange->task.give_up_ms =
+        MIN(now_ms + PATIENCE_MS, exchange->time_out_ms - MARGIN_MS);
+    PsEvents_Add("request.repeat", "{s:s,s:s,s:i}", "id",
+                 exchange->inbound.request_id.data, "reason", reason, "sends",
+                 exchange->sends);
+    PsScheduler_Submit(&exchange->desk->scheduler, &exchange->task, now_ms);
+}
+
+static void
+give_up(ps_exchange_t *exchange, const char *reason)
+{
+    if (exchange->was_run || exchange->is_relaying) {
         answer_failed(exchange, 502, reason);
     }
     else {
-        answer_not_run(exchange, 503, 500, reason);
+        answer_not_run(exchange, 503, RETRY_REJECTED_MS, reason);
     }
 }
 
@@ -390,47 +406,75 @@
 }
 
 static void
-on_done(ps_transfer_t *transfer, ps_transfer_result_t result)
+log_trouble(const ps_exchange_t *exchange, ps_task_end_t end)
 {
-    ps_exchange_t *exchange = transfer->user;
-    int64_t now_ms = PsClock_Now();
-    ps_task_end_t end = get_end(exchange, result);
+    const ps_transfer_t *transfer = &exchange->transfer;
     const ps_backend_t *backend = exchange->task.backend;
-    if (end != PS_TASK_GOOD) {
-        PsEvents_Add("request.trouble", "{s:s,s:s,s:i,s:i,s:s,s:i}", "id",
-                     exchange->inbound.request_id.data, "server",
-                     backend->told.name.data, "status", (int)transfer->status,
-                     "verdict", (int)exchange->verdict, "error",
-                     transfer->error, "end", (int)end);
-    }
-    bool was_cut = result == PS_TRANSFER_BROKEN && !exchange->has_head;
-    if (was_cut && exchange->content_hash != 0) {
+    PsEvents_Add("request.trouble", "{s:s,s:s,s:i,s:i,s:s,s:i,s:f}", "id",
+                 exchange->inbound.request_id.data, "server",
+                 backend->told.name.data, "status", (int)transfer->status,
+                 "verdict", (int)exchange->verdict, "error", transfer->error,
+                 "end", (int)end, "failure_rate",
+                 PsBackend_GetFailureRate(backend));
+}
+
+static void
+note_death(ps_exchange_t *exchange, int64_t now_ms)
+{
+    if (exchange->content_hash != 0) {
         PsSharing_AddSuspect(&exchange->gateway->sharing,
                              exchange->content_hash);
         PsSuspects_AddDeath(&exchange->gateway->suspects,
                             exchange->content_hash, now_ms);
     }
-    bool whole = is_whole(exchange, result);
-    bool is_error = transfer->status >= 500;
-    bool is_final = whole && (!is_error || (!may_repeat(exchange) &&
-                                            !would_promise_not_run(
-                                                transfer->status)));
+}
+
+static const char *
+get_trouble(ps_task_end_t end)
+{
+    switch (end) {
+    case PS_TASK_NO_ROUTE:
+        return "server not reached";
+    case PS_TASK_REJECTED:
+        return "server rejected it";
+    case PS_TASK_STOPPED:
+        return "server fell silent";
+    default:
+        return "server failed";
+    }
+}
+
+static void
+on_done(ps_transfer_t *transfer, ps_transfer_result_t result)
+{
+    ps_exchange_t *exchange = transfer->user;
+    int64_t now_ms = PsClock_Now();
+    ps_task_end_t end = get_end(exchange, result);
+    if (end != PS_TASK_GOOD) {
+        log_trouble(exchange, end);
+    }
+    if (result == PS_TRANSFER_BROKEN && !exchange->has_head) {
+        note_death(exchange, now_ms);
+    }
+    bool is_answer =
+        is_whole(exchange, result) &&
+        (exchange->is_relaying || !would_promise_not_run(transfer->status));
     PsScheduler_End(&exchange->desk->scheduler, &exchange->task, end, now_ms);
-    if (is_final && (exchange->is_relaying || !would_promise_not_run(
-                                                  transfer->status))) {
+    exchange->was_run |= end == PS_TASK_FAILED;
+    if (end == PS_TASK_GOOD && is_answer) {
         answer_whole(exchange);
-        return;
     }
-    ps_name_t reason =
-        PsName_Format("%s: status %ld %s",
-                      end == PS_TASK_NO_ROUTE   ? "server not reached"
-                      : end == PS_TASK_REJECTED ? "server rejected it"
-                                                : "server failed",
-                      transfer->status, transfer->error);
-    g_strdelimit(reason.data, "\"\\\n", ' ');
-    PsTransfer_Finish(transfer);
-    exchange->is_transferring = false;
-    go_on(exchange, end, reason.data);
+    else if (take_repeat(exchange, end, now_ms)) {
+        close_transfer(exchange);
+        send_again(exchange, get_trouble(end), now_ms);
+    }
+    else if (is_answer) {
+        answer_whole(exchange);
+    }
+    else {
+        close_transfer(exchange);
+        give_up(exchange, get_trouble(end));
+    }
 }
 
 /* ---- Taking a request on ---------------------------------------------- */
@@ -495,7 +539,7 @@
         return false;
     }
     if (!gateway->catalog) {
-        answer_not_run(exchange, 503, 1000, "no configuration yet");
+        answer_not_run(exchange, 503, ELSEWHERE_MS, "no configuration yet");
         return false;
     }
     exchange->catalog = PsCatalog_Ref(gateway->catalog);
@@ -514,7 +558,7 @@
         exchange->team = PsCatalog_FindTeam(exchange->catalog,
                                             exchange->inbound.key.data);
         if (!PsGateway_IsProven(gateway, now_ms)) {
-            answer_not_run(exchange, 503, 1000,
+            answer_not_run(exchange, 503, ELSEWHERE_MS,
                            "API keys not confirmed lately");
             return false;
         }
@@ -616,6 +660,14 @@
     PsScheduler_Submit(&exchange->desk->scheduler, &exchange->task, now_ms);
 }
 
+static void
+stop_transfer(ps_exchange_t *exchange, int64_t now_ms, ps_task_end_t end)
+{
+    PsTransfer_Cancel(&exchange->gateway->client, &exchange->transfer);
+    close_transfer(exchange);
+    PsScheduler_End(&exchange->desk->scheduler, &exchange->task, end, now_ms);
+}
+
 void
 PsExchange_CallerGone(ps_exchange_t *exchange)
 {
@@ -627,35 +679,57 @@
         PsScheduler_Withdraw(&exchange->desk->scheduler, &exchange->task);
     }
     if (exchange->is_transferring) {
-        PsTransfer_Cancel(&exchange->gateway->client, &exchange->transfer);
-        PsTransfer_Finish(&exchange->transfer);
-        exchange->is_transferring = false;
-        PsScheduler_End(&exchange->desk->scheduler, &exchange->task,
-                        PS_TASK_STOPPED, now_ms);
+        stop_transfer(exchange, now_ms, PS_TASK_STOPPED);
     }
     free_exchange(exchange);
 }
 
-void
-PsExchange_Run(ps_exchange_t *exchange, int64_t now_ms)
+// Goes on at another server when this one has fallen silent.
+static void
+leave_silent_server(ps_exchange_t *exchange, int64_t now_ms)
 {
-    if (now_ms < exchange->time_out_ms || !exchange->desk) {
+    const ps_scheduler_t *scheduler = &exchange->desk->scheduler;
+    if (!may_repeat(exchange) ||
+        !PsScheduler_IsSilent(scheduler, &exchange->task, now_ms) ||
+        !take_repeat(exchange, PS_TASK_STOPPED, now_ms)) {
         return;
     }
+    PsEvents_Add("request.silent", "{s:s,s:s,s:I,s:i}", "id",
+                 exchange->inbound.request_id.data, "server",
+                 exchange->task.backend->told.name.data, "silent_ms",
+                 (json_int_t)(now_ms - exchange->task.last_ms), "events",
+                 (int)exchange->events);
+    exchange->was_run = true;
+    stop_transfer(exchange, now_ms, PS_TASK_FAILED);
+    send_again(exchange, get_trouble(PS_TASK_STOPPED), now_ms);
+}
+
+static void
+end_overdue(ps_exchange_t *exchange, int64_t now_ms)
+{
     PsScheduler_Withdraw(&exchange->desk->scheduler, &exchange->task);
-    if (!exchange->is_transferring) {
-        if (exchange->was_run || exchange->is_relaying) {
-            answer_failed(exchange, 504, "time is over");
-        }
-        else {
-            answer_not_run(exchange, 503, 0, "time is over");
-        }
+    bool was_sent = exchange->is_transferring;
+    if (was_sent) {
+        stop_transfer(exchange, now_ms, PS_TASK_STOPPED);
+    }
+    if (was_sent || exchange->was_run || exchange->is_relaying) {
+        answer_failed(exchange, 504, "time is over");
+    }
+    else {
+        answer_not_run(exchange, 503, 0, "time is over");
+    }
+}
+
+void
+PsExchange_Run(ps_exchange_t *exchange, int64_t now_ms)
+{
+    if (!exchange->desk) {
         return;
     }
-    PsTransfer_Cancel(&exchange->gateway->client, &exchange->transfer);
-    PsTransfer_Finish(&exchange->transfer);
-    exchange->is_transferring = false;
-    PsScheduler_End(&exchange->desk->scheduler, &exchange->task,
-                    PS_TASK_STOPPED, now_ms);
-    answer_failed(exchange, 504, "time is over");
+    if (now_ms >= exchange->time_out_ms) {
+        end_overdue(exchange, now_ms);
+    }
+    else if (exchange->is_transferring) {
+        leave_silent_server(exchange, now_ms);
+    }
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -13,6 +13,7 @@
 #define CALLER_BODY_MAX (8 * 1024 * 1024) /* bytes; the configuration has less */
 #define KEY_MARGIN_MS 400         /* kept free of the time a key lives on */
 #define DIFFER_MS 120             /* longer than a change takes to reach all */
+#define READY_SHARE 0.6           /* of the time that a key lives on */
 #define NEWS_FRESH_MS 500         /* news of the allocator are relied on */
 #define PROOF_FRESH_MS 2200       /* it has read the store since */
 #define GRACE_MARGIN_MS 400       /* left of the grace when the process ends */
@@ -479,7 +480,9 @@
 bool
 PsGateway_IsReady(const ps_gateway_t *gateway)
 {
-    return !gateway->is_leaving && gateway->catalog;
+    double age = (double)(PsClock_Now() - gateway->catalog_proven_ms);
+    return !gateway->is_leaving && gateway->catalog &&
+           age < READY_SHARE * gateway->settings.gateway.revoke_ms;
 }
 
 static bool
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -19,6 +19,10 @@
 #define EJECTED_SHARE_MAX 0.34   /* of a service's servers */
 #define EJECT_OUTCOMES_LEAST 3.0 /* outcomes before a rate is believed */
 #define EJECT_RATE_OVER 0.25     /* failure rate above the service's mean */
+#define SILENT_FACTOR 5.0        /* times the usual wait */
+#define SILENT_LEAST_MS 350.0    /* a prompt read beside it takes less */
+#define SILENT_MOST_MS 1100.0    /* callers leave after 2 s */
+#define EVENT_TOKENS_MOST 10.0   /* output tokens in one event */
 #define LOAD_STEP_MS 4.0         /* spreads work over servers of equal speed */
 #define COLD_FACTOR 2.0          /* a server that has just started is slower */
 
@@ -551,6 +555,29 @@
     task->last_ms = now_ms;
 }
 
+bool
+PsScheduler_IsSilent(const ps_scheduler_t *scheduler, const ps_task_t *task,
+                     int64_t now_ms)
+{
+    const ps_backend_t *backend = task->backend;
+    double usual;
+    if (!task->is_generation) {
+        usual = scheduler->hold_ms;
+    }
+    else if (task->first_ms == 0) {
+        usual = MAX(scheduler->first_event_ms,
+                    PsSpeed_GetStep(&backend->first,
+                                    task->ahead_tokens / 1000.0));
+    }
+    else {
+        usual = PsSpeed_GetStep(&backend->pace, backend->running) *
+                EVENT_TOKENS_MOST;
+    }
+    double most = CLAMP(usual * SILENT_FACTOR, SILENT_LEAST_MS,
+                        SILENT_MOST_MS);
+    return (double)(now_ms - task->last_ms) > most;
+}
+
 void
 PsScheduler_End(ps_scheduler_t *scheduler, ps_task_t *task, ps_task_end_t end,
                 int64_t now_ms)
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -144,6 +144,13 @@
 void PsScheduler_NoteEvent(ps_scheduler_t *scheduler, ps_task_t *task,
                            double tokens, int64_t now_ms);
 
+/**
+ * PsScheduler_IsSilent() - Tells whether a started task's server has been
+ * silent for much longer than it and its peers usually are.
+ */
+bool PsScheduler_IsSilent(const ps_scheduler_t *scheduler,
+                          const ps_task_t *task, int64_t now_ms);
+
 /**
  * PsScheduler_End() - A started task has left its server.
  */
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -17,9 +17,10 @@
 #define AVOID_MS 3000         /* it is not asked again before */
 #define SILENT_MS 700         /* a member without reports is taken for dead */
 #define DEAD_MS 3000          /* its registration is removed */
+#define PROOF_MOST_MS 2500    /* age of a proof; two reads have failed */
 #define PAUSE_MS 300          /* between turns of the loop: it was paused */
 #define WANTED_KEEP 0.95      /* of what was asked for, at each round */
-#define RECORD_PACE_MS 700    /* between records of what teams have spent */
+#define RECORD_PACE_MS 500    /* between records of what teams have spent */
 #define RECORDS_MAX 64        /* teams in one record */
 #define BANNED_MAX 64         /* contents named in one grant */
 #define DEATHS_BANNED 3       /* lost connections until a content is refused */
@@ -440,7 +441,7 @@
 keep_record(ps_sharing_t *sharing, int64_t now_ms)
 {
     if (now_ms < sharing->next_record_ms ||
-        !PsName_IsEqual(&sharing->chosen, &sharing->gateway->self.name)) {
+        !is_heard_by_most(sharing, now_ms)) {
         return;
     }
     ps_spent_record_t records[RECORDS_MAX];
@@ -522,6 +523,11 @@
     PsGateway_TakeNews(sharing->gateway, grant->config_version,
                        sent_ms - (int64_t)grant->config_age_ms,
                        grant->servers_hash, now_ms);
+    // An allocator that cannot read the store gives way to one that can.
+    int64_t own_age_ms = now_ms - sharing->gateway->catalog_proven_ms;
+    if (grant->config_age_ms > PROOF_MOST_MS && own_age_ms < PROOF_MOST_MS) {
+        avoid_chosen(sharing, now_ms);
+    }
     sharing->grants++;
     for (size_t i = 0; i < grant->n_teams; i++) {
         ps_name_t team = PsName_FromC(grant->teams[i]->team);
@@ -660,7 +666,7 @@
     if (PsName_IsEmpty(&sharing->chosen)) {
         choose(sharing, now_ms);
     }
-    if (now_ms - sharing->run_ms > PAUSE_MS) {
+    if (sharing->run_ms > 0 && now_ms - sharing->run_ms > PAUSE_MS) {
         PsEvents_Add("daemon.paused", "{s:I}", "ms",
                      (json_int_t)(now_ms - sharing->run_ms));
         sharing->chosen_ms = now_ms;
