End a resumed stream as complete only after a stream's answer

A silent server is now left only for one that has room at once, ahead of what waits. Process runs of the gateway against stand-ins of the store and of servers: paths, faults, leaving, store outages, keys and quotas, loss of the allocator.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
 PROGRAMS := $(BUILD)/pearstaird $(BUILD)/pearstairctl $(BUILD)/pearstair-load
 STANDINS := $(BUILD)/standin-platform $(BUILD)/standin-engine \
-    $(BUILD)/standin-service
+    $(BUILD)/standin-service $(BUILD)/standin-store $(BUILD)/standin-runner
 
 all: $(PROGRAMS) $(STANDINS)
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -437,8 +437,6 @@
         return "server not reached";
     case PS_TASK_REJECTED:
         return "server rejected it";
-    case PS_TASK_STOPPED:
-        return "server fell silent";
     default:
         return "server failed";
     }
@@ -456,9 +454,10 @@
     if (result == PS_TRANSFER_BROKEN && !exchange->has_head) {
         note_death(exchange, now_ms);
     }
-    bool is_answer =
-        is_whole(exchange, result) &&
-        (exchange->is_relaying || !would_promise_not_run(transfer->status));
+    bool fits = exchange->is_relaying
+                    ? is_stream_answer(exchange)
+                    : !would_promise_not_run(transfer->status);
+    bool is_answer = is_whole(exchange, result) && fits;
     PsScheduler_End(&exchange->desk->scheduler, &exchange->task, end, now_ms);
     exchange->was_run |= end == PS_TASK_FAILED;
     if (end == PS_TASK_GOOD && is_answer) {
@@ -684,13 +683,15 @@
     free_exchange(exchange);
 }
 
-// Goes on at another server when this one has fallen silent.
+// Goes on at another server when this one has fallen silent and another has
+// room at once. Silence alone is no reason to give a request up.
 static void
 leave_silent_server(ps_exchange_t *exchange, int64_t now_ms)
 {
-    const ps_scheduler_t *scheduler = &exchange->desk->scheduler;
+    ps_scheduler_t *scheduler = &exchange->desk->scheduler;
     if (!may_repeat(exchange) ||
         !PsScheduler_IsSilent(scheduler, &exchange->task, now_ms) ||
+        !PsScheduler_CanMove(scheduler, &exchange->task, now_ms) ||
         !take_repeat(exchange, PS_TASK_STOPPED, now_ms)) {
         return;
     }
@@ -700,8 +701,10 @@
                  (json_int_t)(now_ms - exchange->task.last_ms), "events",
                  (int)exchange->events);
     exchange->was_run = true;
-    stop_transfer(exchange, now_ms, PS_TASK_FAILED);
-    send_again(exchange, get_trouble(PS_TASK_STOPPED), now_ms);
+    exchange->gateway->stats.repeats++;
+    PsTransfer_Cancel(&exchange->gateway->client, &exchange->transfer);
+    close_transfer(exchange);
+    PsScheduler_Move(scheduler, &exchange->task, now_ms);
 }
 
 static void
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -20,7 +20,7 @@
 #define EJECT_OUTCOMES_LEAST 3.0 /* outcomes before a rate is believed */
 #define EJECT_RATE_OVER 0.25     /* failure rate above the service's mean */
 #define SILENT_FACTOR 5.0        /* times the usual wait */
-#define SILENT_LEAST_MS 350.0    /* a prompt read beside it takes less */
+#define SILENT_LEAST_MS 500.0    /* a prompt read beside it takes less */
 #define SILENT_MOST_MS 1100.0    /* callers leave after 2 s */
 #define EVENT_TOKENS_MOST 10.0   /* output tokens in one event */
 #define LOAD_STEP_MS 4.0         /* spreads work over servers of equal speed */
@@ -578,14 +578,19 @@
     return (double)(now_ms - task->last_ms) > most;
 }
 
-void
-PsScheduler_End(ps_scheduler_t *scheduler, ps_task_t *task, ps_task_end_t end,
-                int64_t now_ms)
+bool
+PsScheduler_CanMove(const ps_scheduler_t *scheduler, const ps_task_t *task,
+                    int64_t now_ms)
+{
+    return pick(scheduler, task, now_ms) != NULL;
+}
+
+// Takes a task off its server without giving the room to others yet.
+static void
+stop(ps_scheduler_t *scheduler, ps_task_t *task, ps_task_end_t end,
+     int64_t now_ms)
 {
     ps_backend_t *backend = task->backend;
-    if (!backend) {
-        return;
-    }
     if (task->first_ms == 0) {
         backend->unread_tokens =
             MAX(backend->unread_tokens - task->unread_tokens, 0.0);
@@ -603,7 +608,25 @@
     task->backend = NULL;
     judge(scheduler, backend, end, now_ms);
     PsBackend_Release(backend);
-    PsScheduler_Run(scheduler, now_ms);
+}
+
+void
+PsScheduler_Move(ps_scheduler_t *scheduler, ps_task_t *task, int64_t now_ms)
+{
+    ps_backend_t *backend = pick(scheduler, task, now_ms);
+    g_assert(backend);
+    stop(scheduler, task, PS_TASK_FAILED, now_ms);
+    start(scheduler, task, backend, now_ms);
+}
+
+void
+PsScheduler_End(ps_scheduler_t *scheduler, ps_task_t *task, ps_task_end_t end,
+                int64_t now_ms)
+{
+    if (task->backend) {
+        stop(scheduler, task, end, now_ms);
+        PsScheduler_Run(scheduler, now_ms);
+    }
 }
 
 void
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -151,6 +151,20 @@
 bool PsScheduler_IsSilent(const ps_scheduler_t *scheduler,
                           const ps_task_t *task, int64_t now_ms);
 
+/**
+ * PsScheduler_CanMove() - Tells whether another server has room for a started
+ * task right now.
+ */
+bool PsScheduler_CanMove(const ps_scheduler_t *scheduler,
+                         const ps_task_t *task, int64_t now_ms);
+
+/**
+ * PsScheduler_Move() - Ends a task at its silent server and starts it at
+ * another that has room, ahead of what waits; PsScheduler_CanMove() was true.
+ */
+void PsScheduler_Move(ps_scheduler_t *scheduler, ps_task_t *task,
+                      int64_t now_ms);
+
 /**
  * PsScheduler_End() - A started task has left its server.
  */
--- /dev/null
+++ b/tests/gateway_rig.sh
@@ -0,0 +1,124 @@
+# gateway_rig.sh - Starts daemons in gateway mode with stand-ins on loopback;
+# sourced after rig.sh.
+#
+# GW_DAEMONS, GW_RUNNERS and RIG_PORT can be set beforehand.
+
+GW_DAEMONS=${GW_DAEMONS:-3}
+GW_RUNNERS=${GW_RUNNERS:-3}
+
+gw_store() { echo "127.0.0.1:$((RIG_PORT + 500))"; }
+gw_runner() { echo "127.0.0.1:$((RIG_PORT + 500 + $1))"; }
+gw_caller() { echo "127.0.0.$1:$RIG_PORT"; }
+gw_ready() { echo "127.0.0.$1:$((RIG_PORT + 3))"; }
+gw_directory() { echo "127.0.0.$1:$((RIG_PORT + 4))"; }
+gw_metrics() { echo "127.0.0.$1:$((RIG_PORT + 1))"; }
+
+gw_settings() {
+    cat > "$RIG_DIR/d$1.ini" <<END
+[daemon]
+mode = gateway
+name = d$1
+domain = z$1
+[listen]
+caller = $(gw_caller "$1")
+ready = $(gw_ready "$1")
+directory = $(gw_directory "$1")
+peer = 127.0.0.$1:$((RIG_PORT + 2))
+admin = $(gw_metrics "$1")
+[admin]
+token = unused-in-gateway-mode
+[platform]
+address = ${GW_STORE:-$(gw_store)}
+[gateway]
+revoke_ms = ${GW_REVOKE_MS:-5000}
+grace_s = ${GW_GRACE_S:-4}
+retry_slack = 50
+END
+}
+
+# gw_config VERSION [KEYS] [RATE] - a configuration with three routes
+gw_config() {
+    local keys=${2:-'"key-1","key-2"'}
+    cat <<END
+{"metadata":{"name":"main"},"spec":{"version":$1,"routes":[
+ {"name":"r-once","host":"a.example","pathPrefix":"/once/","kind":"unsafe","service":"s","timeoutMs":3000,"targetLatencyMs":300,"priority":1,"maxAttempts":1},
+ {"name":"r-safe","host":"a.example","pathPrefix":"/safe/","kind":"safe","service":"s","timeoutMs":3000,"targetLatencyMs":300,"priority":1,"maxAttempts":3},
+ {"name":"r-open","host":"a.example","pathPrefix":"/open/","kind":"safe","service":"s","timeoutMs":3000,"public":true,"priority":1,"maxAttempts":2},
+ {"name":"r-stream","host":"a.example","pathPrefix":"/stream/","kind":"streaming","resumable":true,"sticky":true,"service":"m","timeoutMs":8000,"targetLatencyMs":500,"gapTargetMs":300,"priority":0,"maxAttempts":4}],
+ "services":[{"name":"s","healthPath":"/health","maxConns":100},{"name":"m","healthPath":"/health","maxConns":100,"engine":{"slots":8,"kvTokens":100000,"stride":5}}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":5000},
+ "tenants":[{"name":"team-1","apiKeys":[$keys],"priority":1,"unit":"tokens","plainTokens":10,"ratePerS":${3:-100000},"burst":${3:-100000}}]}}
+END
+}
+
+gw_put_config() {
+    gw_config "$@" | curl -sf -X PUT -d @- \
+        "http://$(gw_store)/pearstair/objects/config/main" > /dev/null
+}
+
+gw_start_daemon() {
+    gw_settings "$1"
+    rig_run "d$1" "$RIG_BUILD/pearstaird" -s "$RIG_DIR/d$1.ini"
+}
+
+# gw_start_runner N - runners with odd numbers serve m, the others s
+gw_start_runner() {
+    local service
+    service=$([ $(($1 % 2)) = 1 ] && echo m || echo s)
+    rig_run "r$1" "$RIG_BUILD/standin-runner" "$(gw_runner "$1")" "$(gw_store)" "r$1" "$service" 8
+}
+
+gw_is_ready() { curl -sf "http://$(gw_ready "$1")/pearstair/ready"; }
+gw_addresses() { curl -s "http://$(gw_directory "$1")/pearstair/resolve?name=a.example&region=r&zone=z$1" | jq -r '.addresses[]' | sort; }
+gw_knows_all() { [ "$(gw_addresses "$1" | wc -l)" = "$GW_DAEMONS" ]; }
+gw_serves() { gw_is_ready "$1" && gw_knows_all "$1" && [ "$(gw_ask "$1" "/safe/1" probe-$RANDOM)" = "200 ok" ]; }
+
+# gw_ask N PATH ID [CURL ARGS] - one request; prints the status and "ok" for
+# the right body, or the error; GW_HOST, GW_KEY and GW_LIMIT set its head
+gw_ask() {
+    local daemon=$1 path=$2 id=$3 text
+    shift 3
+    text=$(curl -s -m 10 -w '\n%{http_code}' -H "Host: ${GW_HOST:-a.example}" -H "Request-Id: $id" \
+        -H "Authorization:${GW_KEY- Bearer key-1}" -H "Deadline-Ms: ${GW_LIMIT:-3000}" "$@" "http://$(gw_caller "$daemon")$path")
+    local status=${text##*$'\n'} body=${text%$'\n'*}
+    if [ "$body" = "ok $id" ]; then
+        echo "$status ok"
+    else
+        echo "$status $(jq -r '.error // "-"' <<< "$body" 2>/dev/null)"
+    fi
+}
+
+# gw_stream N ID EVENTS [CURL ARGS] - one stream; prints the status, and
+# whether its events are whole and in order, torn (seen to be cut), or short
+# (looks complete and is not)
+gw_stream() {
+    local daemon=$1 id=$2 events=$3 text code
+    shift 3
+    text=$(curl -sN -m 10 -w '\nstatus %{http_code}\n' -X POST -d "body of $id" -H 'Host: a.example' \
+        -H "Request-Id: $id" -H 'Authorization: Bearer key-1' -H 'Deadline-Ms: 8000' \
+        -H "Token-Counts: 100,$((events * 5))" "$@" "http://$(gw_caller "$daemon")/stream/1")
+    code=$?
+    awk -v id="$id" -v n="$events" -v code="$code" '
+        /^data: / { good += $2 == id && $3 == good + 1 }
+        /^status/ { print $2, code != 0 ? "torn" : good == n ? "whole" : $2 == 200 ? "short" : "refused" }' <<< "$text"
+}
+
+# gw_runs ID - how often a request ran, over all runners
+gw_runs() {
+    local sum=0 i
+    for i in $(seq "$GW_RUNNERS"); do
+        sum=$((sum + $(curl -s "http://$(gw_runner "$i")/counts" | jq ".runs[\"$1\"] // 0" || echo 0)))
+    done
+    echo "$sum"
+}
+
+gw_switch() { curl -sf -X POST "http://$1/switch?$2" > /dev/null; }
+
+gw_start() {
+    rig_run store "$RIG_BUILD/standin-store" "$(gw_store)"
+    rig_until 5 curl -sf "http://$(gw_store)/counts"
+    gw_config "${GW_VERSION:-5}" | curl -sf -X POST -d @- "http://$(gw_store)/pearstair/objects/config" > /dev/null
+    for i in $(seq "$GW_RUNNERS"); do gw_start_runner "$i"; done
+    for i in $(seq "$GW_DAEMONS"); do gw_start_daemon "$i"; done
+    for i in $(seq "$GW_DAEMONS"); do rig_until 15 gw_serves "$i"; done
+}
--- a/tests/run_one.sh
+++ b/tests/run_one.sh
@@ -1,12 +1,19 @@
 #!/usr/bin/env bash
 # run_one.sh NAME [PORT] - Runs one process-level run; prints its output.
+# Runs whose names begin with gw_ use daemons in gateway mode.
 cd "$(dirname "$0")/.."
 RIG_PORT=${2:-18000}
 case $1 in
 crash) RIG_ENGINES=9 ;;
 entry_full) RIG_LIMITS="open_requests = 4" ;;
+gw_faults) GW_RUNNERS=6 ;;
 esac
 source tests/rig.sh
-source tests/runs/lib.sh
-rig_start
+if [[ $1 == gw_* ]]; then
+    source tests/gateway_rig.sh
+    gw_start
+else
+    source tests/runs/lib.sh
+    rig_start
+fi
 source "tests/runs/$1.sh"
--- /dev/null
+++ b/tests/runs/gw_leaving.sh
@@ -0,0 +1,28 @@
+# Graceful shutdown of a daemon and of a server under load: nothing is cut.
+load() {
+    for i in $(seq 40); do
+        gw_stream "$1" "$2-$i" 25 &
+        sleep 0.05
+    done
+    wait
+}
+load 3 a > "$RIG_DIR/a" &
+one=$!
+load 2 b > "$RIG_DIR/b" &
+two=$!
+sleep 0.8
+rig_kill d3 TERM
+gone() { ! gw_addresses 1 | grep -q "$(gw_caller 3)"; }
+rig_until 1 gone && echo "absent from the addresses within a second"
+gw_is_ready 3 > /dev/null || echo "not ready"
+gw_switch "$(gw_runner 1)" leaving=1
+sleep 1
+before=$(curl -s "http://$(gw_runner 1)/counts" | jq '.runs | length')
+sleep 1
+after=$(curl -s "http://$(gw_runner 1)/counts" | jq '.runs | length')
+echo "new work at the leaving server after a second: $((after - before))"
+rig_wait_exit d3 6 && echo "daemon has exited"
+wait $one $two
+echo "daemon 2: $(sort "$RIG_DIR/b" | uniq -c | sed 's/^ *//')"
+echo "daemon 3, cut streams: $(grep -cE 'torn|short' "$RIG_DIR/a")"
+grep -q '"daemon.stop","in_progress":0' "$RIG_DIR/d3.log" && echo "nothing was in progress at its end"
--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -147,7 +147,7 @@
     out->result = result;
 }
 
-const ps_transfer_events_t kTransferEvents = {nullptr, OnTransferDone};
+const ps_transfer_events_t kTransferEvents = {nullptr, nullptr, OnTransferDone};
 
 ps_transfer_result_t
 Post(ps_http_client_t *client, const std::string &address, bool is_single)
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -676,3 +676,23 @@
     PsScheduler_Run(&world.core, world.now);
     EXPECT_EQ(world.refused.size(), 1u);
 }
+
+// A slow server is left only when another has room right now, so that silence
+// never turns into a refusal.
+TEST(Scheduler, ASilentServerIsLeftOnlyForOneWithRoom)
+{
+    World world(2, 1);
+    ps_task_t task = world.Task(0), other = world.Task(0);
+    world.Submit(&task);
+    world.Submit(&other);
+    world.now += 3000;
+    EXPECT_TRUE(PsScheduler_IsSilent(&world.core, &task, world.now));
+    EXPECT_FALSE(PsScheduler_CanMove(&world.core, &task, world.now));
+    ps_backend_t *before = task.backend;
+    world.End(&other);
+    ASSERT_TRUE(PsScheduler_CanMove(&world.core, &task, world.now));
+    PsScheduler_Move(&world.core, &task, world.now);
+    EXPECT_NE(task.backend, before);
+    EXPECT_EQ(before->running, 0);
+    EXPECT_FALSE(PsScheduler_IsSilent(&world.core, &task, world.now + 100));
+}
