Tell changes of servers by the allocator; watch the store only where needed

Grants now carry changes of servers and hashes of what the allocator knows; a daemon that hears them keeps no watch. Reads for differences are paced.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -14,8 +14,13 @@
 #define KEY_MARGIN_MS 400         /* kept free of the time a key lives on */
 #define DIFFER_MS 120             /* longer than a change takes to reach all */
 #define READY_SHARE 0.6           /* of the time that a key lives on */
+#define READ_PACE_MS 150          /* between reads for a newer version */
+#define DIFFER_PACE_MS 700        /* between reads for other differences */
+#define WATCHFUL_MS 2500          /* the store is read often for so long */
 #define NEWS_FRESH_MS 500         /* news of the allocator are relied on */
-#define PROOF_FRESH_MS 2200       /* it has read the store since */
+#define PROOF_FRESH_MS 1200       /* twice the pace of the allocator's reads */
+#define NEWS_KEEP_MS 3000         /* changes of servers are told for so long */
+#define NEWS_MAX 256              /* changes kept; the hash finds lost ones */
 #define GRACE_MARGIN_MS 400       /* left of the grace when the process ends */
 #define TAKE_SHARE 0.3            /* of the grace, in which requests are taken */
 #define OPEN_LINGER_SHARE 0.7     /* of the grace, for connections kept open */
@@ -214,6 +219,36 @@
 
 /* ---- Backend servers -------------------------------------------------- */
 
+static void
+keep_news(ps_gateway_t *gateway, const ps_registration_t *told, bool is_gone)
+{
+    GArray *news = gateway->server_news;
+    int64_t now_ms = PsClock_Now();
+    while (news->len > 0 &&
+           (news->len >= NEWS_MAX ||
+            now_ms - g_array_index(news, ps_server_news_t, 0).at_ms >
+                NEWS_KEEP_MS)) {
+        g_array_remove_index(news, 0);
+    }
+    ps_server_news_t one = {*told, is_gone, now_ms};
+    g_array_append_val(news, one);
+}
+
+static bool
+was_told_gone(const ps_gateway_t *gateway, const ps_name_t *name,
+              int64_t started_ms)
+{
+    for (guint i = 0; i < gateway->server_news->len; i++) {
+        const ps_server_news_t *each =
+            &g_array_index(gateway->server_news, ps_server_news_t, i);
+        if (each->is_gone && each->told.started_ms == started_ms &&
+            PsName_IsEqual(&each->told.name, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 on_listed(ps_roster_t *roster, ps_backend_t *backend, bool is_new)
 {
@@ -224,6 +259,7 @@
                  told->address.data, "slots", told->slots, "leaving",
                  (int)told->is_leaving, "new", (int)is_new, "started_ms",
                  (json_int_t)told->started_ms);
+    keep_news(gateway, told, false);
     ps_service_desk_t *desk = PsGateway_GetDesk(gateway, &told->service);
     PsScheduler_List(&desk->scheduler, backend);
     PsScheduler_Run(&desk->scheduler, PsClock_Now());
@@ -236,6 +272,7 @@
     PsEvents_Add("server.unlisted", "{s:s,s:s,s:s}", "name",
                  backend->told.name.data, "service",
                  backend->told.service.data, "reason", reason);
+    keep_news(gateway, &backend->told, true);
     ps_service_desk_t *desk =
         PsGateway_GetDesk(gateway, &backend->told.service);
     PsScheduler_Unlist(&desk->scheduler, backend);
@@ -326,7 +363,11 @@
     bool is_relaxed = !is_allocator && !gateway->sharing.is_even &&
                       now_ms - gateway->news_ms < NEWS_FRESH_MS &&
                       now_ms - gateway->catalog_proven_ms < PROOF_FRESH_MS;
-    gateway->store->relax(gateway->store, is_relaxed);
+    if (!is_relaxed) {
+        gateway->watchful_until_ms = now_ms + WATCHFUL_MS;
+    }
+    gateway->store->relax(gateway->store,
+                          now_ms >= gateway->watchful_until_ms);
 }
 
 static void
@@ -386,6 +427,7 @@
         .settings = *settings, .loop = loop, .dialect = dialect};
     gateway->started_ms = PsClock_Now();
     PsHttpClient_Init(&gateway->client, loop);
+    gateway->server_news = g_array_new(FALSE, FALSE, sizeof(ps_server_news_t));
     PsRoster_Init(&gateway->roster, &roster_events, gateway);
     PsSuspects_Init(&gateway->suspects);
     gateway->desks = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
@@ -571,31 +613,67 @@
     return sum;
 }
 
+uint64_t
+PsGateway_HashMembers(const ps_gateway_t *gateway)
+{
+    uint64_t sum = 0;
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->members);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_daemon_info_t *member = value;
+        sum += XXH64(member->name.data, member->name.len, 0);
+    }
+    return sum;
+}
+
 void
-PsGateway_TakeNews(ps_gateway_t *gateway, uint64_t version, int64_t proven_ms,
-                   uint64_t servers_hash, int64_t now_ms)
+PsGateway_TakeProof(ps_gateway_t *gateway, const ps_proof_t *proof,
+                    int64_t now_ms)
 {
     uint64_t own = gateway->catalog ? gateway->catalog->version : 0;
-    bool is_same = servers_hash == PsGateway_HashServers(gateway);
+    bool is_same = proof->servers_hash == PsGateway_HashServers(gateway) &&
+                   proof->members_hash == PsGateway_HashMembers(gateway);
     if (is_same) {
-        gateway->servers_differ_ms = 0;
+        gateway->differ_ms = 0;
     }
-    else if (gateway->servers_differ_ms == 0) {
-        gateway->servers_differ_ms = now_ms;
+    else if (gateway->differ_ms == 0) {
+        gateway->differ_ms = now_ms;
     }
-    bool differs = gateway->servers_differ_ms > 0 &&
-                   now_ms - gateway->servers_differ_ms > DIFFER_MS;
-    if (version > own || differs) {
-        gateway->servers_differ_ms = 0;
+    bool differs = gateway->differ_ms > 0 &&
+                   now_ms - gateway->differ_ms > DIFFER_MS;
+    int64_t passed_ms = now_ms - gateway->read_ms;
+    if ((proof->version > own && passed_ms > READ_PACE_MS) ||
+        (differs && passed_ms > DIFFER_PACE_MS)) {
+        gateway->read_ms = now_ms;
         gateway->store->read_now(gateway->store);
     }
-    if (version == own) {
+    if (proof->version == own) {
         gateway->catalog_proven_ms =
-            MAX(gateway->catalog_proven_ms, proven_ms);
+            MAX(gateway->catalog_proven_ms, proof->proven_ms);
     }
     gateway->news_ms = now_ms;
 }
 
+void
+PsGateway_TakeServerNews(ps_gateway_t *gateway, const ps_registration_t *told,
+                         bool is_gone, int64_t now_ms)
+{
+    const ps_backend_t *known = PsRoster_Find(&gateway->roster, &told->name);
+    bool is_same = known && known->told.started_ms == told->started_ms;
+    if (is_gone && is_same) {
+        PsRoster_Remove(&gateway->roster, &told->name, now_ms);
+    }
+    else if (!is_gone && is_same && told->is_leaving &&
+             !known->told.is_leaving) {
+        PsRoster_Put(&gateway->roster, told, now_ms);
+    }
+    else if (!is_gone && !known && !told->is_leaving &&
+             !was_told_gone(gateway, &told->name, told->started_ms)) {
+        PsRoster_Put(&gateway->roster, told, now_ms);
+    }
+}
+
 bool
 PsGateway_IsProven(const ps_gateway_t *gateway, int64_t now_ms)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -48,6 +48,25 @@
     uint64_t repeats;
 } ps_gateway_stats_t;
 
+/**
+ * struct ps_server_news - A change of a backend server, to be told to others.
+ */
+typedef struct ps_server_news {
+    ps_registration_t told;
+    bool is_gone;
+    int64_t at_ms;
+} ps_server_news_t;
+
+/**
+ * struct ps_proof - What the allocator believes of the store.
+ */
+typedef struct ps_proof {
+    uint64_t version;      /* of the configuration in force there */
+    int64_t proven_ms;     /* it was the newest at that time, by this clock */
+    uint64_t servers_hash; /* PsGateway_HashServers() there */
+    uint64_t members_hash; /* PsGateway_HashMembers() there */
+} ps_proof_t;
+
 /**
  * struct ps_gateway_store - What a gateway asks of the store's client.
  * @remove_member: removes a dead daemon's registration
@@ -87,8 +106,11 @@
     ps_sharing_t sharing;
     const ps_gateway_store_t *store; /* set before the loop runs */
     int64_t news_ms;                 /* last news from the allocator */
-    int64_t servers_differ_ms;       /* since when the allocator knows others;
-                                        0: it knows the same */
+    int64_t differ_ms; /* since when the allocator knows other servers or
+                          members; 0: it knows the same */
+    int64_t read_ms;   /* the store was last read because of a difference */
+    int64_t watchful_until_ms; /* it is read often until then */
+    GArray *server_news; /* ps_server_news_t of the last seconds */
     GQueue exchanges;           /* ps_exchange_t in progress */
     ev_timer tick;
     int64_t started_ms;
@@ -155,13 +177,23 @@
  */
 uint64_t PsGateway_HashServers(const ps_gateway_t *gateway);
 
+uint64_t PsGateway_HashMembers(const ps_gateway_t *gateway); /* likewise */
+
 /**
- * PsGateway_TakeNews() - Takes in what the allocator believes of the store.
- * @proven_ms: the version was the newest at that time, by this clock
+ * PsGateway_TakeProof() - Takes in what the allocator believes of the store,
+ * and reads it when that differs from what is believed here.
+ */
+void PsGateway_TakeProof(ps_gateway_t *gateway, const ps_proof_t *proof,
+                         int64_t now_ms);
+
+/**
+ * PsGateway_TakeServerNews() - Takes in a change that the allocator has read.
+ *
+ * It may be older than what is known here, so it never brings a server back.
  */
-void PsGateway_TakeNews(ps_gateway_t *gateway, uint64_t version,
-                        int64_t proven_ms, uint64_t servers_hash,
-                        int64_t now_ms);
+void PsGateway_TakeServerNews(ps_gateway_t *gateway,
+                              const ps_registration_t *told, bool is_gone,
+                              int64_t now_ms);
 
 /**
  * PsGateway_IsProven() - Tells whether API keys may still be relied on.
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1087,6 +1087,51 @@
   assert(message->base.descriptor == &ps__team_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__server_news__init
+                     (Ps__ServerNews         *message)
+{
+  static const Ps__ServerNews init_value = PS__SERVER_NEWS__INIT;
+  *message = init_value;
+}
+size_t ps__server_news__get_packed_size
+                     (const Ps__ServerNews *message)
+{
+  assert(message->base.descriptor == &ps__server_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__server_news__pack
+                     (const Ps__ServerNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__server_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__server_news__pack_to_buffer
+                     (const Ps__ServerNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__server_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ServerNews *
+       ps__server_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ServerNews *)
+     protobuf_c_message_unpack (&ps__server_news__descriptor,
+                                allocator, len, data);
+}
+void   ps__server_news__free_unpacked
+                     (Ps__ServerNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__server_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__share_grant__init
                      (Ps__ShareGrant         *message)
 {
@@ -3169,7 +3214,149 @@
   (ProtobufCMessageInit) ps__team_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ps__server_news__field_descriptors[9] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerNews, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerNews, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerNews, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerNews, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerNews, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerNews, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerNews, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_left_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerNews, cold_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerNews, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__server_news__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  7,   /* field[7] = cold_left_ms */
+  4,   /* field[4] = domain */
+  8,   /* field[8] = gone */
+  6,   /* field[6] = leaving */
+  0,   /* field[0] = name */
+  2,   /* field[2] = service */
+  5,   /* field[5] = slots */
+  1,   /* field[1] = started_ms */
+};
+static const ProtobufCIntRange ps__server_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor ps__server_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ServerNews",
+  "ServerNews",
+  "Ps__ServerNews",
+  "ps",
+  sizeof(Ps__ServerNews),
+  9,
+  ps__server_news__field_descriptors,
+  ps__server_news__field_indices_by_name,
+  1,  ps__server_news__number_ranges,
+  (ProtobufCMessageInit) ps__server_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[10] =
 {
   {
     "round",
@@ -3267,11 +3454,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members_hash",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareGrant, members_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "news",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ShareGrant, n_news),
+    offsetof(Ps__ShareGrant, news),
+    &ps__server_news__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_grant__field_indices_by_name[] = {
   4,   /* field[4] = banned */
   6,   /* field[6] = config_age_ms */
   5,   /* field[5] = config_version */
+  8,   /* field[8] = members_hash */
+  9,   /* field[9] = news */
   0,   /* field[0] = round */
   7,   /* field[7] = servers_hash */
   1,   /* field[1] = services */
@@ -3281,7 +3494,7 @@
 static const ProtobufCIntRange ps__share_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ps__share_grant__descriptor =
 {
@@ -3291,7 +3504,7 @@
   "Ps__ShareGrant",
   "ps",
   sizeof(Ps__ShareGrant),
-  8,
+  10,
   ps__share_grant__field_descriptors,
   ps__share_grant__field_indices_by_name,
   1,  ps__share_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -39,6 +39,7 @@
 typedef struct Ps__ShareReport Ps__ShareReport;
 typedef struct Ps__ServiceGrant Ps__ServiceGrant;
 typedef struct Ps__TeamGrant Ps__TeamGrant;
+typedef struct Ps__ServerNews Ps__ServerNews;
 typedef struct Ps__ShareGrant Ps__ShareGrant;
 
 
@@ -517,6 +518,27 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A backend server that has joined, is leaving or is gone.
+ */
+struct  Ps__ServerNews
+{
+  ProtobufCMessage base;
+  char *name;
+  int64_t started_ms;
+  char *service;
+  char *address;
+  char *domain;
+  uint32_t slots;
+  protobuf_c_boolean leaving;
+  int64_t cold_left_ms;
+  protobuf_c_boolean gone;
+};
+#define PS__SERVER_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__server_news__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
 struct  Ps__ShareGrant
 {
   ProtobufCMessage base;
@@ -550,10 +572,19 @@
    * of the backend servers that it knows
    */
   uint64_t servers_hash;
+  /*
+   * of the daemons that it knows
+   */
+  uint64_t members_hash;
+  /*
+   * of the last seconds
+   */
+  size_t n_news;
+  Ps__ServerNews **news;
 };
 #define PS__SHARE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_grant__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL }
 
 
 /* Ps__Frame methods */
@@ -1012,6 +1043,25 @@
 void   ps__team_grant__free_unpacked
                      (Ps__TeamGrant *message,
                       ProtobufCAllocator *allocator);
+/* Ps__ServerNews methods */
+void   ps__server_news__init
+                     (Ps__ServerNews         *message);
+size_t ps__server_news__get_packed_size
+                     (const Ps__ServerNews   *message);
+size_t ps__server_news__pack
+                     (const Ps__ServerNews   *message,
+                      uint8_t             *out);
+size_t ps__server_news__pack_to_buffer
+                     (const Ps__ServerNews   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ServerNews *
+       ps__server_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__server_news__free_unpacked
+                     (Ps__ServerNews *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ShareGrant methods */
 void   ps__share_grant__init
                      (Ps__ShareGrant         *message);
@@ -1105,6 +1155,9 @@
 typedef void (*Ps__TeamGrant_Closure)
                  (const Ps__TeamGrant *message,
                   void *closure_data);
+typedef void (*Ps__ServerNews_Closure)
+                 (const Ps__ServerNews *message,
+                  void *closure_data);
 typedef void (*Ps__ShareGrant_Closure)
                  (const Ps__ShareGrant *message,
                   void *closure_data);
@@ -1139,6 +1192,7 @@
 extern const ProtobufCMessageDescriptor ps__share_report__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_grant__descriptor;
+extern const ProtobufCMessageDescriptor ps__server_news__descriptor;
 extern const ProtobufCMessageDescriptor ps__share_grant__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/roster.c
+++ b/src/roster.c
@@ -79,6 +79,13 @@
     roster->events->listed(roster, entry->backend, is_new);
 }
 
+ps_backend_t *
+PsRoster_Find(const ps_roster_t *roster, const ps_name_t *name)
+{
+    const entry_t *entry = g_hash_table_lookup(roster->by_name, name);
+    return entry ? entry->backend : NULL;
+}
+
 void
 PsRoster_Remove(ps_roster_t *roster, const ps_name_t *name, int64_t now_ms)
 {
--- a/src/roster.h
+++ b/src/roster.h
@@ -40,6 +40,8 @@
 void PsRoster_Finish(ps_roster_t *roster);
 void PsRoster_Put(ps_roster_t *roster, const ps_registration_t *told,
                   int64_t now_ms);
+ps_backend_t *PsRoster_Find(const ps_roster_t *roster,
+                            const ps_name_t *name); /* or NULL */
 void PsRoster_Remove(ps_roster_t *roster, const ps_name_t *name,
                      int64_t now_ms);
 
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -20,6 +20,7 @@
 #define PROOF_MOST_MS 2500    /* age of a proof; two reads have failed */
 #define PAUSE_MS 300          /* between turns of the loop: it was paused */
 #define WANTED_KEEP 0.95      /* of what was asked for, at each round */
+#define NEWS_TOLD_MS 600      /* changes of servers are told for some rounds */
 #define RECORD_PACE_MS 500    /* between records of what teams have spent */
 #define RECORDS_MAX 64        /* teams in one record */
 #define BANNED_MAX 64         /* contents named in one grant */
@@ -346,6 +347,23 @@
     return n;
 }
 
+static Ps__ServerNews *
+make_news(const ps_server_news_t *each)
+{
+    Ps__ServerNews *news = g_new(Ps__ServerNews, 1);
+    ps__server_news__init(news);
+    news->name = (char *)(uintptr_t)each->told.name.data;
+    news->started_ms = each->told.started_ms;
+    news->service = (char *)(uintptr_t)each->told.service.data;
+    news->address = (char *)(uintptr_t)each->told.address.data;
+    news->domain = (char *)(uintptr_t)each->told.domain.data;
+    news->slots = (uint32_t)each->told.slots;
+    news->leaving = each->told.is_leaving;
+    news->cold_left_ms = each->told.cold_left_ms;
+    news->gone = each->is_gone;
+    return news;
+}
+
 static void
 add_news(const ps_sharing_t *sharing, Ps__ShareGrant *grant)
 {
@@ -354,6 +372,15 @@
     grant->config_version = gateway->catalog ? gateway->catalog->version : 0;
     grant->config_age_ms = (uint32_t)CLAMP(age_ms, 0, INT32_MAX);
     grant->servers_hash = PsGateway_HashServers(gateway);
+    grant->members_hash = PsGateway_HashMembers(gateway);
+    const GArray *all = gateway->server_news;
+    grant->news = g_new0(Ps__ServerNews *, all->len + 1);
+    for (guint i = 0; i < all->len; i++) {
+        const ps_server_news_t *each = &g_array_index(all, ps_server_news_t, i);
+        if (PsClock_Now() - each->at_ms <= NEWS_TOLD_MS) {
+            grant->news[grant->n_news++] = make_news(each);
+        }
+    }
 }
 
 static void
@@ -384,6 +411,10 @@
     for (size_t i = 0; i < grant.n_teams; i++) {
         g_free(grant.teams[i]);
     }
+    for (size_t i = 0; i < grant.n_news; i++) {
+        g_free(grant.news[i]);
+    }
+    g_free(grant.news);
     g_free(grant.services);
     g_free(grant.teams);
 }
@@ -506,6 +537,31 @@
     PsScheduler_Run(&desk->scheduler, now_ms);
 }
 
+static void
+take_news(ps_sharing_t *sharing, const Ps__ShareGrant *grant, int64_t now_ms)
+{
+    for (size_t i = 0; i < grant->n_news; i++) {
+        const Ps__ServerNews *news = grant->news[i];
+        ps_registration_t told = {.name = PsName_FromC(news->name),
+                                  .started_ms = news->started_ms,
+                                  .service = PsName_FromC(news->service),
+                                  .address = PsName_FromC(news->address),
+                                  .domain = PsName_FromC(news->domain),
+                                  .slots = (int)news->slots,
+                                  .is_leaving = news->leaving,
+                                  .cold_left_ms = news->cold_left_ms};
+        PsGateway_TakeServerNews(sharing->gateway, &told, news->gone, now_ms);
+    }
+    // The grant was made after the report that it answers was sent.
+    int64_t sent_ms = sharing->sent_ms[grant->round % PS_SHARING_ROUNDS];
+    ps_proof_t proof = {
+        .version = grant->config_version,
+        .proven_ms = sent_ms - (int64_t)grant->config_age_ms,
+        .servers_hash = grant->servers_hash,
+        .members_hash = grant->members_hash};
+    PsGateway_TakeProof(sharing->gateway, &proof, now_ms);
+}
+
 static void
 take_grant(ps_sharing_t *sharing, const Ps__ShareGrant *grant, int64_t now_ms)
 {
@@ -518,11 +574,7 @@
     }
     sharing->is_even = false;
     sharing->granted_ms = now_ms;
-    // The grant was made after the report that it answers was sent.
-    int64_t sent_ms = sharing->sent_ms[grant->round % PS_SHARING_ROUNDS];
-    PsGateway_TakeNews(sharing->gateway, grant->config_version,
-                       sent_ms - (int64_t)grant->config_age_ms,
-                       grant->servers_hash, now_ms);
+    take_news(sharing, grant, now_ms);
     // An allocator that cannot read the store gives way to one that can.
     int64_t own_age_ms = now_ms - sharing->gateway->catalog_proven_ms;
     if (grant->config_age_ms > PROOF_MOST_MS && own_age_ms < PROOF_MOST_MS) {
