--- a/src/allocator.c
+++ b/src/allocator.c
@@ -3,6 +3,8 @@
 
 #include <math.h>
 
+#define PACED_FROM 0.7    /* of a limit; from there on spending is paced */
+#define PACE_MS 750       /* span over which it is paced */
 #define RECORD_SHARE 0.25 /* of a limit; less need not outlast the daemons */
 #define UNRECORDED_MOST_MS 1000.0 /* twice the pace of records */
 #define EVEN_SHARE 0.4 /* of a quota; the rest follows what is asked for */
@@ -209,6 +211,18 @@
                : 0.0;
 }
 
+// What may be spent now by a team that nears its limit: as much as leaves the
+// window in the same time. Without it all is served for half a window and
+// nothing in the other half, and who comes back is late.
+static double
+get_paced(const ps_allocator_t *allocator, ps_quota_t *pooled, double part,
+          int64_t now_ms)
+{
+    double pace = pooled->limit * part / (allocator->window_s * 1000.0);
+    double spent = PsQuota_GetPart(pooled, 0, PACE_MS, now_ms);
+    return MAX(pace * PACE_MS - spent, 0.0);
+}
+
 static void
 divide_quota(ps_allocator_t *allocator, const ps_name_t *team,
              ps_quota_t *pooled, int n_daemons, int64_t now_ms)
@@ -231,6 +245,9 @@
                    get_unknown(allocator, pooled->limit, now_ms);
     double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
     double left = MAX(pooled->limit * part - MAX(known, reported), 0.0);
+    if (known > PACED_FROM * pooled->limit) {
+        left = MIN(left, get_paced(allocator, pooled, part, now_ms));
+    }
     for (guint i = 0; i < uses->len; i++) {
         ps_team_use_t *use = uses->pdata[i];
         double even = 1.0 / uses->len;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -19,7 +19,7 @@
 #define EVENT_MAX (1024 * 1024)     /* bytes of one event */
 #define RETRY_REJECTED_MS 300 /* servers that reject are full for a moment */
 #define DEATHS_BANNED 3       /* lost connections until a content is refused */
-#define RETRY_OVER_QUOTA_MS 1500 /* some of the window has passed by then */
+#define RETRY_OVER_QUOTA_MS 200 /* the next rounds grant more */
 #define OUTPUT_SHARE 0.3      /* of the most output tokens, without a hint */
 
 /* ---- Answers ---------------------------------------------------------- */
