Set paces of reads by role; add a fault soak with real processes

The soak: a loopback fault proxy, callers that judge each answer, signals, store and server faults in seeded, overlapping order. Its first runs found two defects of the stand-in server (bound to its advertised address; mute streams kept their slots), none of the daemon.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,9 @@
 $(BUILD)/pearstair-load: $(BUILD)/load.o $(BUILD)/http_client.o $(KERNEL_OBJS)
 	$(CC) $^ $(LIBS) -o $@
 
+$(BUILD)/soak-%: soak/%.c | $(BUILD)
+	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) $< $(LIBS) -lpthread -o $@
+
 $(BUILD)/standin-%: $(BUILD)/standin_%.o $(BUILD)/standin_common.o \
     $(BUILD)/str.o
 	$(CC) $^ $(LIBS) -lpthread -o $@
@@ -68,7 +71,8 @@
 # The formatter and the linters, without findings
 
 SOURCES := $(filter-out src/peer.pb-c.%,$(wildcard src/*.c src/*.h)) \
-    $(wildcard tests/standins/*.c tests/standins/*.h bench/*.c bench/*.h)
+    $(wildcard platform/*.c platform/*.h soak/*.c tests/standins/*.c \
+    tests/standins/*.h bench/*.c bench/*.h)
 
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
@@ -128,6 +132,10 @@
 	CHECK_SEED=$(or $(SEED),1) CHECK_CASES=$(or $(CASES),20000) \
 	    CHECK_NO_RUNS=1 timeout 1200 tests/check.sh
 
+# Real processes under random faults from outside; SEED=n, COUNT=n runs.
+soak-run: all $(BUILD)/soak-proxy $(BUILD)/soak-caller
+	soak/run $(or $(SEED),1) $(or $(COUNT),1)
+
 # All tests under the address and undefined-behaviour sanitizers.
 SANITIZE := -fsanitize=address,undefined -fno-omit-frame-pointer
 sanitize:
@@ -142,6 +150,6 @@
 	rm -rf $(BUILD)
 
 .PHONY: all deploy-build packages demo rig bench check soak sanitize \
-    test-programs lint clean proto
+    test-programs soak-run lint clean proto
 -include $(wildcard $(BUILD)/*.d $(BUILD)/platform/*.d $(BUILD)/tests/*.d \
     $(BUILD)/bench/*.d)
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -16,7 +16,7 @@
 #define READY_SHARE 0.6           /* of the time that a key lives on */
 #define READ_PACE_MS 150          /* between reads for a newer version */
 #define DIFFER_PACE_MS 700        /* between reads for other differences */
-#define WATCHFUL_MS 2500          /* the store is read often for so long */
+#define WATCHFUL_MS 1500          /* the store is read often for so long */
 #define NEWS_FRESH_MS 500         /* news of the allocator are relied on */
 #define PROOF_FRESH_MS 1200       /* twice the pace of the allocator's reads */
 #define NEWS_KEEP_MS 3000         /* changes of servers are told for so long */
@@ -140,6 +140,22 @@
     PsRoster_Retain(&gateway->roster, names, PsClock_Now());
 }
 
+static void
+keep_member_news(ps_gateway_t *gateway, const ps_daemon_info_t *info,
+                 bool is_gone)
+{
+    GArray *news = gateway->member_news;
+    int64_t now_ms = PsClock_Now();
+    while (news->len > 0 &&
+           (news->len >= NEWS_MAX ||
+            now_ms - g_array_index(news, ps_member_news_t, 0).at_ms >
+                NEWS_KEEP_MS)) {
+        g_array_remove_index(news, 0);
+    }
+    ps_member_news_t one = {*info, is_gone, now_ms};
+    g_array_append_val(news, one);
+}
+
 static void
 on_member(void *user, const ps_daemon_info_t *told)
 {
@@ -150,6 +166,7 @@
     PsEvents_Add("member.join", "{s:s,s:s,s:s}", "name", told->name.data,
                  "address", told->caller_address.data, "domain",
                  told->domain.data);
+    keep_member_news(gateway, told, false);
     g_hash_table_remove(gateway->members, &told->name);
     ps_daemon_info_t *member = g_memdup2(told, sizeof *told);
     member->joined_ms = PsClock_Now();
@@ -165,6 +182,8 @@
     if (!PsName_IsEqual(name, &gateway->self.name) &&
         g_hash_table_contains(gateway->members, name)) {
         PsEvents_Add("member.leave", "{s:s}", "name", name->data);
+        keep_member_news(gateway,
+                         g_hash_table_lookup(gateway->members, name), true);
         PsAllocator_Forget(&gateway->sharing.allocator, name);
         g_hash_table_remove(gateway->members, name);
         set_shares(gateway);
@@ -360,14 +379,20 @@
 {
     bool is_allocator =
         PsName_IsEqual(&gateway->sharing.chosen, &gateway->self.name);
-    bool is_relaxed = !is_allocator && !gateway->sharing.is_even &&
+    bool hears_news = !is_allocator && !gateway->sharing.is_even &&
                       now_ms - gateway->news_ms < NEWS_FRESH_MS &&
                       now_ms - gateway->catalog_proven_ms < PROOF_FRESH_MS;
-    if (!is_relaxed) {
+    if (!hears_news && gateway->catalog) {
         gateway->watchful_until_ms = now_ms + WATCHFUL_MS;
     }
-    gateway->store->relax(gateway->store,
-                          now_ms >= gateway->watchful_until_ms);
+    ps_read_pace_t pace = PS_READ_USUAL;
+    if (is_allocator) {
+        pace = PS_READ_OFTEN;
+    }
+    else if (hears_news && now_ms >= gateway->watchful_until_ms) {
+        pace = PS_READ_RARELY;
+    }
+    gateway->store->set_pace(gateway->store, pace);
 }
 
 static void
@@ -428,6 +453,7 @@
     gateway->started_ms = PsClock_Now();
     PsHttpClient_Init(&gateway->client, loop);
     gateway->server_news = g_array_new(FALSE, FALSE, sizeof(ps_server_news_t));
+    gateway->member_news = g_array_new(FALSE, FALSE, sizeof(ps_member_news_t));
     PsRoster_Init(&gateway->roster, &roster_events, gateway);
     PsSuspects_Init(&gateway->suspects);
     gateway->desks = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
@@ -632,9 +658,11 @@
                     int64_t now_ms)
 {
     uint64_t own = gateway->catalog ? gateway->catalog->version : 0;
-    bool is_same = proof->servers_hash == PsGateway_HashServers(gateway) &&
-                   proof->members_hash == PsGateway_HashMembers(gateway);
-    if (is_same) {
+    bool servers_differ =
+        proof->servers_hash != PsGateway_HashServers(gateway);
+    bool members_differ =
+        proof->members_hash != PsGateway_HashMembers(gateway);
+    if (!servers_differ && !members_differ) {
         gateway->differ_ms = 0;
     }
     else if (gateway->differ_ms == 0) {
@@ -646,7 +674,8 @@
     if ((proof->version > own && passed_ms > READ_PACE_MS) ||
         (differs && passed_ms > DIFFER_PACE_MS)) {
         gateway->read_ms = now_ms;
-        gateway->store->read_now(gateway->store);
+        gateway->store->read_now(gateway->store, proof->version > own,
+                                 servers_differ, members_differ);
     }
     if (proof->version == own) {
         gateway->catalog_proven_ms =
@@ -674,6 +703,20 @@
     }
 }
 
+void
+PsGateway_TakeMemberNews(ps_gateway_t *gateway, const ps_daemon_info_t *info,
+                         bool is_gone)
+{
+    const ps_daemon_info_t *known =
+        g_hash_table_lookup(gateway->members, &info->name);
+    if (is_gone && known && known->incarnation == info->incarnation) {
+        on_member_gone(gateway, &info->name);
+    }
+    else if (!is_gone && (!known || known->incarnation < info->incarnation)) {
+        on_member(gateway, info);
+    }
+}
+
 bool
 PsGateway_IsProven(const ps_gateway_t *gateway, int64_t now_ms)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -57,6 +57,15 @@
     int64_t at_ms;
 } ps_server_news_t;
 
+/**
+ * struct ps_member_news - A daemon that has joined or is gone.
+ */
+typedef struct ps_member_news {
+    ps_daemon_info_t info;
+    bool is_gone;
+    int64_t at_ms;
+} ps_member_news_t;
+
 /**
  * struct ps_proof - What the allocator believes of the store.
  */
@@ -67,20 +76,31 @@
     uint64_t members_hash; /* PsGateway_HashMembers() there */
 } ps_proof_t;
 
+/**
+ * enum ps_read_pace - How often a daemon reads the store.
+ */
+typedef enum ps_read_pace {
+    PS_READ_USUAL,  /* for itself */
+    PS_READ_OFTEN,  /* for all: it is the allocator */
+    PS_READ_RARELY  /* the allocator does it */
+} ps_read_pace_t;
+
 /**
  * struct ps_gateway_store - What a gateway asks of the store's client.
  * @remove_member: removes a dead daemon's registration
  * @keep_spent: keeps the record of the quotas' use
- * @read_now: reads configuration and servers at once
- * @relax: reads them rarely, because a peer does it for all; false: often
+ * @read_now: reads at once what is asked for
+ * @set_pace: sets how often they are read
  */
 typedef struct ps_gateway_store {
     void (*remove_member)(const struct ps_gateway_store *store,
                           const ps_daemon_info_t *member);
     void (*keep_spent)(const struct ps_gateway_store *store,
                        const ps_spent_record_t *records, int n);
-    void (*read_now)(const struct ps_gateway_store *store);
-    void (*relax)(const struct ps_gateway_store *store, bool is_relaxed);
+    void (*read_now)(const struct ps_gateway_store *store, bool config,
+                     bool servers, bool members);
+    void (*set_pace)(const struct ps_gateway_store *store,
+                     ps_read_pace_t pace);
 } ps_gateway_store_t;
 
 /**
@@ -111,6 +131,7 @@
     int64_t read_ms;   /* the store was last read because of a difference */
     int64_t watchful_until_ms; /* it is read often until then */
     GArray *server_news; /* ps_server_news_t of the last seconds */
+    GArray *member_news; /* ps_member_news_t of the last seconds */
     GQueue exchanges;           /* ps_exchange_t in progress */
     ev_timer tick;
     int64_t started_ms;
@@ -195,6 +216,12 @@
                               const ps_registration_t *told, bool is_gone,
                               int64_t now_ms);
 
+/**
+ * PsGateway_TakeMemberNews() - The same for a daemon.
+ */
+void PsGateway_TakeMemberNews(ps_gateway_t *gateway,
+                              const ps_daemon_info_t *info, bool is_gone);
+
 /**
  * PsGateway_IsProven() - Tells whether API keys may still be relied on.
  */
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &ps__server_news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__member_news__init
+                     (Ps__MemberNews         *message)
+{
+  static const Ps__MemberNews init_value = PS__MEMBER_NEWS__INIT;
+  *message = init_value;
+}
+size_t ps__member_news__get_packed_size
+                     (const Ps__MemberNews *message)
+{
+  assert(message->base.descriptor == &ps__member_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__member_news__pack
+                     (const Ps__MemberNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__member_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__member_news__pack_to_buffer
+                     (const Ps__MemberNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__member_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__MemberNews *
+       ps__member_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__MemberNews *)
+     protobuf_c_message_unpack (&ps__member_news__descriptor,
+                                allocator, len, data);
+}
+void   ps__member_news__free_unpacked
+                     (Ps__MemberNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__member_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__share_grant__init
                      (Ps__ShareGrant         *message)
 {
@@ -3356,7 +3401,123 @@
   (ProtobufCMessageInit) ps__server_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ps__member_news__field_descriptors[7] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__MemberNews, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__MemberNews, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__MemberNews, caller_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__MemberNews, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__MemberNews, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_share",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Ps__MemberNews, cpu_share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__MemberNews, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__member_news__field_indices_by_name[] = {
+  2,   /* field[2] = caller_address */
+  5,   /* field[5] = cpu_share */
+  1,   /* field[1] = domain */
+  6,   /* field[6] = gone */
+  4,   /* field[4] = incarnation */
+  0,   /* field[0] = name */
+  3,   /* field[3] = peer_address */
+};
+static const ProtobufCIntRange ps__member_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor ps__member_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.MemberNews",
+  "MemberNews",
+  "Ps__MemberNews",
+  "ps",
+  sizeof(Ps__MemberNews),
+  7,
+  ps__member_news__field_descriptors,
+  ps__member_news__field_indices_by_name,
+  1,  ps__member_news__number_ranges,
+  (ProtobufCMessageInit) ps__member_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[11] =
 {
   {
     "round",
@@ -3478,11 +3639,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "member_news",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ShareGrant, n_member_news),
+    offsetof(Ps__ShareGrant, member_news),
+    &ps__member_news__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_grant__field_indices_by_name[] = {
   4,   /* field[4] = banned */
   6,   /* field[6] = config_age_ms */
   5,   /* field[5] = config_version */
+  10,   /* field[10] = member_news */
   8,   /* field[8] = members_hash */
   9,   /* field[9] = news */
   0,   /* field[0] = round */
@@ -3494,7 +3668,7 @@
 static const ProtobufCIntRange ps__share_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ps__share_grant__descriptor =
 {
@@ -3504,7 +3678,7 @@
   "Ps__ShareGrant",
   "ps",
   sizeof(Ps__ShareGrant),
-  10,
+  11,
   ps__share_grant__field_descriptors,
   ps__share_grant__field_indices_by_name,
   1,  ps__share_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Ps__ServiceGrant Ps__ServiceGrant;
 typedef struct Ps__TeamGrant Ps__TeamGrant;
 typedef struct Ps__ServerNews Ps__ServerNews;
+typedef struct Ps__MemberNews Ps__MemberNews;
 typedef struct Ps__ShareGrant Ps__ShareGrant;
 
 
@@ -539,6 +540,25 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
+/*
+ * A daemon that has joined or is gone.
+ */
+struct  Ps__MemberNews
+{
+  ProtobufCMessage base;
+  char *name;
+  char *domain;
+  char *caller_address;
+  char *peer_address;
+  uint64_t incarnation;
+  double cpu_share;
+  protobuf_c_boolean gone;
+};
+#define PS__MEMBER_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__member_news__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 struct  Ps__ShareGrant
 {
   ProtobufCMessage base;
@@ -581,10 +601,15 @@
    */
   size_t n_news;
   Ps__ServerNews **news;
+  /*
+   * the same
+   */
+  size_t n_member_news;
+  Ps__MemberNews **member_news;
 };
 #define PS__SHARE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_grant__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /* Ps__Frame methods */
@@ -1062,6 +1087,25 @@
 void   ps__server_news__free_unpacked
                      (Ps__ServerNews *message,
                       ProtobufCAllocator *allocator);
+/* Ps__MemberNews methods */
+void   ps__member_news__init
+                     (Ps__MemberNews         *message);
+size_t ps__member_news__get_packed_size
+                     (const Ps__MemberNews   *message);
+size_t ps__member_news__pack
+                     (const Ps__MemberNews   *message,
+                      uint8_t             *out);
+size_t ps__member_news__pack_to_buffer
+                     (const Ps__MemberNews   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__MemberNews *
+       ps__member_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__member_news__free_unpacked
+                     (Ps__MemberNews *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ShareGrant methods */
 void   ps__share_grant__init
                      (Ps__ShareGrant         *message);
@@ -1158,6 +1202,9 @@
 typedef void (*Ps__ServerNews_Closure)
                  (const Ps__ServerNews *message,
                   void *closure_data);
+typedef void (*Ps__MemberNews_Closure)
+                 (const Ps__MemberNews *message,
+                  void *closure_data);
 typedef void (*Ps__ShareGrant_Closure)
                  (const Ps__ShareGrant *message,
                   void *closure_data);
@@ -1193,6 +1240,7 @@
 extern const ProtobufCMessageDescriptor ps__service_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_news__descriptor;
+extern const ProtobufCMessageDescriptor ps__member_news__descriptor;
 extern const ProtobufCMessageDescriptor ps__share_grant__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -18,6 +18,7 @@
 #define SILENT_MS 700         /* a member without reports is taken for dead */
 #define DEAD_MS 3000          /* its registration is removed */
 #define PROOF_MOST_MS 2500    /* age of a proof; two reads have failed */
+#define PLAIN_FACTOR 2        /* a plain server may queue as many as it runs */
 #define PAUSE_MS 300          /* between turns of the loop: it was paused */
 #define WANTED_KEEP 0.95      /* of what was asked for, at each round */
 #define NEWS_TOLD_MS 600      /* changes of servers are told for some rounds */
@@ -189,10 +190,7 @@
     g_hash_table_iter_init(&each, gateway->desks);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         const ps_service_desk_t *desk = value;
-        if (desk->scheduler.is_engine) {
-            report.services[report.n_services++] =
-                make_service_use(desk, now_ms);
-        }
+        report.services[report.n_services++] = make_service_use(desk, now_ms);
     }
     add_team_uses(sharing, &report, now_ms);
     report.suspects = (uint64_t *)(void *)sharing->suspects->data;
@@ -264,7 +262,9 @@
         const ps_backend_t *backend = backends->pdata[i];
         if (!backend->told.is_leaving) {
             slots[n].server = hash_server(backend);
-            slots[n++].count = backend->told.slots;
+            slots[n++].count = desk->scheduler.is_engine
+                                   ? backend->told.slots
+                                   : backend->told.slots * PLAIN_FACTOR;
         }
     }
     int members = (int)g_hash_table_size(sharing->gateway->members);
@@ -364,6 +364,34 @@
     return news;
 }
 
+static Ps__MemberNews *
+make_member_news(const ps_member_news_t *each)
+{
+    Ps__MemberNews *news = g_new(Ps__MemberNews, 1);
+    ps__member_news__init(news);
+    news->name = (char *)(uintptr_t)each->info.name.data;
+    news->domain = (char *)(uintptr_t)each->info.domain.data;
+    news->caller_address = (char *)(uintptr_t)each->info.caller_address.data;
+    news->peer_address = (char *)(uintptr_t)each->info.peer_address.data;
+    news->incarnation = each->info.incarnation;
+    news->cpu_share = each->info.cpu_share;
+    news->gone = each->is_gone;
+    return news;
+}
+
+static void
+add_member_news(const GArray *all, Ps__ShareGrant *grant)
+{
+    grant->member_news = g_new0(Ps__MemberNews *, all->len + 1);
+    for (guint i = 0; i < all->len; i++) {
+        const ps_member_news_t *each = &g_array_index(all, ps_member_news_t, i);
+        if (PsClock_Now() - each->at_ms <= NEWS_TOLD_MS) {
+            grant->member_news[grant->n_member_news++] =
+                make_member_news(each);
+        }
+    }
+}
+
 static void
 add_news(const ps_sharing_t *sharing, Ps__ShareGrant *grant)
 {
@@ -373,6 +401,7 @@
     grant->config_age_ms = (uint32_t)CLAMP(age_ms, 0, INT32_MAX);
     grant->servers_hash = PsGateway_HashServers(gateway);
     grant->members_hash = PsGateway_HashMembers(gateway);
+    add_member_news(gateway->member_news, grant);
     const GArray *all = gateway->server_news;
     grant->news = g_new0(Ps__ServerNews *, all->len + 1);
     for (guint i = 0; i < all->len; i++) {
@@ -414,7 +443,11 @@
     for (size_t i = 0; i < grant.n_news; i++) {
         g_free(grant.news[i]);
     }
+    for (size_t i = 0; i < grant.n_member_news; i++) {
+        g_free(grant.member_news[i]);
+    }
     g_free(grant.news);
+    g_free(grant.member_news);
     g_free(grant.services);
     g_free(grant.teams);
 }
@@ -493,9 +526,7 @@
     g_hash_table_iter_init(&each, sharing->gateway->desks);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         const ps_service_desk_t *desk = value;
-        if (desk->scheduler.is_engine) {
-            divide_service(sharing, desk, now_ms);
-        }
+        divide_service(sharing, desk, now_ms);
     }
     int members = (int)g_hash_table_size(sharing->gateway->members);
     PsAllocator_DivideQuotas(&sharing->allocator, members, now_ms);
@@ -552,6 +583,17 @@
                                   .cold_left_ms = news->cold_left_ms};
         PsGateway_TakeServerNews(sharing->gateway, &told, news->gone, now_ms);
     }
+    for (size_t i = 0; i < grant->n_member_news; i++) {
+        const Ps__MemberNews *news = grant->member_news[i];
+        ps_daemon_info_t info = {
+            .name = PsName_FromC(news->name),
+            .domain = PsName_FromC(news->domain),
+            .caller_address = PsName_FromC(news->caller_address),
+            .peer_address = PsName_FromC(news->peer_address),
+            .incarnation = news->incarnation,
+            .cpu_share = news->cpu_share};
+        PsGateway_TakeMemberNews(sharing->gateway, &info, news->gone);
+    }
     // The grant was made after the report that it answers was sent.
     int64_t sent_ms = sharing->sent_ms[grant->round % PS_SHARING_ROUNDS];
     ps_proof_t proof = {
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -3,6 +3,8 @@
  *
  * Registers itself in the store, serves plain answers and streams of events,
  * and counts how often each request id ran.
+ * With LOG it writes a line for each run: its id, its time, its own name.
+ * ADVERTISED is registered in place of IP:PORT.
  * POST /switch?leaving=&reject=&errors=&cut=&mute=&foreign= (the last four in
  * percent of requests); GET /counts.
  */
@@ -18,6 +20,7 @@
 #define BEAT_MS 400   /* between registrations */
 #define PLAIN_MS 15   /* work of a plain answer */
 #define EVENT_MS 12   /* between events of a stream */
+#define MUTE_MS 2500  /* silence of a mute stream */
 #define EVENT_MAX 200 /* bytes of one event */
 
 typedef struct stream {
@@ -32,6 +35,7 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static GHashTable *runs; /* request id to its runs */
 static const char *address;
+static FILE *run_log;
 static const char *store;
 static const char *own_name;
 static const char *service;
@@ -107,8 +111,10 @@
 {
     (void)position;
     stream_t *stream = user;
-    while (stream->is_mute) {
-        Standin_Sleep(100);
+    // The caller's close is not seen here; its slot is free after a while.
+    if (stream->is_mute) {
+        Standin_Sleep(MUTE_MS);
+        return MHD_CONTENT_READER_END_WITH_ERROR;
     }
     if (stream->next > stream->last) {
         return MHD_CONTENT_READER_END_OF_STREAM;
@@ -222,6 +228,10 @@
         running++;
         int n = GPOINTER_TO_INT(g_hash_table_lookup(runs, id));
         g_hash_table_replace(runs, g_strdup(id), GINT_TO_POINTER(n + 1));
+        if (run_log) {
+            fprintf(run_log, "%s %lld %s\n", id,
+                    (long long)(g_get_real_time() / 1000), own_name);
+        }
     }
     pthread_mutex_unlock(&lock);
     if (is_full) {
@@ -272,12 +282,16 @@
 int
 main(int argc, char **argv)
 {
-    if (argc != 6) {
-        fprintf(stderr,
-                "usage: standin-runner IP:PORT STORE NAME SERVICE SLOTS\n");
+    if (argc < 6 || argc > 8) {
+        fprintf(stderr, "usage: standin-runner IP:PORT STORE NAME SERVICE "
+                        "SLOTS [ADVERTISED [LOG]]\n");
         return 2;
     }
-    address = argv[1];
+    address = argc > 6 ? argv[6] : argv[1];
+    run_log = argc > 7 ? fopen(argv[7], "a") : NULL;
+    if (run_log) {
+        setvbuf(run_log, NULL, _IOLBF, 0);
+    }
     store = argv[2];
     own_name = argv[3];
     service = argv[4];
@@ -288,6 +302,6 @@
     curl_global_init(CURL_GLOBAL_ALL);
     pthread_t thread;
     pthread_create(&thread, NULL, beat_loop, NULL);
-    Standin_Serve(address, on_request);
+    Standin_Serve(argv[1], on_request);
     return 0;
 }
