--- a/soak/caller.c
+++ b/soak/caller.c
@@ -18,10 +18,10 @@
 #include <time.h>
 
 #define ADDRESSES_MAX 64
-#define REFRESH_MS 1000   /* an answer of a directory is kept for so long */
-#define LIMIT_MS 3000     /* a caller's time for one request */
+#define REFRESH_MS 1000 /* an answer of a directory is kept for so long */
+#define LIMIT_MS 3000   /* a caller's time for one request */
 #define STREAM_EVENTS 15
-#define PAUSE_MS 30       /* between a caller's requests, mean */
+#define PAUSE_MS 30 /* between a caller's requests, mean */
 
 /* ---- Types ------------------------------------------------------------ */
 
@@ -130,8 +130,8 @@
            long status, const char *judgement)
 {
     pthread_mutex_lock(&lock);
-    fprintf(out, "%s %s %s %lld %lld %ld %s\n", id, kind, key,
-            (long long)sent, (long long)now_ms(), status, judgement);
+    fprintf(out, "%s %s %s %lld %lld %ld %s\n", id, kind, key, (long long)sent,
+            (long long)now_ms(), status, judgement);
     pthread_mutex_unlock(&lock);
 }
 
@@ -143,7 +143,8 @@
                      g_strdup_printf("Authorization: Bearer %s", key),
                      g_strdup_printf("Deadline-Ms: %d", LIMIT_MS),
                      g_strdup_printf("Token-Counts: 50,%d", STREAM_EVENTS * 5),
-                     g_strdup("Host: a.example"), g_strdup("Expect:")};
+                     g_strdup("Host: a.example"),
+                     g_strdup("Expect:")};
     for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
         head = curl_slist_append(head, lines[i]);
         g_free(lines[i]);
--- a/src/allocator.c
+++ b/src/allocator.c
@@ -252,8 +252,7 @@
         ps_team_use_t *use = uses->pdata[i];
         double even = 1.0 / uses->len;
         double asked = wanted > 0 ? use->wanted / wanted : even;
-        use->granted =
-            left * (EVEN_SHARE * even + (1 - EVEN_SHARE) * asked);
+        use->granted = left * (EVEN_SHARE * even + (1 - EVEN_SHARE) * asked);
     }
     g_ptr_array_unref(uses);
 }
@@ -294,8 +293,7 @@
 PsAllocator_Reporter(ps_allocator_t *allocator, const ps_name_t *name,
                      uint64_t incarnation, int64_t now_ms)
 {
-    ps_reporter_t *reporter =
-        g_hash_table_lookup(allocator->reporters, name);
+    ps_reporter_t *reporter = g_hash_table_lookup(allocator->reporters, name);
     if (reporter && reporter->incarnation != incarnation) {
         g_hash_table_remove(allocator->reporters, name);
         reporter = NULL;
@@ -403,8 +401,8 @@
         }
         records[n].team = *(ps_name_t *)key;
         for (int k = 0; k < PS_SPENT_PARTS; k++) {
-            records[n].spent[k] = PsQuota_GetPart(value, part_ms * k,
-                                                  part_ms * (k + 1), now_ms);
+            records[n].spent[k] =
+                PsQuota_GetPart(value, part_ms * k, part_ms * (k + 1), now_ms);
         }
         n++;
     }
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -4,11 +4,11 @@
  * One daemon runs it for all. Each round every daemon reports what it has at
  * each server and what waits, and gets limits in return: what it has, plus
  * free slots, first to the waiting requests that come first in order, then
- * evenly. What is left of a team's quota is granted in the same way. An allocator gives out only
- * the part of slots and quotas that belongs to the daemons that report to
- * it, so two at once do no harm. Load pattern: callers spread unevenly over
- * many daemons, so that even shares leave slots idle at some while requests
- * wait at others. Pure: time is an argument.
+ * evenly. What is left of a team's quota is granted in the same way. An
+ * allocator gives out only the part of slots and quotas that belongs to the
+ * daemons that report to it, so two at once do no harm. Load pattern: callers
+ * spread unevenly over many daemons, so that even shares leave slots idle at
+ * some while requests wait at others. Pure: time is an argument.
  */
 #ifndef PS_ALLOCATOR_H
 #define PS_ALLOCATOR_H
@@ -55,7 +55,7 @@
     ps_name_t name;
     uint64_t incarnation;
     int64_t reported_ms;
-    uint64_t round;       /* of its last report */
+    uint64_t round; /* of its last report */
     bool is_leaving;
     GHashTable *services; /* name to ps_service_use_t */
     GHashTable *teams;    /* name to ps_team_use_t */
@@ -87,7 +87,6 @@
 ps_service_use_t *PsReporter_GetService(ps_reporter_t *reporter,
                                         const ps_name_t *service);
 
-
 /**
  * PsAllocator_NoteSpent() - Takes a daemon's use of a team's quota in.
  * @spent: units in the window
--- a/src/backend.c
+++ b/src/backend.c
@@ -1,11 +1,11 @@
 /* backend.c - State of one backend server at one daemon. */
 #include "backend.h"
 
-#define PART_KEEP_MS 20000     /* engines drop what was not used lately */
-#define PARTS_MAX 4096         /* prompt parts remembered for each server */
-#define OUTCOME_FADE 0.9       /* weight kept of older outcomes */
-#define EJECT_FIRST_MS 400     /* first pause; a restart takes seconds */
-#define EJECT_MOST_MS 4000     /* longest pause; a trial costs one request */
+#define PART_KEEP_MS 20000 /* engines drop what was not used lately */
+#define PARTS_MAX 4096     /* prompt parts remembered for each server */
+#define OUTCOME_FADE 0.9   /* weight kept of older outcomes */
+#define EJECT_FIRST_MS 400 /* first pause; a restart takes seconds */
+#define EJECT_MOST_MS 4000 /* longest pause; a trial costs one request */
 
 /* ---- Internal functions ----------------------------------------------- */
 
--- a/src/backend.h
+++ b/src/backend.h
@@ -23,7 +23,7 @@
     ps_name_t address;
     ps_name_t domain;
     int slots;
-    bool is_leaving;     /* takes no new work */
+    bool is_leaving;      /* takes no new work */
     int64_t cold_left_ms; /* it is slow for so long */
 } ps_registration_t;
 
@@ -32,27 +32,28 @@
  */
 typedef struct ps_backend {
     ps_registration_t told;
-    uint32_t serial;        /* differs for each start of each server */
-    bool is_listed;         /* may get new work unless it leaves */
-    int64_t cold_until_ms;  /* slow until then */
-    int holders;            /* requests that refer to it */
+    uint32_t serial;       /* differs for each start of each server */
+    bool is_listed;        /* may get new work unless it leaves */
+    int64_t cold_until_ms; /* slow until then */
+    int holders;           /* requests that refer to it */
     /* work of this daemon */
-    int share;              /* requests that this daemon may have there */
+    int share; /* requests that this daemon may have there */
     int running;
-    double unread_tokens;   /* prompts sent whose first event is missing */
-    int64_t heard_ms;       /* last sign of work */
-    int64_t started_ms;     /* last request was sent to it then */
+    double unread_tokens; /* prompts sent whose first event is missing */
+    int64_t heard_ms;     /* last sign of work */
+    int64_t started_ms;   /* last request was sent to it then */
     /* speeds */
-    ps_speed_t first;       /* first event, ms over thousands of prompt tokens */
-    ps_speed_t pace;        /* ms between output tokens, by own requests */
+    ps_speed_t first; /* first event, ms over thousands of prompt tokens */
+    ps_speed_t pace;  /* ms between output tokens, by own requests */
     int first_samples;
-    GHashTable *parts;      /* prompt part to the time of its last use */
+    GHashTable *parts; /* prompt part to the time of its last use */
     /* health */
-    double outcomes;        /* fading count */
-    double failures;        /* fading count */
+    double outcomes; /* fading count */
+    double failures; /* fading count */
     int64_t ejected_until_ms;
-    int64_t ejected_for_ms; /* length of the last ejection; 0: in good standing */
-    bool is_on_trial;       /* one request at a time until one succeeds */
+    int64_t
+        ejected_for_ms; /* length of the last ejection; 0: in good standing */
+    bool is_on_trial;   /* one request at a time until one succeeds */
 } ps_backend_t;
 
 ps_backend_t *PsBackend_New(const ps_registration_t *told, int64_t now_ms);
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -41,12 +41,13 @@
     int n_targets;
     ps_repeat_t repeat;
     bool is_stream;
-    bool is_generation;  /* prompts; served by model engines */
-    bool is_public;      /* needs no API key */
-    int attempts_max;    /* backend servers that may get one request */
-    int tier;            /* 0 is the highest */
-    int64_t timeout_ms;  /* longest time for the whole answer */
-    int64_t latency_ms;  /* objective: whole answer, or a stream's first event */
+    bool is_generation; /* prompts; served by model engines */
+    bool is_public;     /* needs no API key */
+    int attempts_max;   /* backend servers that may get one request */
+    int tier;           /* 0 is the highest */
+    int64_t timeout_ms; /* longest time for the whole answer */
+    int64_t
+        latency_ms; /* objective: whole answer, or a stream's first event */
     int64_t interval_ms; /* objective: longest pause between events */
 } ps_route_t;
 
@@ -55,10 +56,10 @@
  */
 typedef struct ps_service {
     ps_name_t name;
-    bool is_engine;        /* model engines with batches */
-    int connections_max;   /* for each backend server, from all daemons */
-    int64_t tokens_max;    /* engine's memory for tokens; 0: not an engine */
-    int tokens_per_event;  /* of a stream; 0: not an engine */
+    bool is_engine;       /* model engines with batches */
+    int connections_max;  /* for each backend server, from all daemons */
+    int64_t tokens_max;   /* engine's memory for tokens; 0: not an engine */
+    int tokens_per_event; /* of a stream; 0: not an engine */
 } ps_service_t;
 
 /**
@@ -88,11 +89,11 @@
  */
 typedef struct ps_catalog {
     uint64_t version;
-    GPtrArray *routes;   /* ps_route_t */
-    GPtrArray *services; /* ps_service_t */
-    GPtrArray *teams;    /* ps_team_t */
-    GHashTable *by_path; /* "host prefix" to ps_route_t */
-    GHashTable *by_key;  /* API key to ps_team_t */
+    GPtrArray *routes;      /* ps_route_t */
+    GPtrArray *services;    /* ps_service_t */
+    GPtrArray *teams;       /* ps_team_t */
+    GHashTable *by_path;    /* "host prefix" to ps_route_t */
+    GHashTable *by_key;     /* API key to ps_team_t */
     GHashTable *by_service; /* name to ps_service_t */
     bool has_teams; /* requests need an API key unless the route is public */
     ps_caller_limits_t limits;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -17,16 +17,16 @@
  */
 typedef struct ps_inbound {
     ps_name_t request_id;
-    ps_name_t key;           /* API key; empty: none */
-    int64_t time_left_ms;    /* that the caller will wait; 0: not told */
-    bool has_tokens;         /* the next two were told */
+    ps_name_t key;        /* API key; empty: none */
+    int64_t time_left_ms; /* that the caller will wait; 0: not told */
+    bool has_tokens;      /* the next two were told */
     double prompt_tokens;
     double output_tokens_max;
-    double output_tokens;    /* caller's estimate; 0: none */
-    int n_parts;             /* of the prompt, in order */
+    double output_tokens;              /* caller's estimate; 0: none */
+    int n_parts;                       /* of the prompt, in order */
     uint64_t parts[PS_TASK_PARTS_MAX]; /* each names all parts before it too */
     uint32_t part_tokens[PS_TASK_PARTS_MAX];
-    ps_name_t last_event;    /* the stream goes on after it; empty: new */
+    ps_name_t last_event; /* the stream goes on after it; empty: new */
 } ps_inbound_t;
 
 /**
--- a/src/events_log.c
+++ b/src/events_log.c
@@ -11,8 +11,8 @@
 #include "log.h"
 #include "str.h"
 
-#define LINES_PER_S 600           /* above it lines are dropped */
-#define BLOCK_BYTES (16 * 1024)   /* written at once when so much waits */
+#define LINES_PER_S 600                /* above it lines are dropped */
+#define BLOCK_BYTES (16 * 1024)        /* written at once when so much waits */
 #define WAITING_BYTES_MAX (256 * 1024) /* for a reader that is slow */
 
 /* ---- Globals ---------------------------------------------------------- */
@@ -36,9 +36,9 @@
         dropped++;
         return;
     }
-    PsBuf_Format(&waiting, "{\"t\":%lld.%03ld,\"daemon\":\"%s\",\"event\":\"%s\"",
-                 (long long)now.tv_sec, now.tv_nsec / 1000000, log_daemon,
-                 event);
+    PsBuf_Format(
+        &waiting, "{\"t\":%lld.%03ld,\"daemon\":\"%s\",\"event\":\"%s\"",
+        (long long)now.tv_sec, now.tv_nsec / 1000000, log_daemon, event);
     PsBuf_AppendC(&waiting, text[1] == '}' ? "" : ",");
     PsBuf_AppendC(&waiting, text + 1);
     PsBuf_AppendC(&waiting, "\n");
@@ -53,15 +53,14 @@
         second = now_s;
         lines_in_second = 0;
         if (dropped > dropped_told) {
-            json_t *fields = json_pack(
-                "{s:I}", "lines", (json_int_t)(dropped - dropped_told));
+            json_t *fields = json_pack("{s:I}", "lines",
+                                       (json_int_t)(dropped - dropped_told));
             dropped_told = dropped;
             add_line("log.dropped", fields);
             json_decref(fields);
         }
     }
-    return ++lines_in_second <= LINES_PER_S &&
-           waiting.len < WAITING_BYTES_MAX;
+    return ++lines_in_second <= LINES_PER_S && waiting.len < WAITING_BYTES_MAX;
 }
 
 /* ---- Public functions ------------------------------------------------- */
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -7,20 +7,20 @@
 #include "clock.h"
 #include "events_log.h"
 
-#define PATIENCE_MS 1400      /* callers leave a silent stream after 2 s */
+#define PATIENCE_MS 1400         /* callers leave a silent stream after 2 s */
 #define PLAIN_PATIENCE_SHARE 0.5 /* of a plain call's time, spent waiting */
-#define MARGIN_MS 30          /* an answer has to be back before the limit */
-#define ELSEWHERE_MS 20       /* Retry-After where another daemon can serve */
-#define TIME_USUAL_MS 15000   /* where neither route nor caller sets a limit */
-#define SENDS_MAX 4           /* connections tried, refused ones included */
-#define IDLE_ONCE_S 1         /* an older idle connection may be closing */
-#define IDLE_REPEAT_S 3       /* the same, where a repeat is allowed */
+#define MARGIN_MS 30        /* an answer has to be back before the limit */
+#define ELSEWHERE_MS 20     /* Retry-After where another daemon can serve */
+#define TIME_USUAL_MS 15000 /* where neither route nor caller sets a limit */
+#define SENDS_MAX 4         /* connections tried, refused ones included */
+#define IDLE_ONCE_S 1       /* an older idle connection may be closing */
+#define IDLE_REPEAT_S 3     /* the same, where a repeat is allowed */
 #define BODY_MAX (16 * 1024 * 1024) /* bytes of a whole answer */
 #define EVENT_MAX (1024 * 1024)     /* bytes of one event */
 #define RETRY_REJECTED_MS 300 /* servers that reject are full for a moment */
 #define DEATHS_BANNED 3       /* lost connections until a content is refused */
 #define RETRY_OVER_QUOTA_MS 200 /* the next rounds grant more */
-#define OUTPUT_SHARE 0.3      /* of the most output tokens, without a hint */
+#define OUTPUT_SHARE 0.3        /* of the most output tokens, without a hint */
 
 /* ---- Answers ---------------------------------------------------------- */
 
@@ -51,12 +51,12 @@
 log_end(const ps_exchange_t *exchange, int status, const char *outcome,
         const char *reason)
 {
-    PsEvents_Add(
-        "request.end", "{s:s,s:i,s:s,s:s,s:i,s:I,s:i}", "id",
-        exchange->inbound.request_id.data, "status", status, "outcome",
-        outcome, "reason", reason, "sends", exchange->sends, "ms",
-        (json_int_t)(PsClock_Now() - exchange->arrived_ms), "events",
-        (int)exchange->events);
+    PsEvents_Add("request.end", "{s:s,s:i,s:s,s:s,s:i,s:I,s:i}", "id",
+                 exchange->inbound.request_id.data, "status", status,
+                 "outcome", outcome, "reason", reason, "sends",
+                 exchange->sends, "ms",
+                 (json_int_t)(PsClock_Now() - exchange->arrived_ms), "events",
+                 (int)exchange->events);
 }
 
 // Answers in this daemon's own name; the exchange ends.
@@ -119,8 +119,8 @@
     size_t position = 0;
     ps_str_t name;
     ps_str_t value;
-    while (PsTransfer_NextHeader(&exchange->transfer, &position, &name,
-                                 &value)) {
+    while (
+        PsTransfer_NextHeader(&exchange->transfer, &position, &name, &value)) {
         if (exchange->gateway->dialect->is_returned(name)) {
             char *header = g_strndup(name.data, name.len);
             char *text = g_strndup(value.data, value.len);
@@ -155,10 +155,10 @@
     PsBuf_Clear(&exchange->body);
     PsTransfer_Init(&exchange->transfer, &events, exchange);
     exchange->is_transferring = true;
-    ps_outbound_t outbound = {
-        .time_left_ms = exchange->time_out_ms - now_ms,
-        .server = PsName_View(&backend->told.name),
-        .last_event = PsName_View(&exchange->last_event)};
+    ps_outbound_t outbound = {.time_left_ms = exchange->time_out_ms - now_ms,
+                              .server = PsName_View(&backend->told.name),
+                              .last_event =
+                                  PsName_View(&exchange->last_event)};
     if (exchange->team) {
         outbound.team = PsName_View(&exchange->team->name);
     }
@@ -183,12 +183,12 @@
     ps_exchange_t *exchange = task->user;
     int64_t now_ms = PsClock_Now();
     const ps_backend_t *backend = task->backend;
-    PsEvents_Add(
-        "request.place", "{s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:I}", "id",
-        exchange->inbound.request_id.data, "server", backend->told.name.data,
-        "running", backend->running, "share", backend->share, "waiting",
-        (int)scheduler->waiting.length, "tier", task->tier, "send",
-        exchange->sends + 1, "ms", (json_int_t)(now_ms - task->arrived_ms));
+    PsEvents_Add("request.place", "{s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:I}", "id",
+                 exchange->inbound.request_id.data, "server",
+                 backend->told.name.data, "running", backend->running, "share",
+                 backend->share, "waiting", (int)scheduler->waiting.length,
+                 "tier", task->tier, "send", exchange->sends + 1, "ms",
+                 (json_int_t)(now_ms - task->arrived_ms));
     if (exchange->team && !PsGateway_IsProven(exchange->gateway, now_ms)) {
         PsScheduler_End(scheduler, task, PS_TASK_STOPPED, now_ms);
         if (exchange->was_run || exchange->is_relaying) {
@@ -210,8 +210,8 @@
     int64_t left_ms = exchange->time_out_ms - PsClock_Now();
     PsEvents_Add("request.refuse", "{s:s,s:s,s:i,s:i,s:I}", "id",
                  exchange->inbound.request_id.data, "reason", reason,
-                 "waiting", (int)scheduler->waiting.length, "tier",
-                 task->tier, "retry_after_ms", (json_int_t)retry_after_ms);
+                 "waiting", (int)scheduler->waiting.length, "tier", task->tier,
+                 "retry_after_ms", (json_int_t)retry_after_ms);
     if (exchange->was_run || exchange->is_relaying) {
         answer_failed(exchange, 502, reason);
         return;
@@ -521,8 +521,8 @@
     }
     uint64_t hash = XXH64(request->path.data, request->path.len, 0);
     if (exchange->team) {
-        hash = XXH64(exchange->team->name.data, exchange->team->name.len,
-                     hash);
+        hash =
+            XXH64(exchange->team->name.data, exchange->team->name.len, hash);
     }
     return XXH64(request->body.data, request->body.len, hash);
 }
@@ -554,8 +554,8 @@
         return false;
     }
     if (exchange->catalog->has_teams && !exchange->route->is_public) {
-        exchange->team = PsCatalog_FindTeam(exchange->catalog,
-                                            exchange->inbound.key.data);
+        exchange->team =
+            PsCatalog_FindTeam(exchange->catalog, exchange->inbound.key.data);
         if (!PsGateway_IsProven(gateway, now_ms)) {
             answer_not_run(exchange, 503, ELSEWHERE_MS,
                            "API keys not confirmed lately");
@@ -647,15 +647,14 @@
     const ps_name_t *service = PsRoute_PickService(exchange->route, pick);
     exchange->desk = PsGateway_GetDesk(gateway, service);
     PsRetryBudget_AddRequest(&exchange->desk->retries, now_ms);
-    PsEvents_Add("request.accept", "{s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}",
-                 "id", exchange->inbound.request_id.data, "route",
-                 exchange->route->name.data, "team",
-                 exchange->team ? exchange->team->name.data : "", "service",
-                 service->data, "tier", exchange->task.tier, "prompt",
-                 exchange->task.prompt_tokens, "output",
-                 exchange->task.output_tokens, "config",
-                 (json_int_t)exchange->catalog->version, "config_age_ms",
-                 (json_int_t)(now_ms - gateway->catalog_proven_ms));
+    PsEvents_Add(
+        "request.accept", "{s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}", "id",
+        exchange->inbound.request_id.data, "route", exchange->route->name.data,
+        "team", exchange->team ? exchange->team->name.data : "", "service",
+        service->data, "tier", exchange->task.tier, "prompt",
+        exchange->task.prompt_tokens, "output", exchange->task.output_tokens,
+        "config", (json_int_t)exchange->catalog->version, "config_age_ms",
+        (json_int_t)(now_ms - gateway->catalog_proven_ms));
     PsScheduler_Submit(&exchange->desk->scheduler, &exchange->task, now_ms);
 }
 
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -18,25 +18,25 @@
     ps_http_request_t *request; /* NULL once it is answered or left */
     ps_catalog_t *catalog;      /* in force when it arrived */
     const ps_route_t *route;
-    const ps_team_t *team;      /* NULL: public route */
+    const ps_team_t *team; /* NULL: public route */
     ps_service_desk_t *desk;
     ps_inbound_t inbound;
     ps_task_t task;
     uint64_t content_hash;
     int64_t arrived_ms;
-    int64_t time_out_ms;        /* its final answer is due then */
-    double quota_units;         /* spent */
+    int64_t time_out_ms; /* its final answer is due then */
+    double quota_units;  /* spent */
     ps_transfer_t transfer;
     bool is_transferring;
-    bool is_never_sent;         /* no byte has reached a server so far */
-    bool was_run;               /* a server may have run it */
+    bool is_never_sent; /* no byte has reached a server so far */
+    bool was_run;       /* a server may have run it */
     int sends;
     ps_verdict_t verdict;
-    bool has_head;              /* of the current transfer */
-    bool is_relaying;           /* the stream's head has gone to the caller */
-    bool must_stop;             /* the transfer is to be ended from the loop */
-    ps_buf_t body;              /* whole answer, or an event in progress */
-    ps_name_t last_event;       /* last event relayed */
+    bool has_head;        /* of the current transfer */
+    bool is_relaying;     /* the stream's head has gone to the caller */
+    bool must_stop;       /* the transfer is to be ended from the loop */
+    ps_buf_t body;        /* whole answer, or an event in progress */
+    ps_name_t last_event; /* last event relayed */
     uint32_t events;
     GList link;
 } ps_exchange_t;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -9,21 +9,22 @@
 #include "events_log.h"
 #include "exchange.h"
 
-#define TICK_S 0.025              /* looks for what is due */
-#define CALLER_BODY_MAX (8 * 1024 * 1024) /* bytes; the configuration has less */
-#define KEY_MARGIN_MS 400         /* kept free of the time a key lives on */
-#define DIFFER_MS 120             /* longer than a change takes to reach all */
-#define READY_SHARE 0.6           /* of the time that a key lives on */
-#define READ_PACE_MS 150          /* between reads for a newer version */
-#define DIFFER_PACE_MS 700        /* between reads for other differences */
-#define WATCHFUL_MS 1500          /* the store is read often for so long */
-#define NEWS_FRESH_MS 500         /* news of the allocator are relied on */
-#define PROOF_FRESH_MS 1200       /* twice the pace of the allocator's reads */
-#define NEWS_KEEP_MS 3000         /* changes of servers are told for so long */
-#define NEWS_MAX 256              /* changes kept; the hash finds lost ones */
-#define GRACE_MARGIN_MS 400       /* left of the grace when the process ends */
-#define TAKE_SHARE 0.3            /* of the grace, in which requests are taken */
-#define OPEN_LINGER_SHARE 0.7     /* of the grace, for connections kept open */
+#define TICK_S 0.025 /* looks for what is due */
+#define CALLER_BODY_MAX                                                       \
+    (8 * 1024 * 1024)         /* bytes; the configuration has less */
+#define KEY_MARGIN_MS 400     /* kept free of the time a key lives on */
+#define DIFFER_MS 120         /* longer than a change takes to reach all */
+#define READY_SHARE 0.6       /* of the time that a key lives on */
+#define READ_PACE_MS 150      /* between reads for a newer version */
+#define DIFFER_PACE_MS 700    /* between reads for other differences */
+#define WATCHFUL_MS 1500      /* the store is read often for so long */
+#define NEWS_FRESH_MS 500     /* news of the allocator are relied on */
+#define PROOF_FRESH_MS 1200   /* twice the pace of the allocator's reads */
+#define NEWS_KEEP_MS 3000     /* changes of servers are told for so long */
+#define NEWS_MAX 256          /* changes kept; the hash finds lost ones */
+#define GRACE_MARGIN_MS 400   /* left of the grace when the process ends */
+#define TAKE_SHARE 0.3        /* of the grace, in which requests are taken */
+#define OPEN_LINGER_SHARE 0.7 /* of the grace, for connections kept open */
 
 /* ---- Members ---------------------------------------------------------- */
 
@@ -86,13 +87,12 @@
 on_catalog(void *user, ps_catalog_t *catalog)
 {
     ps_gateway_t *gateway = user;
-    PsEvents_Add("config.apply", "{s:I,s:I,s:i,s:i,s:i}", "version",
-                 (json_int_t)catalog->version, "before",
-                 (json_int_t)(gateway->catalog ? gateway->catalog->version
-                                               : 0),
-                 "routes", (int)catalog->routes->len, "services",
-                 (int)catalog->services->len, "teams",
-                 (int)catalog->teams->len);
+    PsEvents_Add(
+        "config.apply", "{s:I,s:I,s:i,s:i,s:i}", "version",
+        (json_int_t)catalog->version, "before",
+        (json_int_t)(gateway->catalog ? gateway->catalog->version : 0),
+        "routes", (int)catalog->routes->len, "services",
+        (int)catalog->services->len, "teams", (int)catalog->teams->len);
     for (guint i = 0; i < catalog->teams->len; i++) {
         const ps_team_t *team = catalog->teams->pdata[i];
         PsEvents_Add("config.team", "{s:s,s:i,s:f,s:f}", "team",
@@ -182,8 +182,8 @@
     if (!PsName_IsEqual(name, &gateway->self.name) &&
         g_hash_table_contains(gateway->members, name)) {
         PsEvents_Add("member.leave", "{s:s}", "name", name->data);
-        keep_member_news(gateway,
-                         g_hash_table_lookup(gateway->members, name), true);
+        keep_member_news(gateway, g_hash_table_lookup(gateway->members, name),
+                         true);
         PsAllocator_Forget(&gateway->sharing.allocator, name);
         g_hash_table_remove(gateway->members, name);
         set_shares(gateway);
@@ -343,8 +343,7 @@
                 (double)gateway->client.connects);
     print_count(&out, "pearstair_log_dropped_total",
                 (double)PsEvents_GetDropped());
-    print_count(&out, "pearstair_in_progress",
-                gateway->exchanges.length);
+    print_count(&out, "pearstair_in_progress", gateway->exchanges.length);
     PsHttpRequest_Prepare(request, 200, "text/plain; version=0.0.4", false);
     PsHttpRequest_Send(request, PsBuf_View(&out));
     PsBuf_Finish(&out);
@@ -461,12 +460,13 @@
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
     gateway->members =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, NULL, g_free);
-    gateway->self = (ps_daemon_info_t){.name = settings->name,
-                                  .domain = settings->domain,
-                                  .caller_address = settings->caller_address,
-                                  .peer_address = settings->peer_address,
-                                  .incarnation = (uint64_t)g_get_real_time(),
-                                  .cpu_share = settings->gateway.cpu_share};
+    gateway->self =
+        (ps_daemon_info_t){.name = settings->name,
+                           .domain = settings->domain,
+                           .caller_address = settings->caller_address,
+                           .peer_address = settings->peer_address,
+                           .incarnation = (uint64_t)g_get_real_time(),
+                           .cpu_share = settings->gateway.cpu_share};
     ps_daemon_info_t *self = g_memdup2(&gateway->self, sizeof gateway->self);
     g_hash_table_insert(gateway->members, &self->name, self);
     g_queue_init(&gateway->exchanges);
@@ -576,12 +576,10 @@
         g_hash_table_iter_init(&each, gateway->members);
         while (g_hash_table_iter_next(&each, NULL, &value)) {
             const ps_daemon_info_t *member = value;
-            bool is_self =
-                PsName_IsEqual(&member->name, &gateway->self.name);
-            bool serves =
-                is_self ? PsGateway_IsReady(gateway)
-                        : !PsSharing_IsSilent(&gateway->sharing,
-                                              &member->name);
+            bool is_self = PsName_IsEqual(&member->name, &gateway->self.name);
+            bool serves = is_self ? PsGateway_IsReady(gateway)
+                                  : !PsSharing_IsSilent(&gateway->sharing,
+                                                        &member->name);
             if (serves) {
                 add_address(member, domain, pass == 0, addresses, &n, max);
             }
@@ -632,8 +630,8 @@
             const ps_backend_t *backend = backends->pdata[i];
             uint64_t seed = (uint64_t)backend->told.started_ms * 2 +
                             (backend->told.is_leaving ? 1 : 0);
-            sum += XXH64(backend->told.name.data, backend->told.name.len,
-                         seed);
+            sum +=
+                XXH64(backend->told.name.data, backend->told.name.len, seed);
         }
     }
     return sum;
@@ -668,8 +666,8 @@
     else if (gateway->differ_ms == 0) {
         gateway->differ_ms = now_ms;
     }
-    bool differs = gateway->differ_ms > 0 &&
-                   now_ms - gateway->differ_ms > DIFFER_MS;
+    bool differs =
+        gateway->differ_ms > 0 && now_ms - gateway->differ_ms > DIFFER_MS;
     int64_t passed_ms = now_ms - gateway->read_ms;
     if ((proof->version > own && passed_ms > READ_PACE_MS) ||
         (differs && passed_ms > DIFFER_PACE_MS)) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -80,9 +80,9 @@
  * enum ps_read_pace - How often a daemon reads the store.
  */
 typedef enum ps_read_pace {
-    PS_READ_USUAL,  /* for itself */
-    PS_READ_OFTEN,  /* for all: it is the allocator */
-    PS_READ_RARELY  /* the allocator does it */
+    PS_READ_USUAL, /* for itself */
+    PS_READ_OFTEN, /* for all: it is the allocator */
+    PS_READ_RARELY /* the allocator does it */
 } ps_read_pace_t;
 
 /**
@@ -115,14 +115,14 @@
     ps_http_server_t checks;    /* readiness */
     ps_http_server_t directory; /* addresses */
     ps_http_server_t metrics;
-    ps_catalog_t *catalog;      /* NULL: none known yet */
-    int64_t catalog_proven_ms;  /* it was the newest at that time */
+    ps_catalog_t *catalog;     /* NULL: none known yet */
+    int64_t catalog_proven_ms; /* it was the newest at that time */
     ps_roster_t roster;
-    GHashTable *desks;          /* service name to ps_service_desk_t */
-    GHashTable *quotas;         /* team name to ps_quota_t */
+    GHashTable *desks;  /* service name to ps_service_desk_t */
+    GHashTable *quotas; /* team name to ps_quota_t */
     ps_suspects_t suspects;
     ps_daemon_info_t self;
-    GHashTable *members;        /* name to ps_daemon_info_t; with this daemon */
+    GHashTable *members; /* name to ps_daemon_info_t; with this daemon */
     ps_sharing_t sharing;
     const ps_gateway_store_t *store; /* set before the loop runs */
     int64_t news_ms;                 /* last news from the allocator */
@@ -130,9 +130,9 @@
                           members; 0: it knows the same */
     int64_t read_ms;   /* the store was last read because of a difference */
     int64_t watchful_until_ms; /* it is read often until then */
-    GArray *server_news; /* ps_server_news_t of the last seconds */
-    GArray *member_news; /* ps_member_news_t of the last seconds */
-    GQueue exchanges;           /* ps_exchange_t in progress */
+    GArray *server_news;       /* ps_server_news_t of the last seconds */
+    GArray *member_news;       /* ps_member_news_t of the last seconds */
+    GQueue exchanges;          /* ps_exchange_t in progress */
     ev_timer tick;
     int64_t started_ms;
     bool is_store_lost;
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -32,8 +32,8 @@
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &transfer->status);
     ps_transfer_result_t result = PS_TRANSFER_WHOLE;
     if (code != CURLE_OK) {
-        result = transfer->sends == 0 ? PS_TRANSFER_NOT_SENT
-                                      : PS_TRANSFER_BROKEN;
+        result =
+            transfer->sends == 0 ? PS_TRANSFER_NOT_SENT : PS_TRANSFER_BROKEN;
     }
     curl_multi_remove_handle(client->multi, easy);
     transfer->events->done(transfer, result);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -292,8 +292,8 @@
     (void)state;
     ps_http_server_t *server = user;
     if (code == MHD_CONNECTION_NOTIFY_STARTED && server->idle_s > 0) {
-        MHD_set_connection_option(
-            connection, MHD_CONNECTION_OPTION_TIMEOUT, server->idle_s);
+        MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                  server->idle_s);
     }
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -30,7 +30,7 @@
     ps_buf_t body;
     void *user; /* for the user's own use */
     bool is_too_large;
-    bool is_malformed; /* its length is ambiguous; the body was not read */
+    bool is_malformed;   /* its length is ambiguous; the body was not read */
     bool is_handed_over; /* the user has it */
     bool is_suspended;
     bool is_answered; /* a response has been set */
@@ -65,7 +65,7 @@
     struct MHD_Daemon *daemon;
     size_t body_max;
     unsigned int idle_s; /* silence allowed on a connection; 0: default */
-    bool is_closing; /* answers close their connections */
+    bool is_closing;     /* answers close their connections */
     ev_io io;
     ev_prepare prepare;
     ev_timer timer;
--- a/src/load.c
+++ b/src/load.c
@@ -288,7 +288,8 @@
     }
 }
 
-static const ps_transfer_events_t shot_events = {.data = on_data, .done = on_done};
+static const ps_transfer_events_t shot_events = {.data = on_data,
+                                                 .done = on_done};
 
 static char *
 make_body(const shot_t *shot)
--- a/src/quota.c
+++ b/src/quota.c
@@ -11,8 +11,7 @@
 move_window(ps_quota_t *quota, int64_t now_ms)
 {
     int64_t bucket = now_ms / MAX(quota->bucket_ms, 1);
-    int64_t first =
-        MAX(quota->current + 1, bucket - PS_QUOTA_BUCKETS + 1);
+    int64_t first = MAX(quota->current + 1, bucket - PS_QUOTA_BUCKETS + 1);
     for (int64_t b = first; b <= bucket; b++) {
         quota->spent[b % PS_QUOTA_BUCKETS] = 0;
     }
@@ -35,8 +34,7 @@
 PsQuota_Set(ps_quota_t *quota, double limit, double window_s)
 {
     quota->limit = limit;
-    quota->bucket_ms =
-        (int64_t)(window_s * 1000.0 / (PS_QUOTA_BUCKETS - 1));
+    quota->bucket_ms = (int64_t)(window_s * 1000.0 / (PS_QUOTA_BUCKETS - 1));
 }
 
 double
@@ -92,8 +90,7 @@
 {
     double part = quota->limit / MAX(n_daemons, 1);
     double needed = MIN(units, part);
-    if (quota->limit > 0 &&
-        PsQuota_GetSpent(quota, now_ms) + needed > part) {
+    if (quota->limit > 0 && PsQuota_GetSpent(quota, now_ms) + needed > part) {
         return false;
     }
     PsQuota_Charge(quota, units, now_ms);
--- a/src/quota.h
+++ b/src/quota.h
@@ -14,7 +14,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define PS_QUOTA_BUCKETS 33 /* parts of the window, one of them in progress */
+#define PS_QUOTA_BUCKETS                                                      \
+    33 /* parts of the window, one of them in progress                        \
+        */
 
 /**
  * struct ps_quota_terms - The window, and how far a quota may be exceeded.
@@ -32,11 +34,11 @@
  * struct ps_quota - One team at one daemon.
  */
 typedef struct ps_quota {
-    double limit;      /* units in a window over all daemons; 0: no quota */
+    double limit; /* units in a window over all daemons; 0: no quota */
     int64_t bucket_ms;
-    int64_t current;   /* number of the newest bucket */
+    int64_t current; /* number of the newest bucket */
     double spent[PS_QUOTA_BUCKETS];
-    double total;      /* units since the start */
+    double total; /* units since the start */
 } ps_quota_t;
 
 /**
--- a/src/relay.c
+++ b/src/relay.c
@@ -286,7 +286,8 @@
     }
 }
 
-static const ps_transfer_events_t relay_events = {.data = on_data, .done = on_done};
+static const ps_transfer_events_t relay_events = {.data = on_data,
+                                                  .done = on_done};
 
 static void
 start_transfer(ps_visit_t *visit, const char *method, const char *path,
--- a/src/roster.c
+++ b/src/roster.c
@@ -1,7 +1,8 @@
 /* roster.c - Registrations, and what to make of missing ones. */
 #include "roster.h"
 
-#define LAPSE_GRACE_MS 2000 /* users' letter: living servers are back by then */
+#define LAPSE_GRACE_MS                                                        \
+    2000 /* users' letter: living servers are back by then */
 
 /* ---- Types ------------------------------------------------------------ */
 
@@ -58,11 +59,10 @@
              int64_t now_ms)
 {
     entry_t *entry = g_hash_table_lookup(roster->by_name, &told->name);
-    if (entry && (entry->backend->told.started_ms != told->started_ms ||
-                  !PsName_IsEqual(&entry->backend->told.service,
-                                  &told->service) ||
-                  !PsName_IsEqual(&entry->backend->told.address,
-                                  &told->address))) {
+    if (entry &&
+        (entry->backend->told.started_ms != told->started_ms ||
+         !PsName_IsEqual(&entry->backend->told.service, &told->service) ||
+         !PsName_IsEqual(&entry->backend->told.address, &told->address))) {
         drop(roster, entry, "started again");
         g_hash_table_remove(roster->by_name, &told->name);
         entry = NULL;
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -6,17 +6,21 @@
 
 #include "share.h"
 
-#define RATE_KEEP_MS 500.0       /* span over which start rates are taken */
-#define RATE_FIRST 3.0           /* starts in it, before any is known */
-#define RATE_LEAST 0.05          /* starts in it that still count */
-#define HOLD_KEEP 0.97           /* weight kept of older times at a server */
-#define HOLD_USUAL_MS 1000       /* before any is known */
-#define FIRST_EVENT_KEEP 0.95    /* weight kept of older first-event times */
-#define FIRST_EVENT_USUAL_MS 80  /* before any is known */
-#define LATE_WAIT_MAX_MS 400.0   /* a longer wait past the objective: refused */
-#define RETRY_LEAST_MS 400.0     /* shortest Retry-After */
-#define RETRY_MOST_MS 4000.0     /* longest; callers wait a third of their time */
-#define EJECTED_SHARE_MAX 0.34   /* of a service's servers */
+#define RATE_KEEP_MS 500.0      /* span over which start rates are taken */
+#define RATE_FIRST 3.0          /* starts in it, before any is known */
+#define RATE_LEAST 0.05         /* starts in it that still count */
+#define HOLD_KEEP 0.97          /* weight kept of older times at a server */
+#define HOLD_USUAL_MS 1000      /* before any is known */
+#define FIRST_EVENT_KEEP 0.95   /* weight kept of older first-event times */
+#define FIRST_EVENT_USUAL_MS 80 /* before any is known */
+#define LATE_WAIT_MAX_MS                                                      \
+    400.0                    /* a longer wait past the objective: refused     \
+                              */
+#define RETRY_LEAST_MS 400.0 /* shortest Retry-After */
+#define RETRY_MOST_MS                                                         \
+    4000.0                     /* longest; callers wait a third of their time \
+                                */
+#define EJECTED_SHARE_MAX 0.34 /* of a service's servers */
 #define EJECT_OUTCOMES_LEAST 3.0 /* outcomes before a rate is believed */
 #define EJECT_RATE_OVER 0.25     /* failure rate above the service's mean */
 #define SILENT_FACTOR 5.0        /* times the usual wait */
@@ -299,8 +303,7 @@
 static int64_t
 get_retry_after(ps_scheduler_t *scheduler)
 {
-    double wait = 2.0 * scheduler->waiting.length /
-                  get_rate(scheduler);
+    double wait = 2.0 * scheduler->waiting.length / get_rate(scheduler);
     scheduler->random = scheduler->random * 1664525U + 1013904223U;
     double spread = 0.75 + 0.5 * (scheduler->random >> 8) / 16777216.0;
     return (int64_t)CLAMP((RETRY_LEAST_MS + wait) * spread, RETRY_LEAST_MS,
@@ -339,8 +342,8 @@
 {
     uint32_t rank = get_rank(scheduler, task, now_ms);
     double wait = PsScheduler_GetWait(scheduler, rank, now_ms);
-    double due = MAX((double)task->due_ms,
-                     (double)now_ms + scheduler->first_event_ms);
+    double due =
+        MAX((double)task->due_ms, (double)now_ms + scheduler->first_event_ms);
     return (double)now_ms + wait + scheduler->first_event_ms >
            due + LATE_WAIT_MAX_MS;
 }
@@ -540,8 +543,8 @@
         backend->unread_tokens =
             MAX(backend->unread_tokens - task->unread_tokens, 0.0);
         backend->first_samples++;
-        PsSpeed_AddStep(&backend->first,
-                        MAX(task->ahead_tokens, 1.0) / 1000.0, ms, 1.0);
+        PsSpeed_AddStep(&backend->first, MAX(task->ahead_tokens, 1.0) / 1000.0,
+                        ms, 1.0);
         if (task->is_generation) {
             scheduler->first_event_ms =
                 scheduler->first_event_ms * FIRST_EVENT_KEEP +
@@ -565,16 +568,16 @@
         usual = scheduler->hold_ms;
     }
     else if (task->first_ms == 0) {
-        usual = MAX(scheduler->first_event_ms,
-                    PsSpeed_GetStep(&backend->first,
-                                    task->ahead_tokens / 1000.0));
+        usual =
+            MAX(scheduler->first_event_ms,
+                PsSpeed_GetStep(&backend->first, task->ahead_tokens / 1000.0));
     }
     else {
         usual = PsSpeed_GetStep(&backend->pace, backend->running) *
                 EVENT_TOKENS_MOST;
     }
-    double most = CLAMP(usual * SILENT_FACTOR, SILENT_LEAST_MS,
-                        SILENT_MOST_MS);
+    double most =
+        CLAMP(usual * SILENT_FACTOR, SILENT_LEAST_MS, SILENT_MOST_MS);
     return (double)(now_ms - task->last_ms) > most;
 }
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -57,7 +57,8 @@
     int64_t first_ms; /* first event; 0: none yet */
     int64_t last_ms;  /* latest event */
     double unread_tokens;
-    double ahead_tokens; /* prompts in hand when it was sent, its own included */
+    double
+        ahead_tokens; /* prompts in hand when it was sent, its own included */
 } ps_task_t;
 
 /**
@@ -99,7 +100,7 @@
     GPtrArray *backends; /* ps_backend_t by name; listed ones */
     GQueue waiting;      /* ps_task_t, in order of arrival */
     int n_daemons;
-    int index;            /* this daemon's place among them */
+    int index; /* this daemon's place among them */
     ps_rank_rate_t rates[PS_RANKS_MAX];
     int n_rates;
     double hold_ms;        /* fading mean of times at a server */
--- a/src/settings.c
+++ b/src/settings.c
@@ -207,7 +207,8 @@
         *out <= (double)setting->most) {
         return NULL;
     }
-    g_snprintf(allowed, sizeof allowed, "allowed is a number from %lld to %lld",
+    g_snprintf(allowed, sizeof allowed,
+               "allowed is a number from %lld to %lld",
                (long long)setting->least, (long long)setting->most);
     return allowed;
 }
@@ -275,10 +276,11 @@
     char **keys = g_key_file_get_keys(file, group, NULL, NULL);
     ps_status_t status = PS_OK;
     if (!is_known_key(group, NULL, allowed)) {
-        status = PsStatus_Fail(PS_INVALID,
-                               "%s:%d: unknown section [%s]; allowed are "
-                               "daemon listen platform admin timing limits gateway",
-                               path, find_line(text, group, NULL), group);
+        status =
+            PsStatus_Fail(PS_INVALID,
+                          "%s:%d: unknown section [%s]; allowed are "
+                          "daemon listen platform admin timing limits gateway",
+                          path, find_line(text, group, NULL), group);
     }
     for (int i = 0; status == PS_OK && keys && keys[i]; i++) {
         if (!is_known_key(group, keys[i], allowed)) {
--- a/src/settings.h
+++ b/src/settings.h
@@ -17,16 +17,16 @@
 typedef struct ps_gateway_settings {
     ps_name_t ready_address;     /* [listen] ready */
     ps_name_t directory_address; /* [listen] directory */
-    double revoke_ms;            /* [gateway] revoke_ms, after a key's removal */
-    double grace_s;              /* [gateway] grace_s, of a graceful shutdown */
-    int64_t address_life_ms;     /* [gateway] address_life, of an answer */
-    double retry_ratio;          /* [gateway] retry_ratio, for each request */
-    double retry_window_s;       /* [gateway] retry_window, seconds */
-    double retry_slack;          /* [gateway] retry_slack, over all daemons */
-    double quota_window_s;       /* [gateway] quota_window, seconds */
-    double quota_overage;        /* [gateway] quota_overage, a share */
-    double quota_slack;          /* [gateway] quota_slack, units */
-    double cpu_share;            /* [gateway] cpu_share, of a core */
+    double revoke_ms;        /* [gateway] revoke_ms, after a key's removal */
+    double grace_s;          /* [gateway] grace_s, of a graceful shutdown */
+    int64_t address_life_ms; /* [gateway] address_life, of an answer */
+    double retry_ratio;      /* [gateway] retry_ratio, for each request */
+    double retry_window_s;   /* [gateway] retry_window, seconds */
+    double retry_slack;      /* [gateway] retry_slack, over all daemons */
+    double quota_window_s;   /* [gateway] quota_window, seconds */
+    double quota_overage;    /* [gateway] quota_overage, a share */
+    double quota_slack;      /* [gateway] quota_slack, units */
+    double cpu_share;        /* [gateway] cpu_share, of a core */
 } ps_gateway_settings_t;
 
 /**
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -8,24 +8,24 @@
 #include "events_log.h"
 #include "gateway.h"
 
-#define ROUND_LEAST_MS 40     /* between reports, few daemons */
-#define ROUND_MOST_MS 150     /* the same, many */
+#define ROUND_LEAST_MS 40       /* between reports, few daemons */
+#define ROUND_MOST_MS 150       /* the same, many */
 #define ROUND_PER_DAEMON_MS 1.2 /* keeps the allocator's load bounded */
-#define GRANT_FRESH_MS 400    /* without one for so long: even shares */
-#define RENEW_MS 300          /* without one: the link may have gone silent */
-#define GIVE_UP_MS 900        /* without one: the next candidate is asked */
-#define AVOID_MS 3000         /* it is not asked again before */
-#define SILENT_MS 700         /* a member without reports is taken for dead */
-#define DEAD_MS 3000          /* its registration is removed */
-#define PROOF_MOST_MS 2500    /* age of a proof; two reads have failed */
-#define PLAIN_FACTOR 2        /* a plain server may queue as many as it runs */
-#define PAUSE_MS 300          /* between turns of the loop: it was paused */
-#define WANTED_KEEP 0.95      /* of what was asked for, at each round */
-#define NEWS_TOLD_MS 600      /* changes of servers are told for some rounds */
-#define RECORD_PACE_MS 500    /* between records of what teams have spent */
-#define RECORDS_MAX 64        /* teams in one record */
-#define BANNED_MAX 64         /* contents named in one grant */
-#define DEATHS_BANNED 3       /* lost connections until a content is refused */
+#define GRANT_FRESH_MS 400      /* without one for so long: even shares */
+#define RENEW_MS 300       /* without one: the link may have gone silent */
+#define GIVE_UP_MS 900     /* without one: the next candidate is asked */
+#define AVOID_MS 3000      /* it is not asked again before */
+#define SILENT_MS 700      /* a member without reports is taken for dead */
+#define DEAD_MS 3000       /* its registration is removed */
+#define PROOF_MOST_MS 2500 /* age of a proof; two reads have failed */
+#define PLAIN_FACTOR 2     /* a plain server may queue as many as it runs */
+#define PAUSE_MS 300       /* between turns of the loop: it was paused */
+#define WANTED_KEEP 0.95   /* of what was asked for, at each round */
+#define NEWS_TOLD_MS 600   /* changes of servers are told for some rounds */
+#define RECORD_PACE_MS 500 /* between records of what teams have spent */
+#define RECORDS_MAX 64     /* teams in one record */
+#define BANNED_MAX 64      /* contents named in one grant */
+#define DEATHS_BANNED 3    /* lost connections until a content is refused */
 
 /* ---- Choice of the allocator ------------------------------------------ */
 
@@ -78,10 +78,9 @@
     PsEvents_Add("sharing.silent", "{s:s,s:I}", "allocator",
                  sharing->chosen.data, "last_grant_ms",
                  (json_int_t)(now_ms - sharing->granted_ms));
-    g_hash_table_replace(
-        sharing->avoided,
-        g_memdup2(&sharing->chosen, sizeof sharing->chosen),
-        g_memdup2(&until, sizeof until));
+    g_hash_table_replace(sharing->avoided,
+                         g_memdup2(&sharing->chosen, sizeof sharing->chosen),
+                         g_memdup2(&until, sizeof until));
     choose(sharing, now_ms);
 }
 
@@ -154,8 +153,8 @@
 static void
 add_team_uses(ps_sharing_t *sharing, Ps__ShareReport *report, int64_t now_ms)
 {
-    report->teams = g_new0(Ps__TeamUse *,
-                           g_hash_table_size(sharing->spending) + 1);
+    report->teams =
+        g_new0(Ps__TeamUse *, g_hash_table_size(sharing->spending) + 1);
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, sharing->spending);
@@ -183,8 +182,8 @@
     report.round = ++sharing->round;
     sharing->sent_ms[sharing->round % PS_SHARING_ROUNDS] = now_ms;
     report.leaving = gateway->is_leaving;
-    report.services = g_new0(Ps__ServiceUse *,
-                             g_hash_table_size(gateway->desks) + 1);
+    report.services =
+        g_new0(Ps__ServiceUse *, g_hash_table_size(gateway->desks) + 1);
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, gateway->desks);
@@ -217,8 +216,7 @@
             const Ps__ShareReport *report, int64_t now_ms)
 {
     ps_allocator_t *allocator = &sharing->allocator;
-    ps_reporter_t *reporter =
-        PsAllocator_Reporter(allocator, from, 0, now_ms);
+    ps_reporter_t *reporter = PsAllocator_Reporter(allocator, from, 0, now_ms);
     reporter->round = report->round;
     for (size_t i = 0; i < report->n_services; i++) {
         const Ps__ServiceUse *told = report->services[i];
@@ -237,10 +235,9 @@
     }
     for (size_t i = 0; i < report->n_teams; i++) {
         ps_name_t team = PsName_FromC(report->teams[i]->team);
-        PsAllocator_NoteSpent(allocator, reporter, &team,
-                              report->teams[i]->spent,
-                              report->teams[i]->wanted,
-                              report->teams[i]->total, now_ms);
+        PsAllocator_NoteSpent(
+            allocator, reporter, &team, report->teams[i]->spent,
+            report->teams[i]->wanted, report->teams[i]->total, now_ms);
     }
     for (size_t i = 0; i < report->n_suspects; i++) {
         PsSuspects_AddDeath(&sharing->gateway->suspects, report->suspects[i],
@@ -295,8 +292,8 @@
 static void
 add_service_grants(Ps__ShareGrant *grant, ps_reporter_t *reporter)
 {
-    grant->services = g_new0(Ps__ServiceGrant *,
-                             g_hash_table_size(reporter->services) + 1);
+    grant->services =
+        g_new0(Ps__ServiceGrant *, g_hash_table_size(reporter->services) + 1);
     GHashTableIter each;
     gpointer key;
     gpointer value;
@@ -317,8 +314,7 @@
     gpointer value;
     g_hash_table_iter_init(&each, reporter->teams);
     while (g_hash_table_iter_next(&each, &key, &value)) {
-        const ps_quota_t *pooled =
-            g_hash_table_lookup(allocator->pooled, key);
+        const ps_quota_t *pooled = g_hash_table_lookup(allocator->pooled, key);
         if (!pooled || pooled->limit <= 0) {
             continue;
         }
@@ -384,7 +380,8 @@
 {
     grant->member_news = g_new0(Ps__MemberNews *, all->len + 1);
     for (guint i = 0; i < all->len; i++) {
-        const ps_member_news_t *each = &g_array_index(all, ps_member_news_t, i);
+        const ps_member_news_t *each =
+            &g_array_index(all, ps_member_news_t, i);
         if (PsClock_Now() - each->at_ms <= NEWS_TOLD_MS) {
             grant->member_news[grant->n_member_news++] =
                 make_member_news(each);
@@ -405,7 +402,8 @@
     const GArray *all = gateway->server_news;
     grant->news = g_new0(Ps__ServerNews *, all->len + 1);
     for (guint i = 0; i < all->len; i++) {
-        const ps_server_news_t *each = &g_array_index(all, ps_server_news_t, i);
+        const ps_server_news_t *each =
+            &g_array_index(all, ps_server_news_t, i);
         if (PsClock_Now() - each->at_ms <= NEWS_TOLD_MS) {
             grant->news[grant->n_news++] = make_news(each);
         }
@@ -481,8 +479,8 @@
     g_hash_table_iter_init(&each, sharing->gateway->members);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         ps_daemon_info_t *member = value;
-        const ps_reporter_t *reporter = g_hash_table_lookup(
-            sharing->allocator.reporters, &member->name);
+        const ps_reporter_t *reporter =
+            g_hash_table_lookup(sharing->allocator.reporters, &member->name);
         int64_t heard_ms = MAX(reporter ? reporter->reported_ms : 0,
                                MAX(member->joined_ms, sharing->chosen_ms));
         if (now_ms - heard_ms > SILENT_MS) {
@@ -490,9 +488,8 @@
         }
         if (now_ms - heard_ms > DEAD_MS && !member->is_removed) {
             member->is_removed = true;
-            PsEvents_Add("member.dead", "{s:s,s:I}", "name",
-                         member->name.data, "silent_ms",
-                         (json_int_t)(now_ms - heard_ms));
+            PsEvents_Add("member.dead", "{s:s,s:I}", "name", member->name.data,
+                         "silent_ms", (json_int_t)(now_ms - heard_ms));
             sharing->gateway->store->remove_member(sharing->gateway->store,
                                                    member);
         }
@@ -596,11 +593,10 @@
     }
     // The grant was made after the report that it answers was sent.
     int64_t sent_ms = sharing->sent_ms[grant->round % PS_SHARING_ROUNDS];
-    ps_proof_t proof = {
-        .version = grant->config_version,
-        .proven_ms = sent_ms - (int64_t)grant->config_age_ms,
-        .servers_hash = grant->servers_hash,
-        .members_hash = grant->members_hash};
+    ps_proof_t proof = {.version = grant->config_version,
+                        .proven_ms = sent_ms - (int64_t)grant->config_age_ms,
+                        .servers_hash = grant->servers_hash,
+                        .members_hash = grant->members_hash};
     PsGateway_TakeProof(sharing->gateway, &proof, now_ms);
 }
 
@@ -706,8 +702,7 @@
 static void
 watch_chosen(ps_sharing_t *sharing, int64_t now_ms)
 {
-    int64_t waited_ms =
-        now_ms - MAX(sharing->granted_ms, sharing->chosen_ms);
+    int64_t waited_ms = now_ms - MAX(sharing->granted_ms, sharing->chosen_ms);
     if (now_ms - sharing->granted_ms > GRANT_FRESH_MS) {
         use_even_shares(sharing, now_ms);
     }
@@ -803,8 +798,7 @@
         int n = (int)g_hash_table_size(sharing->gateway->members);
         return PsQuota_TakeEven(quota, units, n, now_ms);
     }
-    double left =
-        spending->granted - (quota->total - spending->granted_from);
+    double left = spending->granted - (quota->total - spending->granted_from);
     if (left > 0) {
         PsQuota_Charge(quota, units, now_ms);
     }
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -22,9 +22,9 @@
  */
 typedef struct ps_spending {
     ps_name_t team;
-    double wanted;  /* fading sum of units asked for */
+    double wanted;                      /* fading sum of units asked for */
     double reported[PS_SHARING_ROUNDS]; /* total spent, at each round */
-    double granted; /* may be spent beyond @granted_from */
+    double granted;                     /* may be spent beyond @granted_from */
     double granted_from;
     int64_t granted_ms; /* 0: never */
 } ps_spending_t;
@@ -36,20 +36,20 @@
     struct ps_gateway *gateway;
     ps_peers_t peers;
     ps_allocator_t allocator;
-    ps_name_t chosen;       /* the allocator; may be this daemon */
+    ps_name_t chosen; /* the allocator; may be this daemon */
     int64_t chosen_ms;
-    int64_t granted_ms;     /* last grant; 0: never */
-    int64_t renewed_ms;     /* its links were dialled anew */
+    int64_t granted_ms; /* last grant; 0: never */
+    int64_t renewed_ms; /* its links were dialled anew */
     uint64_t round;
     int64_t sent_ms[PS_SHARING_ROUNDS]; /* reports of the last rounds */
-    int64_t run_ms;         /* last turn of the loop */
+    int64_t run_ms;                     /* last turn of the loop */
     int64_t next_round_ms;
     int64_t next_record_ms;
-    GHashTable *avoided;    /* name to the time until which it is avoided */
-    GHashTable *silent;     /* names of members that do not report */
-    GHashTable *spending;   /* team to ps_spending_t */
-    GArray *suspects;       /* uint64_t, to be reported */
-    bool is_even;           /* even shares are in use */
+    GHashTable *avoided;  /* name to the time until which it is avoided */
+    GHashTable *silent;   /* names of members that do not report */
+    GHashTable *spending; /* team to ps_spending_t */
+    GArray *suspects;     /* uint64_t, to be reported */
+    bool is_even;         /* even shares are in use */
     uint64_t grants;
 } ps_sharing_t;
 
@@ -66,7 +66,8 @@
  * PsSharing_Run() - Reports, divides and falls back as due; call each tick.
  */
 void PsSharing_Run(ps_sharing_t *sharing, int64_t now_ms);
-void PsSharing_MemberChanged(ps_sharing_t *sharing, const ps_daemon_info_t *member);
+void PsSharing_MemberChanged(ps_sharing_t *sharing,
+                             const ps_daemon_info_t *member);
 bool PsSharing_IsSilent(const ps_sharing_t *sharing, const ps_name_t *member);
 
 /**
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -89,12 +89,12 @@
     (void)user;
     char *path = g_strdup_printf("/pearstair/objects/servers/%s", own_name);
     for (;;) {
-        json_t *object = json_pack(
-            "{s:{s:s}, s:{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I}}",
-            "metadata", "name", own_name, "spec", "service", service,
-            "address", address, "zone", "z1", "version", "v1", "slots", slots,
-            "state", leaving ? "draining" : "ready", "coldLeftMs", 0, "born",
-            (json_int_t)born);
+        json_t *object =
+            json_pack("{s:{s:s}, s:{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I}}",
+                      "metadata", "name", own_name, "spec", "service", service,
+                      "address", address, "zone", "z1", "version", "v1",
+                      "slots", slots, "state", leaving ? "draining" : "ready",
+                      "coldLeftMs", 0, "born", (json_int_t)born);
         char *text = json_dumps(object, JSON_COMPACT);
         json_decref(object);
         if (call_store("PUT", path, text) == 404) {
@@ -192,8 +192,8 @@
                              "Response-Stamp", proof, NULL};
     enum MHD_Result result = MHD_NO;
     if (!draw(cut)) {
-        result = Standin_Send(request, draw(errors) ? 500 : 200, text,
-                              headers);
+        result =
+            Standin_Send(request, draw(errors) ? 500 : 200, text, headers);
     }
     g_free(text);
     g_free(proof);
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -26,7 +26,7 @@
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
-static GTree *objects; /* "kind/name" to json_t */
+static GTree *objects;      /* "kind/name" to json_t */
 static GHashTable *touched; /* the same to the time of the last write */
 static GQueue changes;
 static int64_t revision = 1;
@@ -43,8 +43,8 @@
     change_t *change = g_new0(change_t, 1);
     change->kind = g_strdup(kind);
     change->revision = revision;
-    change->event = json_pack("{s:O, s:b}", "object", object, "deleted",
-                              (int)is_deleted);
+    change->event =
+        json_pack("{s:O, s:b}", "object", object, "deleted", (int)is_deleted);
     g_queue_push_tail(&changes, change);
     if (changes.length > LOG_MAX) {
         change_t *old = g_queue_pop_head(&changes);
@@ -70,11 +70,11 @@
     const json_t *created =
         json_object_get(json_object_get(old, "metadata"), "created");
     revision++;
-    return json_pack(
-        "{s:{s:s, s:I, s:I, s:[], s:b}, s:O, s:n}", "metadata", "name", name,
-        "revision", (json_int_t)revision, "created",
-        created ? json_integer_value(created) : (json_int_t)revision,
-        "finalizers", "deleting", 0, "spec", spec, "status");
+    return json_pack("{s:{s:s, s:I, s:I, s:[], s:b}, s:O, s:n}", "metadata",
+                     "name", name, "revision", (json_int_t)revision, "created",
+                     created ? json_integer_value(created)
+                             : (json_int_t)revision,
+                     "finalizers", "deleting", 0, "spec", spec, "status");
 }
 
 static void
@@ -93,8 +93,7 @@
 static enum MHD_Result
 send_object(standin_request_t *request, unsigned status, const json_t *object)
 {
-    return Standin_SendJson(request, status,
-                            json_dumps(object, JSON_COMPACT));
+    return Standin_SendJson(request, status, json_dumps(object, JSON_COMPACT));
 }
 
 // Puts a new spec; the same spec makes no change.
@@ -273,8 +272,8 @@
     }
     else if (strcmp(request->method, "DELETE") == 0 && object) {
         int64_t expected = Standin_Number(request, "revision", 0);
-        int64_t actual = json_integer_value(json_object_get(
-            json_object_get(object, "metadata"), "revision"));
+        int64_t actual = json_integer_value(
+            json_object_get(json_object_get(object, "metadata"), "revision"));
         if (expected != 0 && expected != actual) {
             result = send_object(request, 409, object);
         }
