A leaving allocator names itself gone; rounds of 20 ms

Its grants now say that it leaves: others turn to the next candidate and drop it from the addresses. gw_allocator fails without it ('gave up: unlisted').

--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -3517,7 +3517,7 @@
   (ProtobufCMessageInit) ps__member_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[12] =
 {
   {
     "round",
@@ -3651,11 +3651,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareGrant, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_grant__field_indices_by_name[] = {
   4,   /* field[4] = banned */
   6,   /* field[6] = config_age_ms */
   5,   /* field[5] = config_version */
+  11,   /* field[11] = leaving */
   10,   /* field[10] = member_news */
   8,   /* field[8] = members_hash */
   9,   /* field[9] = news */
@@ -3668,7 +3681,7 @@
 static const ProtobufCIntRange ps__share_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ps__share_grant__descriptor =
 {
@@ -3678,7 +3691,7 @@
   "Ps__ShareGrant",
   "ps",
   sizeof(Ps__ShareGrant),
-  11,
+  12,
   ps__share_grant__field_descriptors,
   ps__share_grant__field_indices_by_name,
   1,  ps__share_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -606,10 +606,14 @@
    */
   size_t n_member_news;
   Ps__MemberNews **member_news;
+  /*
+   * another daemon is to divide from now on
+   */
+  protobuf_c_boolean leaving;
 };
 #define PS__SHARE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_grant__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Ps__Frame methods */
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -8,7 +8,7 @@
 #include "events_log.h"
 #include "gateway.h"
 
-#define ROUND_LEAST_MS 40       /* between reports, few daemons */
+#define ROUND_LEAST_MS 20       /* between reports, few daemons */
 #define ROUND_MOST_MS 150       /* the same, many */
 #define ROUND_PER_DAEMON_MS 1.2 /* keeps the allocator's load bounded */
 #define GRANT_FRESH_MS 400      /* without one for so long: even shares */
@@ -422,6 +422,7 @@
     grant.n_silent = n_silent;
     grant.banned = banned;
     grant.n_banned = n_banned;
+    grant.leaving = sharing->gateway->is_leaving;
     add_news(sharing, &grant);
     Ps__Frame frame = PS__FRAME__INIT;
     frame.body_case = PS__FRAME__BODY_SHARE_GRANT;
@@ -600,6 +601,21 @@
     PsGateway_TakeProof(sharing->gateway, &proof, now_ms);
 }
 
+// The allocator is leaving: nothing is sent to it any more, and the next
+// candidate divides.
+static void
+leave_allocator(ps_sharing_t *sharing, int64_t now_ms)
+{
+    ps_name_t name = sharing->chosen;
+    avoid_chosen(sharing, now_ms);
+    const ps_daemon_info_t *info =
+        g_hash_table_lookup(sharing->gateway->members, &name);
+    if (info && !PsName_IsEqual(&name, &sharing->gateway->self.name)) {
+        ps_daemon_info_t gone = *info;
+        PsGateway_TakeMemberNews(sharing->gateway, &gone, true);
+    }
+}
+
 static void
 take_grant(ps_sharing_t *sharing, const Ps__ShareGrant *grant, int64_t now_ms)
 {
@@ -613,6 +629,10 @@
     sharing->is_even = false;
     sharing->granted_ms = now_ms;
     take_news(sharing, grant, now_ms);
+    if (grant->leaving) {
+        leave_allocator(sharing, now_ms);
+        return;
+    }
     // An allocator that cannot read the store gives way to one that can.
     int64_t own_age_ms = now_ms - sharing->gateway->catalog_proven_ms;
     if (grant->config_age_ms > PROOF_MOST_MS && own_age_ms < PROOF_MOST_MS) {
--- a/tests/runs/gw_allocator.sh
+++ b/tests/runs/gw_allocator.sh
@@ -20,3 +20,16 @@
 rig_until 6 all && echo "all are registered"
 sleep 1
 echo "after it: $(good "$other" c)"
+# Long enough for rare reads of the store; the entry ends waiting watches.
+sleep 3
+curl -sf -X POST -d '{"metadata":{"name":"x"},"spec":{}}' "http://$(gw_store)/pearstair/objects/pearstair-members" > /dev/null
+sleep 1
+for i in 1 2 3; do
+    third=$(grep -h '"sharing.allocator"' "$RIG_DIR/d$i.log" | tail -1 | jq -r .name)
+    [ "$third" = "d$i" ] || other=$i
+done
+last=$((6 - other - ${third#d}))
+rig_kill "$third" TERM
+unlisted() { ! { gw_addresses "$other"; gw_addresses "$last"; } | grep -q "$(gw_caller "${third#d}")"; }
+rig_until 1 unlisted && echo "a leaving allocator is absent from all addresses within a second"
+echo "while it leaves: $(good "$other" d)"
