--- a/src/gateway.c
+++ b/src/gateway.c
@@ -278,7 +278,9 @@
                  told->address.data, "slots", told->slots, "leaving",
                  (int)told->is_leaving, "new", (int)is_new, "started_ms",
                  (json_int_t)told->started_ms);
-    keep_news(gateway, told, false);
+    if (is_new || told->is_leaving) {
+        keep_news(gateway, told, false);
+    }
     ps_service_desk_t *desk = PsGateway_GetDesk(gateway, &told->service);
     PsScheduler_List(&desk->scheduler, backend);
     PsScheduler_Run(&desk->scheduler, PsClock_Now());
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -21,7 +21,7 @@
 #define PLAIN_FACTOR 2     /* a plain server may queue as many as it runs */
 #define PAUSE_MS 300       /* between turns of the loop: it was paused */
 #define WANTED_KEEP 0.95   /* of what was asked for, at each round */
-#define NEWS_TOLD_MS 600   /* changes of servers are told for some rounds */
+#define NEWS_TOLD_MS 250   /* changes of servers are told for some rounds */
 #define RECORD_PACE_MS 500 /* between records of what teams have spent */
 #define RECORDS_MAX 64     /* teams in one record */
 #define BANNED_MAX 64      /* contents named in one grant */
