Serve latency histograms on the metrics address

Waits before the first send, first events and whole requests, with fixed bounds so that daemons add up. Debian has no C library of histograms (only Go and Java ones), so the buckets are our own.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -48,9 +48,11 @@
 }
 
 static void
-log_end(const ps_exchange_t *exchange, int status, const char *outcome,
+log_end(ps_exchange_t *exchange, int status, const char *outcome,
         const char *reason)
 {
+    PsHistogram_Add(&exchange->gateway->stats.totals,
+                    (double)(PsClock_Now() - exchange->arrived_ms));
     PsEvents_Add("request.end", "{s:s,s:i,s:s,s:s,s:i,s:I,s:i}", "id",
                  exchange->inbound.request_id.data, "status", status,
                  "outcome", outcome, "reason", reason, "sends",
@@ -199,6 +201,10 @@
                        "API keys not confirmed lately");
         return;
     }
+    if (exchange->sends == 0) {
+        PsHistogram_Add(&exchange->gateway->stats.waits,
+                        (double)(now_ms - task->arrived_ms));
+    }
     send_now(exchange, now_ms);
 }
 
@@ -271,7 +277,10 @@
     while ((end = find_event_end(data, done)) > 0) {
         ps_str_t event = {data.data + done, end - done};
         read_event_id(event, &exchange->last_event);
-        exchange->events++;
+        if (exchange->events++ == 0) {
+            PsHistogram_Add(&exchange->gateway->stats.firsts,
+                            (double)(now_ms - exchange->arrived_ms));
+        }
         PsScheduler_NoteEvent(&exchange->desk->scheduler, &exchange->task,
                               exchange->desk->tokens_per_event, now_ms);
         done = end;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -346,6 +346,15 @@
     print_count(&out, "pearstair_log_dropped_total",
                 (double)PsEvents_GetDropped());
     print_count(&out, "pearstair_in_progress", gateway->exchanges.length);
+    double proof_ms = (double)(PsClock_Now() - gateway->catalog_proven_ms);
+    print_count(&out, "pearstair_config_proof_age_milliseconds", proof_ms);
+    print_count(&out, "pearstair_even_shares", gateway->sharing.is_even);
+    print_count(&out, "pearstair_members",
+                g_hash_table_size(gateway->members));
+    PsHistogram_Print(&stats->waits, "pearstair_wait_milliseconds", &out);
+    PsHistogram_Print(&stats->firsts, "pearstair_first_event_milliseconds",
+                      &out);
+    PsHistogram_Print(&stats->totals, "pearstair_request_milliseconds", &out);
     PsHttpRequest_Prepare(request, 200, "text/plain; version=0.0.4", false);
     PsHttpRequest_Send(request, PsBuf_View(&out));
     PsBuf_Finish(&out);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -13,6 +13,7 @@
 #include "catalog.h"
 #include "dialect.h"
 #include "feed.h"
+#include "histogram.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "quota.h"
@@ -36,7 +37,7 @@
 } ps_service_desk_t;
 
 /**
- * struct ps_gateway_stats - Counts since the start.
+ * struct ps_gateway_stats - Counts and latencies since the start.
  */
 typedef struct ps_gateway_stats {
     uint64_t requests;
@@ -46,6 +47,9 @@
     uint64_t left;     /* callers that closed their connections before */
     uint64_t sends;
     uint64_t repeats;
+    ps_histogram_t waits;  /* from arrival to the first send */
+    ps_histogram_t firsts; /* from arrival to a stream's first event */
+    ps_histogram_t totals; /* from arrival to the end */
 } ps_gateway_stats_t;
 
 /**
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -11,6 +11,7 @@
 extern "C" {
 #include "allocator.h"
 #include "catalog.h"
+#include "histogram.h"
 #include "quota.h"
 #include "retry_budget.h"
 #include "roster.h"
@@ -696,3 +697,25 @@
     EXPECT_EQ(before->running, 0);
     EXPECT_FALSE(PsScheduler_IsSilent(&world.core, &task, world.now + 100));
 }
+
+/* ---- Histograms ------------------------------------------------------- */
+
+TEST(Histogram, BucketsAreCumulative)
+{
+    ps_histogram_t histogram = {};
+    for (double ms : {0.5, 1.0, 1.5, 400.0, 20000.0, -3.0}) {
+        PsHistogram_Add(&histogram, ms);
+    }
+    ps_buf_t out;
+    PsBuf_Init(&out);
+    PsHistogram_Print(&histogram, "x", &out);
+    std::string text(out.data, out.len);
+    for (const char *line :
+         {"x_bucket{le=\"1\"} 3\n", "x_bucket{le=\"2\"} 4\n",
+          "x_bucket{le=\"300\"} 4\n", "x_bucket{le=\"500\"} 5\n",
+          "x_bucket{le=\"15000\"} 5\n", "x_bucket{le=\"+Inf\"} 6\n",
+          "x_sum 20403\n", "x_count 6\n"}) {
+        EXPECT_NE(text.find(line), std::string::npos) << line << text;
+    }
+    PsBuf_Finish(&out);
+}
