--- a/src/gateway.c
+++ b/src/gateway.c
@@ -9,7 +9,7 @@
 #include "events_log.h"
 #include "exchange.h"
 
-#define TICK_S 0.01  /* looks for what is due */
+#define TICK_S 0.01 /* looks for what is due */
 #define CALLER_BODY_MAX                                                       \
     (8 * 1024 * 1024)         /* bytes; the configuration has less */
 #define KEY_MARGIN_MS 400     /* kept free of the time a key lives on */
--- a/src/histogram.h
+++ b/src/histogram.h
@@ -10,7 +10,9 @@
 
 #include "str.h"
 
-#define PS_HISTOGRAM_BOUNDS 14 /* finite ones; one more bucket has the rest */
+#define PS_HISTOGRAM_BOUNDS                                                   \
+    14 /* finite ones; one more bucket has the rest                           \
+        */
 
 /**
  * struct ps_histogram - Observed latencies.
