--- a/src/settings.c
+++ b/src/settings.c
@@ -316,7 +316,15 @@
          i++) {
         status = load_one(settings, &setting_table[i], file, path, text);
     }
+    bool has_gateway = g_key_file_has_key(file, "listen", "ready", NULL) &&
+                       g_key_file_has_key(file, "listen", "directory", NULL);
     settings->is_gateway = PsName_IsEqualC(&settings->mode, "gateway");
+    if (status == PS_OK && settings->is_gateway && !has_gateway) {
+        status = PsStatus_Fail(PS_INVALID,
+                               "%s: section [listen]: keys 'ready' and "
+                               "'directory' are needed in gateway mode",
+                               path);
+    }
     if (status == PS_OK && settings->lease_ms < 2 * settings->renew_ms) {
         status = PsStatus_Fail(PS_INVALID,
                                "%s:%d: [timing] lease must be at least twice "
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -47,7 +47,7 @@
         [ "$name" = lib ] && continue
         names+=("$name")
         timeout 240 tests/run_one.sh "$name" "$port" > "$work/$name.out" 2> "$work/$name.err" &
-        port=$((port + 1000))
+        port=$((port + 700)) # all below the ports of outgoing connections
         [ "$(jobs -rp | wc -l)" -lt 4 ] || wait -n
     done
     wait
@@ -61,5 +61,14 @@
     done
 fi
 
+if [ -z "${CHECK_NO_RUNS:-}" ] && [ -x "${RIG_BUILD:-build}/soak-proxy" ]; then
+    if SOAK_SECONDS=6 RIG_PORT=17000 SOAK_LOGS="$work" timeout 120 soak/run 1 > "$work/soak.out" 2>&1; then
+        count soak/seed-1 1
+    else
+        count soak/seed-1 0
+        cat "$work/soak.out"
+    fi
+fi
+
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/tests/test_tables.cpp
+++ b/tests/test_tables.cpp
@@ -75,7 +75,18 @@
          "open_requests"},
         {good + "[extra]\nx = 1\n",
          ":12: unknown section [extra]; allowed are daemon listen platform "
-         "admin timing limits"},
+         "admin timing limits gateway"},
+        {good + "[gateway]\nretry_ratio = 0.25\n", ""},
+        {good + "[gateway]\nretry_ratio = lots\n",
+         ":13: [gateway] retry_ratio = 'lots': allowed is a number from 0 to "
+         "10"},
+        {good + "[gateway]\ngrace_s = -1\n",
+         ":13: [gateway] grace_s = '-1': allowed is a number from 0 to 3600"},
+        {Replace(good, "name = d1", "mode = proxy\nname = d1"),
+         ":2: [daemon] mode = 'proxy': a mode is pools or gateway"},
+        {Replace(good, "name = d1", "mode = gateway\nname = d1"),
+         ": section [listen]: keys 'ready' and 'directory' are needed in "
+         "gateway mode"},
         {Replace(good, "domain = a\n", ""),
          ": section [daemon]: key 'domain' missing"},
         {Replace(good, "caller = 127.0.0.1:1", "caller = localhost:1"),
