Split the allocator's side out of sharing; drop unused fields

Behaviour as before but for one: the configuration's limit of a body's size is applied. The sanitizers found a use after free in the scheduler test's own clean-up; mended there.

--- a/src/backend.h
+++ b/src/backend.h
@@ -43,9 +43,8 @@
     int64_t heard_ms;     /* last sign of work */
     int64_t started_ms;   /* last request was sent to it then */
     /* speeds */
-    ps_speed_t first; /* first event, ms over thousands of prompt tokens */
-    ps_speed_t pace;  /* ms between output tokens, by own requests */
-    int first_samples;
+    ps_speed_t first;  /* first event, ms over thousands of prompt tokens */
+    ps_speed_t pace;   /* ms between output tokens, by own requests */
     GHashTable *parts; /* prompt part to the time of its last use */
     /* health */
     double outcomes; /* fading count */
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -48,7 +48,6 @@
     int64_t timeout_ms; /* longest time for the whole answer */
     int64_t
         latency_ms; /* objective: whole answer, or a stream's first event */
-    int64_t interval_ms; /* objective: longest pause between events */
 } ps_route_t;
 
 /**
@@ -57,8 +56,6 @@
 typedef struct ps_service {
     ps_name_t name;
     bool is_engine;       /* model engines with batches */
-    int connections_max;  /* for each backend server, from all daemons */
-    int64_t tokens_max;   /* engine's memory for tokens; 0: not an engine */
     int tokens_per_event; /* of a stream; 0: not an engine */
 } ps_service_t;
 
@@ -78,9 +75,7 @@
  * struct ps_caller_limits - What callers may send, and how slowly.
  */
 typedef struct ps_caller_limits {
-    int64_t head_bytes;
     int64_t body_bytes;
-    int64_t head_ms;
     int64_t idle_ms;
 } ps_caller_limits_t;
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -17,8 +17,7 @@
 #define IDLE_REPEAT_S 3     /* the same, where a repeat is allowed */
 #define BODY_MAX (16 * 1024 * 1024) /* bytes of a whole answer */
 #define EVENT_MAX (1024 * 1024)     /* bytes of one event */
-#define RETRY_REJECTED_MS 300 /* servers that reject are full for a moment */
-#define DEATHS_BANNED 3       /* lost connections until a content is refused */
+#define RETRY_REJECTED_MS 300   /* servers that reject are full for a moment */
 #define RETRY_OVER_QUOTA_MS 200 /* the next rounds grant more */
 #define OUTPUT_SHARE 0.3        /* of the most output tokens, without a hint */
 
@@ -151,7 +150,6 @@
     static const ps_transfer_events_t events = {on_head, on_data, on_done};
     const ps_backend_t *backend = exchange->task.backend;
     exchange->has_head = false;
-    exchange->must_stop = false;
     exchange->sends++;
     exchange->gateway->stats.sends++;
     PsBuf_Clear(&exchange->body);
@@ -552,10 +550,8 @@
     }
     exchange->catalog = PsCatalog_Ref(gateway->catalog);
     const char *host = PsHttpRequest_GetHeader(request, "Host");
-    ps_name_t path = PsHttpRequest_GetPath(request);
     ps_str_t whole = PsBuf_View(&request->path);
     ps_str_t view = {whole.data, strcspn(whole.data, "?")};
-    (void)path;
     exchange->route =
         PsCatalog_FindRoute(exchange->catalog, host ? host : "", view);
     if (!exchange->route) {
@@ -643,7 +639,7 @@
     exchange->last_event = exchange->inbound.last_event;
     exchange->content_hash = hash_content(exchange);
     if (PsSuspects_GetDeaths(&gateway->suspects, exchange->content_hash,
-                             now_ms) >= DEATHS_BANNED) {
+                             now_ms) >= PS_DEATHS_BANNED) {
         answer_not_run(exchange, 503, 0, "content was in flight at crashes");
         return;
     }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -28,13 +28,11 @@
     double quota_units;  /* spent */
     ps_transfer_t transfer;
     bool is_transferring;
-    bool is_never_sent; /* no byte has reached a server so far */
-    bool was_run;       /* a server may have run it */
+    bool was_run; /* a server may have run it */
     int sends;
     ps_verdict_t verdict;
     bool has_head;        /* of the current transfer */
     bool is_relaying;     /* the stream's head has gone to the caller */
-    bool must_stop;       /* the transfer is to be ended from the loop */
     ps_buf_t body;        /* whole answer, or an event in progress */
     ps_name_t last_event; /* last event relayed */
     uint32_t events;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -9,9 +9,8 @@
 #include "events_log.h"
 #include "exchange.h"
 
-#define TICK_S 0.01 /* looks for what is due */
-#define CALLER_BODY_MAX                                                       \
-    (8 * 1024 * 1024)         /* bytes; the configuration has less */
+#define TICK_S 0.01                       /* looks for what is due */
+#define CALLER_BODY_MAX (8 * 1024 * 1024) /* bytes, at first */
 #define KEY_MARGIN_MS 400     /* kept free of the time a key lives on */
 #define DIFFER_MS 120         /* longer than a change takes to reach all */
 #define READY_SHARE 0.6       /* of the time that a key lives on */
@@ -26,7 +25,8 @@
 #define TAKE_SHARE 0.3        /* of the grace, in which requests are taken */
 #define OPEN_LINGER_SHARE 0.7 /* of the grace, for connections kept open */
 
-/* ---- Members ---------------------------------------------------------- */
+/* ---- Members ----------------------------------------------------------
+ */
 
 static gint
 compare_names(gconstpointer left, gconstpointer right)
@@ -108,6 +108,9 @@
         desk->tokens_per_event = service->tokens_per_event;
     }
     PsHttpServer_SetIdle(&gateway->callers, catalog->limits.idle_ms);
+    if (catalog->limits.body_bytes > 0) {
+        gateway->callers.body_max = (size_t)catalog->limits.body_bytes;
+    }
     set_shares(gateway);
     set_quotas(gateway);
 }
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -542,7 +542,6 @@
         task->first_ms = now_ms;
         backend->unread_tokens =
             MAX(backend->unread_tokens - task->unread_tokens, 0.0);
-        backend->first_samples++;
         PsSpeed_AddStep(&backend->first, MAX(task->ahead_tokens, 1.0) / 1000.0,
                         ms, 1.0);
         if (task->is_generation) {
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "clock.h"
+#include "dividing.h"
 #include "events_log.h"
 #include "gateway.h"
 
@@ -15,17 +16,9 @@
 #define RENEW_MS 300       /* without one: the link may have gone silent */
 #define GIVE_UP_MS 900     /* without one: the next candidate is asked */
 #define AVOID_MS 3000      /* it is not asked again before */
-#define SILENT_MS 700      /* a member without reports is taken for dead */
-#define DEAD_MS 3000       /* its registration is removed */
 #define PROOF_MOST_MS 2500 /* age of a proof; two reads have failed */
-#define PLAIN_FACTOR 2     /* a plain server may queue as many as it runs */
 #define PAUSE_MS 300       /* between turns of the loop: it was paused */
 #define WANTED_KEEP 0.95   /* of what was asked for, at each round */
-#define NEWS_TOLD_MS 250   /* changes of servers are told for some rounds */
-#define RECORD_PACE_MS 500 /* between records of what teams have spent */
-#define RECORDS_MAX 64     /* teams in one record */
-#define BANNED_MAX 64      /* contents named in one grant */
-#define DEATHS_BANNED 3    /* lost connections until a content is refused */
 
 /* ---- Choice of the allocator ------------------------------------------ */
 
@@ -86,8 +79,8 @@
 
 /* ---- Reports ---------------------------------------------------------- */
 
-static uint32_t
-hash_server(const ps_backend_t *backend)
+uint32_t
+PsSharing_HashServer(const ps_backend_t *backend)
 {
     return XXH32(backend->told.name.data, backend->told.name.len, 0);
 }
@@ -117,7 +110,7 @@
         if (backend->running > 0) {
             Ps__ServerCount *count = g_new(Ps__ServerCount, 1);
             ps__server_count__init(count);
-            count->server = hash_server(backend);
+            count->server = PsSharing_HashServer(backend);
             count->count = (uint32_t)backend->running;
             use->running[use->n_running++] = count;
         }
@@ -209,340 +202,6 @@
     g_free(report.teams);
 }
 
-/* ---- The allocator's side --------------------------------------------- */
-
-static void
-take_report(ps_sharing_t *sharing, const ps_name_t *from,
-            const Ps__ShareReport *report, int64_t now_ms)
-{
-    ps_allocator_t *allocator = &sharing->allocator;
-    ps_reporter_t *reporter = PsAllocator_Reporter(allocator, from, 0, now_ms);
-    reporter->round = report->round;
-    for (size_t i = 0; i < report->n_services; i++) {
-        const Ps__ServiceUse *told = report->services[i];
-        ps_name_t service = PsName_FromC(told->service);
-        ps_service_use_t *use = PsReporter_GetService(reporter, &service);
-        for (size_t k = 0; k < told->n_running; k++) {
-            ps_slot_count_t count = {told->running[k]->server,
-                                     (int)told->running[k]->count};
-            g_array_append_val(use->running, count);
-        }
-        for (size_t k = 0; k < told->n_waiting; k++) {
-            ps_waiting_count_t count = {told->waiting[k]->rank,
-                                        (int)told->waiting[k]->count};
-            g_array_append_val(use->waiting, count);
-        }
-    }
-    for (size_t i = 0; i < report->n_teams; i++) {
-        ps_name_t team = PsName_FromC(report->teams[i]->team);
-        PsAllocator_NoteSpent(
-            allocator, reporter, &team, report->teams[i]->spent,
-            report->teams[i]->wanted, report->teams[i]->total, now_ms);
-    }
-    for (size_t i = 0; i < report->n_suspects; i++) {
-        PsSuspects_AddDeath(&sharing->gateway->suspects, report->suspects[i],
-                            now_ms);
-    }
-    if (report->leaving) {
-        reporter->is_leaving = true;
-    }
-}
-
-static void
-divide_service(ps_sharing_t *sharing, const ps_service_desk_t *desk,
-               int64_t now_ms)
-{
-    const GPtrArray *backends = desk->scheduler.backends;
-    ps_slot_count_t *slots = g_new0(ps_slot_count_t, backends->len + 1);
-    int n = 0;
-    for (guint i = 0; i < backends->len; i++) {
-        const ps_backend_t *backend = backends->pdata[i];
-        if (!backend->told.is_leaving) {
-            slots[n].server = hash_server(backend);
-            slots[n++].count = desk->scheduler.is_engine
-                                   ? backend->told.slots
-                                   : backend->told.slots * PLAIN_FACTOR;
-        }
-    }
-    int members = (int)g_hash_table_size(sharing->gateway->members);
-    PsAllocator_DivideSlots(&sharing->allocator, &desk->name, slots, n,
-                            members, now_ms);
-    g_free(slots);
-}
-
-static Ps__ServiceGrant *
-make_service_grant(const ps_name_t *service, const ps_service_use_t *use)
-{
-    Ps__ServiceGrant *grant = g_new(Ps__ServiceGrant, 1);
-    ps__service_grant__init(grant);
-    grant->service = (char *)(uintptr_t)service->data;
-    grant->limits = g_new0(Ps__ServerCount *, use->limits->len + 1);
-    for (guint i = 0; i < use->limits->len; i++) {
-        const ps_slot_count_t *limit =
-            &g_array_index(use->limits, ps_slot_count_t, i);
-        Ps__ServerCount *count = g_new(Ps__ServerCount, 1);
-        ps__server_count__init(count);
-        count->server = limit->server;
-        count->count = (uint32_t)limit->count;
-        grant->limits[grant->n_limits++] = count;
-    }
-    return grant;
-}
-
-static void
-add_service_grants(Ps__ShareGrant *grant, ps_reporter_t *reporter)
-{
-    grant->services =
-        g_new0(Ps__ServiceGrant *, g_hash_table_size(reporter->services) + 1);
-    GHashTableIter each;
-    gpointer key;
-    gpointer value;
-    g_hash_table_iter_init(&each, reporter->services);
-    while (g_hash_table_iter_next(&each, &key, &value)) {
-        grant->services[grant->n_services++] = make_service_grant(key, value);
-    }
-}
-
-static void
-add_team_grants(const ps_allocator_t *allocator, Ps__ShareGrant *grant,
-                ps_reporter_t *reporter)
-{
-    grant->teams =
-        g_new0(Ps__TeamGrant *, g_hash_table_size(reporter->teams) + 1);
-    GHashTableIter each;
-    gpointer key;
-    gpointer value;
-    g_hash_table_iter_init(&each, reporter->teams);
-    while (g_hash_table_iter_next(&each, &key, &value)) {
-        const ps_quota_t *pooled = g_hash_table_lookup(allocator->pooled, key);
-        if (!pooled || pooled->limit <= 0) {
-            continue;
-        }
-        Ps__TeamGrant *team = g_new(Ps__TeamGrant, 1);
-        ps__team_grant__init(team);
-        team->team = ((ps_name_t *)key)->data;
-        team->units = ((ps_team_use_t *)value)->granted;
-        grant->teams[grant->n_teams++] = team;
-    }
-}
-
-static size_t
-list_banned(ps_sharing_t *sharing, uint64_t *banned, int64_t now_ms)
-{
-    size_t n = 0;
-    GHashTableIter each;
-    gpointer key;
-    g_hash_table_iter_init(&each, sharing->gateway->suspects.by_hash);
-    while (n < BANNED_MAX && g_hash_table_iter_next(&each, &key, NULL)) {
-        uint64_t content = *(const uint64_t *)key;
-        if (PsSuspects_GetDeaths(&sharing->gateway->suspects, content,
-                                 now_ms) >= DEATHS_BANNED) {
-            banned[n++] = content;
-        }
-    }
-    return n;
-}
-
-static Ps__ServerNews *
-make_news(const ps_server_news_t *each)
-{
-    Ps__ServerNews *news = g_new(Ps__ServerNews, 1);
-    ps__server_news__init(news);
-    news->name = (char *)(uintptr_t)each->told.name.data;
-    news->started_ms = each->told.started_ms;
-    news->service = (char *)(uintptr_t)each->told.service.data;
-    news->address = (char *)(uintptr_t)each->told.address.data;
-    news->domain = (char *)(uintptr_t)each->told.domain.data;
-    news->slots = (uint32_t)each->told.slots;
-    news->leaving = each->told.is_leaving;
-    news->cold_left_ms = each->told.cold_left_ms;
-    news->gone = each->is_gone;
-    return news;
-}
-
-static Ps__MemberNews *
-make_member_news(const ps_member_news_t *each)
-{
-    Ps__MemberNews *news = g_new(Ps__MemberNews, 1);
-    ps__member_news__init(news);
-    news->name = (char *)(uintptr_t)each->info.name.data;
-    news->domain = (char *)(uintptr_t)each->info.domain.data;
-    news->caller_address = (char *)(uintptr_t)each->info.caller_address.data;
-    news->peer_address = (char *)(uintptr_t)each->info.peer_address.data;
-    news->incarnation = each->info.incarnation;
-    news->cpu_share = each->info.cpu_share;
-    news->gone = each->is_gone;
-    return news;
-}
-
-static void
-add_member_news(const GArray *all, Ps__ShareGrant *grant)
-{
-    grant->member_news = g_new0(Ps__MemberNews *, all->len + 1);
-    for (guint i = 0; i < all->len; i++) {
-        const ps_member_news_t *each =
-            &g_array_index(all, ps_member_news_t, i);
-        if (PsClock_Now() - each->at_ms <= NEWS_TOLD_MS) {
-            grant->member_news[grant->n_member_news++] =
-                make_member_news(each);
-        }
-    }
-}
-
-static void
-add_news(const ps_sharing_t *sharing, Ps__ShareGrant *grant)
-{
-    const ps_gateway_t *gateway = sharing->gateway;
-    int64_t age_ms = PsClock_Now() - gateway->catalog_proven_ms;
-    grant->config_version = gateway->catalog ? gateway->catalog->version : 0;
-    grant->config_age_ms = (uint32_t)CLAMP(age_ms, 0, INT32_MAX);
-    grant->servers_hash = PsGateway_HashServers(gateway);
-    grant->members_hash = PsGateway_HashMembers(gateway);
-    add_member_news(gateway->member_news, grant);
-    const GArray *all = gateway->server_news;
-    grant->news = g_new0(Ps__ServerNews *, all->len + 1);
-    for (guint i = 0; i < all->len; i++) {
-        const ps_server_news_t *each =
-            &g_array_index(all, ps_server_news_t, i);
-        if (PsClock_Now() - each->at_ms <= NEWS_TOLD_MS) {
-            grant->news[grant->n_news++] = make_news(each);
-        }
-    }
-}
-
-static void
-send_grant(ps_sharing_t *sharing, ps_reporter_t *reporter, char **silent,
-           size_t n_silent, uint64_t *banned, size_t n_banned)
-{
-    Ps__ShareGrant grant = PS__SHARE_GRANT__INIT;
-    grant.round = reporter->round;
-    add_service_grants(&grant, reporter);
-    add_team_grants(&sharing->allocator, &grant, reporter);
-    grant.silent = silent;
-    grant.n_silent = n_silent;
-    grant.banned = banned;
-    grant.n_banned = n_banned;
-    grant.leaving = sharing->gateway->is_leaving;
-    add_news(sharing, &grant);
-    Ps__Frame frame = PS__FRAME__INIT;
-    frame.body_case = PS__FRAME__BODY_SHARE_GRANT;
-    frame.share_grant = &grant;
-    PsPeers_Send(&sharing->peers, &reporter->name, &frame);
-    for (size_t i = 0; i < grant.n_services; i++) {
-        Ps__ServiceGrant *each = grant.services[i];
-        for (size_t k = 0; k < each->n_limits; k++) {
-            g_free(each->limits[k]);
-        }
-        g_free(each->limits);
-        g_free(each);
-    }
-    for (size_t i = 0; i < grant.n_teams; i++) {
-        g_free(grant.teams[i]);
-    }
-    for (size_t i = 0; i < grant.n_news; i++) {
-        g_free(grant.news[i]);
-    }
-    for (size_t i = 0; i < grant.n_member_news; i++) {
-        g_free(grant.member_news[i]);
-    }
-    g_free(grant.news);
-    g_free(grant.member_news);
-    g_free(grant.services);
-    g_free(grant.teams);
-}
-
-// Tells whether most members report here. A daemon that was cut off or paused
-// must not take all others for dead.
-static bool
-is_heard_by_most(const ps_sharing_t *sharing, int64_t now_ms)
-{
-    guint fresh = 0;
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, sharing->allocator.reporters);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const ps_reporter_t *reporter = value;
-        fresh += now_ms - reporter->reported_ms <= PS_REPORT_FRESH_MS ? 1 : 0;
-    }
-    return fresh * 2 > g_hash_table_size(sharing->gateway->members);
-}
-
-// Lists members whose reports have stopped, and removes the dead ones.
-static GPtrArray *
-list_silent(ps_sharing_t *sharing, int64_t now_ms)
-{
-    GPtrArray *silent = g_ptr_array_new();
-    if (!is_heard_by_most(sharing, now_ms)) {
-        return silent;
-    }
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, sharing->gateway->members);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        ps_daemon_info_t *member = value;
-        const ps_reporter_t *reporter =
-            g_hash_table_lookup(sharing->allocator.reporters, &member->name);
-        int64_t heard_ms = MAX(reporter ? reporter->reported_ms : 0,
-                               MAX(member->joined_ms, sharing->chosen_ms));
-        if (now_ms - heard_ms > SILENT_MS) {
-            g_ptr_array_add(silent, member->name.data);
-        }
-        if (now_ms - heard_ms > DEAD_MS && !member->is_removed) {
-            member->is_removed = true;
-            PsEvents_Add("member.dead", "{s:s,s:I}", "name", member->name.data,
-                         "silent_ms", (json_int_t)(now_ms - heard_ms));
-            sharing->gateway->store->remove_member(sharing->gateway->store,
-                                                   member);
-        }
-    }
-    return silent;
-}
-
-// Keeps what teams near their limits have spent in the store.
-static void
-keep_record(ps_sharing_t *sharing, int64_t now_ms)
-{
-    if (now_ms < sharing->next_record_ms ||
-        !is_heard_by_most(sharing, now_ms)) {
-        return;
-    }
-    ps_spent_record_t records[RECORDS_MAX];
-    int n = PsAllocator_MakeRecord(&sharing->allocator, records, RECORDS_MAX,
-                                   now_ms);
-    if (n > 0) {
-        sharing->next_record_ms = now_ms + RECORD_PACE_MS;
-        sharing->gateway->store->keep_spent(sharing->gateway->store, records,
-                                            n);
-    }
-}
-
-static void
-divide(ps_sharing_t *sharing, int64_t now_ms)
-{
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, sharing->gateway->desks);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const ps_service_desk_t *desk = value;
-        divide_service(sharing, desk, now_ms);
-    }
-    int members = (int)g_hash_table_size(sharing->gateway->members);
-    PsAllocator_DivideQuotas(&sharing->allocator, members, now_ms);
-    keep_record(sharing, now_ms);
-    GPtrArray *silent = list_silent(sharing, now_ms);
-    uint64_t banned[BANNED_MAX];
-    size_t n_banned = list_banned(sharing, banned, now_ms);
-    g_hash_table_iter_init(&each, sharing->allocator.reporters);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        ps_reporter_t *reporter = value;
-        if (now_ms - reporter->reported_ms <= PS_REPORT_FRESH_MS) {
-            send_grant(sharing, reporter, (char **)silent->pdata, silent->len,
-                       banned, n_banned);
-        }
-    }
-    g_ptr_array_unref(silent);
-}
-
 /* ---- Grants ----------------------------------------------------------- */
 
 static void
@@ -554,7 +213,7 @@
     const GPtrArray *backends = desk->scheduler.backends;
     for (guint i = 0; i < backends->len; i++) {
         ps_backend_t *backend = backends->pdata[i];
-        uint32_t hash = hash_server(backend);
+        uint32_t hash = PsSharing_HashServer(backend);
         backend->share = 0;
         for (size_t k = 0; k < grant->n_limits; k++) {
             if (grant->limits[k]->server == hash) {
@@ -655,7 +314,7 @@
     for (size_t i = 0; i < grant->n_banned; i++) {
         ps_suspects_t *suspects = &sharing->gateway->suspects;
         while (PsSuspects_GetDeaths(suspects, grant->banned[i], now_ms) <
-               DEATHS_BANNED) {
+               PS_DEATHS_BANNED) {
             PsSuspects_AddDeath(suspects, grant->banned[i], now_ms);
         }
     }
@@ -672,7 +331,7 @@
     ps_sharing_t *sharing = peers->user;
     int64_t now_ms = PsClock_Now();
     if (frame->body_case == PS__FRAME__BODY_SHARE_REPORT) {
-        take_report(sharing, from, frame->share_report, now_ms);
+        PsDividing_TakeReport(sharing, from, frame->share_report, now_ms);
     }
     else if (frame->body_case == PS__FRAME__BODY_SHARE_GRANT &&
              PsName_IsEqual(from, &sharing->chosen)) {
@@ -788,7 +447,7 @@
     sharing->next_round_ms = now_ms + get_round_ms(sharing);
     send_report(sharing, now_ms);
     if (g_hash_table_size(sharing->allocator.reporters) > 0) {
-        divide(sharing, now_ms);
+        PsDividing_Run(sharing, now_ms);
     }
 }
 
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -16,6 +16,7 @@
 struct ps_gateway;
 
 #define PS_SHARING_ROUNDS 16 /* rounds whose spending is remembered */
+#define PS_DEATHS_BANNED 3   /* lost connections until a content is refused */
 
 /**
  * struct ps_spending - What this daemon has spent of one team's quota.
@@ -53,6 +54,11 @@
     uint64_t grants;
 } ps_sharing_t;
 
+/**
+ * PsSharing_HashServer() - Names a backend server in reports and grants.
+ */
+uint32_t PsSharing_HashServer(const ps_backend_t *backend);
+
 /**
  * PsSharing_Init() - Listens for peers.
  *
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -444,7 +444,7 @@
 struct World {
     ps_scheduler_t core;
     std::vector<ps_backend_t *> backends;
-    std::map<ps_task_t *, int64_t> running; // to its end
+    std::map<ps_task_t *, ps_backend_t *> running;
     std::vector<std::pair<ps_task_t *, int64_t>> started;
     std::vector<ps_task_t *> refused;
     std::vector<int64_t> retry_after;
@@ -466,7 +466,7 @@
     ~World()
     {
         for (auto &each : running) {
-            PsBackend_Release(each.first->backend);
+            PsBackend_Release(each.second); // the task may be gone
         }
         for (ps_backend_t *backend : backends) {
             PsBackend_Drop(backend);
@@ -477,7 +477,7 @@
     {
         auto *self = (World *)scheduler->user;
         self->started.emplace_back(task, self->now);
-        self->running[task] = 0;
+        self->running[task] = task->backend;
     }
     static void OnRefuse(ps_scheduler_t *scheduler, ps_task_t *task,
                          int64_t retry_after_ms, const char *)
