Wait for all daemons before the next outage in gw_store

Under the sanitizers on a busy machine the second outage began before daemon 2 had read the store after the first (its proof was still old), so that it rightly refused a key. The check itself is as before; each daemon is now waited for.

--- a/tests/runs/gw_store.sh
+++ b/tests/runs/gw_store.sh
@@ -11,6 +11,7 @@
 gw_is_ready 1 > /dev/null || echo "not ready"
 gw_switch "$(gw_store)" down=0
 rig_until 3 fine 1 && echo "served again"
+for i in 2 3; do rig_until 3 fine $i; done
 echo "== hangs"
 gw_switch "$(gw_store)" hang=1
 sleep 1
