--- a/src/dividing.c
+++ b/src/dividing.c
@@ -53,23 +53,23 @@
 }
 
 static void
-divide_service(ps_sharing_t *sharing, const ps_service_desk_t *desk,
+divide_service(ps_sharing_t *sharing, const ps_dispatcher_t *dispatcher,
                int64_t now_ms)
 {
-    const GPtrArray *backends = desk->scheduler.backends;
+    const GPtrArray *backends = dispatcher->scheduler.backends;
     ps_slot_count_t *slots = g_new0(ps_slot_count_t, backends->len + 1);
     int n = 0;
     for (guint i = 0; i < backends->len; i++) {
         const ps_backend_t *backend = backends->pdata[i];
         if (!backend->told.is_leaving) {
             slots[n].server = PsSharing_HashServer(backend);
-            slots[n++].count = desk->scheduler.is_engine
+            slots[n++].count = dispatcher->scheduler.is_engine
                                    ? backend->told.slots
                                    : backend->told.slots * PLAIN_FACTOR;
         }
     }
     int members = (int)g_hash_table_size(sharing->gateway->members);
-    PsAllocator_DivideSlots(&sharing->allocator, &desk->name, slots, n,
+    PsAllocator_DivideSlots(&sharing->allocator, &dispatcher->name, slots, n,
                             members, now_ms);
     g_free(slots);
 }
@@ -325,10 +325,10 @@
 {
     GHashTableIter each;
     gpointer value;
-    g_hash_table_iter_init(&each, sharing->gateway->desks);
+    g_hash_table_iter_init(&each, sharing->gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const ps_service_desk_t *desk = value;
-        divide_service(sharing, desk, now_ms);
+        const ps_dispatcher_t *dispatcher = value;
+        divide_service(sharing, dispatcher, now_ms);
     }
     int members = (int)g_hash_table_size(sharing->gateway->members);
     PsAllocator_DivideQuotas(&sharing->allocator, members, now_ms);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -279,8 +279,9 @@
             PsHistogram_Add(&exchange->gateway->stats.firsts,
                             (double)(now_ms - exchange->arrived_ms));
         }
-        PsScheduler_NoteEvent(&exchange->desk->scheduler, &exchange->task,
-                              exchange->desk->tokens_per_event, now_ms);
+        PsScheduler_NoteEvent(&exchange->dispatcher->scheduler,
+                              &exchange->task,
+                              exchange->dispatcher->tokens_per_event, now_ms);
         done = end;
     }
     if (done > 0) {
@@ -364,7 +365,7 @@
     }
     return end == PS_TASK_NO_ROUTE ||
            (exchange->task.n_tried < exchange->route->attempts_max &&
-            PsRetryBudget_Take(&exchange->desk->retries, now_ms));
+            PsRetryBudget_Take(&exchange->dispatcher->retries, now_ms));
 }
 
 static void
@@ -376,7 +377,8 @@
     PsEvents_Add("request.repeat", "{s:s,s:s,s:i}", "id",
                  exchange->inbound.request_id.data, "reason", reason, "sends",
                  exchange->sends);
-    PsScheduler_Submit(&exchange->desk->scheduler, &exchange->task, now_ms);
+    PsScheduler_Submit(&exchange->dispatcher->scheduler, &exchange->task,
+                       now_ms);
 }
 
 static void
@@ -465,7 +467,8 @@
                     ? is_stream_answer(exchange)
                     : !would_promise_not_run(transfer->status);
     bool is_answer = is_whole(exchange, result) && fits;
-    PsScheduler_End(&exchange->desk->scheduler, &exchange->task, end, now_ms);
+    PsScheduler_End(&exchange->dispatcher->scheduler, &exchange->task, end,
+                    now_ms);
     exchange->was_run |= end == PS_TASK_FAILED;
     if (end == PS_TASK_GOOD && is_answer) {
         answer_whole(exchange);
@@ -650,8 +653,8 @@
     uint64_t pick = XXH64(exchange->inbound.request_id.data,
                           exchange->inbound.request_id.len, 0);
     const ps_name_t *service = PsRoute_PickService(exchange->route, pick);
-    exchange->desk = PsGateway_GetDesk(gateway, service);
-    PsRetryBudget_AddRequest(&exchange->desk->retries, now_ms);
+    exchange->dispatcher = PsGateway_GetDispatcher(gateway, service);
+    PsRetryBudget_AddRequest(&exchange->dispatcher->retries, now_ms);
     PsEvents_Add(
         "request.accept", "{s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}", "id",
         exchange->inbound.request_id.data, "route", exchange->route->name.data,
@@ -660,7 +663,8 @@
         exchange->task.prompt_tokens, "output", exchange->task.output_tokens,
         "config", (json_int_t)exchange->catalog->version, "config_age_ms",
         (json_int_t)(now_ms - gateway->catalog_proven_ms));
-    PsScheduler_Submit(&exchange->desk->scheduler, &exchange->task, now_ms);
+    PsScheduler_Submit(&exchange->dispatcher->scheduler, &exchange->task,
+                       now_ms);
 }
 
 static void
@@ -668,7 +672,8 @@
 {
     PsTransfer_Cancel(&exchange->gateway->client, &exchange->transfer);
     close_transfer(exchange);
-    PsScheduler_End(&exchange->desk->scheduler, &exchange->task, end, now_ms);
+    PsScheduler_End(&exchange->dispatcher->scheduler, &exchange->task, end,
+                    now_ms);
 }
 
 void
@@ -678,8 +683,9 @@
     exchange->request = NULL;
     exchange->gateway->stats.left++;
     log_end(exchange, 0, "left", "caller closed the connection");
-    if (exchange->desk) {
-        PsScheduler_Withdraw(&exchange->desk->scheduler, &exchange->task);
+    if (exchange->dispatcher) {
+        PsScheduler_Withdraw(&exchange->dispatcher->scheduler,
+                             &exchange->task);
     }
     if (exchange->is_transferring) {
         stop_transfer(exchange, now_ms, PS_TASK_STOPPED);
@@ -692,7 +698,7 @@
 static void
 leave_silent_server(ps_exchange_t *exchange, int64_t now_ms)
 {
-    ps_scheduler_t *scheduler = &exchange->desk->scheduler;
+    ps_scheduler_t *scheduler = &exchange->dispatcher->scheduler;
     if (!may_repeat(exchange) ||
         !PsScheduler_IsSilent(scheduler, &exchange->task, now_ms) ||
         !PsScheduler_CanMove(scheduler, &exchange->task, now_ms) ||
@@ -714,7 +720,7 @@
 static void
 end_overdue(ps_exchange_t *exchange, int64_t now_ms)
 {
-    PsScheduler_Withdraw(&exchange->desk->scheduler, &exchange->task);
+    PsScheduler_Withdraw(&exchange->dispatcher->scheduler, &exchange->task);
     bool was_sent = exchange->is_transferring;
     if (was_sent) {
         stop_transfer(exchange, now_ms, PS_TASK_STOPPED);
@@ -730,7 +736,7 @@
 void
 PsExchange_Run(ps_exchange_t *exchange, int64_t now_ms)
 {
-    if (!exchange->desk) {
+    if (!exchange->dispatcher) {
         return;
     }
     if (now_ms >= exchange->time_out_ms) {
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -19,7 +19,7 @@
     ps_catalog_t *catalog;      /* in force when it arrived */
     const ps_route_t *route;
     const ps_team_t *team; /* NULL: public route */
-    ps_service_desk_t *desk;
+    ps_dispatcher_t *dispatcher;
     ps_inbound_t inbound;
     ps_task_t task;
     uint64_t content_hash;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -52,12 +52,12 @@
     g_list_free(all);
     GHashTableIter each;
     gpointer value;
-    g_hash_table_iter_init(&each, gateway->desks);
+    g_hash_table_iter_init(&each, gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
-        ps_service_desk_t *desk = value;
+        ps_dispatcher_t *dispatcher = value;
         const ps_gateway_settings_t *set = &gateway->settings.gateway;
-        PsScheduler_SetDaemons(&desk->scheduler, n, index);
-        PsRetryBudget_Set(&desk->retries, set->retry_window_s,
+        PsScheduler_SetDaemons(&dispatcher->scheduler, n, index);
+        PsRetryBudget_Set(&dispatcher->retries, set->retry_window_s,
                           set->retry_ratio, set->retry_slack, n);
     }
 }
@@ -103,9 +103,10 @@
     gateway->catalog = catalog;
     for (guint i = 0; i < catalog->services->len; i++) {
         const ps_service_t *service = catalog->services->pdata[i];
-        ps_service_desk_t *desk = PsGateway_GetDesk(gateway, &service->name);
-        desk->scheduler.is_engine = service->is_engine;
-        desk->tokens_per_event = service->tokens_per_event;
+        ps_dispatcher_t *dispatcher =
+            PsGateway_GetDispatcher(gateway, &service->name);
+        dispatcher->scheduler.is_engine = service->is_engine;
+        dispatcher->tokens_per_event = service->tokens_per_event;
     }
     PsHttpServer_SetIdle(&gateway->callers, catalog->limits.idle_ms);
     if (catalog->limits.body_bytes > 0) {
@@ -284,9 +285,10 @@
     if (is_new || told->is_leaving) {
         keep_news(gateway, told, false);
     }
-    ps_service_desk_t *desk = PsGateway_GetDesk(gateway, &told->service);
-    PsScheduler_List(&desk->scheduler, backend);
-    PsScheduler_Run(&desk->scheduler, PsClock_Now());
+    ps_dispatcher_t *dispatcher =
+        PsGateway_GetDispatcher(gateway, &told->service);
+    PsScheduler_List(&dispatcher->scheduler, backend);
+    PsScheduler_Run(&dispatcher->scheduler, PsClock_Now());
 }
 
 static void
@@ -297,9 +299,9 @@
                  backend->told.name.data, "service",
                  backend->told.service.data, "reason", reason);
     keep_news(gateway, &backend->told, true);
-    ps_service_desk_t *desk =
-        PsGateway_GetDesk(gateway, &backend->told.service);
-    PsScheduler_Unlist(&desk->scheduler, backend);
+    ps_dispatcher_t *dispatcher =
+        PsGateway_GetDispatcher(gateway, &backend->told.service);
+    PsScheduler_Unlist(&dispatcher->scheduler, backend);
 }
 
 /* ---- Callers ---------------------------------------------------------- */
@@ -376,13 +378,13 @@
 /* ---- Loop ------------------------------------------------------------- */
 
 static void
-run_desks(ps_gateway_t *gateway, int64_t now_ms)
+run_dispatchers(ps_gateway_t *gateway, int64_t now_ms)
 {
     GHashTableIter each;
     gpointer value;
-    g_hash_table_iter_init(&each, gateway->desks);
+    g_hash_table_iter_init(&each, gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
-        PsScheduler_Run(&((ps_service_desk_t *)value)->scheduler, now_ms);
+        PsScheduler_Run(&((ps_dispatcher_t *)value)->scheduler, now_ms);
     }
 }
 
@@ -418,7 +420,7 @@
     PsRoster_Run(&gateway->roster, now_ms);
     PsSharing_Run(&gateway->sharing, now_ms);
     set_pace(gateway, now_ms);
-    run_desks(gateway, now_ms);
+    run_dispatchers(gateway, now_ms);
     GList *next;
     for (GList *l = gateway->exchanges.head; l; l = next) {
         next = l->next;
@@ -469,7 +471,7 @@
     gateway->member_news = g_array_new(FALSE, FALSE, sizeof(ps_member_news_t));
     PsRoster_Init(&gateway->roster, &roster_events, gateway);
     PsSuspects_Init(&gateway->suspects);
-    gateway->desks = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
+    gateway->dispatchers = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
     gateway->quotas =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
     gateway->members =
@@ -602,20 +604,21 @@
     return n;
 }
 
-ps_service_desk_t *
-PsGateway_GetDesk(ps_gateway_t *gateway, const ps_name_t *service)
+ps_dispatcher_t *
+PsGateway_GetDispatcher(ps_gateway_t *gateway, const ps_name_t *service)
 {
-    ps_service_desk_t *desk = g_hash_table_lookup(gateway->desks, service);
-    if (desk) {
-        return desk;
+    ps_dispatcher_t *dispatcher =
+        g_hash_table_lookup(gateway->dispatchers, service);
+    if (dispatcher) {
+        return dispatcher;
     }
-    desk = g_new0(ps_service_desk_t, 1);
-    desk->name = *service;
-    PsScheduler_Init(&desk->scheduler, PsExchange_GetSchedulerEvents(),
+    dispatcher = g_new0(ps_dispatcher_t, 1);
+    dispatcher->name = *service;
+    PsScheduler_Init(&dispatcher->scheduler, PsExchange_GetSchedulerEvents(),
                      gateway, service, (uint32_t)gateway->self.incarnation);
-    g_hash_table_insert(gateway->desks, &desk->name, desk);
+    g_hash_table_insert(gateway->dispatchers, &dispatcher->name, dispatcher);
     set_shares(gateway);
-    return desk;
+    return dispatcher;
 }
 
 ps_quota_t *
@@ -636,10 +639,10 @@
     uint64_t sum = 0;
     GHashTableIter each;
     gpointer value;
-    g_hash_table_iter_init(&each, gateway->desks);
+    g_hash_table_iter_init(&each, gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         const GPtrArray *backends =
-            ((ps_service_desk_t *)value)->scheduler.backends;
+            ((ps_dispatcher_t *)value)->scheduler.backends;
         for (guint i = 0; i < backends->len; i++) {
             const ps_backend_t *backend = backends->pdata[i];
             uint64_t seed = (uint64_t)backend->told.started_ms * 2 +
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -27,14 +27,14 @@
 struct ps_gateway;
 
 /**
- * struct ps_service_desk - One service: its scheduler and its retry budget.
+ * struct ps_dispatcher - One service: its scheduler and its retry budget.
  */
-typedef struct ps_service_desk {
+typedef struct ps_dispatcher {
     ps_name_t name;
     ps_scheduler_t scheduler;
     ps_retry_budget_t retries;
     int tokens_per_event;
-} ps_service_desk_t;
+} ps_dispatcher_t;
 
 /**
  * struct ps_gateway_stats - Counts and latencies since the start.
@@ -122,8 +122,8 @@
     ps_catalog_t *catalog;     /* NULL: none known yet */
     int64_t catalog_proven_ms; /* it was the newest at that time */
     ps_roster_t roster;
-    GHashTable *desks;  /* service name to ps_service_desk_t */
-    GHashTable *quotas; /* team name to ps_quota_t */
+    GHashTable *dispatchers; /* service name to ps_dispatcher_t */
+    GHashTable *quotas;      /* team name to ps_quota_t */
     ps_suspects_t suspects;
     ps_daemon_info_t self;
     GHashTable *members; /* name to ps_daemon_info_t; with this daemon */
@@ -192,8 +192,8 @@
                             const ps_name_t **addresses, int max);
 
 /* For the exchanges */
-ps_service_desk_t *PsGateway_GetDesk(ps_gateway_t *gateway,
-                                     const ps_name_t *service);
+ps_dispatcher_t *PsGateway_GetDispatcher(ps_gateway_t *gateway,
+                                         const ps_name_t *service);
 ps_quota_t *PsGateway_GetQuota(ps_gateway_t *gateway, const ps_name_t *team);
 
 /**
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -98,12 +98,12 @@
 }
 
 static Ps__ServiceUse *
-make_service_use(const ps_service_desk_t *desk, int64_t now_ms)
+make_service_use(const ps_dispatcher_t *dispatcher, int64_t now_ms)
 {
     Ps__ServiceUse *use = g_new(Ps__ServiceUse, 1);
     ps__service_use__init(use);
-    use->service = (char *)(uintptr_t)desk->name.data;
-    const GPtrArray *backends = desk->scheduler.backends;
+    use->service = (char *)(uintptr_t)dispatcher->name.data;
+    const GPtrArray *backends = dispatcher->scheduler.backends;
     use->running = g_new0(Ps__ServerCount *, backends->len + 1);
     for (guint i = 0; i < backends->len; i++) {
         const ps_backend_t *backend = backends->pdata[i];
@@ -116,8 +116,8 @@
         }
     }
     ps_waiting_count_t ranks[PS_RANKS_MAX];
-    int n = PsScheduler_CountWaiting(&desk->scheduler, ranks, PS_RANKS_MAX,
-                                     now_ms);
+    int n = PsScheduler_CountWaiting(&dispatcher->scheduler, ranks,
+                                     PS_RANKS_MAX, now_ms);
     use->waiting = g_new0(Ps__WaitingCount *, n + 1);
     for (int i = 0; i < n; i++) {
         Ps__WaitingCount *count = g_new(Ps__WaitingCount, 1);
@@ -176,13 +176,14 @@
     sharing->sent_ms[sharing->round % PS_SHARING_ROUNDS] = now_ms;
     report.leaving = gateway->is_leaving;
     report.services =
-        g_new0(Ps__ServiceUse *, g_hash_table_size(gateway->desks) + 1);
+        g_new0(Ps__ServiceUse *, g_hash_table_size(gateway->dispatchers) + 1);
     GHashTableIter each;
     gpointer value;
-    g_hash_table_iter_init(&each, gateway->desks);
+    g_hash_table_iter_init(&each, gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const ps_service_desk_t *desk = value;
-        report.services[report.n_services++] = make_service_use(desk, now_ms);
+        const ps_dispatcher_t *dispatcher = value;
+        report.services[report.n_services++] =
+            make_service_use(dispatcher, now_ms);
     }
     add_team_uses(sharing, &report, now_ms);
     report.suspects = (uint64_t *)(void *)sharing->suspects->data;
@@ -209,8 +210,9 @@
             int64_t now_ms)
 {
     ps_name_t name = PsName_FromC(grant->service);
-    ps_service_desk_t *desk = PsGateway_GetDesk(sharing->gateway, &name);
-    const GPtrArray *backends = desk->scheduler.backends;
+    ps_dispatcher_t *dispatcher =
+        PsGateway_GetDispatcher(sharing->gateway, &name);
+    const GPtrArray *backends = dispatcher->scheduler.backends;
     for (guint i = 0; i < backends->len; i++) {
         ps_backend_t *backend = backends->pdata[i];
         uint32_t hash = PsSharing_HashServer(backend);
@@ -221,8 +223,8 @@
             }
         }
     }
-    desk->scheduler.is_granted = true;
-    PsScheduler_Run(&desk->scheduler, now_ms);
+    dispatcher->scheduler.is_granted = true;
+    PsScheduler_Run(&dispatcher->scheduler, now_ms);
 }
 
 static void
@@ -368,12 +370,12 @@
     g_hash_table_remove_all(sharing->silent);
     GHashTableIter each;
     gpointer value;
-    g_hash_table_iter_init(&each, sharing->gateway->desks);
+    g_hash_table_iter_init(&each, sharing->gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
-        ps_service_desk_t *desk = value;
-        if (desk->scheduler.is_granted) {
-            PsScheduler_ShareEvenly(&desk->scheduler);
-            PsScheduler_Run(&desk->scheduler, now_ms);
+        ps_dispatcher_t *dispatcher = value;
+        if (dispatcher->scheduler.is_granted) {
+            PsScheduler_ShareEvenly(&dispatcher->scheduler);
+            PsScheduler_Run(&dispatcher->scheduler, now_ms);
         }
     }
 }
