Walk over exchanges safely when one ends others

Found by reading: when an overdue request ended, its freed slot could refuse the next one in the list, which was then used after it was freed. The walk now starts again after each end. Not seen in a run; the process runs under the address sanitizer did not meet it.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -695,7 +695,7 @@
 
 // Goes on at another server when this one has fallen silent and another has
 // room at once. Silence alone is no reason to give a request up.
-static void
+static bool
 leave_silent_server(ps_exchange_t *exchange, int64_t now_ms)
 {
     ps_scheduler_t *scheduler = &exchange->dispatcher->scheduler;
@@ -703,7 +703,7 @@
         !PsScheduler_IsSilent(scheduler, &exchange->task, now_ms) ||
         !PsScheduler_CanMove(scheduler, &exchange->task, now_ms) ||
         !take_repeat(exchange, PS_TASK_STOPPED, now_ms)) {
-        return;
+        return false;
     }
     PsEvents_Add("request.silent", "{s:s,s:s,s:I,s:i}", "id",
                  exchange->inbound.request_id.data, "server",
@@ -715,6 +715,7 @@
     PsTransfer_Cancel(&exchange->gateway->client, &exchange->transfer);
     close_transfer(exchange);
     PsScheduler_Move(scheduler, &exchange->task, now_ms);
+    return true;
 }
 
 static void
@@ -733,16 +734,15 @@
     }
 }
 
-void
+bool
 PsExchange_Run(ps_exchange_t *exchange, int64_t now_ms)
 {
     if (!exchange->dispatcher) {
-        return;
+        return false;
     }
     if (now_ms >= exchange->time_out_ms) {
         end_overdue(exchange, now_ms);
+        return true;
     }
-    else if (exchange->is_transferring) {
-        leave_silent_server(exchange, now_ms);
-    }
+    return exchange->is_transferring && leave_silent_server(exchange, now_ms);
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -50,9 +50,12 @@
 void PsExchange_CallerGone(ps_exchange_t *exchange);
 
 /**
- * PsExchange_Run() - Ends it when its time is over.
+ * PsExchange_Run() - Ends it when its time is over, or leaves a silent server.
+ *
+ * Return: whether it did; then any exchange may have ended, because freed
+ * slots start and refuse others.
  */
-void PsExchange_Run(ps_exchange_t *exchange, int64_t now_ms);
+bool PsExchange_Run(ps_exchange_t *exchange, int64_t now_ms);
 
 const ps_scheduler_events_t *PsExchange_GetSchedulerEvents(void);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -388,6 +388,18 @@
     }
 }
 
+// Starts from the oldest again after each one that ended or moved: others may
+// have ended with it.
+static void
+run_exchanges(ps_gateway_t *gateway, int64_t now_ms)
+{
+    GList *l = gateway->exchanges.head;
+    while (l) {
+        bool has_changed = PsExchange_Run(l->data, now_ms);
+        l = has_changed ? gateway->exchanges.head : l->next;
+    }
+}
+
 // A daemon that hears fresh news from the allocator reads the store rarely.
 static void
 set_pace(ps_gateway_t *gateway, int64_t now_ms)
@@ -421,11 +433,7 @@
     PsSharing_Run(&gateway->sharing, now_ms);
     set_pace(gateway, now_ms);
     run_dispatchers(gateway, now_ms);
-    GList *next;
-    for (GList *l = gateway->exchanges.head; l; l = next) {
-        next = l->next;
-        PsExchange_Run(l->data, now_ms);
-    }
+    run_exchanges(gateway, now_ms);
     PsEvents_Flush();
 }
 
