Count what is spent before an allocator hears of it

Now a first report counts where it covers the daemon's whole life; a quarter of every limit, or more after an outage of the store, is taken for spent between the record and the start; an even part opens over the first window. A record without teams is written once, so that an old one with teams tells of an outage. A daemon that does not know yet says so with 503, not 429. Ruled out: the record's age alone (0.4 s; the excess was spent after the kill).

--- a/src/allocator.c
+++ b/src/allocator.c
@@ -6,7 +6,7 @@
 #define PACED_FROM 0.7    /* of a limit; from there on spending is paced */
 #define PACE_MS 750       /* span over which it is paced */
 #define RECORD_SHARE 0.25 /* of a limit; less need not outlast the daemons */
-#define UNRECORDED_MOST_MS 1000.0 /* twice the pace of records */
+#define RECORD_FRESH_MS 1000.0 /* twice the pace of records */
 #define EVEN_SHARE 0.4 /* of a quota; the rest follows what is asked for */
 
 /* ---- Memory ----------------------------------------------------------- */
@@ -211,6 +211,16 @@
                : 0.0;
 }
 
+// What may have been spent between the last record and the start.
+static double
+get_unrecorded(const ps_allocator_t *allocator, double limit, int64_t now_ms)
+{
+    double passed = (double)(now_ms - allocator->recovered_ms);
+    return allocator->recovered_ms > 0 && passed < allocator->window_s * 1000.0
+               ? limit * allocator->unrecorded
+               : 0.0;
+}
+
 // What may be spent now by a team that nears its limit: as much as leaves the
 // window in the same time. Without it all is served for half a window and
 // nothing in the other half, and who comes back is late.
@@ -242,7 +252,8 @@
         }
     }
     double known = PsQuota_GetSpent(pooled, now_ms) +
-                   get_unknown(allocator, pooled->limit, now_ms);
+                   get_unknown(allocator, pooled->limit, now_ms) +
+                   get_unrecorded(allocator, pooled->limit, now_ms);
     double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
     double left = MAX(pooled->limit * part - MAX(known, reported), 0.0);
     if (known > PACED_FROM * pooled->limit) {
@@ -332,7 +343,10 @@
 {
     ps_team_use_t *use = get_team(reporter, team);
     ps_quota_t *pooled = g_hash_table_lookup(allocator->pooled, team);
-    if (pooled && use->total > 0 && total > use->total) {
+    // The first report of a daemon that started within the window tells what
+    // it spent by an even share; of one known longer, the window tells more.
+    bool is_known = use->total > 0 || total <= spent;
+    if (pooled && is_known && total > use->total) {
         PsQuota_Charge(pooled, total - use->total, now_ms);
     }
     use->spent = spent;
@@ -353,25 +367,16 @@
     return pooled;
 }
 
-// What was probably spent after the record was written: as much as in its
-// busiest part, for as long as spending may have gone on.
-static double
-guess_unrecorded(const ps_spent_record_t *record, double part_ms,
-                 int64_t age_ms)
-{
-    double most = 0;
-    for (int k = 0; k < PS_SPENT_PARTS; k++) {
-        most = MAX(most, record->spent[k]);
-    }
-    return most * MIN((double)age_ms, UNRECORDED_MOST_MS) / part_ms;
-}
-
 void
 PsAllocator_TakeRecord(ps_allocator_t *allocator,
                        const ps_spent_record_t *records, int n, int64_t age_ms,
                        int64_t now_ms)
 {
     allocator->unknown_ms = 0;
+    allocator->recovered_ms = now_ms;
+    // Records of teams that spend are renewed, unless the store was away.
+    double periods = n > 0 ? MAX((double)age_ms / RECORD_FRESH_MS, 1.0) : 1.0;
+    allocator->unrecorded = MIN(RECORD_SHARE * periods, 1.0);
     double part_ms = allocator->window_s * 1000.0 / PS_SPENT_PARTS;
     for (int i = 0; i < n; i++) {
         ps_quota_t *pooled = get_pooled(allocator, &records[i].team);
@@ -379,8 +384,6 @@
             PsQuota_ChargePast(pooled, records[i].spent[k],
                                age_ms + (int64_t)(part_ms * k), now_ms);
         }
-        PsQuota_Charge(pooled, guess_unrecorded(&records[i], part_ms, age_ms),
-                       now_ms);
     }
 }
 
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -70,6 +70,9 @@
     double window_s;       /* of the quotas */
     int64_t unknown_ms;    /* what was spent before that time is unknown; 0:
                               all is known */
+    int64_t recovered_ms;  /* a record was taken in then; 0: none was */
+    double unrecorded;     /* share of each limit that may have been spent
+                              between that record and the start */
     guint turn;            /* whose turn it is to get the odd slot */
 } ps_allocator_t;
 
@@ -100,6 +103,7 @@
 /**
  * PsAllocator_TakeRecord() - Takes in what was spent before this daemon's
  * start.
+ * @n: teams in the record; 0: none had spent much
  * @age_ms: of the record
  */
 void PsAllocator_TakeRecord(ps_allocator_t *allocator,
--- a/src/dividing.c
+++ b/src/dividing.c
@@ -313,7 +313,9 @@
     ps_spent_record_t records[RECORDS_MAX];
     int n = PsAllocator_MakeRecord(&sharing->allocator, records, RECORDS_MAX,
                                    now_ms);
-    if (n > 0) {
+    // An empty record tells that nothing is left of the one before.
+    if (n > 0 || !sharing->is_record_empty) {
+        sharing->is_record_empty = n == 0;
         sharing->next_record_ms = now_ms + RECORD_PACE_MS;
         sharing->gateway->store->keep_spent(sharing->gateway->store, records,
                                             n);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -591,14 +591,17 @@
                           exchange->inbound.output_tokens_max
                     : team->plain_tokens;
     }
-    if (!PsSharing_TakeQuota(&exchange->gateway->sharing, &team->name, units,
-                             now_ms)) {
-        PsEvents_Add("request.over_quota", "{s:s,s:s,s:f,s:f,s:b}", "id",
+    ps_sharing_t *sharing = &exchange->gateway->sharing;
+    if (!PsSharing_TakeQuota(sharing, &team->name, units, now_ms)) {
+        bool is_known = PsSharing_KnowsQuotas(sharing, now_ms);
+        PsEvents_Add("request.over_quota", "{s:s,s:s,s:f,s:f,s:b,s:b}", "id",
                      exchange->inbound.request_id.data, "team",
                      team->name.data, "units", units, "rate", team->rate,
-                     "even_share", (int)exchange->gateway->sharing.is_even);
-        answer_not_run(exchange, 429, RETRY_OVER_QUOTA_MS,
-                       "team is over its quota");
+                     "even_share", (int)sharing->is_even, "use_known",
+                     (int)is_known);
+        answer_not_run(exchange, is_known ? 429 : 503, RETRY_OVER_QUOTA_MS,
+                       is_known ? "team is over its quota"
+                                : "use of the team's quota is not known yet");
         return false;
     }
     exchange->quota_units = units;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -643,6 +643,7 @@
     ps_quota_t *quota = g_hash_table_lookup(gateway->quotas, team);
     if (!quota) {
         quota = g_new0(ps_quota_t, 1);
+        quota->begun_ms = gateway->started_ms;
         g_hash_table_insert(gateway->quotas, g_memdup2(team, sizeof *team),
                             quota);
     }
--- a/src/quota.c
+++ b/src/quota.c
@@ -18,6 +18,16 @@
     quota->current = MAX(quota->current, bucket);
 }
 
+// Returns the share of the window that lies after the start.
+static double
+get_open_share(const ps_quota_t *quota, int64_t now_ms)
+{
+    double window_ms = (double)quota->bucket_ms * (PS_QUOTA_BUCKETS - 1);
+    return quota->begun_ms > 0 && window_ms > 0
+               ? MIN((double)(now_ms - quota->begun_ms) / window_ms, 1.0)
+               : 1.0;
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 double
@@ -90,7 +100,8 @@
 {
     double part = quota->limit / MAX(n_daemons, 1);
     double needed = MIN(units, part);
-    if (quota->limit > 0 && PsQuota_GetSpent(quota, now_ms) + needed > part) {
+    double open = part * get_open_share(quota, now_ms);
+    if (quota->limit > 0 && PsQuota_GetSpent(quota, now_ms) + needed > open) {
         return false;
     }
     PsQuota_Charge(quota, units, now_ms);
--- a/src/quota.h
+++ b/src/quota.h
@@ -38,7 +38,8 @@
     int64_t bucket_ms;
     int64_t current; /* number of the newest bucket */
     double spent[PS_QUOTA_BUCKETS];
-    double total; /* units since the start */
+    double total;     /* units since the start */
+    int64_t begun_ms; /* what was spent before is unknown; 0: nothing was */
 } ps_quota_t;
 
 /**
@@ -80,6 +81,8 @@
 /**
  * PsQuota_TakeEven() - Spends units if an even part of the limit allows it.
  * @n_daemons: daemons that share the limit
+ *
+ * In the first window after @begun_ms the part opens evenly.
  */
 bool PsQuota_TakeEven(ps_quota_t *quota, double units, int n_daemons,
                       int64_t now_ms);
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -487,6 +487,15 @@
     return left > 0;
 }
 
+bool
+PsSharing_KnowsQuotas(const ps_sharing_t *sharing, int64_t now_ms)
+{
+    double window_ms =
+        sharing->gateway->settings.gateway.quota_window_s * 1000.0;
+    return !sharing->is_even ||
+           (double)(now_ms - sharing->gateway->started_ms) >= window_ms;
+}
+
 void
 PsSharing_AddSuspect(ps_sharing_t *sharing, uint64_t content)
 {
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -46,6 +46,7 @@
     int64_t run_ms;                     /* last turn of the loop */
     int64_t next_round_ms;
     int64_t next_record_ms;
+    bool is_record_empty; /* the last record named no team */
     GHashTable *avoided;  /* name to the time until which it is avoided */
     GHashTable *silent;   /* names of members that do not report */
     GHashTable *spending; /* team to ps_spending_t */
@@ -83,6 +84,12 @@
 bool PsSharing_TakeQuota(ps_sharing_t *sharing, const ps_name_t *team,
                          double units, int64_t now_ms);
 
+/**
+ * PsSharing_KnowsQuotas() - Tells whether this daemon knows what teams have
+ * spent: from grants, or from its own books of a whole window.
+ */
+bool PsSharing_KnowsQuotas(const ps_sharing_t *sharing, int64_t now_ms);
+
 /**
  * PsSharing_AddSuspect() - A content was in flight at a lost connection.
  */
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -59,10 +59,10 @@
         const char *host, *path, *route;
     };
     const Case cases[] = {
-        {"a.example", "/x/y/z", "long"},   {"a.example", "/x/y", "short"},
-        {"a.example:80", "/x/", "short"},  {"A.EXAMPLE", "/xy", "root"},
-        {"b.example", "/x/q", "other"},    {"b.example", "/", ""},
-        {"c.example", "/x/", ""},          {"", "", ""},
+        {"a.example", "/x/y/z", "long"},  {"a.example", "/x/y", "short"},
+        {"a.example:80", "/x/", "short"}, {"A.EXAMPLE", "/xy", "root"},
+        {"b.example", "/x/q", "other"},   {"b.example", "/", ""},
+        {"c.example", "/x/", ""},         {"", "", ""},
         {"a.example", "/x%2Fy/", "root"},
     };
     for (const Case &each : cases) {
@@ -121,8 +121,8 @@
                      kTerms.slack + n * std::max(largest, 0.0);
     for (size_t i = 0; i < passed.size(); i++) {
         double sum = 0;
-        for (size_t k = i; k < passed.size() &&
-                           passed[k].first < passed[i].first + 8000;
+        for (size_t k = i;
+             k < passed.size() && passed[k].first < passed[i].first + 8000;
              k++) {
             sum += passed[k].second;
         }
@@ -142,6 +142,30 @@
     EXPECT_TRUE(PsQuota_TakeEven(&quota, 1, 1, kStart + 8400));
 }
 
+// A daemon that has just started may find that the others have spent the
+// window's quota before: its even part opens as that use leaves the window.
+TEST(Quota, EvenPartOpensOverTheFirstWindow)
+{
+    struct Case {
+        int64_t after_ms;
+        double units;
+        bool is_taken;
+    };
+    const Case cases[] = {{100, 30, false}, // 1.25 of 100 are open
+                          {2000, 20, true}, {2000, 10, false},
+                          {4000, 30, true}, {8000, 50, true},
+                          {8000, 1, false}};
+    ps_quota_t quota = {};
+    PsQuota_Set(&quota, 400, 8);
+    quota.begun_ms = kStart;
+    for (const Case &each : cases) {
+        EXPECT_EQ(
+            PsQuota_TakeEven(&quota, each.units, 4, kStart + each.after_ms),
+            each.is_taken)
+            << each.after_ms << " ms, " << each.units << " units";
+    }
+}
+
 /* ---- Retry budget ----------------------------------------------------- */
 
 RC_GTEST_PROP(RetryBudget, RepeatsStayWithinRatioAndSlack, ())
@@ -216,14 +240,15 @@
     {
         PsAllocator_Finish(&core);
     }
-    ps_service_use_t *Report(int daemon, int64_t now)
+    ps_service_use_t *
+    Report(int daemon, int64_t now)
     {
         ps_name_t name = Name("d" + std::to_string(daemon));
-        ps_reporter_t *reporter =
-            PsAllocator_Reporter(&core, &name, 0, now);
+        ps_reporter_t *reporter = PsAllocator_Reporter(&core, &name, 0, now);
         return PsReporter_GetService(reporter, &service);
     }
-    void Divide(int n_daemons, int64_t now)
+    void
+    Divide(int n_daemons, int64_t now)
     {
         PsAllocator_DivideSlots(&core, &service, slots.data(),
                                 (int)slots.size(), n_daemons, now);
@@ -349,6 +374,77 @@
     }
 }
 
+// Daemons that start again spend by even shares until the first grants; the
+// allocator hears of it with their first reports.
+TEST(Allocator, SpendingBeforeTheFirstReportCounts)
+{
+    struct Case {
+        const char *what;
+        double spent, total; // told by the first report
+        double least, most;  // granted then, of a limit of 1000
+    };
+    const Case cases[] = {
+        {"started lately", 300, 300, 0, 250},
+        {"known by the window alone", 300, 5000, 350, 700},
+        {"nothing spent", 0, 0, 450, 600},
+    };
+    const ps_name_t team = Name("t"), daemon = Name("d");
+    for (const Case &each : cases) {
+        Allocator after(1, 1);
+        PsAllocator_SetLimit(&after.core, &team, 1000, 8);
+        ps_spent_record_t record = {};
+        record.team = team;
+        record.spent[0] = 200;
+        PsAllocator_TakeRecord(&after.core, &record, 1, 400, kStart);
+        ps_reporter_t *reporter =
+            PsAllocator_Reporter(&after.core, &daemon, 1, kStart + 500);
+        PsAllocator_NoteSpent(&after.core, reporter, &team, each.spent, 1,
+                              each.total, kStart + 500);
+        PsAllocator_DivideQuotas(&after.core, 1, kStart + 500);
+        auto *use =
+            (ps_team_use_t *)g_hash_table_lookup(reporter->teams, &team);
+        EXPECT_GE(use->granted, each.least) << each.what;
+        EXPECT_LE(use->granted, each.most) << each.what;
+    }
+}
+
+// What was spent after the last record is unknown; the record's age tells how
+// much it may be.
+TEST(Allocator, OldRecordsLeaveLittleToGrant)
+{
+    struct Case {
+        const char *what;
+        int records;
+        int64_t age_ms;
+        double most; // granted right after the start, of a limit of 1000
+    };
+    const Case cases[] = {{"fresh", 1, 400, 650},
+                          {"the store was away", 1, 5000, 0},
+                          {"no team had spent much", 0, 20000, 750}};
+    const ps_name_t team = Name("t"), daemon = Name("d");
+    for (const Case &each : cases) {
+        Allocator after(1, 1);
+        PsAllocator_SetLimit(&after.core, &team, 1000, 8);
+        ps_spent_record_t record = {};
+        record.team = team;
+        record.spent[0] = 100;
+        PsAllocator_TakeRecord(&after.core, &record, each.records, each.age_ms,
+                               kStart);
+        ps_reporter_t *reporter =
+            PsAllocator_Reporter(&after.core, &daemon, 1, kStart);
+        PsAllocator_NoteSpent(&after.core, reporter, &team, 0, 1, 0, kStart);
+        PsAllocator_DivideQuotas(&after.core, 1, kStart);
+        auto *use =
+            (ps_team_use_t *)g_hash_table_lookup(reporter->teams, &team);
+        EXPECT_LE(use->granted, each.most) << each.what;
+        EXPECT_GE(use->granted, each.most * 0.9) << each.what;
+        PsAllocator_DivideQuotas(&after.core, 1, kStart + 400);
+        PsAllocator_Reporter(&after.core, &daemon, 1, kStart + 9000);
+        PsAllocator_DivideQuotas(&after.core, 1, kStart + 9000);
+        EXPECT_EQ(use->granted, 1000) << each.what << ", a window later";
+    }
+}
+
 /* ---- Roster ----------------------------------------------------------- */
 
 namespace {
@@ -367,26 +463,28 @@
     {
         PsRoster_Finish(&core);
     }
-    static void OnListed(ps_roster_t *roster, ps_backend_t *backend,
-                         bool is_new)
+    static void
+    OnListed(ps_roster_t *roster, ps_backend_t *backend, bool is_new)
     {
         auto *self = (Roster *)roster->user;
         self->listed[Text(backend->told.name)] = backend;
         self->log.push_back((is_new ? "new " : "kept ") +
                             Text(backend->told.name));
     }
-    static void OnUnlisted(ps_roster_t *roster, ps_backend_t *backend,
-                           const char *)
+    static void
+    OnUnlisted(ps_roster_t *roster, ps_backend_t *backend, const char *)
     {
         auto *self = (Roster *)roster->user;
         self->listed.erase(Text(backend->told.name));
         self->log.push_back("gone " + Text(backend->told.name));
     }
-    void Put(const ps_registration_t &told, int64_t now)
+    void
+    Put(const ps_registration_t &told, int64_t now)
     {
         PsRoster_Put(&core, &told, now);
     }
-    void Remove(const char *name, int64_t now)
+    void
+    Remove(const char *name, int64_t now)
     {
         ps_name_t view = Name(name);
         PsRoster_Remove(&core, &view, now);
@@ -473,20 +571,23 @@
         }
         PsScheduler_Finish(&core);
     }
-    static void OnStart(ps_scheduler_t *scheduler, ps_task_t *task)
+    static void
+    OnStart(ps_scheduler_t *scheduler, ps_task_t *task)
     {
         auto *self = (World *)scheduler->user;
         self->started.emplace_back(task, self->now);
         self->running[task] = task->backend;
     }
-    static void OnRefuse(ps_scheduler_t *scheduler, ps_task_t *task,
-                         int64_t retry_after_ms, const char *)
+    static void
+    OnRefuse(ps_scheduler_t *scheduler, ps_task_t *task,
+             int64_t retry_after_ms, const char *)
     {
         auto *self = (World *)scheduler->user;
         self->refused.push_back(task);
         self->retry_after.push_back(retry_after_ms);
     }
-    ps_task_t Task(int tier, int64_t due = 400, int64_t patience = 1400)
+    ps_task_t
+    Task(int tier, int64_t due = 400, int64_t patience = 1400)
     {
         ps_task_t task = {};
         task.tier = tier;
@@ -496,11 +597,13 @@
         task.give_up_ms = now + patience;
         return task;
     }
-    void Submit(ps_task_t *task)
+    void
+    Submit(ps_task_t *task)
     {
         PsScheduler_Submit(&core, task, now);
     }
-    void End(ps_task_t *task, ps_task_end_t end = PS_TASK_GOOD)
+    void
+    End(ps_task_t *task, ps_task_end_t end = PS_TASK_GOOD)
     {
         running.erase(task);
         PsScheduler_End(&core, task, end, now);
@@ -574,8 +677,8 @@
     for (int64_t t = 0; t < 8000; t += 5) {
         world.now = kStart + t;
         while (next <= t) { // 40 a second against 20 slots of a second each
-            tasks.push_back(std::make_unique<ps_task_t>(
-                world.Task((int)(random() % 3))));
+            tasks.push_back(
+                std::make_unique<ps_task_t>(world.Task((int)(random() % 3))));
             world.Submit(tasks.back().get());
             next += 25;
         }
