Return to the best allocator when it is no longer avoided

The same happens after any pause of the allocator: its neighbours never come back to it, and when it leaves their second choice still counts on it.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -222,6 +222,7 @@
                  (json_int_t)age_ms);
     gateway->sharing.allocator.window_s =
         gateway->settings.gateway.quota_window_s;
+    gateway->sharing.is_record_empty = n == 0;
     PsAllocator_TakeRecord(&gateway->sharing.allocator, records, n, age_ms,
                            PsClock_Now());
 }
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -16,6 +16,7 @@
 #define RENEW_MS 300       /* without one: the link may have gone silent */
 #define GIVE_UP_MS 900     /* without one: the next candidate is asked */
 #define AVOID_MS 3000      /* it is not asked again before */
+#define CHOICE_PACE_MS 500 /* between looks for a better allocator */
 #define PROOF_MOST_MS 2500 /* age of a proof; two reads have failed */
 #define PAUSE_MS 300       /* between turns of the loop: it was paused */
 #define WANTED_KEEP 0.95   /* of what was asked for, at each round */
@@ -59,6 +60,8 @@
                      best->name.data, "before", sharing->chosen.data,
                      "members",
                      (int)g_hash_table_size(sharing->gateway->members));
+        // The allocator before may have left a record of spent quotas.
+        sharing->is_record_empty &= PsName_IsEmpty(&sharing->chosen);
         sharing->chosen = best->name;
         sharing->chosen_ms = now_ms;
     }
@@ -403,7 +406,8 @@
 PsSharing_Init(ps_sharing_t *sharing, ps_gateway_t *gateway,
                struct ev_loop *loop)
 {
-    *sharing = (ps_sharing_t){.gateway = gateway, .is_even = true};
+    *sharing = (ps_sharing_t){
+        .gateway = gateway, .is_even = true, .is_record_empty = true};
     PsAllocator_Init(&sharing->allocator);
     sharing->avoided =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
@@ -434,7 +438,10 @@
     if (!sharing->gateway->catalog) {
         return;
     }
-    if (PsName_IsEmpty(&sharing->chosen)) {
+    // What was avoided may be asked again later, though no member changes.
+    if (PsName_IsEmpty(&sharing->chosen) ||
+        now_ms >= sharing->next_choice_ms) {
+        sharing->next_choice_ms = now_ms + CHOICE_PACE_MS;
         choose(sharing, now_ms);
     }
     if (sharing->run_ms > 0 && now_ms - sharing->run_ms > PAUSE_MS) {
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -45,6 +45,7 @@
     int64_t sent_ms[PS_SHARING_ROUNDS]; /* reports of the last rounds */
     int64_t run_ms;                     /* last turn of the loop */
     int64_t next_round_ms;
+    int64_t next_choice_ms;
     int64_t next_record_ms;
     bool is_record_empty; /* the last record named no team */
     GHashTable *avoided;  /* name to the time until which it is avoided */
--- a/tests/runs/gw_allocator.sh
+++ b/tests/runs/gw_allocator.sh
@@ -29,6 +29,13 @@
     [ "$third" = "d$i" ] || other=$i
 done
 last=$((6 - other - ${third#d}))
+# Long enough to be given up, not to be taken for dead: no member changes.
+rig_kill "$third" STOP
+sleep 1.6
+rig_kill "$third" CONT
+chosen() { for i in 1 2 3; do grep -h '"sharing.allocator"' "$RIG_DIR/d$i.log" | tail -1 | jq -r .name; done | sort -u; }
+agree() { [ "$(chosen)" = "$third" ]; }
+rig_until 6 agree && echo "all return to the allocator after a short pause"
 rig_kill "$third" TERM
 unlisted() { ! { gw_addresses "$other"; gw_addresses "$last"; } | grep -q "$(gw_caller "${third#d}")"; }
 rig_until 1 unlisted && echo "a leaving allocator is absent from all addresses within a second"
