--- a/src/gateway.c
+++ b/src/gateway.c
@@ -14,9 +14,10 @@
 #define KEY_MARGIN_MS 400     /* kept free of the time a key lives on */
 #define DIFFER_MS 120         /* longer than a change takes to reach all */
 #define READY_SHARE 0.6       /* of the time that a key lives on */
-#define READ_PACE_MS 150      /* between reads for a newer version */
+#define READ_PACE_MS 700      /* between reads for newer versions */
 #define DIFFER_PACE_MS 700    /* between reads for other differences */
 #define WATCHFUL_MS 1500      /* the store is read often for so long */
+#define SETTLED_MS 1000       /* a daemon that has just started knows others */
 #define NEWS_FRESH_MS 500     /* news of the allocator are relied on */
 #define PROOF_FRESH_MS 1200   /* twice the pace of the allocator's reads */
 #define NEWS_KEEP_MS 3000     /* changes of servers are told for so long */
@@ -413,16 +414,16 @@
 static void
 set_pace(ps_gateway_t *gateway, int64_t now_ms)
 {
-    bool is_allocator =
-        PsName_IsEqual(&gateway->sharing.chosen, &gateway->self.name);
-    bool hears_news = !is_allocator && !gateway->sharing.is_even &&
+    const ps_sharing_t *sharing = &gateway->sharing;
+    bool is_allocator = PsName_IsEqual(&sharing->chosen, &gateway->self.name);
+    bool hears_news = !is_allocator && !sharing->is_even &&
                       now_ms - gateway->news_ms < NEWS_FRESH_MS &&
                       now_ms - gateway->catalog_proven_ms < PROOF_FRESH_MS;
     if (!hears_news && gateway->catalog) {
         gateway->watchful_until_ms = now_ms + WATCHFUL_MS;
     }
     ps_read_pace_t pace = PS_READ_USUAL;
-    if (is_allocator) {
+    if (is_allocator && now_ms - sharing->chosen_ms > SETTLED_MS) {
         pace = PS_READ_OFTEN;
     }
     else if (hears_news && now_ms >= gateway->watchful_until_ms) {
