Leave servers that fail for all daemons out of the division

Daemons now report how requests ended at each server; a server with failures and no success gets one trial at a time, which goes round the daemons, until a request succeeds. Ruled out: probes of a health address (priced, and they lie).

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 KERNEL := status str request forecast prefix speed suspects queue rules \
     rule_kinds settings config server pool estimate place_finish place_baseline ids ledger \
     owner members entry clock catalog quota retry_budget backend share \
-    roster scheduler allocator histogram
+    roster scheduler allocator outliers histogram
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     keeper membership hosting front intake relay edit admin daemon \
     events_log gateway exchange sharing dividing
--- a/src/allocator.c
+++ b/src/allocator.c
@@ -7,6 +7,7 @@
 #define PACE_MS 750       /* span over which it is paced */
 #define RECORD_SHARE 0.25 /* of a limit; less need not outlast the daemons */
 #define RECORD_FRESH_MS 1000.0 /* twice the pace of records */
+#define TRIAL_MS 250   /* a daemon's turn to try a server that fails for all */
 #define EVEN_SHARE 0.4 /* of a quota; the rest follows what is asked for */
 
 /* ---- Memory ----------------------------------------------------------- */
@@ -86,18 +87,25 @@
     g_array_append_val(use->limits, one);
 }
 
+static int
+count_running(const GPtrArray *uses, uint32_t server)
+{
+    int sum = 0;
+    for (guint i = 0; i < uses->len; i++) {
+        const ps_service_use_t *use = uses->pdata[i];
+        const int *running = find_count(use->running, server);
+        sum += running ? *running : 0;
+    }
+    return sum;
+}
+
 // Works out how many slots of a server are free for the daemons that report.
 static int
 count_free(const GPtrArray *uses, const ps_slot_count_t *slots, int n_daemons)
 {
     double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
     int free_slots = (int)floor(slots->count * part + 1e-9);
-    for (guint i = 0; i < uses->len; i++) {
-        const ps_service_use_t *use = uses->pdata[i];
-        const int *running = find_count(use->running, slots->server);
-        free_slots -= running ? *running : 0;
-    }
-    return MAX(free_slots, 0);
+    return MAX(free_slots - count_running(uses, slots->server), 0);
 }
 
 static int
@@ -186,6 +194,30 @@
     }
 }
 
+// Keeps the slots of servers that fail for all, but for one trial at a time,
+// which goes round the daemons.
+static void
+hold_outliers(const ps_allocator_t *allocator, const GPtrArray *uses,
+              const ps_slot_count_t *slots, int *free_slots, int n,
+              int64_t now_ms)
+{
+    uint32_t *servers = g_new(uint32_t, n);
+    bool *is_out = g_new0(bool, n);
+    for (int i = 0; i < n; i++) {
+        servers[i] = slots[i].server;
+    }
+    PsOutliers_Mark(&allocator->outliers, servers, n, is_out, now_ms);
+    for (int i = 0; i < n; i++) {
+        if (is_out[i] && count_running(uses, servers[i]) == 0) {
+            guint turn = (guint)(now_ms / TRIAL_MS) + servers[i];
+            add_slot(uses->pdata[turn % uses->len], servers[i]);
+        }
+        free_slots[i] = is_out[i] ? 0 : free_slots[i];
+    }
+    g_free(servers);
+    g_free(is_out);
+}
+
 /* ---- Quotas ----------------------------------------------------------- */
 
 static ps_team_use_t *
@@ -276,6 +308,7 @@
     *allocator = (ps_allocator_t){0};
     allocator->reporters = new_by_name(free_reporter);
     allocator->pooled = new_by_name(g_free);
+    PsOutliers_Init(&allocator->outliers);
 }
 
 void
@@ -283,6 +316,7 @@
 {
     g_hash_table_destroy(allocator->reporters);
     g_hash_table_destroy(allocator->pooled);
+    PsOutliers_Finish(&allocator->outliers);
 }
 
 ps_service_use_t *
@@ -442,6 +476,7 @@
                                 use->running->len);
         }
     }
+    hold_outliers(allocator, uses, slots, free_slots, n_slots, now_ms);
     int64_t rank = -1;
     while ((rank = next_rank(uses, rank)) >= 0) {
         serve_rank(allocator, uses, rank, slots, free_slots, n_slots);
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -16,6 +16,7 @@
 #include <glib.h>
 
 #include "feed.h"
+#include "outliers.h"
 #include "quota.h"
 #include "scheduler.h"
 
@@ -67,13 +68,14 @@
 typedef struct ps_allocator {
     GHashTable *reporters; /* name to ps_reporter_t */
     GHashTable *pooled;    /* team to ps_quota_t, over all daemons */
-    double window_s;       /* of the quotas */
-    int64_t unknown_ms;    /* what was spent before that time is unknown; 0:
-                              all is known */
-    int64_t recovered_ms;  /* a record was taken in then; 0: none was */
-    double unrecorded;     /* share of each limit that may have been spent
-                              between that record and the start */
-    guint turn;            /* whose turn it is to get the odd slot */
+    ps_outliers_t outliers;
+    double window_s;      /* of the quotas */
+    int64_t unknown_ms;   /* what was spent before that time is unknown; 0:
+                             all is known */
+    int64_t recovered_ms; /* a record was taken in then; 0: none was */
+    double unrecorded;    /* share of each limit that may have been spent
+                             between that record and the start */
+    guint turn;           /* whose turn it is to get the odd slot */
 } ps_allocator_t;
 
 void PsAllocator_Init(ps_allocator_t *allocator);
--- a/src/backend.h
+++ b/src/backend.h
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include "outliers.h"
 #include "speed.h"
 #include "str.h"
 
@@ -47,8 +48,9 @@
     ps_speed_t pace;   /* ms between output tokens, by own requests */
     GHashTable *parts; /* prompt part to the time of its last use */
     /* health */
-    double outcomes; /* fading count */
-    double failures; /* fading count */
+    double outcomes;      /* fading count */
+    double failures;      /* fading count */
+    ps_outcomes_t lately; /* not reported to the allocator yet */
     int64_t ejected_until_ms;
     int64_t
         ejected_for_ms; /* length of the last ejection; 0: in good standing */
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -45,6 +45,7 @@
 typedef enum ps_verdict {
     PS_VERDICT_ANSWER,  /* the answer to this request */
     PS_VERDICT_NOT_RUN, /* the server has not run it and will not */
+    PS_VERDICT_ABSENT,  /* the same, by another server than was expected */
     PS_VERDICT_FOREIGN  /* not the answer to this request */
 } ps_verdict_t;
 
--- a/src/dividing.c
+++ b/src/dividing.c
@@ -36,6 +36,12 @@
                                         (int)told->waiting[k]->count};
             g_array_append_val(use->waiting, count);
         }
+        for (size_t k = 0; k < told->n_outcomes; k++) {
+            const Ps__ServerOutcomes *each = told->outcomes[k];
+            ps_outcomes_t outcomes = {each->good, each->failed, each->absent};
+            PsOutliers_Note(&allocator->outliers, each->server, &outcomes,
+                            now_ms);
+        }
     }
     for (size_t i = 0; i < report->n_teams; i++) {
         ps_name_t team = PsName_FromC(report->teams[i]->team);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -409,6 +409,9 @@
     if (exchange->has_head && exchange->verdict == PS_VERDICT_NOT_RUN) {
         return PS_TASK_REJECTED;
     }
+    if (exchange->has_head && exchange->verdict == PS_VERDICT_ABSENT) {
+        return PS_TASK_ABSENT;
+    }
     return is_whole(exchange, result) && exchange->transfer.status < 500
                ? PS_TASK_GOOD
                : PS_TASK_FAILED;
@@ -446,6 +449,8 @@
         return "server not reached";
     case PS_TASK_REJECTED:
         return "server rejected it";
+    case PS_TASK_ABSENT:
+        return "another server answered";
     default:
         return "server failed";
     }
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &ps__waiting_count__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__server_outcomes__init
+                     (Ps__ServerOutcomes         *message)
+{
+  static const Ps__ServerOutcomes init_value = PS__SERVER_OUTCOMES__INIT;
+  *message = init_value;
+}
+size_t ps__server_outcomes__get_packed_size
+                     (const Ps__ServerOutcomes *message)
+{
+  assert(message->base.descriptor == &ps__server_outcomes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__server_outcomes__pack
+                     (const Ps__ServerOutcomes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__server_outcomes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__server_outcomes__pack_to_buffer
+                     (const Ps__ServerOutcomes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__server_outcomes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ServerOutcomes *
+       ps__server_outcomes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ServerOutcomes *)
+     protobuf_c_message_unpack (&ps__server_outcomes__descriptor,
+                                allocator, len, data);
+}
+void   ps__server_outcomes__free_unpacked
+                     (Ps__ServerOutcomes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__server_outcomes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__service_use__init
                      (Ps__ServiceUse         *message)
 {
@@ -2926,7 +2971,84 @@
   (ProtobufCMessageInit) ps__waiting_count__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ps__server_outcomes__field_descriptors[4] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerOutcomes, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "good",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerOutcomes, good),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerOutcomes, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "absent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerOutcomes, absent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__server_outcomes__field_indices_by_name[] = {
+  3,   /* field[3] = absent */
+  2,   /* field[2] = failed */
+  1,   /* field[1] = good */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange ps__server_outcomes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ps__server_outcomes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ServerOutcomes",
+  "ServerOutcomes",
+  "Ps__ServerOutcomes",
+  "ps",
+  sizeof(Ps__ServerOutcomes),
+  4,
+  ps__server_outcomes__field_descriptors,
+  ps__server_outcomes__field_indices_by_name,
+  1,  ps__server_outcomes__number_ranges,
+  (ProtobufCMessageInit) ps__server_outcomes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[4] =
 {
   {
     "service",
@@ -2964,8 +3086,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "outcomes",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceUse, n_outcomes),
+    offsetof(Ps__ServiceUse, outcomes),
+    &ps__server_outcomes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_use__field_indices_by_name[] = {
+  3,   /* field[3] = outcomes */
   1,   /* field[1] = running */
   0,   /* field[0] = service */
   2,   /* field[2] = waiting */
@@ -2973,7 +3108,7 @@
 static const ProtobufCIntRange ps__service_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ps__service_use__descriptor =
 {
@@ -2983,7 +3118,7 @@
   "Ps__ServiceUse",
   "ps",
   sizeof(Ps__ServiceUse),
-  3,
+  4,
   ps__service_use__field_descriptors,
   ps__service_use__field_indices_by_name,
   1,  ps__service_use__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Ps__Cancel Ps__Cancel;
 typedef struct Ps__ServerCount Ps__ServerCount;
 typedef struct Ps__WaitingCount Ps__WaitingCount;
+typedef struct Ps__ServerOutcomes Ps__ServerOutcomes;
 typedef struct Ps__ServiceUse Ps__ServiceUse;
 typedef struct Ps__TeamUse Ps__TeamUse;
 typedef struct Ps__ShareReport Ps__ShareReport;
@@ -431,6 +432,31 @@
     , 0, 0 }
 
 
+/*
+ * How requests ended at a server since the last report.
+ */
+struct  Ps__ServerOutcomes
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the backend server's name
+   */
+  uint32_t server;
+  uint32_t good;
+  /*
+   * errors, and answers broken off
+   */
+  uint32_t failed;
+  /*
+   * not reached, or another server answered
+   */
+  uint32_t absent;
+};
+#define PS__SERVER_OUTCOMES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__server_outcomes__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 struct  Ps__ServiceUse
 {
   ProtobufCMessage base;
@@ -439,10 +465,15 @@
   Ps__ServerCount **running;
   size_t n_waiting;
   Ps__WaitingCount **waiting;
+  /*
+   * of servers that had any
+   */
+  size_t n_outcomes;
+  Ps__ServerOutcomes **outcomes;
 };
 #define PS__SERVICE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Ps__TeamUse
@@ -977,6 +1008,25 @@
 void   ps__waiting_count__free_unpacked
                      (Ps__WaitingCount *message,
                       ProtobufCAllocator *allocator);
+/* Ps__ServerOutcomes methods */
+void   ps__server_outcomes__init
+                     (Ps__ServerOutcomes         *message);
+size_t ps__server_outcomes__get_packed_size
+                     (const Ps__ServerOutcomes   *message);
+size_t ps__server_outcomes__pack
+                     (const Ps__ServerOutcomes   *message,
+                      uint8_t             *out);
+size_t ps__server_outcomes__pack_to_buffer
+                     (const Ps__ServerOutcomes   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ServerOutcomes *
+       ps__server_outcomes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__server_outcomes__free_unpacked
+                     (Ps__ServerOutcomes *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ServiceUse methods */
 void   ps__service_use__init
                      (Ps__ServiceUse         *message);
@@ -1188,6 +1238,9 @@
 typedef void (*Ps__WaitingCount_Closure)
                  (const Ps__WaitingCount *message,
                   void *closure_data);
+typedef void (*Ps__ServerOutcomes_Closure)
+                 (const Ps__ServerOutcomes *message,
+                  void *closure_data);
 typedef void (*Ps__ServiceUse_Closure)
                  (const Ps__ServiceUse *message,
                   void *closure_data);
@@ -1238,6 +1291,7 @@
 extern const ProtobufCMessageDescriptor ps__cancel__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_count__descriptor;
 extern const ProtobufCMessageDescriptor ps__waiting_count__descriptor;
+extern const ProtobufCMessageDescriptor ps__server_outcomes__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__share_report__descriptor;
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -111,10 +111,14 @@
             PsBackend_Readmit(backend);
         }
         PsBackend_NoteOutcome(backend, true);
+        backend->lately.good++;
         return;
     }
     PsBackend_NoteOutcome(backend, false);
-    bool is_sick = end == PS_TASK_NO_ROUTE || backend->is_on_trial;
+    bool is_absent = end == PS_TASK_NO_ROUTE || end == PS_TASK_ABSENT;
+    backend->lately.absent += is_absent ? 1 : 0;
+    backend->lately.failed += end == PS_TASK_FAILED ? 1 : 0;
+    bool is_sick = is_absent || backend->is_on_trial;
     if (!is_sick && backend->outcomes >= EJECT_OUTCOMES_LEAST) {
         double over = PsBackend_GetFailureRate(backend) -
                       get_peers_failure_rate(scheduler, backend);
@@ -540,6 +544,7 @@
     if (task->first_ms == 0) {
         double ms = (double)(now_ms - task->started_ms);
         task->first_ms = now_ms;
+        backend->lately.good++;
         backend->unread_tokens =
             MAX(backend->unread_tokens - task->unread_tokens, 0.0);
         PsSpeed_AddStep(&backend->first, MAX(task->ahead_tokens, 1.0) / 1000.0,
@@ -601,7 +606,8 @@
                             (double)(now_ms - task->started_ms), 1.0);
         }
     }
-    if (end != PS_TASK_NO_ROUTE && end != PS_TASK_REJECTED) {
+    if (end == PS_TASK_GOOD || end == PS_TASK_FAILED ||
+        end == PS_TASK_STOPPED) {
         double held = (double)(now_ms - task->started_ms);
         scheduler->hold_ms =
             scheduler->hold_ms * HOLD_KEEP + held * (1.0 - HOLD_KEEP);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -28,6 +28,7 @@
     PS_TASK_FAILED,   /* a server's error, a broken or a foreign answer */
     PS_TASK_REJECTED, /* the server has not run it */
     PS_TASK_NO_ROUTE, /* no connection: the server is not there */
+    PS_TASK_ABSENT,   /* another server answers at its address */
     PS_TASK_STOPPED   /* stopped from here; nothing is said of the server */
 } ps_task_end_t;
 
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -100,6 +100,23 @@
     return spending;
 }
 
+static void
+add_outcomes(Ps__ServiceUse *use, ps_backend_t *backend)
+{
+    const ps_outcomes_t *lately = &backend->lately;
+    if (lately->good + lately->failed + lately->absent == 0) {
+        return;
+    }
+    Ps__ServerOutcomes *outcomes = g_new(Ps__ServerOutcomes, 1);
+    ps__server_outcomes__init(outcomes);
+    outcomes->server = PsSharing_HashServer(backend);
+    outcomes->good = lately->good;
+    outcomes->failed = lately->failed;
+    outcomes->absent = lately->absent;
+    use->outcomes[use->n_outcomes++] = outcomes;
+    backend->lately = (ps_outcomes_t){0};
+}
+
 static Ps__ServiceUse *
 make_service_use(const ps_dispatcher_t *dispatcher, int64_t now_ms)
 {
@@ -108,8 +125,10 @@
     use->service = (char *)(uintptr_t)dispatcher->name.data;
     const GPtrArray *backends = dispatcher->scheduler.backends;
     use->running = g_new0(Ps__ServerCount *, backends->len + 1);
+    use->outcomes = g_new0(Ps__ServerOutcomes *, backends->len + 1);
     for (guint i = 0; i < backends->len; i++) {
-        const ps_backend_t *backend = backends->pdata[i];
+        ps_backend_t *backend = backends->pdata[i];
+        add_outcomes(use, backend);
         if (backend->running > 0) {
             Ps__ServerCount *count = g_new(Ps__ServerCount, 1);
             ps__server_count__init(count);
@@ -141,8 +160,12 @@
     for (size_t i = 0; i < use->n_waiting; i++) {
         g_free(use->waiting[i]);
     }
+    for (size_t i = 0; i < use->n_outcomes; i++) {
+        g_free(use->outcomes[i]);
+    }
     g_free(use->running);
     g_free(use->waiting);
+    g_free(use->outcomes);
     g_free(use);
 }
 
