Go on with the record of spent quotas over a takeover

A daemon's first report now brings what it spent before: all of it as spent now if it has started within the window, else spread over the window, unless a record tells of it. Reports carry the sender's age; only young daemons may have spent what no record tells. A record up to 3 s old (its pace and a restart) holds back 15% of each quota.

--- a/src/allocator.c
+++ b/src/allocator.c
@@ -5,8 +5,8 @@
 
 #define PACED_FROM 0.7    /* of a limit; from there on spending is paced */
 #define PACE_MS 750       /* span over which it is paced */
-#define RECORD_SHARE 0.25 /* of a limit; less need not outlast the daemons */
-#define RECORD_FRESH_MS 1000.0 /* twice the pace of records */
+#define RECORD_SHARE 0.15 /* of a limit; less need not outlast the daemons */
+#define RECORD_FRESH_MS 3000.0 /* pace of records and a restart after it */
 #define TRIAL_MS 250   /* a daemon's turn to try a server that fails for all */
 #define EVEN_SHARE 0.4 /* of a quota; the rest follows what is asked for */
 
@@ -232,6 +232,32 @@
     return use;
 }
 
+static bool
+is_young(const ps_allocator_t *allocator, const ps_reporter_t *reporter)
+{
+    return (double)reporter->age_ms < allocator->window_s * 1000.0;
+}
+
+// Books what a daemon has spent before its first report here. One that has
+// started within the window may have spent all of it just now; of another one
+// it is spread over the window, unless a record tells of it already.
+static void
+charge_first(ps_allocator_t *allocator, ps_quota_t *pooled,
+             const ps_reporter_t *reporter, double spent, int64_t now_ms)
+{
+    double window_ms = allocator->window_s * 1000.0;
+    if (is_young(allocator, reporter)) {
+        PsQuota_Charge(pooled, spent, now_ms);
+        return;
+    }
+    bool is_recorded = allocator->recovered_ms > 0 &&
+                       (double)(now_ms - allocator->recovered_ms) < window_ms;
+    for (int k = 0; !is_recorded && k < PS_SPENT_PARTS; k++) {
+        PsQuota_ChargePast(pooled, spent / PS_SPENT_PARTS,
+                           (int64_t)(window_ms * k / PS_SPENT_PARTS), now_ms);
+    }
+}
+
 // What was spent before a start without a record: the window's limit, evenly.
 static double
 get_unknown(const ps_allocator_t *allocator, double limit, int64_t now_ms)
@@ -243,13 +269,15 @@
                : 0.0;
 }
 
-// What may have been spent between the last record and the start.
+// What may have been spent between the last record and the start, by daemons
+// that have started since. The others tell what they have spent.
 static double
-get_unrecorded(const ps_allocator_t *allocator, double limit, int64_t now_ms)
+get_unrecorded(const ps_allocator_t *allocator, double limit,
+               double young_share, int64_t now_ms)
 {
     double passed = (double)(now_ms - allocator->recovered_ms);
     return allocator->recovered_ms > 0 && passed < allocator->window_s * 1000.0
-               ? limit * allocator->unrecorded
+               ? limit * allocator->unrecorded * young_share
                : 0.0;
 }
 
@@ -272,6 +300,7 @@
     GPtrArray *uses = g_ptr_array_new();
     double wanted = 0;
     double reported = 0;
+    guint young = 0;
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, allocator->reporters);
@@ -280,12 +309,14 @@
             ps_team_use_t *use = get_team(value, team);
             wanted += use->wanted;
             reported += use->spent;
+            young += is_young(allocator, value) ? 1 : 0;
             g_ptr_array_add(uses, use);
         }
     }
     double known = PsQuota_GetSpent(pooled, now_ms) +
                    get_unknown(allocator, pooled->limit, now_ms) +
-                   get_unrecorded(allocator, pooled->limit, now_ms);
+                   get_unrecorded(allocator, pooled->limit,
+                                  (double)young / MAX(uses->len, 1), now_ms);
     double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
     double left = MAX(pooled->limit * part - MAX(known, reported), 0.0);
     if (known > PACED_FROM * pooled->limit) {
@@ -377,10 +408,10 @@
 {
     ps_team_use_t *use = get_team(reporter, team);
     ps_quota_t *pooled = g_hash_table_lookup(allocator->pooled, team);
-    // The first report of a daemon that started within the window tells what
-    // it spent by an even share; of one known longer, the window tells more.
-    bool is_known = use->total > 0 || total <= spent;
-    if (pooled && is_known && total > use->total) {
+    if (pooled && use->total <= 0) {
+        charge_first(allocator, pooled, reporter, spent, now_ms);
+    }
+    else if (pooled && total > use->total) {
         PsQuota_Charge(pooled, total - use->total, now_ms);
     }
     use->spent = spent;
@@ -408,9 +439,11 @@
 {
     allocator->unknown_ms = 0;
     allocator->recovered_ms = now_ms;
-    // Records of teams that spend are renewed, unless the store was away.
-    double periods = n > 0 ? MAX((double)age_ms / RECORD_FRESH_MS, 1.0) : 1.0;
-    allocator->unrecorded = MIN(RECORD_SHARE * periods, 1.0);
+    // Records of teams that spend are renewed, unless the store was away; then
+    // spending may have gone on at the quota's rate.
+    double away_ms = n > 0 ? MAX((double)age_ms - RECORD_FRESH_MS, 0.0) : 0.0;
+    allocator->unrecorded =
+        MIN(RECORD_SHARE + away_ms / (allocator->window_s * 1000.0), 1.0);
     double part_ms = allocator->window_s * 1000.0 / PS_SPENT_PARTS;
     for (int i = 0; i < n; i++) {
         ps_quota_t *pooled = get_pooled(allocator, &records[i].team);
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -57,6 +57,7 @@
     uint64_t incarnation;
     int64_t reported_ms;
     uint64_t round; /* of its last report */
+    int64_t age_ms; /* since its start, by its last report */
     bool is_leaving;
     GHashTable *services; /* name to ps_service_use_t */
     GHashTable *teams;    /* name to ps_team_use_t */
--- a/src/dividing.c
+++ b/src/dividing.c
@@ -22,6 +22,7 @@
     ps_allocator_t *allocator = &sharing->allocator;
     ps_reporter_t *reporter = PsAllocator_Reporter(allocator, from, 0, now_ms);
     reporter->round = report->round;
+    reporter->age_ms = (int64_t)report->age_ms;
     for (size_t i = 0; i < report->n_services; i++) {
         const Ps__ServiceUse *told = report->services[i];
         ps_name_t service = PsName_FromC(told->service);
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -3202,7 +3202,7 @@
   (ProtobufCMessageInit) ps__team_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ps__share_report__field_descriptors[6] =
 {
   {
     "round",
@@ -3264,8 +3264,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareReport, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_report__field_indices_by_name[] = {
+  5,   /* field[5] = age_ms */
   4,   /* field[4] = leaving */
   0,   /* field[0] = round */
   1,   /* field[1] = services */
@@ -3275,7 +3288,7 @@
 static const ProtobufCIntRange ps__share_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ps__share_report__descriptor =
 {
@@ -3285,7 +3298,7 @@
   "Ps__ShareReport",
   "ps",
   sizeof(Ps__ShareReport),
-  5,
+  6,
   ps__share_report__field_descriptors,
   ps__share_report__field_indices_by_name,
   1,  ps__share_report__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -512,10 +512,14 @@
   size_t n_suspects;
   uint64_t *suspects;
   protobuf_c_boolean leaving;
+  /*
+   * since the sender's start
+   */
+  uint64_t age_ms;
 };
 #define PS__SHARE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_report__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -201,6 +201,7 @@
     report.round = ++sharing->round;
     sharing->sent_ms[sharing->round % PS_SHARING_ROUNDS] = now_ms;
     report.leaving = gateway->is_leaving;
+    report.age_ms = (uint64_t)MAX(now_ms - gateway->started_ms, 0);
     report.services =
         g_new0(Ps__ServiceUse *, g_hash_table_size(gateway->dispatchers) + 1);
     GHashTableIter each;
