--- a/src/gateway.c
+++ b/src/gateway.c
@@ -16,7 +16,7 @@
 #define READY_SHARE 0.6       /* of the time that a key lives on */
 #define READ_PACE_MS 700      /* between reads for newer versions */
 #define DIFFER_PACE_MS 700    /* between reads for other differences */
-#define WATCHFUL_MS 1500      /* the store is read often for so long */
+#define WATCHFUL_MS 700       /* the store is read often for so long */
 #define SETTLED_MS 1000       /* a daemon that has just started knows others */
 #define NEWS_FRESH_MS 500     /* news of the allocator are relied on */
 #define PROOF_FRESH_MS 1200   /* twice the pace of the allocator's reads */
