Count spending in proportion under a lowered quota

What was spent under a higher limit counts in proportion to the two limits; raised again, all of it counts. Ruled out: the even parts and the pacing (few refusals of other teams).

--- a/src/quota.c
+++ b/src/quota.c
@@ -14,10 +14,28 @@
     int64_t first = MAX(quota->current + 1, bucket - PS_QUOTA_BUCKETS + 1);
     for (int64_t b = first; b <= bucket; b++) {
         quota->spent[b % PS_QUOTA_BUCKETS] = 0;
+        quota->limits[b % PS_QUOTA_BUCKETS] = 0;
     }
     quota->current = MAX(quota->current, bucket);
 }
 
+static void
+add(ps_quota_t *quota, int64_t bucket, double units)
+{
+    int i = (int)(bucket % PS_QUOTA_BUCKETS);
+    quota->spent[i] += units;
+    quota->limits[i] = MAX(quota->limits[i], quota->limit);
+}
+
+// Returns what was spent in a part of the window as it counts now.
+static double
+count(const ps_quota_t *quota, int i)
+{
+    bool is_lowered = quota->limit > 0 && quota->limits[i] > quota->limit;
+    return is_lowered ? quota->spent[i] * quota->limit / quota->limits[i]
+                      : quota->spent[i];
+}
+
 // Returns the share of the window that lies after the start.
 static double
 get_open_share(const ps_quota_t *quota, int64_t now_ms)
@@ -53,7 +71,7 @@
     move_window(quota, now_ms);
     double spent = 0;
     for (int i = 0; i < PS_QUOTA_BUCKETS; i++) {
-        spent += quota->spent[i];
+        spent += count(quota, i);
     }
     return spent;
 }
@@ -68,7 +86,7 @@
     for (int64_t back = from_ms / width; back < to_ms / width; back++) {
         int64_t bucket = quota->current - back;
         if (back < PS_QUOTA_BUCKETS && bucket >= 0) {
-            spent += quota->spent[bucket % PS_QUOTA_BUCKETS];
+            spent += count(quota, (int)(bucket % PS_QUOTA_BUCKETS));
         }
     }
     return spent;
@@ -82,7 +100,7 @@
     int64_t back = age_ms / MAX(quota->bucket_ms, 1);
     int64_t bucket = quota->current - back;
     if (back < PS_QUOTA_BUCKETS && bucket >= 0) {
-        quota->spent[bucket % PS_QUOTA_BUCKETS] += units;
+        add(quota, bucket, units);
     }
 }
 
@@ -90,7 +108,7 @@
 PsQuota_Charge(ps_quota_t *quota, double units, int64_t now_ms)
 {
     move_window(quota, now_ms);
-    quota->spent[quota->current % PS_QUOTA_BUCKETS] += units;
+    add(quota, quota->current, units);
     quota->total += units;
 }
 
--- a/src/quota.h
+++ b/src/quota.h
@@ -38,7 +38,9 @@
     int64_t bucket_ms;
     int64_t current; /* number of the newest bucket */
     double spent[PS_QUOTA_BUCKETS];
-    double total;     /* units since the start */
+    double limits[PS_QUOTA_BUCKETS]; /* in force when that was spent; 0: not
+                                        known */
+    double total;                    /* units since the start */
     int64_t begun_ms; /* what was spent before is unknown; 0: nothing was */
 } ps_quota_t;
 
@@ -51,7 +53,11 @@
                         const ps_quota_terms_t *terms);
 
 /**
- * PsQuota_Set() - Sets limit and window; what was spent stays spent.
+ * PsQuota_Set() - Sets limit and window.
+ *
+ * What was spent stays spent. Under a lowered limit it counts in proportion,
+ * so that a team within its quota is not refused for what the higher one
+ * allowed before.
  */
 void PsQuota_Set(ps_quota_t *quota, double limit, double window_s);
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -142,6 +142,28 @@
     EXPECT_TRUE(PsQuota_TakeEven(&quota, 1, 1, kStart + 8400));
 }
 
+// A team spends half of its quota, which is then lowered: it has spent half
+// of the lower one. Raised again, all that was spent counts.
+TEST(Quota, SpendingCountsInProportionUnderALoweredLimit)
+{
+    ps_quota_t quota = {};
+    PsQuota_Set(&quota, 1000, 8);
+    PsQuota_Charge(&quota, 500, kStart);
+    PsQuota_Set(&quota, 400, 8);
+    EXPECT_DOUBLE_EQ(PsQuota_GetSpent(&quota, kStart + 1000), 200);
+    EXPECT_TRUE(PsQuota_TakeEven(&quota, 200, 1, kStart + 1000));
+    EXPECT_FALSE(PsQuota_TakeEven(&quota, 1, 1, kStart + 1100));
+    PsQuota_Set(&quota, 200, 8);
+    EXPECT_DOUBLE_EQ(PsQuota_GetSpent(&quota, kStart + 1200), 200);
+    PsQuota_Set(&quota, 1000, 8);
+    EXPECT_DOUBLE_EQ(PsQuota_GetSpent(&quota, kStart + 1300), 700);
+    // A window after the change the lower limit alone counts.
+    PsQuota_Set(&quota, 400, 8);
+    EXPECT_FALSE(PsQuota_TakeEven(&quota, 301, 1, kStart + 8500));
+    EXPECT_TRUE(PsQuota_TakeEven(&quota, 200, 1, kStart + 8500));
+    EXPECT_FALSE(PsQuota_TakeEven(&quota, 1, 1, kStart + 8600));
+}
+
 // A daemon that has just started may find that the others have spent the
 // window's quota before: its even part opens as that use leaves the window.
 TEST(Quota, EvenPartOpensOverTheFirstWindow)
