Mutate bytes at every boundary of a gateway

The loopback server of test_contract moved to tests/loopback.hpp. Two enums had the name ps_verdict; the dialect's is ps_reply now, also in the log.

--- a/Makefile
+++ b/Makefile
@@ -102,7 +102,7 @@
 # Tests
 
 TESTS := test_tables test_pool test_ledger test_contract test_world \
-    test_gateway
+    test_gateway test_mutations
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
@@ -119,6 +119,10 @@
     $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
+$(BUILD)/test_mutations: $(BUILD)/tests/test_mutations.o $(DAEMON_OBJS) \
+    $(KERNEL_OBJS)
+	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
+
 $(BUILD)/test_world: $(BUILD)/tests/test_world.o $(BUILD)/tests/world.o \
     $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -40,14 +40,14 @@
 } ps_outbound_t;
 
 /**
- * enum ps_verdict - What the head of a server's answer means.
+ * enum ps_reply - What the head of a server's answer means.
  */
-typedef enum ps_verdict {
-    PS_VERDICT_ANSWER,  /* the answer to this request */
-    PS_VERDICT_NOT_RUN, /* the server has not run it and will not */
-    PS_VERDICT_ABSENT,  /* the same, by another server than was expected */
-    PS_VERDICT_FOREIGN  /* not the answer to this request */
-} ps_verdict_t;
+typedef enum ps_reply {
+    PS_REPLY_ANSWER,  /* the answer to this request */
+    PS_REPLY_NOT_RUN, /* the server has not run it and will not */
+    PS_REPLY_ABSENT,  /* the same, by another server than was expected */
+    PS_REPLY_FOREIGN  /* not the answer to this request */
+} ps_reply_t;
 
 /**
  * struct ps_dialect - Plug-in: a dialect.
@@ -62,7 +62,7 @@
     bool (*decode)(const ps_http_request_t *request, ps_inbound_t *inbound);
     void (*write)(const ps_http_request_t *request,
                   const ps_outbound_t *outbound, ps_transfer_t *transfer);
-    ps_verdict_t (*judge)(const ps_transfer_t *transfer,
+    ps_reply_t (*judge)(const ps_transfer_t *transfer,
                           const ps_name_t *request_id);
     bool (*is_returned)(ps_str_t header);
     const char *request_id;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -296,7 +296,7 @@
 is_stream_answer(const ps_exchange_t *exchange)
 {
     return exchange->route->is_stream && exchange->transfer.status == 200 &&
-           exchange->verdict == PS_VERDICT_ANSWER;
+           exchange->reply == PS_REPLY_ANSWER;
 }
 
 static void
@@ -304,9 +304,9 @@
 {
     ps_exchange_t *exchange = transfer->user;
     exchange->has_head = true;
-    exchange->verdict = exchange->gateway->dialect->judge(
+    exchange->reply = exchange->gateway->dialect->judge(
         transfer, &exchange->inbound.request_id);
-    if (exchange->verdict == PS_VERDICT_FOREIGN) {
+    if (exchange->reply == PS_REPLY_FOREIGN) {
         transfer->is_aborted = true;
     }
     else if (is_stream_answer(exchange) && !exchange->is_relaying) {
@@ -397,7 +397,7 @@
 {
     bool is_cut_event = is_stream_answer(exchange) && exchange->body.len > 0;
     return result == PS_TRANSFER_WHOLE && exchange->has_head &&
-           exchange->verdict == PS_VERDICT_ANSWER && !is_cut_event;
+           exchange->reply == PS_REPLY_ANSWER && !is_cut_event;
 }
 
 static ps_task_end_t
@@ -406,10 +406,10 @@
     if (result == PS_TRANSFER_NOT_SENT) {
         return PS_TASK_NO_ROUTE;
     }
-    if (exchange->has_head && exchange->verdict == PS_VERDICT_NOT_RUN) {
+    if (exchange->has_head && exchange->reply == PS_REPLY_NOT_RUN) {
         return PS_TASK_REJECTED;
     }
-    if (exchange->has_head && exchange->verdict == PS_VERDICT_ABSENT) {
+    if (exchange->has_head && exchange->reply == PS_REPLY_ABSENT) {
         return PS_TASK_ABSENT;
     }
     return is_whole(exchange, result) && exchange->transfer.status < 500
@@ -425,7 +425,7 @@
     PsEvents_Add("request.trouble", "{s:s,s:s,s:i,s:i,s:s,s:i,s:f}", "id",
                  exchange->inbound.request_id.data, "server",
                  backend->told.name.data, "status", (int)transfer->status,
-                 "verdict", (int)exchange->verdict, "error", transfer->error,
+                 "reply", (int)exchange->reply, "error", transfer->error,
                  "end", (int)end, "failure_rate",
                  PsBackend_GetFailureRate(backend));
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -30,7 +30,7 @@
     bool is_transferring;
     bool was_run; /* a server may have run it */
     int sends;
-    ps_verdict_t verdict;
+    ps_reply_t reply;
     bool has_head;        /* of the current transfer */
     bool is_relaying;     /* the stream's head has gone to the caller */
     ps_buf_t body;        /* whole answer, or an event in progress */
--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -1,11 +1,6 @@
 // test_contract.cpp - The clients and links against peers that misbehave.
-#include <arpa/inet.h>
-#include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include "kernel.hpp"
+#include "loopback.hpp"
 
 extern "C" {
 #include "http_client.h"
@@ -15,111 +10,6 @@
 
 namespace {
 
-struct ev_loop *
-Loop()
-{
-    return ev_default_loop(EVFLAG_AUTO);
-}
-
-// Runs the loop until a condition holds.
-void
-RunUntil(std::function<bool()> is_done)
-{
-    ev_timer tick;
-    ev_timer_init(&tick, [](struct ev_loop *, ev_timer *, int) {}, 0.01,
-                  0.01);
-    ev_timer_start(Loop(), &tick);
-    for (int i = 0; i < 2000 && !is_done(); i++) {
-        ev_run(Loop(), EVRUN_ONCE);
-    }
-    ev_timer_stop(Loop(), &tick);
-    EXPECT_TRUE(is_done());
-}
-
-// A server that answers each request with given bytes, then maybe closes.
-class RawServer {
-  public:
-    RawServer()
-    {
-        fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        sockaddr_in in = {};
-        in.sin_family = AF_INET;
-        in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(fd, (sockaddr *)&in, sizeof in);
-        listen(fd, 16);
-        socklen_t len = sizeof in;
-        getsockname(fd, (sockaddr *)&in, &len);
-        address = "127.0.0.1:" + std::to_string(ntohs(in.sin_port));
-        ev_io_init(&io, OnAccept, fd, EV_READ);
-        io.data = this;
-        ev_io_start(Loop(), &io);
-    }
-    ~RawServer()
-    {
-        ev_io_stop(Loop(), &io);
-        close(fd);
-        for (auto &link : links) {
-            ev_io_stop(Loop(), &link->io);
-            close(link->io.fd);
-        }
-    }
-    std::string address;
-    std::string answer;
-    bool closes = true;
-    bool is_mute = false;
-    int requests = 0;
-
-  private:
-    struct Link {
-        ev_io io;
-        RawServer *server;
-        std::string in;
-    };
-    static void OnAccept(struct ev_loop *loop, ev_io *io, int)
-    {
-        auto *self = (RawServer *)io->data;
-        auto link = std::make_unique<Link>();
-        link->server = self;
-        int fd = accept(io->fd, nullptr, nullptr);
-        ev_io_init(&link->io, OnData, fd, EV_READ);
-        link->io.data = link.get();
-        ev_io_start(loop, &link->io);
-        self->links.push_back(std::move(link));
-    }
-    static void OnData(struct ev_loop *loop, ev_io *io, int)
-    {
-        auto *link = (Link *)io->data;
-        RawServer *self = link->server;
-        char block[4096];
-        ssize_t n = recv(io->fd, block, sizeof block, 0);
-        if (n > 0) {
-            link->in.append(block, (size_t)n);
-        }
-        bool has_head = link->in.find("\r\n\r\n") != std::string::npos;
-        if (n > 0 && has_head && !self->is_mute) {
-            self->requests++;
-            link->in.clear();
-            send(io->fd, self->answer.data(), self->answer.size(),
-                 MSG_NOSIGNAL);
-        }
-        if (n <= 0 || (has_head && self->closes && !self->is_mute)) {
-            ev_io_stop(loop, io);
-            shutdown(io->fd, SHUT_RDWR);
-        }
-    }
-    int fd;
-    ev_io io;
-    std::vector<std::unique_ptr<Link>> links;
-};
-
-std::string
-Response(const std::string &status, const std::string &body)
-{
-    return "HTTP/1.1 " + status +
-           "\r\nContent-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
-}
-
 struct Result {
     bool is_done = false;
     ps_status_t status;
@@ -147,7 +37,8 @@
     out->result = result;
 }
 
-const ps_transfer_events_t kTransferEvents = {nullptr, nullptr, OnTransferDone};
+const ps_transfer_events_t kTransferEvents = {nullptr, nullptr,
+                                              OnTransferDone};
 
 ps_transfer_result_t
 Post(ps_http_client_t *client, const std::string &address, bool is_single)
@@ -187,8 +78,7 @@
         {"too old", Response("410 Gone", "{}"), PS_NOT_FOUND, PS_NOT_FOUND},
         {"conflict", Response("412 Precondition Failed", "{}"), PS_CONFLICT,
          PS_CONFLICT},
-        {"too large", Response("413 Too Large", "{}"), PS_INVALID,
-         PS_INVALID},
+        {"too large", Response("413 Too Large", "{}"), PS_INVALID, PS_INVALID},
         {"too many", Response("429 Too Many", "{}"), PS_UNAVAILABLE,
          PS_UNAVAILABLE},
         {"server error", Response("500 Error", "{}"), PS_UNAVAILABLE,
@@ -303,8 +193,7 @@
 {
     ps_name_t self = Name(name);
     ps_name_t at = Name(address);
-    ASSERT_EQ(PsPeers_Init(peers, &kPeersEvents, heard, Loop(), &at, &self,
-                           1),
+    ASSERT_EQ(PsPeers_Init(peers, &kPeersEvents, heard, Loop(), &at, &self, 1),
               PS_OK)
         << PsStatus_LastMessage();
 }
@@ -328,8 +217,8 @@
     Ps__Heartbeat beat = PS__HEARTBEAT__INIT;
     Ps__Frame frame = PS__FRAME__INIT;
     frame.protocol = protocol;
-    frame.body_case = is_hello ? PS__FRAME__BODY_HELLO
-                               : PS__FRAME__BODY_HEARTBEAT;
+    frame.body_case =
+        is_hello ? PS__FRAME__BODY_HELLO : PS__FRAME__BODY_HEARTBEAT;
     if (is_hello) {
         frame.hello = &hello;
     }
@@ -401,7 +290,8 @@
     PsPeers_Use(&a, &name_b, now);
     SendBeat(&a, "b");
     SendBeat(&b, "a");
-    RunUntil([&] { return !heard_a.frames.empty() && !heard_b.frames.empty(); });
+    RunUntil(
+        [&] { return !heard_a.frames.empty() && !heard_b.frames.empty(); });
     Ps__Heartbeat beat = PS__HEARTBEAT__INIT;
     Ps__Frame frame = PS__FRAME__INIT;
     frame.body_case = PS__FRAME__BODY_HEARTBEAT;
--- /dev/null
+++ b/tests/test_mutations.cpp
@@ -0,0 +1,679 @@
+// test_mutations.cpp - Mutated bytes at every boundary of a gateway: settings,
+// configuration, store entries, requests, servers' answers, peer frames. It
+// stays up, says what is wrong, and serves the next good request.
+//
+// CHECK_CASES sets the cases of each boundary, CHECK_SEED their seed.
+#include "kernel.hpp"
+#include "loopback.hpp"
+
+extern "C" {
+#include "answers.h"
+#include "clock.h"
+#include "decode.h"
+#include "dialect_fleet.h"
+#include "dividing.h"
+#include "events_log.h"
+#include "gateway.h"
+}
+
+namespace {
+
+int
+Cases()
+{
+    const char *text = getenv("CHECK_CASES");
+    return text ? atoi(text) : 300;
+}
+
+/* ---- Mutations -------------------------------------------------------- */
+
+class Mutator {
+  public:
+    Mutator()
+    {
+        const char *text = getenv("CHECK_SEED");
+        random.seed(text ? (unsigned)atoi(text) : 1);
+    }
+    size_t
+    Below(size_t n)
+    {
+        return n > 0 ? random() % n : 0;
+    }
+    std::string
+    Bytes(std::string text)
+    {
+        for (size_t n = 1 + Below(4); n > 0; n--) {
+            ChangeOnce(&text);
+        }
+        return text;
+    }
+    // Replaces or removes one value somewhere in a document.
+    void
+    Value(json_t *node)
+    {
+        size_t n = json_is_object(node)  ? json_object_size(node)
+                   : json_is_array(node) ? json_array_size(node)
+                                         : 0;
+        size_t at = Below(n);
+        if (json_is_array(node) && n > 0) {
+            json_t *child = json_array_get(node, at);
+            if (Below(4) > 0 && json_is_object(child)) {
+                Value(child);
+            }
+            else {
+                json_array_set_new(node, at, Odd());
+            }
+        }
+        else if (n > 0) {
+            void *each = json_object_iter(node);
+            while (at-- > 0) {
+                each = json_object_iter_next(node, each);
+            }
+            json_t *child = json_object_iter_value(each);
+            if (Below(4) > 0 &&
+                (json_is_object(child) || json_is_array(child))) {
+                Value(child);
+            }
+            else {
+                json_object_iter_set_new(node, each, Odd());
+            }
+        }
+    }
+    // A document with a changed byte or value; NULL when it cannot be read.
+    json_t *
+    Document(const std::string &text)
+    {
+        if (Below(2) == 0) {
+            std::string changed = Bytes(text);
+            return json_loadb(changed.data(), changed.size(), 0, nullptr);
+        }
+        json_t *whole = json_loadb(text.data(), text.size(), 0, nullptr);
+        Value(whole);
+        return whole;
+    }
+
+  private:
+    json_t *
+    Odd()
+    {
+        static const char *const texts[] = {
+            "null",  "true", "-1",    "0",       "1e300",
+            "\"\"",  "{}",   "[]",    "[[[]]]",  "9223372036854775807",
+            "-0.5",  "1",    "\"x\"", "\"0:0\"", "\"127.0.0.1:1\"",
+            "\"/\"", "65536"};
+        const char *text = texts[Below(G_N_ELEMENTS(texts))];
+        return Below(8) == 0 ? json_string(std::string(5000, 'a').c_str())
+                             : json_loads(text, JSON_DECODE_ANY, nullptr);
+    }
+    void
+    ChangeOnce(std::string *text)
+    {
+        static const std::string tokens[] = {"-1",
+                                             "1e999",
+                                             "null",
+                                             "\"",
+                                             "99999999999999999999",
+                                             "\r\n",
+                                             "%00",
+                                             "{",
+                                             "]",
+                                             std::string("\0", 1),
+                                             "\xff\xfe",
+                                             ":",
+                                             ",",
+                                             std::string(3000, 'A')};
+        size_t at = Below(text->size() + 1);
+        size_t len = Below(16) + 1;
+        switch (Below(7)) {
+        case 0:
+            text->insert(at, 1, (char)Below(256));
+            break;
+        case 1:
+            text->erase(at, len);
+            break;
+        case 2:
+            text->insert(at, text->substr(at, len));
+            break;
+        case 3:
+            text->resize(at);
+            break;
+        case 4:
+            text->insert(at, tokens[Below(G_N_ELEMENTS(tokens))]);
+            break;
+        default:
+            if (at < text->size()) {
+                (*text)[at] = (char)((*text)[at] ^ (1 << Below(8)));
+            }
+        }
+    }
+    std::mt19937 random;
+};
+
+/* ---- A gateway on loopback -------------------------------------------- */
+
+const std::string kSettings =
+    "[daemon]\nmode = gateway\nname = d1\ndomain = z1\n[listen]\n"
+    "caller = 127.0.0.1:1\nready = 127.0.0.1:2\ndirectory = 127.0.0.1:3\n"
+    "peer = 127.0.0.1:4\nadmin = 127.0.0.1:5\n[admin]\ntoken = none\n"
+    "[platform]\naddress = 127.0.0.1:6\n[gateway]\nrevoke_ms = 5000\n"
+    "grace_s = 4\nquota_window = 8\nretry_ratio = 0.2\nretry_slack = 50\n";
+
+std::string
+ConfigText(long long version)
+{
+    return "{\"version\":" + std::to_string(version) +
+           ",\"routes\":[{\"name\":\"r\",\"host\":\"a.example\","
+           "\"pathPrefix\":\"/safe/\",\"kind\":\"safe\",\"service\":\"s\","
+           "\"timeoutMs\":2000,\"targetLatencyMs\":300,\"priority\":1,"
+           "\"maxAttempts\":2},{\"name\":\"t\",\"host\":\"a.example\","
+           "\"pathPrefix\":\"/stream/\",\"kind\":\"streaming\","
+           "\"resumable\":true,\"sticky\":true,\"service\":\"m\","
+           "\"timeoutMs\":2000,\"priority\":0}],\"services\":[{\"name\":"
+           "\"s\"},{\"name\":\"m\",\"engine\":{\"slots\":8,\"stride\":5}}],"
+           "\"limits\":{\"maxBodyBytes\":65536,\"idleTimeoutMs\":5000},"
+           "\"tenants\":[{\"name\":\"team\",\"apiKeys\":[\"key\"],"
+           "\"priority\":1,\"unit\":\"tokens\",\"plainTokens\":1,"
+           "\"ratePerS\":1e9,\"burst\":1e9}]}";
+}
+
+// The body differs by id: content that was in flight at crashes is refused.
+std::string
+Request(const std::string &path, const std::string &id)
+{
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key\r\n"
+           "Request-Id: " +
+           id +
+           "\r\nDeadline-Ms: 1500\r\nToken-Counts: 100,20\r\n"
+           "Prompt-Prefix: ab12:60,c3:40\r\nLength-Hint: 10\r\n"
+           "Content-Length: " +
+           std::to_string(id.size()) + "\r\n\r\n" + id;
+}
+
+std::string
+HeaderOf(const std::string &request, const std::string &name)
+{
+    size_t at = request.find(name + ": ");
+    size_t from = at + name.size() + 2;
+    return at == std::string::npos
+               ? ""
+               : request.substr(from, request.find("\r\n", from) - from);
+}
+
+std::string
+GoodAnswer(const std::string &request)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " +
+           HeaderOf(request, "Request-Id") +
+           "\r\nResponse-Stamp: x\r\nContent-Length: 2\r\n\r\nok";
+}
+
+int
+FreePort()
+{
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in in = {};
+    in.sin_family = AF_INET;
+    in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(fd, (sockaddr *)&in, sizeof in);
+    socklen_t len = sizeof in;
+    getsockname(fd, (sockaddr *)&in, &len);
+    close(fd);
+    return ntohs(in.sin_port);
+}
+
+// Sends bytes and collects what comes back until the other side closes.
+class RawCaller {
+  public:
+    RawCaller(int port, const std::string &text)
+    {
+        fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in in = {};
+        in.sin_family = AF_INET;
+        in.sin_port = htons((uint16_t)port);
+        in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(connect(fd, (sockaddr *)&in, sizeof in), 0);
+        EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+                  (ssize_t)text.size());
+    }
+    ~RawCaller()
+    {
+        close(fd);
+    }
+    const std::string &
+    Read()
+    {
+        char block[4096];
+        ssize_t n;
+        while ((n = recv(fd, block, sizeof block, MSG_DONTWAIT)) > 0) {
+            answer.append(block, (size_t)n);
+        }
+        return answer;
+    }
+
+  private:
+    int fd;
+    std::string answer;
+};
+
+class Rig {
+  public:
+    Rig()
+    {
+        static const ps_gateway_store_t store = {
+            [](const ps_gateway_store_t *, const ps_daemon_info_t *) {},
+            [](const ps_gateway_store_t *, const ps_spent_record_t *, int) {},
+            [](const ps_gateway_store_t *, bool, bool, bool) {},
+            [](const ps_gateway_store_t *, ps_read_pace_t) {}};
+        signal(SIGPIPE, SIG_IGN);
+        PsEvents_Init("d1");
+        ps_settings_t settings = {};
+        settings.name = Name("d1");
+        settings.domain = Name("z1");
+        ps_name_t *const addresses[] = {
+            &settings.caller_address, &settings.peer_address,
+            &settings.admin_address, &settings.gateway.ready_address,
+            &settings.gateway.directory_address};
+        for (ps_name_t *address : addresses) {
+            *address = Name("127.0.0.1:" + std::to_string(FreePort()));
+        }
+        settings.gateway.revoke_ms = 60000;
+        settings.gateway.grace_s = 4;
+        settings.gateway.quota_window_s = 8;
+        settings.gateway.retry_window_s = 10;
+        settings.gateway.retry_slack = 1000;
+        settings.gateway.cpu_share = 1;
+        EXPECT_EQ(PsGateway_Init(&gateway, Loop(), &settings,
+                                 PsDialectFleet_Get(),
+                                 PsAnswers_GetCheckEvents(),
+                                 PsAnswers_GetDirectoryEvents()),
+                  PS_OK)
+            << PsStatus_LastMessage();
+        gateway.store = &store;
+        server.closes = false;
+        Restore();
+    }
+    ~Rig()
+    {
+        PsGateway_Finish(&gateway);
+    }
+    // Puts the good configuration in force and lists the good servers alone.
+    void
+    Restore()
+    {
+        const ps_feed_events_t *feed = PsGateway_GetFeedEvents();
+        std::string text = ConfigText(++version);
+        json_t *spec = json_loads(text.c_str(), 0, nullptr);
+        feed->catalog(&gateway, PsDecode_Catalog(spec));
+        json_decref(spec);
+        feed->confirmed(&gateway, PsClock_Now());
+        GHashTable *names = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
+        ps_name_t good[] = {Name("good-s"), Name("good-m")};
+        for (ps_name_t &name : good) {
+            ps_registration_t told = {};
+            told.name = name;
+            told.service = Name(name.data + strlen("good-"));
+            told.address = Name(server.address);
+            told.slots = 8;
+            g_hash_table_add(names, &name);
+            feed->servers_listed(&gateway, names);
+            feed->server(&gateway, &told);
+        }
+        g_hash_table_add(names, &gateway.self.name);
+        feed->servers_listed(&gateway, names);
+        feed->members_listed(&gateway, names);
+        g_hash_table_destroy(names);
+    }
+    void
+    Run(double seconds)
+    {
+        ev_timer timer;
+        ev_timer_init(
+            &timer,
+            [](struct ev_loop *loop, ev_timer *, int) {
+                ev_break(loop, EVBREAK_ONE);
+            },
+            seconds, 0.0);
+        ev_timer_start(Loop(), &timer);
+        ev_run(Loop(), 0);
+        ev_timer_stop(Loop(), &timer);
+    }
+    int
+    CallerPort()
+    {
+        return PortOf(gateway.settings.caller_address);
+    }
+    int
+    PeerPort()
+    {
+        return PortOf(gateway.settings.peer_address);
+    }
+    // A good request is served, at last after a pause for ejected servers.
+    void
+    ExpectServes(const std::string &after)
+    {
+        server.respond = GoodAnswer;
+        std::string seen;
+        for (int attempt = 0; attempt < 40; attempt++) {
+            Restore();
+            RawCaller caller(
+                CallerPort(),
+                Request("/safe/x", "probe-" + std::to_string(attempt)));
+            for (int i = 0; i < 100; i++) {
+                Run(0.005);
+                seen = caller.Read();
+                if (seen.find("\r\n\r\n") != std::string::npos) {
+                    break;
+                }
+            }
+            if (seen.rfind("HTTP/1.1 200", 0) == 0 &&
+                seen.find("\r\n\r\nok") != std::string::npos) {
+                return;
+            }
+            Run(0.2);
+        }
+        ADD_FAILURE() << "no service after " << after << ": " << seen;
+    }
+    ps_gateway_t gateway;
+    RawServer server;
+
+  private:
+    static int
+    PortOf(const ps_name_t &address)
+    {
+        return atoi(strchr(address.data, ':') + 1);
+    }
+    long long version = 1LL << 40; // above what mutations bring about
+};
+
+} // namespace
+
+/* ---- Settings --------------------------------------------------------- */
+
+TEST(Mutations, SettingsAreReadOrRefusedWithAReason)
+{
+    Mutator mutator;
+    std::string path =
+        testing::TempDir() + "/mutated-settings-" + std::to_string(getpid());
+    int refused = 0;
+    for (int i = 0; i < Cases(); i++) {
+        std::string text = mutator.Bytes(kSettings);
+        ASSERT_TRUE(g_file_set_contents(path.c_str(), text.data(),
+                                        (gssize)text.size(), nullptr));
+        ps_settings_t settings;
+        if (PsSettings_Load(&settings, path.c_str()) != PS_OK) {
+            refused++;
+            ASSERT_STRNE(PsStatus_LastMessage(), "") << text;
+        }
+    }
+    unlink(path.c_str());
+    EXPECT_GT(refused, 0);
+}
+
+/* ---- The store -------------------------------------------------------- */
+
+TEST(Mutations, ConfigurationsAreAppliedWholeOrNotAtAll)
+{
+    Mutator mutator;
+    Rig rig;
+    const ps_feed_events_t *feed = PsGateway_GetFeedEvents();
+    int applied = 0;
+    for (int i = 0; i < Cases(); i++) {
+        json_t *spec = mutator.Document(ConfigText(i + 1));
+        ps_catalog_t *catalog = PsDecode_Catalog(spec);
+        json_decref(spec);
+        if (!catalog) {
+            ASSERT_STRNE(PsStatus_LastMessage(), "");
+            continue;
+        }
+        applied++;
+        feed->catalog(&rig.gateway, catalog);
+        RawCaller caller(rig.CallerPort(),
+                         Request("/safe/x", "c-" + std::to_string(i)));
+        rig.Run(0.002);
+        if (i % 100 == 99) {
+            rig.ExpectServes("configuration " + std::to_string(i));
+        }
+    }
+    EXPECT_GT(applied, 0);
+    rig.ExpectServes("all configurations");
+}
+
+TEST(Mutations, EntriesOfOtherWritersHarmNobody)
+{
+    Mutator mutator;
+    Rig rig;
+    const ps_feed_events_t *feed = PsGateway_GetFeedEvents();
+    const std::string texts[] = {
+        "{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"slots\":4,"
+        "\"state\":\"ready\",\"zone\":\"z1\",\"born\":1700000000000,"
+        "\"coldLeftMs\":100}",
+        "{\"domain\":\"z2\",\"caller\":\"127.0.0.1:9\",\"peer\":"
+        "\"127.0.0.1:9\",\"incarnation\":12345,\"cpuShare\":0.5}",
+        "{\"writtenMs\":1700000000000,\"teams\":[{\"team\":\"team\","
+        "\"spent\":[1,2,3,4,5,6,7,8]}]}"};
+    int taken = 0;
+    for (int i = 0; i < Cases(); i++) {
+        size_t kind = mutator.Below(G_N_ELEMENTS(texts));
+        json_t *spec = mutator.Document(texts[kind]);
+        ps_name_t name = Name("x" + std::to_string(mutator.Below(8)));
+        ps_registration_t told;
+        ps_daemon_info_t member;
+        ps_spent_record_t records[4];
+        int64_t age_ms;
+        if (kind == 0 && PsDecode_Registration(&name, spec, &told)) {
+            feed->server(&rig.gateway, &told);
+            taken++;
+        }
+        else if (kind == 1 && PsDecode_Member(&name, spec, &member)) {
+            feed->member(&rig.gateway, &member);
+            taken++;
+        }
+        else if (kind == 2) {
+            int n = PsDecode_Spent(spec, records, 4, &age_ms);
+            feed->spent(&rig.gateway, records, n, age_ms);
+        }
+        json_decref(spec);
+        RawCaller caller(rig.CallerPort(),
+                         Request("/stream/x", "e-" + std::to_string(i)));
+        rig.Run(0.002);
+        if (i % 100 == 99) {
+            feed->spent(&rig.gateway, nullptr, 0, 0);
+            rig.ExpectServes("entry " + std::to_string(i));
+        }
+    }
+    EXPECT_GT(taken, 0);
+    rig.ExpectServes("all entries");
+}
+
+/* ---- Callers and servers ---------------------------------------------- */
+
+TEST(Mutations, RequestsAreAnsweredOrClosed)
+{
+    Mutator mutator;
+    Rig rig;
+    rig.server.respond = GoodAnswer;
+    for (int i = 0; i < Cases(); i++) {
+        const char *path = mutator.Below(2) == 0 ? "/safe/x" : "/stream/x";
+        RawCaller caller(
+            rig.CallerPort(),
+            mutator.Bytes(Request(path, "m-" + std::to_string(i))));
+        rig.Run(0.002);
+        caller.Read();
+        if (i % 100 == 99) {
+            rig.ExpectServes("request " + std::to_string(i));
+            rig.server.respond = GoodAnswer;
+        }
+    }
+    rig.ExpectServes("all requests");
+}
+
+// Whatever servers answer: a caller gets a success only with a whole body.
+TEST(Mutations, AnswersOfServersAreWholeOrFailures)
+{
+    Mutator mutator;
+    Rig rig;
+    for (int i = 0; i < Cases(); i++) {
+        bool is_stream = mutator.Below(2) == 0;
+        rig.server.respond = [&](const std::string &request) {
+            std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: " +
+                               HeaderOf(request, "Request-Id") +
+                               "\r\nResponse-Stamp: x\r\n";
+            std::string events =
+                "Content-Type: text/event-stream\r\nContent-Length: 34\r\n"
+                "\r\nid: 1\ndata: a b\n\nid: 2\ndata: c d\n\n";
+            return mutator.Bytes(
+                head + (is_stream ? events : "Content-Length: 2\r\n\r\nok"));
+        };
+        RawCaller caller(rig.CallerPort(),
+                         Request(is_stream ? "/stream/x" : "/safe/x",
+                                 "a-" + std::to_string(i)));
+        rig.Run(0.004);
+        std::string seen = caller.Read();
+        size_t body = seen.find("\r\n\r\n");
+        if (!is_stream && seen.rfind("HTTP/1.1 200", 0) == 0 &&
+            body != std::string::npos) {
+            std::string length = HeaderOf(seen, "Content-Length");
+            ASSERT_EQ(seen.size() - body - 4, (size_t)atoi(length.c_str()))
+                << seen;
+        }
+        if (i % 100 == 99) {
+            rig.ExpectServes("answer " + std::to_string(i));
+        }
+    }
+    rig.ExpectServes("all answers");
+}
+
+/* ---- Peers ------------------------------------------------------------ */
+
+namespace {
+
+std::string
+PackFrame(Ps__Frame frame)
+{
+    frame.protocol = PS_PEER_PROTOCOL;
+    std::string body(ps__frame__get_packed_size(&frame), 0);
+    ps__frame__pack(&frame, (uint8_t *)body.data());
+    return body;
+}
+
+std::string
+WithLength(const std::string &body)
+{
+    uint32_t header = htonl((uint32_t)body.size());
+    return std::string((char *)&header, 4) + body;
+}
+
+std::string
+HelloFrame()
+{
+    Ps__Hello hello = PS__HELLO__INIT;
+    hello.daemon = (char *)"d2";
+    Ps__Frame frame = PS__FRAME__INIT;
+    frame.body_case = PS__FRAME__BODY_HELLO;
+    frame.hello = &hello;
+    return PackFrame(frame);
+}
+
+std::string
+ReportFrame()
+{
+    Ps__ServerCount running = PS__SERVER_COUNT__INIT;
+    running.server = 7;
+    running.count = 2;
+    Ps__ServerCount *all_running[] = {&running};
+    Ps__WaitingCount waiting = PS__WAITING_COUNT__INIT;
+    waiting.rank = 3;
+    waiting.count = 4;
+    Ps__WaitingCount *all_waiting[] = {&waiting};
+    Ps__ServerOutcomes outcomes = PS__SERVER_OUTCOMES__INIT;
+    outcomes.server = 7;
+    outcomes.absent = 1;
+    Ps__ServerOutcomes *all_outcomes[] = {&outcomes};
+    Ps__ServiceUse use = PS__SERVICE_USE__INIT;
+    use.service = (char *)"s";
+    use.running = all_running;
+    use.waiting = all_waiting;
+    use.outcomes = all_outcomes;
+    use.n_running = use.n_waiting = use.n_outcomes = 1;
+    Ps__ServiceUse *uses[] = {&use};
+    Ps__TeamUse team = PS__TEAM_USE__INIT;
+    team.team = (char *)"team";
+    team.spent = team.total = team.wanted = 100;
+    Ps__TeamUse *teams[] = {&team};
+    uint64_t suspects[] = {42};
+    Ps__ShareReport report = PS__SHARE_REPORT__INIT;
+    report.round = 1;
+    report.services = uses;
+    report.teams = teams;
+    report.suspects = suspects;
+    report.n_services = report.n_teams = report.n_suspects = 1;
+    Ps__Frame frame = PS__FRAME__INIT;
+    frame.body_case = PS__FRAME__BODY_SHARE_REPORT;
+    frame.share_report = &report;
+    return PackFrame(frame);
+}
+
+std::string
+GrantFrame()
+{
+    Ps__ServerCount limit = PS__SERVER_COUNT__INIT;
+    limit.server = 7;
+    limit.count = 2;
+    Ps__ServerCount *limits[] = {&limit};
+    Ps__ServiceGrant service = PS__SERVICE_GRANT__INIT;
+    service.service = (char *)"s";
+    service.limits = limits;
+    service.n_limits = 1;
+    Ps__ServiceGrant *services[] = {&service};
+    Ps__TeamGrant team = PS__TEAM_GRANT__INIT;
+    team.team = (char *)"team";
+    team.units = 1000;
+    Ps__TeamGrant *teams[] = {&team};
+    Ps__ServerNews news = PS__SERVER_NEWS__INIT;
+    news.name = (char *)"x1";
+    news.service = (char *)"s";
+    news.address = (char *)"127.0.0.1:9";
+    news.domain = (char *)"z2";
+    news.slots = 4;
+    Ps__ServerNews *all_news[] = {&news};
+    Ps__ShareGrant grant = PS__SHARE_GRANT__INIT;
+    grant.round = 1;
+    grant.services = services;
+    grant.teams = teams;
+    grant.news = all_news;
+    grant.n_services = grant.n_teams = grant.n_news = 1;
+    Ps__Frame frame = PS__FRAME__INIT;
+    frame.body_case = PS__FRAME__BODY_SHARE_GRANT;
+    frame.share_grant = &grant;
+    return PackFrame(frame);
+}
+
+} // namespace
+
+TEST(Mutations, FramesOfPeersHarmNobody)
+{
+    Mutator mutator;
+    Rig rig;
+    const ps_feed_events_t *feed = PsGateway_GetFeedEvents();
+    for (int i = 0; i < Cases(); i++) {
+        // The peer divides in half of the cases, so that grants are taken.
+        ps_daemon_info_t member = {};
+        member.name = Name("d2");
+        member.caller_address = member.peer_address = Name("127.0.0.1:9");
+        member.incarnation = (uint64_t)i;
+        member.cpu_share = mutator.Below(2) == 0 ? 100.0 : 0.01;
+        feed->member(&rig.gateway, &member);
+        const std::string good =
+            mutator.Below(2) == 0 ? ReportFrame() : GrantFrame();
+        std::string text = WithLength(HelloFrame());
+        text += mutator.Below(4) == 0 ? mutator.Bytes(WithLength(good))
+                                      : WithLength(mutator.Bytes(good));
+        RawCaller peer(rig.PeerPort(), text);
+        rig.Run(0.002);
+        if (i % 100 == 99) {
+            rig.ExpectServes("frame " + std::to_string(i));
+        }
+    }
+    rig.ExpectServes("all frames");
+}
