Give trials to daemons with a share alone

A success counts against later failures for 120 ms now, two rounds (0.3 s before, in which all daemons went on trying). Ruled out: reports that do not arrive (all members had grants).

--- a/src/outliers.c
+++ b/src/outliers.c
@@ -2,7 +2,7 @@
 #include "outliers.h"
 
 #define REPORTS_LEAST 2      /* without a success: one daemon may be cut off */
-#define GOOD_FRESH_MS 300    /* a success so lately outweighs failures */
+#define GOOD_FRESH_MS 120    /* two rounds; a success outweighs failures */
 #define FORGET_MS 10000      /* without reports */
 #define FAILED_SHARE_MAX 0.5 /* of a service's servers; more: not theirs */
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -150,7 +150,7 @@
         now_ms < backend->ejected_until_ms) {
         return false;
     }
-    int limit = backend->is_on_trial ? 1 : backend->share;
+    int limit = backend->is_on_trial ? MIN(backend->share, 1) : backend->share;
     return backend->running < limit;
 }
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -883,6 +883,36 @@
     EXPECT_GE(sent, 20);
 }
 
+// After a pause an ejected server is tried, unless the allocator has given the
+// trial to another daemon.
+TEST(Scheduler, ATrialNeedsAShare)
+{
+    World world(3, 2);
+    ps_backend_t *sick = world.backends[0];
+    PsBackend_Eject(sick, world.now);
+    world.core.is_granted = true;
+    sick->share = 0;
+    world.now += 1000;
+    for (int i = 0; i < 20; i++) {
+        ps_task_t task = world.Task(0);
+        world.Submit(&task);
+        EXPECT_NE(task.backend, sick) << "no share";
+        world.End(&task);
+    }
+    sick->share = 2;
+    int tries = 0;
+    std::vector<ps_task_t> tasks(6, world.Task(0));
+    for (ps_task_t &task : tasks) {
+        world.Submit(&task);
+        tries += task.backend == sick ? 1 : 0;
+    }
+    EXPECT_EQ(tries, 1) << "one request at a time";
+    for (ps_task_t &task : tasks) {
+        PsScheduler_Withdraw(&world.core, &task);
+        world.End(&task);
+    }
+}
+
 TEST(Scheduler, NoServerIsLeftOutWhenAllAreBad)
 {
     World world(3, 2);
