--- a/src/dividing.c
+++ b/src/dividing.c
@@ -1,6 +1,8 @@
 /* dividing.c - The allocator's rounds: reports in, grants out. */
 #include "dividing.h"
 
+#include <math.h>
+
 #include "clock.h"
 #include "events_log.h"
 #include "gateway.h"
@@ -24,6 +26,19 @@
 
 /* ---- The allocator's side --------------------------------------------- */
 
+// Numbers that no quota can hold would spoil a whole window.
+static bool
+is_valid(const Ps__TeamUse *told)
+{
+    const double all[] = {told->spent, told->wanted, told->total};
+    for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
+        if (!isfinite(all[i]) || all[i] < 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void
 PsDividing_TakeReport(ps_sharing_t *sharing, const ps_name_t *from,
                       const Ps__ShareReport *report, int64_t now_ms)
@@ -54,10 +69,16 @@
         }
     }
     for (size_t i = 0; i < report->n_teams; i++) {
-        ps_name_t team = PsName_FromC(report->teams[i]->team);
-        PsAllocator_NoteSpent(
-            allocator, reporter, &team, report->teams[i]->spent,
-            report->teams[i]->wanted, report->teams[i]->total, now_ms);
+        const Ps__TeamUse *told = report->teams[i];
+        ps_name_t team = PsName_FromC(told->team);
+        if (!is_valid(told)) {
+            PsEvents_Add("sharing.malformed", "{s:s,s:s,s:s}", "from",
+                         from->data, "team", team.data, "reason",
+                         "its use of the quota is not a number of units");
+            continue;
+        }
+        PsAllocator_NoteSpent(allocator, reporter, &team, told->spent,
+                              told->wanted, told->total, now_ms);
     }
     for (size_t i = 0; i < report->n_suspects; i++) {
         PsSuspects_AddDeath(&sharing->gateway->suspects, report->suspects[i],
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -523,6 +523,7 @@
     PsHttpServer_Finish(&gateway->directory);
     PsHttpServer_Finish(&gateway->metrics);
     PsSharing_Finish(&gateway->sharing);
+    PsCatalog_Unref(gateway->catalog);
     PsEvents_Flush();
 }
 
