Let unrecorded spending leave the window with the start

It is counted up to the daemons' start now, at the quota's rate, and leaves the window as that does; the same without a record, and for young daemons alone. Ruled out: the pacing (all teams were refused, also those far below).

--- a/src/allocator.c
+++ b/src/allocator.c
@@ -250,35 +250,33 @@
         PsQuota_Charge(pooled, spent, now_ms);
         return;
     }
-    bool is_recorded = allocator->recovered_ms > 0 &&
-                       (double)(now_ms - allocator->recovered_ms) < window_ms;
+    bool is_recorded = allocator->has_record &&
+                       (double)(now_ms - allocator->started_ms) < window_ms;
     for (int k = 0; !is_recorded && k < PS_SPENT_PARTS; k++) {
         PsQuota_ChargePast(pooled, spent / PS_SPENT_PARTS,
                            (int64_t)(window_ms * k / PS_SPENT_PARTS), now_ms);
     }
 }
 
-// What was spent before a start without a record: the window's limit, evenly.
-static double
-get_unknown(const ps_allocator_t *allocator, double limit, int64_t now_ms)
-{
-    double window_ms = allocator->window_s * 1000.0;
-    double passed = (double)(now_ms - allocator->unknown_ms);
-    return allocator->unknown_ms > 0 && passed < window_ms
-               ? limit * (1.0 - passed / window_ms)
-               : 0.0;
-}
-
-// What may have been spent between the last record and the start, by daemons
-// that have started since. The others tell what they have spent.
+// What may have been spent before this daemon's start without a record of it,
+// by daemons that have started since. The others tell what they have spent.
+// Spending may have gone on at the quota's rate until the start.
 static double
 get_unrecorded(const ps_allocator_t *allocator, double limit,
                double young_share, int64_t now_ms)
 {
-    double passed = (double)(now_ms - allocator->recovered_ms);
-    return allocator->recovered_ms > 0 && passed < allocator->window_s * 1000.0
-               ? limit * allocator->unrecorded * young_share
-               : 0.0;
+    double window_ms = allocator->window_s * 1000.0;
+    double start_ms = (double)allocator->started_ms;
+    double leaves_ms = (double)now_ms - window_ms;
+    if (allocator->started_ms == 0 || start_ms <= leaves_ms) {
+        return 0;
+    }
+    double from_ms = allocator->has_record
+                         ? (double)allocator->record_ms + RECORD_FRESH_MS
+                         : start_ms - window_ms;
+    double share = (start_ms - MAX(from_ms, leaves_ms)) / window_ms;
+    share = MAX(share, 0.0) + (allocator->has_record ? RECORD_SHARE : 0.0);
+    return limit * MIN(share, 1.0) * young_share;
 }
 
 // What may be spent now by a team that nears its limit: as much as leaves the
@@ -314,7 +312,6 @@
         }
     }
     double known = PsQuota_GetSpent(pooled, now_ms) +
-                   get_unknown(allocator, pooled->limit, now_ms) +
                    get_unrecorded(allocator, pooled->limit,
                                   (double)young / MAX(uses->len, 1), now_ms);
     double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
@@ -437,13 +434,9 @@
                        const ps_spent_record_t *records, int n, int64_t age_ms,
                        int64_t now_ms)
 {
-    allocator->unknown_ms = 0;
-    allocator->recovered_ms = now_ms;
-    // Records of teams that spend are renewed, unless the store was away; then
-    // spending may have gone on at the quota's rate.
-    double away_ms = n > 0 ? MAX((double)age_ms - RECORD_FRESH_MS, 0.0) : 0.0;
-    allocator->unrecorded =
-        MIN(RECORD_SHARE + away_ms / (allocator->window_s * 1000.0), 1.0);
+    allocator->has_record = true;
+    // A record is renewed while teams spend, unless the store is away.
+    allocator->record_ms = n > 0 ? now_ms - age_ms : now_ms;
     double part_ms = allocator->window_s * 1000.0 / PS_SPENT_PARTS;
     for (int i = 0; i < n; i++) {
         ps_quota_t *pooled = get_pooled(allocator, &records[i].team);
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -70,13 +70,11 @@
     GHashTable *reporters; /* name to ps_reporter_t */
     GHashTable *pooled;    /* team to ps_quota_t, over all daemons */
     ps_outliers_t outliers;
-    double window_s;      /* of the quotas */
-    int64_t unknown_ms;   /* what was spent before that time is unknown; 0:
-                             all is known */
-    int64_t recovered_ms; /* a record was taken in then; 0: none was */
-    double unrecorded;    /* share of each limit that may have been spent
-                             between that record and the start */
-    guint turn;           /* whose turn it is to get the odd slot */
+    double window_s;    /* of the quotas */
+    int64_t started_ms; /* what was spent before is unknown; 0: all is known */
+    bool has_record;    /* but for what a record told */
+    int64_t record_ms;  /* it tells of the time before */
+    guint turn;         /* whose turn it is to get the odd slot */
 } ps_allocator_t;
 
 void PsAllocator_Init(ps_allocator_t *allocator);
