Book each unit of a quota once; give back what did not run

Returned units were not taken off the allocator's books at all, and at the daemon only from the newest quarter of a second. First reports are marked; a falling total is given back; returns go back through the window.

--- a/src/allocator.c
+++ b/src/allocator.c
@@ -405,12 +405,16 @@
 {
     ps_team_use_t *use = get_team(reporter, team);
     ps_quota_t *pooled = g_hash_table_lookup(allocator->pooled, team);
-    if (pooled && use->total <= 0) {
+    if (pooled && !use->is_booked) {
+        use->is_booked = true;
         charge_first(allocator, pooled, reporter, spent, now_ms);
     }
     else if (pooled && total > use->total) {
         PsQuota_Charge(pooled, total - use->total, now_ms);
     }
+    else if (pooled) {
+        PsQuota_Return(pooled, use->total - total);
+    }
     use->spent = spent;
     use->wanted = wanted;
     use->total = total;
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -44,7 +44,8 @@
  */
 typedef struct ps_team_use {
     double spent;   /* units in the window before its report */
-    double total;   /* units since the daemon's start; 0: not reported yet */
+    double total;   /* units since the daemon's start */
+    bool is_booked; /* what it spent before its first report is booked */
     double wanted;  /* units asked for lately, refused ones included */
     double granted; /* units it may spend now */
 } ps_team_use_t;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -63,7 +63,7 @@
     void (*write)(const ps_http_request_t *request,
                   const ps_outbound_t *outbound, ps_transfer_t *transfer);
     ps_reply_t (*judge)(const ps_transfer_t *transfer,
-                          const ps_name_t *request_id);
+                        const ps_name_t *request_id);
     bool (*is_returned)(ps_str_t header);
     const char *request_id;
 } ps_dialect_t;
--- a/src/quota.c
+++ b/src/quota.c
@@ -129,7 +129,15 @@
 void
 PsQuota_Return(ps_quota_t *quota, double units)
 {
-    double *newest = &quota->spent[quota->current % PS_QUOTA_BUCKETS];
-    *newest = MAX(*newest - units, 0.0);
     quota->total -= units;
+    for (int back = 0; back < PS_QUOTA_BUCKETS && units > 0; back++) {
+        int64_t bucket = quota->current - back;
+        if (bucket < 0) {
+            return;
+        }
+        double *spent = &quota->spent[bucket % PS_QUOTA_BUCKETS];
+        double taken = MIN(*spent, units);
+        *spent -= taken;
+        units -= taken;
+    }
 }
--- a/src/quota.h
+++ b/src/quota.h
@@ -94,7 +94,8 @@
                       int64_t now_ms);
 
 /**
- * PsQuota_Return() - Gives back units of a request that did not run.
+ * PsQuota_Return() - Gives back units of a request that did not run, the
+ * newest ones first.
  */
 void PsQuota_Return(ps_quota_t *quota, double units);
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -521,6 +521,48 @@
     }
 }
 
+// A daemon's reports are booked once, and what it gives back for requests that
+// did not run is given back here too.
+TEST(Allocator, EachUnitIsBookedOnce)
+{
+    struct Step {
+        const char *what;
+        double spent, total;
+        double booked; // then
+    };
+    const Step steps[] = {
+        {"first report", 50, 50, 50},     {"nothing new", 50, 50, 50},
+        {"more", 150, 150, 150},          {"given back", 90, 90, 90},
+        {"all given back", 0, 0, 0},      {"nothing new again", 0, 0, 0},
+        {"spent after that", 40, 40, 40},
+    };
+    const ps_name_t team = Name("t"), daemon = Name("d");
+    Allocator world(1, 1);
+    PsAllocator_SetLimit(&world.core, &team, 1000, 8);
+    int64_t now = kStart;
+    for (const Step &step : steps) {
+        now += 300;
+        ps_reporter_t *reporter =
+            PsAllocator_Reporter(&world.core, &daemon, 1, now);
+        PsAllocator_NoteSpent(&world.core, reporter, &team, step.spent, 1,
+                              step.total, now);
+        auto *pooled =
+            (ps_quota_t *)g_hash_table_lookup(world.core.pooled, &team);
+        EXPECT_DOUBLE_EQ(PsQuota_GetSpent(pooled, now), step.booked)
+            << step.what;
+    }
+}
+
+TEST(Quota, UnitsOfAnOlderMomentAreReturnedToo)
+{
+    ps_quota_t quota = {};
+    PsQuota_Set(&quota, 1000, 8);
+    PsQuota_Charge(&quota, 100, kStart);
+    PsQuota_Charge(&quota, 20, kStart + 600);
+    PsQuota_Return(&quota, 90); // waited, and was refused
+    EXPECT_DOUBLE_EQ(PsQuota_GetSpent(&quota, kStart + 700), 30);
+}
+
 // The allocator that takes over from another one records what it has heard.
 TEST(Allocator, RecordsGoOnAfterATakeover)
 {
