--- a/tests/check.sh
+++ b/tests/check.sh
@@ -62,7 +62,7 @@
 fi
 
 if [ -z "${CHECK_NO_RUNS:-}" ] && [ -x "${RIG_BUILD:-build}/soak-proxy" ]; then
-    if SOAK_SECONDS=6 RIG_PORT=17000 SOAK_LOGS="$work" timeout 120 soak/run 1 > "$work/soak.out" 2>&1; then
+    if SOAK_SECONDS=6 RIG_PORT=17000 SOAK_LOGS=${RIG_BUILD:-build}/soak timeout 120 soak/run 1 > "$work/soak.out" 2>&1; then
         count soak/seed-1 1
     else
         count soak/seed-1 0
