--- a/Makefile
+++ b/Makefile
@@ -102,7 +102,7 @@
 # Tests
 
 TESTS := test_tables test_pool test_ledger test_contract test_world \
-    test_gateway test_mutations
+    test_gateway test_limits test_mutations
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
