Log a grant that is dropped

Found on reading the change once more: a grant whose units are not a number was passed over without a line, unlike a report. Behaviour is as before. make check: 94 passed, 0 failed.

--- a/src/sharing.c
+++ b/src/sharing.c
@@ -317,10 +317,13 @@
     sharing->grants++;
     for (size_t i = 0; i < grant->n_teams; i++) {
         double units = grant->teams[i]->units;
+        ps_name_t team = PsName_FromC(grant->teams[i]->team);
         if (!isfinite(units) || units < 0) {
-            continue; // not a number of units: the last grant runs out
+            PsEvents_Add("sharing.malformed", "{s:s,s:s,s:s}", "from",
+                         sharing->chosen.data, "team", team.data, "reason",
+                         "its grant is not a number of units");
+            continue; // the last grant runs out
         }
-        ps_name_t team = PsName_FromC(grant->teams[i]->team);
         ps_spending_t *spending = get_spending(sharing, &team);
         spending->granted = units;
         spending->granted_from =
