Log contents, lost connections, and how bans spread

The logs could not tell why a content that crashes servers is sent again: no line named a request's content, nor said whether a lost connection counted as a crash, nor when a daemon learned of a ban. request.accept names the content now; content.lost_connection, .reported, .banned and .refused say the rest, with counters on the metrics address. No decision changes.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -97,8 +97,13 @@
                                now_ms);
     }
     for (size_t i = 0; i < report->n_suspects; i++) {
-        PsSuspects_AddCrash(&sharing->gateway->suspects, report->suspects[i],
-                            now_ms);
+        ps_suspects_t *suspects = &sharing->gateway->suspects;
+        PsSuspects_AddCrash(suspects, report->suspects[i], now_ms);
+        ps_name_t content = PsSuspects_FormatHash(report->suspects[i]);
+        PsEvents_Add(
+            "content.reported", "{s:s,s:s,s:i}", "content", content.data,
+            "from", from->data, "crashes",
+            PsSuspects_GetCrashes(suspects, report->suspects[i], now_ms));
     }
     if (report->leaving) {
         reporter->is_leaving = true;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -485,12 +485,27 @@
 static void
 add_crash(ps_exchange_t *exchange, int64_t now_ms)
 {
-    if (exchange->content_hash != 0) {
-        PsSharing_AddSuspect(&exchange->gateway->sharing,
-                             exchange->content_hash);
-        PsSuspects_AddCrash(&exchange->gateway->suspects,
-                            exchange->content_hash, now_ms);
-    }
+    exchange->gateway->stats.crashes++;
+    PsSharing_AddSuspect(&exchange->gateway->sharing, exchange->content_hash);
+    PsSuspects_AddCrash(&exchange->gateway->suspects, exchange->content_hash,
+                        now_ms);
+}
+
+// Logs that the connection was lost before the end of the response, and
+// whether that counts as a crash.
+static void
+log_lost_connection(const ps_exchange_t *exchange, bool is_crash,
+                    int64_t now_ms)
+{
+    ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
+    PsEvents_Add("content.lost_connection", "{s:s,s:s,s:s,s:b,s:i,s:b,s:i}",
+                 "id", exchange->inbound.request_id.data, "content",
+                 content.data, "server",
+                 exchange->task.backend->registration.name.data,
+                 "response_began", (int)exchange->has_response_head, "events",
+                 (int)exchange->n_events, "counted", (int)is_crash, "crashes",
+                 PsSuspects_GetCrashes(&exchange->gateway->suspects,
+                                       exchange->content_hash, now_ms));
 }
 
 static const char *
@@ -517,8 +532,14 @@
     if (task_result != PS_TASK_SUCCEEDED) {
         log_failure(exchange, task_result);
     }
-    if (result == PS_TRANSFER_INCOMPLETE && !exchange->has_response_head) {
-        add_crash(exchange, now_ms);
+    if (result == PS_TRANSFER_INCOMPLETE) {
+        exchange->gateway->stats.lost_connections++;
+        bool is_crash =
+            !exchange->has_response_head && exchange->content_hash != 0;
+        if (is_crash) {
+            add_crash(exchange, now_ms);
+        }
+        log_lost_connection(exchange, is_crash, now_ms);
     }
     bool is_relayable = exchange->is_relaying
                             ? is_stream_response(exchange)
@@ -712,8 +733,14 @@
     }
     exchange->last_event_id = exchange->inbound.last_event_id;
     exchange->content_hash = hash_content(exchange);
-    if (PsSuspects_GetCrashes(&gateway->suspects, exchange->content_hash,
-                              now_ms) >= PS_SHARING_CRASHES_MAX) {
+    ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
+    int crashes = PsSuspects_GetCrashes(&gateway->suspects,
+                                        exchange->content_hash, now_ms);
+    if (crashes >= PS_SHARING_CRASHES_MAX) {
+        gateway->stats.banned_requests++;
+        PsEvents_Add("content.refused", "{s:s,s:s,s:i}", "id",
+                     exchange->inbound.request_id.data, "content",
+                     content.data, "crashes", crashes);
         refuse_request(exchange, 503, 0, "content was in flight at crashes");
         return;
     }
@@ -726,14 +753,15 @@
     const ps_name_t *service = PsRoute_PickService(exchange->route, hash);
     exchange->dispatcher = PsGateway_GetDispatcher(gateway, service);
     PsRetryBudget_AddRequest(&exchange->dispatcher->retry_budget, now_ms);
-    PsEvents_Add(
-        "request.accept", "{s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}", "id",
-        exchange->inbound.request_id.data, "route", exchange->route->name.data,
-        "team", exchange->team ? exchange->team->name.data : "", "service",
-        service->data, "tier", exchange->task.tier, "prompt",
-        exchange->task.prompt_tokens, "output", exchange->task.output_tokens,
-        "config", (json_int_t)exchange->catalog->version, "config_age_ms",
-        (json_int_t)(now_ms - gateway->catalog_confirmed_ms));
+    PsEvents_Add("request.accept", "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}",
+                 "id", exchange->inbound.request_id.data, "content",
+                 content.data, "route", exchange->route->name.data, "team",
+                 exchange->team ? exchange->team->name.data : "", "service",
+                 service->data, "tier", exchange->task.tier, "prompt",
+                 exchange->task.prompt_tokens, "output",
+                 exchange->task.output_tokens, "config",
+                 (json_int_t)exchange->catalog->version, "config_age_ms",
+                 (json_int_t)(now_ms - gateway->catalog_confirmed_ms));
     PsScheduler_Submit(&exchange->dispatcher->scheduler, &exchange->task,
                        now_ms);
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -349,6 +349,12 @@
                  (double)stats->caller_disconnects);
     print_metric(&out, "pearstair_sends_total", (double)stats->sends);
     print_metric(&out, "pearstair_repeats_total", (double)stats->retries);
+    print_metric(&out, "pearstair_lost_connections_total",
+                 (double)stats->lost_connections);
+    print_metric(&out, "pearstair_content_crashes_total",
+                 (double)stats->crashes);
+    print_metric(&out, "pearstair_content_refused_total",
+                 (double)stats->banned_requests);
     print_metric(&out, "pearstair_connects_total",
                  (double)gateway->http_client.connects);
     print_metric(&out, "pearstair_log_dropped_total",
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -49,7 +49,10 @@
     uint64_t caller_disconnects; /* before their response was complete */
     uint64_t sends;              /* attempts, first ones and retries */
     uint64_t retries;
-    ps_histogram_t wait_latency;        /* arrival to first send */
+    uint64_t lost_connections;   /* before the end of a response */
+    uint64_t crashes;            /* lost connections counted for a content */
+    uint64_t banned_requests;    /* refused for their contents' crashes */
+    ps_histogram_t wait_latency; /* arrival to first send */
     ps_histogram_t first_event_latency; /* arrival to a stream's first event */
     ps_histogram_t total_latency;       /* arrival to the end */
 } ps_gateway_stats_t;
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -375,6 +375,12 @@
     }
     for (size_t i = 0; i < grant->n_banned; i++) {
         ps_suspects_t *suspects = &sharing->gateway->suspects;
+        if (PsSuspects_GetCrashes(suspects, grant->banned[i], now_ms) <
+            PS_SHARING_CRASHES_MAX) {
+            ps_name_t content = PsSuspects_FormatHash(grant->banned[i]);
+            PsEvents_Add("content.banned", "{s:s,s:s}", "content",
+                         content.data, "from", sharing->allocator_name.data);
+        }
         while (PsSuspects_GetCrashes(suspects, grant->banned[i], now_ms) <
                PS_SHARING_CRASHES_MAX) {
             PsSuspects_AddCrash(suspects, grant->banned[i], now_ms);
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -1,6 +1,8 @@
 /* suspects.c - Crashes counted by request content. */
 #include "suspects.h"
 
+#include <inttypes.h>
+
 /* ---- Types ------------------------------------------------------------ */
 
 typedef struct suspect {
@@ -77,6 +79,12 @@
            PS_SUSPECT_CRASHES_MAX;
 }
 
+ps_name_t
+PsSuspects_FormatHash(uint64_t hash)
+{
+    return PsName_Format("%016" PRIx64, hash);
+}
+
 void
 PsSuspects_Expire(ps_suspects_t *suspects, int64_t now_ms)
 {
--- a/src/suspects.h
+++ b/src/suspects.h
@@ -14,6 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "str.h"
+
 #define PS_SUSPECT_TTL_MS (30 * 60 * 1000) /* after the last crash */
 #define PS_SUSPECT_CRASHES_MAX 2           /* crashes until banned */
 
@@ -53,6 +55,12 @@
 bool PsSuspects_IsBanned(const ps_suspects_t *suspects, uint64_t hash,
                          int64_t now_ms);
 
+/**
+ * PsSuspects_FormatHash() - Returns a content hash as it appears in the log:
+ * 16 hexadecimal digits.
+ */
+ps_name_t PsSuspects_FormatHash(uint64_t hash);
+
 /**
  * PsSuspects_Expire() - Removes contents whose last crash is older than
  * PS_SUSPECT_TTL_MS.
