--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -15,6 +15,9 @@
  * mute: a plain answer is 2 s late, then with the same probability 2 s more,
  *     and so on; a stream sends no event and breaks off after SILENCE_MS
  * foreign: the answer has another request's id.
+ * A request whose body begins with "CRASH N" ends the process with status 1:
+ * within a stream after N events, and in place of a plain answer or a stream's
+ * head if N is 0.
  * GET /counts: runs by request id, rejected and running requests.
  */
 #include <glib.h>
@@ -23,6 +26,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common.h"
 
@@ -31,12 +35,14 @@
 #define EVENT_INTERVAL_MS 12     /* between events of a stream */
 #define SILENCE_MS 2500          /* until a silent stream is broken off */
 #define EVENT_BYTES_MAX 200      /* bytes of one event */
+#define CRASH_PREFIX "CRASH "
 
 typedef struct stream {
     char id[128];
     int next_event; /* number of the event to send */
     int last_event;
-    int cut_event; /* the stream breaks off within this event; 0: none */
+    int cut_event;   /* the stream breaks off within this event; 0: none */
+    int crash_event; /* the process ends before this event; 0: it does not */
     bool is_silent;
     size_t bytes_sent; /* of the next event */
 } stream_t;
@@ -132,6 +138,9 @@
         Standin_SleepMs(SILENCE_MS);
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
+    if (stream->next_event == stream->crash_event) {
+        _exit(1);
+    }
     if (stream->next_event > stream->last_event) {
         return MHD_CONTENT_READER_END_OF_STREAM;
     }
@@ -166,6 +175,21 @@
     g_free(user);
 }
 
+static bool
+is_crashing(const standin_request_t *request)
+{
+    return request->body.len > 0 && strncmp(request->body.data, CRASH_PREFIX,
+                                            strlen(CRASH_PREFIX)) == 0;
+}
+
+// Returns the number of events after which a crashing request ends the
+// process.
+static int
+get_crash_events(const standin_request_t *request)
+{
+    return atoi(request->body.data + strlen(CRASH_PREFIX));
+}
+
 static enum MHD_Result
 send_stream(standin_request_t *request, const char *id)
 {
@@ -178,6 +202,9 @@
     stream->next_event = last_event ? atoi(last_event) + 1 : 1;
     stream->cut_event =
         should_inject(cut_percent) ? stream->next_event + rand() % 4 : 0;
+    if (is_crashing(request)) {
+        stream->crash_event = stream->next_event + get_crash_events(request);
+    }
     stream->is_silent = should_inject(silent_percent);
     struct MHD_Response *response = MHD_create_response_from_callback(
         MHD_SIZE_UNKNOWN, 1024, read_stream, stream, free_stream);
@@ -256,6 +283,9 @@
     if (is_full) {
         return reject_request(request, id, 503);
     }
+    if (is_crashing(request) && get_crash_events(request) == 0) {
+        _exit(1);
+    }
     bool is_stream =
         strstr(request->path, "/stream") && !should_inject(error_percent);
     return is_stream ? send_stream(request, id) : send_plain(request, id);
