Count a crash also when a response has begun

Cause: a lost connection was counted for the content only when no response head had arrived. An engine sends the head of a stream when it begins to run the request, so a crash from running it comes after the head. The count stayed at 0 and the content was never refused.

Now each connection counts that is lost before the end of a response, and a response that ends within an event; not those that this daemon closes itself, or whose head says that the request has not run.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -439,14 +439,33 @@
     }
 }
 
+// Tells whether a stream ended within an event.
+static bool
+has_partial_event(const ps_exchange_t *exchange)
+{
+    return is_stream_response(exchange) && exchange->body.len > 0;
+}
+
 // Tells whether the whole response to this request was received.
 static bool
 is_complete(const ps_exchange_t *exchange, ps_transfer_result_t result)
 {
-    bool has_partial_event =
-        is_stream_response(exchange) && exchange->body.len > 0;
     return result == PS_TRANSFER_COMPLETE && exchange->has_response_head &&
-           exchange->reply == PS_REPLY_ANSWER && !has_partial_event;
+           exchange->reply == PS_REPLY_ANSWER && !has_partial_event(exchange);
+}
+
+// Tells whether the connection was lost while the backend server may have run
+// the request: before the response, or within it, as a stream's head comes
+// before the request has run.
+static bool
+was_cut_by_server(const ps_exchange_t *exchange, ps_transfer_result_t result)
+{
+    if (exchange->transfer.is_aborted ||
+        (exchange->has_response_head && exchange->reply != PS_REPLY_ANSWER)) {
+        return false;
+    }
+    return result == PS_TRANSFER_INCOMPLETE ||
+           (result == PS_TRANSFER_COMPLETE && has_partial_event(exchange));
 }
 
 static ps_task_result_t
@@ -480,8 +499,8 @@
                  PsBackend_GetFailureRate(backend));
 }
 
-// Records that a backend server closed the connection without a response while
-// this content was in flight: the content may have crashed it.
+// Records that a connection to a backend server was lost while this content
+// was in flight: the content may have crashed the server.
 static void
 add_crash(ps_exchange_t *exchange, int64_t now_ms)
 {
@@ -491,19 +510,17 @@
                         now_ms);
 }
 
-// Logs that the connection was lost before the end of the response, and
-// whether that counts as a crash.
+// Logs that the connection was lost before the end of the response, and the
+// crashes counted for the content so far; a request without a body has none.
 static void
-log_lost_connection(const ps_exchange_t *exchange, bool is_crash,
-                    int64_t now_ms)
+log_lost_connection(const ps_exchange_t *exchange, int64_t now_ms)
 {
     ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
-    PsEvents_Add("content.lost_connection", "{s:s,s:s,s:s,s:b,s:i,s:b,s:i}",
-                 "id", exchange->inbound.request_id.data, "content",
-                 content.data, "server",
-                 exchange->task.backend->registration.name.data,
+    PsEvents_Add("content.lost_connection", "{s:s,s:s,s:s,s:b,s:i,s:i}", "id",
+                 exchange->inbound.request_id.data, "content", content.data,
+                 "server", exchange->task.backend->registration.name.data,
                  "response_began", (int)exchange->has_response_head, "events",
-                 (int)exchange->n_events, "counted", (int)is_crash, "crashes",
+                 (int)exchange->n_events, "crashes",
                  PsSuspects_GetCrashes(&exchange->gateway->suspects,
                                        exchange->content_hash, now_ms));
 }
@@ -532,14 +549,12 @@
     if (task_result != PS_TASK_SUCCEEDED) {
         log_failure(exchange, task_result);
     }
-    if (result == PS_TRANSFER_INCOMPLETE) {
+    if (was_cut_by_server(exchange, result)) {
         exchange->gateway->stats.lost_connections++;
-        bool is_crash =
-            !exchange->has_response_head && exchange->content_hash != 0;
-        if (is_crash) {
+        if (exchange->content_hash != 0) {
             add_crash(exchange, now_ms);
         }
-        log_lost_connection(exchange, is_crash, now_ms);
+        log_lost_connection(exchange, now_ms);
     }
     bool is_relayable = exchange->is_relaying
                             ? is_stream_response(exchange)
--- a/tests/runs/gw_crashing_content.sh
+++ b/tests/runs/gw_crashing_content.sh
@@ -18,7 +18,7 @@
 send_crashing() {
     local n_ended=0 i answer
     for i in $(seq 6); do
-        answer=$(gw_send_request $((i % 3 + 1)) "$1" "${2// /-}-$i" -X POST -d "$2" -H 'Token-Counts: 100,50')
+        answer=$(gw_send_request $((i % 3 + 1)) "$1" "${2// /-}-$i" -X POST -d "$2" -H 'Token-Counts: 100,200')
         sleep 0.2
         restart_ended_servers
     done
