Ask for a content's ban before each send

What callers saw: one request ended a fourth server, after its content had ended three.

Cause: the ban was looked up when a request arrived, not before a retry nor when a request had waited, so what was learned meanwhile was not used.

A banned content ends its request as it stands: with an error if a server may have run it, else refused.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -46,6 +46,8 @@
 // estimate.
 #define OUTPUT_SHARE 0.3
 
+#define BANNED_REASON "content was in flight at crashes"
+
 /* ---- Responses to the caller ------------------------------------------ */
 
 static void
@@ -142,6 +144,20 @@
     send_own_response(exchange, status, 0, "failed", reason);
 }
 
+// Ends the exchange without a further attempt: with an error if a backend
+// server may have run the request, else with a refusal.
+static void
+refuse_or_fail(ps_exchange_t *exchange, int64_t retry_after_ms,
+               const char *reason)
+{
+    if (exchange->may_have_run || exchange->is_relaying) {
+        fail_request(exchange, 502, reason);
+    }
+    else {
+        refuse_request(exchange, 503, retry_after_ms, reason);
+    }
+}
+
 static void
 copy_headers(ps_exchange_t *exchange, unsigned int status, bool is_stream)
 {
@@ -163,6 +179,28 @@
 
 /* ---- Sending ---------------------------------------------------------- */
 
+// Tells whether the request's content has crashed too many servers to be sent.
+static bool
+is_banned(const ps_exchange_t *exchange, int64_t now_ms)
+{
+    return PsSuspects_GetCrashes(&exchange->gateway->suspects,
+                                 exchange->content_hash,
+                                 now_ms) >= PS_SHARING_CRASHES_MAX;
+}
+
+// Logs that the request is not sent because of its content.
+static void
+log_banned(const ps_exchange_t *exchange, int64_t now_ms)
+{
+    ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
+    exchange->gateway->stats.banned_requests++;
+    PsEvents_Add("content.refused", "{s:s,s:s,s:i}", "id",
+                 exchange->inbound.request_id.data, "content", content.data,
+                 "crashes",
+                 PsSuspects_GetCrashes(&exchange->gateway->suspects,
+                                       exchange->content_hash, now_ms));
+}
+
 static bool
 may_retry(const ps_exchange_t *exchange)
 {
@@ -220,18 +258,21 @@
                  (int)scheduler->waiting.length, "tier", task->tier, "send",
                  exchange->sends + 1, "ms",
                  (json_int_t)(now_ms - task->arrived_ms));
-    // The API key may have been revoked while the request waited.
+    // The API key may have been revoked, or the content banned, while the
+    // request waited.
     if (exchange->team &&
         !PsGateway_IsCatalogFresh(exchange->gateway, now_ms)) {
         PsScheduler_EndTask(scheduler, task, PS_TASK_CANCELLED, now_ms);
-        if (exchange->may_have_run || exchange->is_relaying) {
-            fail_request(exchange, 502, "API keys not confirmed lately");
-            return;
-        }
-        refuse_request(exchange, 503, RETRY_OTHER_DAEMON_MS,
+        refuse_or_fail(exchange, RETRY_OTHER_DAEMON_MS,
                        "API keys not confirmed lately");
         return;
     }
+    if (is_banned(exchange, now_ms)) {
+        PsScheduler_EndTask(scheduler, task, PS_TASK_CANCELLED, now_ms);
+        log_banned(exchange, now_ms);
+        refuse_or_fail(exchange, 0, BANNED_REASON);
+        return;
+    }
     if (exchange->sends == 0) {
         PsHistogram_Add(&exchange->gateway->stats.wait_latency,
                         (double)(now_ms - task->arrived_ms));
@@ -249,13 +290,8 @@
                  exchange->inbound.request_id.data, "reason", reason,
                  "waiting", (int)scheduler->waiting.length, "tier", task->tier,
                  "retry_after_ms", (json_int_t)retry_after_ms);
-    if (exchange->may_have_run || exchange->is_relaying) {
-        fail_request(exchange, 502, reason);
-        return;
-    }
     // Retry-After is at most a quarter of the time that the caller has left.
-    refuse_request(exchange, 503, CLAMP(left_ms / 4, 1, retry_after_ms),
-                   reason);
+    refuse_or_fail(exchange, CLAMP(left_ms / 4, 1, retry_after_ms), reason);
 }
 
 /* ---- Events of a stream ----------------------------------------------- */
@@ -403,7 +439,7 @@
     bool has_run = result == PS_TASK_FAILED || result == PS_TASK_CANCELLED;
     if ((has_run && !may_retry(exchange)) ||
         now_ms + DEADLINE_MARGIN_MS >= exchange->deadline_ms ||
-        exchange->sends >= SENDS_MAX) {
+        exchange->sends >= SENDS_MAX || is_banned(exchange, now_ms)) {
         return false;
     }
     return result == PS_TASK_UNREACHABLE ||
@@ -426,19 +462,6 @@
                        now_ms);
 }
 
-// Ends the exchange after its last attempt: with an error if a backend server
-// may have run the request, else with a refusal.
-static void
-refuse_or_fail(ps_exchange_t *exchange, const char *reason)
-{
-    if (exchange->may_have_run || exchange->is_relaying) {
-        fail_request(exchange, 502, reason);
-    }
-    else {
-        refuse_request(exchange, 503, RETRY_REJECTED_MS, reason);
-    }
-}
-
 // Tells whether a stream ended within an event.
 static bool
 has_partial_event(const ps_exchange_t *exchange)
@@ -575,7 +598,8 @@
     }
     else {
         close_transfer(exchange);
-        refuse_or_fail(exchange, get_failure_reason(task_result));
+        refuse_or_fail(exchange, RETRY_REJECTED_MS,
+                       get_failure_reason(task_result));
     }
 }
 
@@ -748,15 +772,9 @@
     }
     exchange->last_event_id = exchange->inbound.last_event_id;
     exchange->content_hash = hash_content(exchange);
-    ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
-    int crashes = PsSuspects_GetCrashes(&gateway->suspects,
-                                        exchange->content_hash, now_ms);
-    if (crashes >= PS_SHARING_CRASHES_MAX) {
-        gateway->stats.banned_requests++;
-        PsEvents_Add("content.refused", "{s:s,s:s,s:i}", "id",
-                     exchange->inbound.request_id.data, "content",
-                     content.data, "crashes", crashes);
-        refuse_request(exchange, 503, 0, "content was in flight at crashes");
+    if (is_banned(exchange, now_ms)) {
+        log_banned(exchange, now_ms);
+        refuse_request(exchange, 503, 0, BANNED_REASON);
         return;
     }
     if (!charge_quota(exchange, now_ms)) {
@@ -768,6 +786,7 @@
     const ps_name_t *service = PsRoute_PickService(exchange->route, hash);
     exchange->dispatcher = PsGateway_GetDispatcher(gateway, service);
     PsRetryBudget_AddRequest(&exchange->dispatcher->retry_budget, now_ms);
+    ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
     PsEvents_Add("request.accept", "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}",
                  "id", exchange->inbound.request_id.data, "content",
                  content.data, "route", exchange->route->name.data, "team",
