Count crashes of contents over lost reports and allocators

What callers would see: a content that had ended servers at several daemons was sent on after the allocator was killed, or after a report to it was lost.

Cause: a daemon named a suspect in one report and forgot it. A frame to an allocator that is gone is dropped, a new allocator knew only finished bans, and one that starts again knew nothing. Counts were numbers, so that they could not be sent twice; the allocator's own crashes were counted twice already.

A crash has an id now, of the server's name and start, which is the same for all who see it. Daemons report the crashes that they saw at once and all of them, with those of banned contents, once a second; the allocator does the same to all daemons for banned contents. Repeats change nothing, a connection that is lost to a server that lives on counts once, and ages go along so that a ban ends everywhere at the same time. Contents kept are bounded by 4,096.

The fields suspects and banned of the messages are gone: while daemons of the build before run beside new ones, the two do not hear of each other's crashes.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -23,14 +23,11 @@
 #define SAVE_INTERVAL_MS 500
 #define SAVED_TEAMS_MAX 64
 
-// Most hashes of banned content, which crashes servers, in one grant.
-#define BANNED_MAX 64
-
 /* The fields that are the same in all grants of a round. */
 typedef struct round_data {
-    GPtrArray *silent;           /* names of members that do not report */
-    uint64_t banned[BANNED_MAX]; /* hashes of content that crashes servers */
-    size_t n_banned;
+    GPtrArray *silent;          /* names of members that do not report */
+    Ps__ContentCrash **crashes; /* of banned contents */
+    size_t n_crashes;
     uint64_t servers_hash; /* PsGateway_HashServers() */
     uint64_t members_hash; /* PsGateway_HashMembers() */
 } round_data_t;
@@ -96,15 +93,8 @@
                                use_message->wanted, use_message->total,
                                now_ms);
     }
-    for (size_t i = 0; i < report->n_suspects; i++) {
-        ps_suspects_t *suspects = &sharing->gateway->suspects;
-        PsSuspects_AddCrash(suspects, report->suspects[i], now_ms);
-        ps_name_t content = PsSuspects_FormatHash(report->suspects[i]);
-        PsEvents_Add(
-            "content.reported", "{s:s,s:s,s:i}", "content", content.data,
-            "from", from->data, "crashes",
-            PsSuspects_GetCrashes(suspects, report->suspects[i], now_ms));
-    }
+    PsContentCrashes_Merge(&sharing->gateway->content_crashes, report->crashes,
+                           report->n_crashes, from, now_ms);
     if (report->leaving) {
         reporter->is_leaving = true;
     }
@@ -190,23 +180,6 @@
     }
 }
 
-static size_t
-list_banned(ps_sharing_t *sharing, uint64_t *banned, int64_t now_ms)
-{
-    size_t n = 0;
-    GHashTableIter each;
-    gpointer key;
-    g_hash_table_iter_init(&each, sharing->gateway->suspects.by_hash);
-    while (n < BANNED_MAX && g_hash_table_iter_next(&each, &key, NULL)) {
-        uint64_t content = *(const uint64_t *)key;
-        if (PsSuspects_GetCrashes(&sharing->gateway->suspects, content,
-                                  now_ms) >= PS_SHARING_CRASHES_MAX) {
-            banned[n++] = content;
-        }
-    }
-    return n;
-}
-
 // Adds what this daemon knows of the store to a grant: the configuration's
 // version and the time since it was confirmed as the newest, hashes of servers
 // and members, and recent changes.
@@ -232,8 +205,8 @@
     add_team_grants(&sharing->allocator, &grant, reporter);
     grant.silent = (char **)round->silent->pdata;
     grant.n_silent = round->silent->len;
-    grant.banned = round->banned;
-    grant.n_banned = round->n_banned;
+    grant.crashes = round->crashes;
+    grant.n_crashes = round->n_crashes;
     grant.leaving = sharing->gateway->is_shutting_down;
     add_store_state(sharing, &grant, round);
     Ps__Frame frame = PS__FRAME__INIT;
@@ -343,7 +316,9 @@
         .silent = list_silent(sharing, now_ms),
         .servers_hash = PsGateway_HashServers(sharing->gateway),
         .members_hash = PsGateway_HashMembers(sharing->gateway)};
-    round.n_banned = list_banned(sharing, round.banned, now_ms);
+    round.crashes = PsContentCrashes_MakeMessages(
+        &sharing->gateway->content_crashes.to_members, &round.n_crashes,
+        now_ms);
     g_hash_table_iter_init(&each, sharing->allocator.reporters);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         ps_reporter_t *reporter = value;
@@ -351,5 +326,6 @@
             send_grant(sharing, reporter, &round);
         }
     }
+    PsContentCrashes_FreeMessages(round.crashes, round.n_crashes);
     g_ptr_array_unref(round.silent);
 }
--- /dev/null
+++ b/src/content_crashes.c
@@ -0,0 +1,110 @@
+/* content_crashes.c - Counts the crashes of contents over all daemons. */
+#include "content_crashes.h"
+
+#include <xxhash.h>
+
+#include "events_log.h"
+
+/* ---- Internal functions ----------------------------------------------- */
+
+// Has all daemons told of a content that has just been banned.
+static void
+announce_ban(ps_content_crashes_t *crashes, uint64_t content, const char *from)
+{
+    ps_name_t hash = PsSuspects_FormatHash(content);
+    PsEvents_Add("content.banned", "{s:s,s:s}", "content", hash.data, "from",
+                 from);
+    PsCrashReports_AddAll(&crashes->to_members);
+}
+
+// Counts a crash. Returns false if it is not counted.
+static bool
+count_crash(ps_content_crashes_t *crashes, const ps_crash_t *crash,
+            const char *from)
+{
+    if (!PsSuspects_AddCrash(&crashes->suspects, crash)) {
+        return false;
+    }
+    if (PsSuspects_GetCrashes(&crashes->suspects, crash->content,
+                              crash->at_ms) == PS_CONTENT_CRASHES_MAX) {
+        announce_ban(crashes, crash->content, from);
+    }
+    return true;
+}
+
+/* ---- Public functions ------------------------------------------------- */
+
+void
+PsContentCrashes_Init(ps_content_crashes_t *crashes)
+{
+    PsSuspects_Init(&crashes->suspects, PS_CONTENT_CRASHES_MAX);
+    PsCrashReports_Init(&crashes->to_allocator, &crashes->suspects, true);
+    PsCrashReports_Init(&crashes->to_members, &crashes->suspects, false);
+}
+
+void
+PsContentCrashes_Finish(ps_content_crashes_t *crashes)
+{
+    PsCrashReports_Finish(&crashes->to_members);
+    PsCrashReports_Finish(&crashes->to_allocator);
+    PsSuspects_Finish(&crashes->suspects);
+}
+
+void
+PsContentCrashes_Add(ps_content_crashes_t *crashes, uint64_t content,
+                     const ps_registration_t *server, int64_t now_ms)
+{
+    ps_crash_t crash = {.content = content,
+                        .id = XXH64(server->name.data, server->name.len,
+                                    (uint64_t)server->started_ms),
+                        .at_ms = now_ms,
+                        .is_own = true};
+    if (count_crash(crashes, &crash, "this daemon")) {
+        PsCrashReports_Add(&crashes->to_allocator, &crash);
+    }
+}
+
+void
+PsContentCrashes_Merge(ps_content_crashes_t *crashes,
+                       Ps__ContentCrash *const *messages, size_t n,
+                       const ps_name_t *from, int64_t now_ms)
+{
+    for (size_t i = 0; i < n; i++) {
+        ps_crash_t crash = {.content = messages[i]->content,
+                            .id = messages[i]->crash,
+                            .at_ms = now_ms - (int64_t)messages[i]->age_ms};
+        if (count_crash(crashes, &crash, from->data)) {
+            ps_name_t content = PsSuspects_FormatHash(crash.content);
+            PsEvents_Add("content.reported", "{s:s,s:s,s:i}", "content",
+                         content.data, "from", from->data, "crashes",
+                         PsSuspects_GetCrashes(&crashes->suspects,
+                                               crash.content, now_ms));
+        }
+    }
+}
+
+Ps__ContentCrash **
+PsContentCrashes_MakeMessages(ps_crash_reports_t *reports, size_t *n,
+                              int64_t now_ms)
+{
+    ps_crash_t crashes[PS_CRASH_REPORTS_MAX];
+    *n = PsCrashReports_Take(reports, crashes, now_ms);
+    Ps__ContentCrash **messages = g_new0(Ps__ContentCrash *, *n + 1);
+    for (size_t i = 0; i < *n; i++) {
+        messages[i] = g_new(Ps__ContentCrash, 1);
+        ps__content_crash__init(messages[i]);
+        messages[i]->content = crashes[i].content;
+        messages[i]->crash = crashes[i].id;
+        messages[i]->age_ms = (uint32_t)MAX(now_ms - crashes[i].at_ms, 0);
+    }
+    return messages;
+}
+
+void
+PsContentCrashes_FreeMessages(Ps__ContentCrash **messages, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        g_free(messages[i]);
+    }
+    g_free(messages);
+}
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -183,9 +183,8 @@
 static bool
 is_banned(const ps_exchange_t *exchange, int64_t now_ms)
 {
-    return PsSuspects_GetCrashes(&exchange->gateway->suspects,
-                                 exchange->content_hash,
-                                 now_ms) >= PS_SHARING_CRASHES_MAX;
+    return PsSuspects_IsBanned(&exchange->gateway->content_crashes.suspects,
+                               exchange->content_hash, now_ms);
 }
 
 // Logs that the request is not sent because of its content.
@@ -194,11 +193,11 @@
 {
     ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
     exchange->gateway->stats.banned_requests++;
-    PsEvents_Add("content.refused", "{s:s,s:s,s:i}", "id",
-                 exchange->inbound.request_id.data, "content", content.data,
-                 "crashes",
-                 PsSuspects_GetCrashes(&exchange->gateway->suspects,
-                                       exchange->content_hash, now_ms));
+    PsEvents_Add(
+        "content.refused", "{s:s,s:s,s:i}", "id",
+        exchange->inbound.request_id.data, "content", content.data, "crashes",
+        PsSuspects_GetCrashes(&exchange->gateway->content_crashes.suspects,
+                              exchange->content_hash, now_ms));
 }
 
 static bool
@@ -522,30 +521,20 @@
                  PsBackend_GetFailureRate(backend));
 }
 
-// Records that a connection to a backend server was lost while this content
-// was in flight: the content may have crashed the server.
-static void
-add_crash(ps_exchange_t *exchange, int64_t now_ms)
-{
-    exchange->gateway->stats.crashes++;
-    PsSharing_AddSuspect(&exchange->gateway->sharing, exchange->content_hash);
-    PsSuspects_AddCrash(&exchange->gateway->suspects, exchange->content_hash,
-                        now_ms);
-}
-
 // Logs that the connection was lost before the end of the response, and the
 // crashes counted for the content so far; a request without a body has none.
 static void
 log_lost_connection(const ps_exchange_t *exchange, int64_t now_ms)
 {
     ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
-    PsEvents_Add("content.lost_connection", "{s:s,s:s,s:s,s:b,s:i,s:i}", "id",
-                 exchange->inbound.request_id.data, "content", content.data,
-                 "server", exchange->task.backend->registration.name.data,
-                 "response_began", (int)exchange->has_response_head, "events",
-                 (int)exchange->n_events, "crashes",
-                 PsSuspects_GetCrashes(&exchange->gateway->suspects,
-                                       exchange->content_hash, now_ms));
+    PsEvents_Add(
+        "content.lost_connection", "{s:s,s:s,s:s,s:b,s:i,s:i}", "id",
+        exchange->inbound.request_id.data, "content", content.data, "server",
+        exchange->task.backend->registration.name.data, "response_began",
+        (int)exchange->has_response_head, "events", (int)exchange->n_events,
+        "crashes",
+        PsSuspects_GetCrashes(&exchange->gateway->content_crashes.suspects,
+                              exchange->content_hash, now_ms));
 }
 
 static const char *
@@ -574,9 +563,9 @@
     }
     if (was_cut_by_server(exchange, result)) {
         exchange->gateway->stats.lost_connections++;
-        if (exchange->content_hash != 0) {
-            add_crash(exchange, now_ms);
-        }
+        PsContentCrashes_Add(&exchange->gateway->content_crashes,
+                             exchange->content_hash,
+                             &exchange->task.backend->registration, now_ms);
         log_lost_connection(exchange, now_ms);
     }
     bool is_relayable = exchange->is_relaying
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -351,8 +351,8 @@
     print_metric(&out, "pearstair_repeats_total", (double)stats->retries);
     print_metric(&out, "pearstair_lost_connections_total",
                  (double)stats->lost_connections);
-    print_metric(&out, "pearstair_content_crashes_total",
-                 (double)stats->crashes);
+    print_metric(&out, "pearstair_contents_suspected",
+                 g_hash_table_size(gateway->content_crashes.suspects.by_hash));
     print_metric(&out, "pearstair_content_refused_total",
                  (double)stats->banned_requests);
     print_metric(&out, "pearstair_connects_total",
@@ -500,7 +500,7 @@
     PsChanges_Init(&gateway->changes);
     PsBackendRegistry_Init(&gateway->backend_registry, &registry_events,
                            gateway);
-    PsSuspects_Init(&gateway->suspects);
+    PsContentCrashes_Init(&gateway->content_crashes);
     gateway->dispatchers = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
     gateway->quotas =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
@@ -537,6 +537,7 @@
     PsSharing_Finish(&gateway->sharing);
     PsCatalog_Unref(gateway->catalog);
     PsChanges_Finish(&gateway->changes);
+    PsContentCrashes_Finish(&gateway->content_crashes);
     PsEvents_Flush();
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -14,6 +14,7 @@
 #include "backend_registry.h"
 #include "catalog.h"
 #include "changes.h"
+#include "content_crashes.h"
 #include "dialect.h"
 #include "histogram.h"
 #include "http_client.h"
@@ -24,7 +25,6 @@
 #include "settings.h"
 #include "sharing.h"
 #include "store_events.h"
-#include "suspects.h"
 
 struct ps_gateway;
 
@@ -50,7 +50,6 @@
     uint64_t sends;              /* attempts, first ones and retries */
     uint64_t retries;
     uint64_t lost_connections;   /* before the end of a response */
-    uint64_t crashes;            /* lost connections counted for a content */
     uint64_t banned_requests;    /* refused for their contents' crashes */
     ps_histogram_t wait_latency; /* arrival to first send */
     ps_histogram_t first_event_latency; /* arrival to a stream's first event */
@@ -113,7 +112,7 @@
     ps_backend_registry_t backend_registry;
     GHashTable *dispatchers; /* service name to ps_dispatcher_t */
     GHashTable *quotas;      /* team name to ps_quota_t */
-    ps_suspects_t suspects;
+    ps_content_crashes_t content_crashes;
     ps_daemon_info_t self;
     GHashTable *members; /* name to ps_daemon_info_t, this daemon included */
     ps_sharing_t sharing;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -997,6 +997,51 @@
   assert(message->base.descriptor == &ps__team_use__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__content_crash__init
+                     (Ps__ContentCrash         *message)
+{
+  static const Ps__ContentCrash init_value = PS__CONTENT_CRASH__INIT;
+  *message = init_value;
+}
+size_t ps__content_crash__get_packed_size
+                     (const Ps__ContentCrash *message)
+{
+  assert(message->base.descriptor == &ps__content_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__content_crash__pack
+                     (const Ps__ContentCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__content_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__content_crash__pack_to_buffer
+                     (const Ps__ContentCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__content_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ContentCrash *
+       ps__content_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ContentCrash *)
+     protobuf_c_message_unpack (&ps__content_crash__descriptor,
+                                allocator, len, data);
+}
+void   ps__content_crash__free_unpacked
+                     (Ps__ContentCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__content_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__share_report__init
                      (Ps__ShareReport         *message)
 {
@@ -3202,6 +3247,70 @@
   (ProtobufCMessageInit) ps__team_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ps__content_crash__field_descriptors[3] =
+{
+  {
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ContentCrash, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ContentCrash, crash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ContentCrash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__content_crash__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = content */
+  1,   /* field[1] = crash */
+};
+static const ProtobufCIntRange ps__content_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ps__content_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ContentCrash",
+  "ContentCrash",
+  "Ps__ContentCrash",
+  "ps",
+  sizeof(Ps__ContentCrash),
+  3,
+  ps__content_crash__field_descriptors,
+  ps__content_crash__field_indices_by_name,
+  1,  ps__content_crash__number_ranges,
+  (ProtobufCMessageInit) ps__content_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ps__share_report__field_descriptors[6] =
 {
   {
@@ -3240,18 +3349,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "suspects",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Ps__ShareReport, n_suspects),
-    offsetof(Ps__ShareReport, suspects),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "leaving",
     5,
@@ -3276,18 +3373,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ShareReport, n_crashes),
+    offsetof(Ps__ShareReport, crashes),
+    &ps__content_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_report__field_indices_by_name[] = {
-  5,   /* field[5] = age_ms */
-  4,   /* field[4] = leaving */
+  4,   /* field[4] = age_ms */
+  5,   /* field[5] = crashes */
+  3,   /* field[3] = leaving */
   0,   /* field[0] = round */
   1,   /* field[1] = services */
-  3,   /* field[3] = suspects */
   2,   /* field[2] = teams */
 };
-static const ProtobufCIntRange ps__share_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange ps__share_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 5, 3 },
   { 0, 6 }
 };
 const ProtobufCMessageDescriptor ps__share_report__descriptor =
@@ -3301,7 +3411,7 @@
   6,
   ps__share_report__field_descriptors,
   ps__share_report__field_indices_by_name,
-  1,  ps__share_report__number_ranges,
+  2,  ps__share_report__number_ranges,
   (ProtobufCMessageInit) ps__share_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3715,18 +3825,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "banned",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Ps__ShareGrant, n_banned),
-    offsetof(Ps__ShareGrant, banned),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "config_version",
     6,
@@ -3811,24 +3909,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ShareGrant, n_crashes),
+    offsetof(Ps__ShareGrant, crashes),
+    &ps__content_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_grant__field_indices_by_name[] = {
-  4,   /* field[4] = banned */
-  6,   /* field[6] = config_age_ms */
-  5,   /* field[5] = config_version */
-  11,   /* field[11] = leaving */
-  10,   /* field[10] = member_news */
-  8,   /* field[8] = members_hash */
-  9,   /* field[9] = news */
+  5,   /* field[5] = config_age_ms */
+  4,   /* field[4] = config_version */
+  11,   /* field[11] = crashes */
+  10,   /* field[10] = leaving */
+  9,   /* field[9] = member_news */
+  7,   /* field[7] = members_hash */
+  8,   /* field[8] = news */
   0,   /* field[0] = round */
-  7,   /* field[7] = servers_hash */
+  6,   /* field[6] = servers_hash */
   1,   /* field[1] = services */
   3,   /* field[3] = silent */
   2,   /* field[2] = teams */
 };
-static const ProtobufCIntRange ps__share_grant__number_ranges[1 + 1] =
+static const ProtobufCIntRange ps__share_grant__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 6, 4 },
   { 0, 12 }
 };
 const ProtobufCMessageDescriptor ps__share_grant__descriptor =
@@ -3842,7 +3953,7 @@
   12,
   ps__share_grant__field_descriptors,
   ps__share_grant__field_indices_by_name,
-  1,  ps__share_grant__number_ranges,
+  2,  ps__share_grant__number_ranges,
   (ProtobufCMessageInit) ps__share_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -37,6 +37,7 @@
 typedef struct Ps__ServerOutcomes Ps__ServerOutcomes;
 typedef struct Ps__ServiceUse Ps__ServiceUse;
 typedef struct Ps__TeamUse Ps__TeamUse;
+typedef struct Ps__ContentCrash Ps__ContentCrash;
 typedef struct Ps__ShareReport Ps__ShareReport;
 typedef struct Ps__ServiceGrant Ps__ServiceGrant;
 typedef struct Ps__TeamGrant Ps__TeamGrant;
@@ -531,9 +532,33 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * A backend server's crash with a content in flight.
+ */
+struct  Ps__ContentCrash
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the content
+   */
+  uint64_t content;
+  /*
+   * hash of the server's name and start
+   */
+  uint64_t crash;
+  /*
+   * since it was seen
+   */
+  uint32_t age_ms;
+};
+#define PS__CONTENT_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__content_crash__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * A daemon's report to the allocator in each round, of its use of services and
- * quotas. Contents are named by their hashes.
+ * quotas.
  */
 struct  Ps__ShareReport
 {
@@ -543,20 +568,20 @@
   Ps__ServiceUse **services;
   size_t n_teams;
   Ps__TeamUse **teams;
-  /*
-   * contents in flight at lost connections
-   */
-  size_t n_suspects;
-  uint64_t *suspects;
   protobuf_c_boolean leaving;
   /*
    * since the sender's start
    */
   uint64_t age_ms;
+  /*
+   * seen there, and of banned contents
+   */
+  size_t n_crashes;
+  Ps__ContentCrash **crashes;
 };
 #define PS__SHARE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_report__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 /*
@@ -647,7 +672,7 @@
 
 
 /*
- * The allocator's answer to a report. Contents are named by their hashes.
+ * The allocator's answer to a report.
  */
 struct  Ps__ShareGrant
 {
@@ -665,11 +690,6 @@
    */
   size_t n_silent;
   char **silent;
-  /*
-   * contents that crash backend servers
-   */
-  size_t n_banned;
-  uint64_t *banned;
   /*
    * in force at the sender
    */
@@ -700,10 +720,15 @@
    * another daemon is to become the allocator
    */
   protobuf_c_boolean leaving;
+  /*
+   * of banned contents
+   */
+  size_t n_crashes;
+  Ps__ContentCrash **crashes;
 };
 #define PS__SHARE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_grant__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /* Ps__Frame methods */
@@ -1124,6 +1149,25 @@
 void   ps__team_use__free_unpacked
                      (Ps__TeamUse *message,
                       ProtobufCAllocator *allocator);
+/* Ps__ContentCrash methods */
+void   ps__content_crash__init
+                     (Ps__ContentCrash         *message);
+size_t ps__content_crash__get_packed_size
+                     (const Ps__ContentCrash   *message);
+size_t ps__content_crash__pack
+                     (const Ps__ContentCrash   *message,
+                      uint8_t             *out);
+size_t ps__content_crash__pack_to_buffer
+                     (const Ps__ContentCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ContentCrash *
+       ps__content_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__content_crash__free_unpacked
+                     (Ps__ContentCrash *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ShareReport methods */
 void   ps__share_report__init
                      (Ps__ShareReport         *message);
@@ -1306,6 +1350,9 @@
 typedef void (*Ps__TeamUse_Closure)
                  (const Ps__TeamUse *message,
                   void *closure_data);
+typedef void (*Ps__ContentCrash_Closure)
+                 (const Ps__ContentCrash *message,
+                  void *closure_data);
 typedef void (*Ps__ShareReport_Closure)
                  (const Ps__ShareReport *message,
                   void *closure_data);
@@ -1353,6 +1400,7 @@
 extern const ProtobufCMessageDescriptor ps__server_outcomes__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_use__descriptor;
+extern const ProtobufCMessageDescriptor ps__content_crash__descriptor;
 extern const ProtobufCMessageDescriptor ps__share_report__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_grant__descriptor;
--- a/src/pool.c
+++ b/src/pool.c
@@ -10,6 +10,7 @@
 // the mean, as lengths are skewed.
 #define WORK_QUANTILE 0.6
 #define TEAMS_PER_PASS_MAX 64    /* teams whose first request is tried */
+#define CRASHES_MAX 2            /* of servers, until a content is banned */
 #define CHECK_INTERVAL_MS 100    /* between deadline checks of the queue */
 #define RETRY_AFTER_MIN_MS 500   /* least Retry-After */
 #define RETRY_AFTER_MAX_MS 60000 /* most Retry-After */
@@ -432,7 +433,11 @@
     if (!pool->is_model) {
         return;
     }
-    PsSuspects_AddCrash(&pool->suspects, job->request.content_hash, now_ms);
+    ps_crash_t crash = {.content = job->request.content_hash,
+                        .id = ++pool->last_crash_id,
+                        .at_ms = now_ms,
+                        .is_own = true};
+    PsSuspects_AddCrash(&pool->suspects, &crash);
     PsServer_MarkDown(&pool->servers[job->server], now_ms);
     PsPrefixCache_Clear(&pool->servers[job->server].prefix_cache);
 }
@@ -516,7 +521,7 @@
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, NULL, g_free);
     PsQueue_Init(&pool->queue);
     PsForecast_Init(&pool->forecast);
-    PsSuspects_Init(&pool->suspects);
+    PsSuspects_Init(&pool->suspects, CRASHES_MAX);
 }
 
 void
--- a/src/pool.h
+++ b/src/pool.h
@@ -111,6 +111,7 @@
     ps_forecast_t forecast;
     ps_suspects_t suspects;
     int n_suspects_running; /* suspects among the granted requests */
+    uint64_t last_crash_id; /* of the crashes counted in @suspects */
     int n_preempting;       /* preempted, their ends not reported yet */
     int granted_by_tier[PS_TIERS_MAX];
     uint64_t last_grant_number; /* number of the last grant */
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -236,13 +236,13 @@
             make_service_use(dispatcher, now_ms);
     }
     add_team_uses(sharing, &report, now_ms);
-    report.suspects = (uint64_t *)(void *)sharing->unreported_suspects->data;
-    report.n_suspects = sharing->unreported_suspects->len;
+    report.crashes = PsContentCrashes_MakeMessages(
+        &gateway->content_crashes.to_allocator, &report.n_crashes, now_ms);
     Ps__Frame frame = PS__FRAME__INIT;
     frame.body_case = PS__FRAME__BODY_SHARE_REPORT;
     frame.share_report = &report;
     PsPeers_Send(&sharing->peers, &sharing->allocator_name, &frame);
-    g_array_set_size(sharing->unreported_suspects, 0);
+    PsContentCrashes_FreeMessages(report.crashes, report.n_crashes);
     for (size_t i = 0; i < report.n_services; i++) {
         free_service_use(report.services[i]);
     }
@@ -323,8 +323,8 @@
 }
 
 // Applies a grant: changes of registrations, quota grants, silent members,
-// banned contents and slot limits. A grant that answers a report that is no
-// longer remembered is ignored.
+// crashes of banned contents and slot limits. A grant that answers a report
+// that is no longer remembered is ignored.
 static void
 handle_grant(ps_sharing_t *sharing, const Ps__ShareGrant *grant,
              int64_t now_ms)
@@ -373,19 +373,8 @@
         g_hash_table_add(sharing->silent_members,
                          g_memdup2(&name, sizeof name));
     }
-    for (size_t i = 0; i < grant->n_banned; i++) {
-        ps_suspects_t *suspects = &sharing->gateway->suspects;
-        if (PsSuspects_GetCrashes(suspects, grant->banned[i], now_ms) <
-            PS_SHARING_CRASHES_MAX) {
-            ps_name_t content = PsSuspects_FormatHash(grant->banned[i]);
-            PsEvents_Add("content.banned", "{s:s,s:s}", "content",
-                         content.data, "from", sharing->allocator_name.data);
-        }
-        while (PsSuspects_GetCrashes(suspects, grant->banned[i], now_ms) <
-               PS_SHARING_CRASHES_MAX) {
-            PsSuspects_AddCrash(suspects, grant->banned[i], now_ms);
-        }
-    }
+    PsContentCrashes_Merge(&sharing->gateway->content_crashes, grant->crashes,
+                           grant->n_crashes, &sharing->allocator_name, now_ms);
     for (size_t i = 0; i < grant->n_services; i++) {
         apply_service_grant(sharing, grant->services[i], now_ms);
     }
@@ -485,7 +474,6 @@
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, NULL);
     sharing->spending =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, NULL, g_free);
-    sharing->unreported_suspects = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     return PsPeers_Init(&sharing->peers, &peer_events, sharing, loop,
                         &gateway->settings.peer_address, &gateway->self.name,
                         gateway->self.incarnation);
@@ -499,7 +487,6 @@
     g_hash_table_destroy(sharing->avoided);
     g_hash_table_destroy(sharing->silent_members);
     g_hash_table_destroy(sharing->spending);
-    g_array_unref(sharing->unreported_suspects);
 }
 
 void
@@ -575,9 +562,3 @@
     return !sharing->uses_even_shares ||
            (double)(now_ms - sharing->gateway->started_ms) >= window_ms;
 }
-
-void
-PsSharing_AddSuspect(ps_sharing_t *sharing, uint64_t content)
-{
-    g_array_append_val(sharing->unreported_suspects, content);
-}
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -19,9 +19,6 @@
 // ignored.
 #define PS_SHARING_ROUNDS_KEPT 16
 
-// Lost connections to backend servers until a content is refused.
-#define PS_SHARING_CRASHES_MAX 3
-
 /**
  * struct ps_spending - What this daemon has spent of one team's quota.
  */
@@ -57,10 +54,9 @@
     int64_t next_usage_save_ms; /* quota usage is not saved before */
     bool is_stored_usage_empty; /* the usage in the store names no team */
     GHashTable *avoided; /* name to the time until which it is not chosen */
-    GHashTable *silent_members;  /* names of members that do not report */
-    GHashTable *spending;        /* team to ps_spending_t */
-    GArray *unreported_suspects; /* uint64_t content hashes */
-    bool uses_even_shares;       /* no fresh grant */
+    GHashTable *silent_members; /* names of members that do not report */
+    GHashTable *spending;       /* team to ps_spending_t */
+    bool uses_even_shares;      /* no fresh grant */
     uint64_t grants_received;
 } ps_sharing_t;
 
@@ -118,10 +114,4 @@
  */
 bool PsSharing_IsSpendingKnown(const ps_sharing_t *sharing, int64_t now_ms);
 
-/**
- * PsSharing_AddSuspect() - Adds a content that was in flight when a connection
- * to a backend server was lost; the next report names it.
- */
-void PsSharing_AddSuspect(ps_sharing_t *sharing, uint64_t content);
-
 #endif
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -7,29 +7,96 @@
 
 typedef struct suspect {
     uint64_t hash;
-    int crashes;
+    int n_crashes;
+    ps_crash_t crashes[PS_SUSPECT_CRASHES_KEPT];
     int64_t last_crash_ms;
 } suspect_t;
 
+/* A crash in a list, with what it is ordered by. */
+typedef struct listed_crash {
+    ps_crash_t crash;
+    bool is_banned;
+} listed_crash_t;
+
 /* ---- Internal functions ----------------------------------------------- */
 
-// Tells whether an entry of by_hash is expired; @data is the current time.
+static bool
+is_expired(const suspect_t *suspect, int64_t now_ms)
+{
+    return now_ms - suspect->last_crash_ms > PS_SUSPECT_TTL_MS;
+}
+
+// For g_hash_table_foreach_remove() on by_hash; @data is the current time.
 static gboolean
-is_expired(gpointer key, gpointer value, gpointer data)
+is_entry_expired(gpointer key, gpointer value, gpointer data)
 {
     (void)key;
-    const suspect_t *suspect = value;
-    int64_t now_ms = *(const int64_t *)data;
-    return now_ms - suspect->last_crash_ms > PS_SUSPECT_TTL_MS;
+    return is_expired(value, *(const int64_t *)data);
+}
+
+static const suspect_t *
+find(const ps_suspects_t *suspects, uint64_t hash, int64_t now_ms)
+{
+    const suspect_t *suspect = g_hash_table_lookup(suspects->by_hash, &hash);
+    return suspect && !is_expired(suspect, now_ms) ? suspect : NULL;
+}
+
+static bool
+has_crash(const suspect_t *suspect, uint64_t id)
+{
+    for (int i = 0; i < suspect->n_crashes; i++) {
+        if (suspect->crashes[i].id == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Removes the content with the oldest last crash, banned ones last.
+static void
+remove_oldest(ps_suspects_t *suspects)
+{
+    const suspect_t *oldest = NULL;
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, suspects->by_hash);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const suspect_t *suspect = value;
+        bool is_banned = suspect->n_crashes >= suspects->crashes_max;
+        bool is_oldest_banned =
+            oldest && oldest->n_crashes >= suspects->crashes_max;
+        if (!oldest || (is_oldest_banned && !is_banned) ||
+            (is_banned == is_oldest_banned &&
+             suspect->last_crash_ms < oldest->last_crash_ms)) {
+            oldest = suspect;
+        }
+    }
+    if (oldest) {
+        g_hash_table_remove(suspects->by_hash, &oldest->hash);
+    }
+}
+
+static int
+compare_listed(gconstpointer a, gconstpointer b)
+{
+    const listed_crash_t *x = a;
+    const listed_crash_t *y = b;
+    if (x->is_banned != y->is_banned) {
+        return x->is_banned ? -1 : 1;
+    }
+    return x->crash.at_ms > y->crash.at_ms   ? -1
+           : x->crash.at_ms < y->crash.at_ms ? 1
+                                             : 0;
 }
 
 /* ---- Public functions ------------------------------------------------- */
 
 void
-PsSuspects_Init(ps_suspects_t *suspects)
+PsSuspects_Init(ps_suspects_t *suspects, int crashes_max)
 {
     suspects->by_hash =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    suspects->crashes_max = MIN(crashes_max, PS_SUSPECT_CRASHES_KEPT);
 }
 
 void
@@ -38,20 +105,34 @@
     g_hash_table_destroy(suspects->by_hash);
 }
 
-void
-PsSuspects_AddCrash(ps_suspects_t *suspects, uint64_t hash, int64_t now_ms)
+bool
+PsSuspects_AddCrash(ps_suspects_t *suspects, const ps_crash_t *crash)
 {
-    if (hash == 0) {
-        return;
+    if (crash->content == 0) {
+        return false;
+    }
+    suspect_t *suspect =
+        g_hash_table_lookup(suspects->by_hash, &crash->content);
+    if (suspect && is_expired(suspect, crash->at_ms)) {
+        suspect->n_crashes = 0;
+    }
+    if (suspect && has_crash(suspect, crash->id)) {
+        return false;
     }
-    suspect_t *suspect = g_hash_table_lookup(suspects->by_hash, &hash);
     if (!suspect) {
+        if (g_hash_table_size(suspects->by_hash) >= PS_SUSPECTS_MAX) {
+            remove_oldest(suspects);
+        }
         suspect = g_new0(suspect_t, 1);
-        suspect->hash = hash;
+        suspect->hash = crash->content;
         g_hash_table_insert(suspects->by_hash, &suspect->hash, suspect);
     }
-    suspect->crashes++;
-    suspect->last_crash_ms = now_ms;
+    suspect->last_crash_ms = MAX(suspect->last_crash_ms, crash->at_ms);
+    if (suspect->n_crashes == PS_SUSPECT_CRASHES_KEPT) {
+        return false;
+    }
+    suspect->crashes[suspect->n_crashes++] = *crash;
+    return true;
 }
 
 void
@@ -64,11 +145,8 @@
 PsSuspects_GetCrashes(const ps_suspects_t *suspects, uint64_t hash,
                       int64_t now_ms)
 {
-    const suspect_t *suspect = g_hash_table_lookup(suspects->by_hash, &hash);
-    if (!suspect || now_ms - suspect->last_crash_ms > PS_SUSPECT_TTL_MS) {
-        return 0;
-    }
-    return suspect->crashes;
+    const suspect_t *suspect = find(suspects, hash, now_ms);
+    return suspect ? suspect->n_crashes : 0;
 }
 
 bool
@@ -76,7 +154,35 @@
                     int64_t now_ms)
 {
     return PsSuspects_GetCrashes(suspects, hash, now_ms) >=
-           PS_SUSPECT_CRASHES_MAX;
+           suspects->crashes_max;
+}
+
+size_t
+PsSuspects_ListCrashes(const ps_suspects_t *suspects, bool with_own,
+                       ps_crash_t *crashes, size_t max, int64_t now_ms)
+{
+    GArray *all = g_array_new(FALSE, FALSE, sizeof(listed_crash_t));
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, suspects->by_hash);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const suspect_t *suspect = value;
+        bool is_banned = suspect->n_crashes >= suspects->crashes_max;
+        for (int i = 0; i < suspect->n_crashes && !is_expired(suspect, now_ms);
+             i++) {
+            if (is_banned || (with_own && suspect->crashes[i].is_own)) {
+                listed_crash_t listed = {suspect->crashes[i], is_banned};
+                g_array_append_val(all, listed);
+            }
+        }
+    }
+    g_array_sort(all, compare_listed);
+    size_t n = MIN(all->len, max);
+    for (size_t i = 0; i < n; i++) {
+        crashes[i] = g_array_index(all, listed_crash_t, i).crash;
+    }
+    g_array_unref(all);
+    return n;
 }
 
 ps_name_t
@@ -88,5 +194,5 @@
 void
 PsSuspects_Expire(ps_suspects_t *suspects, int64_t now_ms)
 {
-    g_hash_table_foreach_remove(suspects->by_hash, is_expired, &now_ms);
+    g_hash_table_foreach_remove(suspects->by_hash, is_entry_expired, &now_ms);
 }
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -1,5 +1,5 @@
 // test_limits.cpp - Tests quotas, retry budgets, even shares, the allocator
-// and its detection of outliers, in virtual time.
+// and its detection of outliers, and crashes of contents, in virtual time.
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -10,6 +10,7 @@
 
 extern "C" {
 #include "allocator.h"
+#include "crash_reports.h"
 #include "even_shares.h"
 #include "outliers.h"
 #include "quota.h"
@@ -587,3 +588,214 @@
         EXPECT_EQ(use->granted, 1000) << each.what << ", a window later";
     }
 }
+
+/* ---- Crashes of contents ---------------------------------------------- */
+
+namespace {
+
+ps_crash_t
+MakeCrash(uint64_t content, uint64_t id, int64_t at_ms)
+{
+    ps_crash_t crash = {};
+    crash.content = content;
+    crash.id = id;
+    crash.at_ms = at_ms;
+    crash.is_own = true;
+    return crash;
+}
+
+// Daemons that report crashes to one of them, the allocator, which tells all
+// of the crashes of banned contents.
+struct CrashHarness {
+    struct Daemon {
+        ps_suspects_t suspects;
+        ps_crash_reports_t to_allocator, to_members;
+        Daemon()
+        {
+            PsSuspects_Init(&suspects, 3);
+            PsCrashReports_Init(&to_allocator, &suspects, true);
+            PsCrashReports_Init(&to_members, &suspects, false);
+        }
+        ~Daemon()
+        {
+            PsCrashReports_Finish(&to_members);
+            PsCrashReports_Finish(&to_allocator);
+            PsSuspects_Finish(&suspects);
+        }
+        bool
+        Count(const ps_crash_t &crash)
+        {
+            int before =
+                PsSuspects_GetCrashes(&suspects, crash.content, crash.at_ms);
+            bool is_new = PsSuspects_AddCrash(&suspects, &crash);
+            if (is_new && before == 2) {
+                PsCrashReports_AddAll(&to_members);
+            }
+            return is_new;
+        }
+        // Sends what is due in one kind of report.
+        void
+        Send(ps_crash_reports_t *reports,
+             const std::vector<Daemon *> &receivers, int64_t now)
+        {
+            ps_crash_t crashes[PS_CRASH_REPORTS_MAX];
+            size_t n = PsCrashReports_Take(reports, crashes, now);
+            for (Daemon *receiver : receivers) {
+                for (size_t i = 0; i < n; i++) {
+                    ps_crash_t crash = crashes[i];
+                    crash.is_own = false;
+                    receiver->Count(crash);
+                }
+            }
+        }
+    };
+    std::vector<std::unique_ptr<Daemon>> daemons;
+    size_t allocator = 0;
+    int64_t now = kStart;
+    explicit CrashHarness(int n)
+    {
+        for (int i = 0; i < n; i++) {
+            daemons.push_back(std::make_unique<Daemon>());
+        }
+    }
+    // One round of reports and grants; each is lost if @is_lost() says so.
+    void
+    RunRound(const std::function<bool()> &is_lost)
+    {
+        now += 20;
+        Daemon *receiver = daemons[allocator].get();
+        for (auto &daemon : daemons) {
+            std::vector<Daemon *> receivers;
+            if (daemon.get() == receiver || !is_lost()) {
+                receivers.push_back(receiver);
+            }
+            daemon->Send(&daemon->to_allocator, receivers, now);
+        }
+        std::vector<Daemon *> members;
+        for (auto &daemon : daemons) {
+            if (daemon.get() == receiver || !is_lost()) {
+                members.push_back(daemon.get());
+            }
+        }
+        receiver->Send(&receiver->to_members, members, now);
+    }
+};
+
+} // namespace
+
+// A crash that several daemons report, or one of them again, counts once.
+TEST(Suspects, ContentIsBannedAtThreeDifferentCrashes)
+{
+    ps_suspects_t suspects;
+    PsSuspects_Init(&suspects, 3);
+    struct Case {
+        uint64_t content, id;
+        bool is_counted;
+        int crashes;
+        bool is_banned;
+    };
+    const Case cases[] = {{7, 1, true, 1, false},  {7, 1, false, 1, false},
+                          {8, 1, true, 1, false},  {7, 2, true, 2, false},
+                          {7, 2, false, 2, false}, {0, 3, false, 0, false},
+                          {7, 3, true, 3, true},   {8, 3, true, 2, false}};
+    for (const Case &each : cases) {
+        ps_crash_t crash = MakeCrash(each.content, each.id, kStart);
+        EXPECT_EQ(PsSuspects_AddCrash(&suspects, &crash), each.is_counted)
+            << each.content << " " << each.id;
+        EXPECT_EQ(PsSuspects_GetCrashes(&suspects, each.content, kStart),
+                  each.crashes);
+        EXPECT_EQ(PsSuspects_IsBanned(&suspects, each.content, kStart),
+                  each.is_banned);
+    }
+    EXPECT_TRUE(PsSuspects_IsBanned(&suspects, 7, kStart + PS_SUSPECT_TTL_MS));
+    EXPECT_FALSE(
+        PsSuspects_IsBanned(&suspects, 7, kStart + PS_SUSPECT_TTL_MS + 1));
+    // A crash that is reported after its time does not renew the ban.
+    ps_crash_t old = MakeCrash(7, 4, kStart);
+    PsSuspects_AddCrash(&suspects, &old);
+    EXPECT_FALSE(
+        PsSuspects_IsBanned(&suspects, 7, kStart + PS_SUSPECT_TTL_MS + 1));
+    PsSuspects_Finish(&suspects);
+}
+
+// Servers that crash with many requests make many suspects.
+TEST(Suspects, MemoryIsBoundedAndBannedContentsStay)
+{
+    ps_suspects_t suspects;
+    PsSuspects_Init(&suspects, 3);
+    for (uint64_t id = 1; id <= 3; id++) {
+        ps_crash_t crash = MakeCrash(7, id, kStart);
+        PsSuspects_AddCrash(&suspects, &crash);
+    }
+    for (uint64_t i = 0; i < 3 * PS_SUSPECTS_MAX; i++) {
+        ps_crash_t crash = MakeCrash(1000 + i, 1, kStart + (int64_t)i);
+        EXPECT_TRUE(PsSuspects_AddCrash(&suspects, &crash));
+        EXPECT_LE(g_hash_table_size(suspects.by_hash), (guint)PS_SUSPECTS_MAX);
+    }
+    EXPECT_TRUE(PsSuspects_IsBanned(&suspects, 7, kStart));
+    ps_crash_t crashes[PS_CRASH_REPORTS_MAX];
+    EXPECT_EQ(PsSuspects_ListCrashes(&suspects, true, crashes,
+                                     PS_CRASH_REPORTS_MAX, kStart),
+              (size_t)PS_CRASH_REPORTS_MAX);
+    EXPECT_EQ(crashes[0].content, 7u);
+    EXPECT_EQ(crashes[3].content, 1000u + 3 * PS_SUSPECTS_MAX - 1);
+    EXPECT_EQ(PsSuspects_ListCrashes(&suspects, false, crashes,
+                                     PS_CRASH_REPORTS_MAX, kStart),
+              3u);
+    PsSuspects_Finish(&suspects);
+}
+
+// Reports and grants get lost, allocators change and daemons start again: once
+// three crashes were seen by daemons that live on, all daemons ban the
+// content, and none bans it before.
+RC_GTEST_PROP(CrashReports, CrashesOutliveLostReportsAndAllocators, ())
+{
+    const uint64_t content = 4711;
+    const int n = *rc::gen::inRange(2, 9);
+    const int loss_percent = *rc::gen::inRange(0, 100);
+    CrashHarness harness(n);
+    std::vector<std::set<uint64_t>> seen(n); // ids of the crashes, by daemon
+    uint64_t last_id = 0;
+    auto is_lost = [&] { return *rc::gen::inRange(0, 100) < loss_percent; };
+    for (int i = 0; i < 60; i++) {
+        size_t at = (size_t)*rc::gen::inRange(0, n);
+        switch (*rc::gen::inRange(0, 12)) {
+        case 0:
+        case 1: // some crashes are seen by two daemons
+            if (*rc::gen::inRange(0, 4) > 0 || last_id == 0) {
+                last_id++;
+            }
+            seen[at].insert(last_id);
+            {
+                ps_crash_t crash = MakeCrash(content, last_id, harness.now);
+                if (harness.daemons[at]->Count(crash)) {
+                    PsCrashReports_Add(&harness.daemons[at]->to_allocator,
+                                       &crash);
+                }
+            }
+            break;
+        case 2:
+            harness.allocator = at;
+            break;
+        case 3:
+            harness.daemons[at] = std::make_unique<CrashHarness::Daemon>();
+            seen[at].clear();
+            break;
+        default:
+            harness.RunRound(is_lost);
+        }
+    }
+    std::set<uint64_t> all;
+    for (const std::set<uint64_t> &each : seen) {
+        all.insert(each.begin(), each.end());
+    }
+    for (int i = 0; i < 2 * PS_CRASH_REPORTS_INTERVAL_MS / 20 + 2; i++) {
+        harness.RunRound([] { return false; });
+    }
+    for (auto &daemon : harness.daemons) {
+        bool is_banned =
+            PsSuspects_IsBanned(&daemon->suspects, content, harness.now);
+        RC_ASSERT(is_banned || all.size() < 3);
+        RC_ASSERT(!is_banned || last_id >= 3);
+    }
+}
