Keep the bans of crashing contents over a loss of all daemons

What callers would see: after all daemons had been killed, a content that had been refused ended servers again.

Cause: bans were in the daemons' memory alone, so that a loss of all of them at once forgot them.

The allocator saves the crashes of banned contents with what teams have spent, in the object that each daemon reads at its start anyway. A ban that comes into force is written once, and again if the write fails, so that no calls are made while nothing changes.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -18,10 +18,8 @@
 // queues as many requests as it runs.
 #define PLAIN_SLOTS_FACTOR 2
 
-// Shortest time between two writes of the quota usage to the store, and most
-// teams in one write.
+// Shortest time between two writes of the allocator's state to the store.
 #define SAVE_INTERVAL_MS 500
-#define SAVED_TEAMS_MAX 64
 
 /* The fields that are the same in all grants of a round. */
 typedef struct round_data {
@@ -279,23 +277,32 @@
     return silent;
 }
 
-// Saves in the store how much teams have spent of their quotas.
+// Saves in the store how much teams have spent of their quotas, and which
+// contents are banned.
 static void
-save_quota_usage(ps_sharing_t *sharing, int64_t now_ms)
+save_state(ps_sharing_t *sharing, int64_t now_ms)
 {
-    if (now_ms < sharing->next_usage_save_ms ||
+    if (now_ms < sharing->next_state_save_ms ||
         !gets_most_reports(sharing, now_ms)) {
         return;
     }
-    ps_quota_usage_t records[SAVED_TEAMS_MAX];
-    int n = PsAllocator_GetQuotaUsage(&sharing->allocator, records,
-                                      SAVED_TEAMS_MAX, now_ms);
+    ps_content_crashes_t *crashes = &sharing->gateway->content_crashes;
+    ps_stored_state_t state;
+    state.n_teams = PsAllocator_GetQuotaUsage(&sharing->allocator, state.teams,
+                                              PS_STORED_TEAMS_MAX, now_ms);
     // An empty list of teams is saved once, to replace a list with teams.
-    if (n > 0 || !sharing->is_stored_usage_empty) {
-        sharing->is_stored_usage_empty = n == 0;
-        sharing->next_usage_save_ms = now_ms + SAVE_INTERVAL_MS;
-        sharing->gateway->store_ops->save_quota_usage(
-            sharing->gateway->store_ops, records, n);
+    if (state.n_teams == 0 && sharing->is_stored_usage_empty &&
+        !crashes->has_unsaved_ban) {
+        return;
+    }
+    state.n_crashes =
+        PsSuspects_ListCrashes(&crashes->suspects, false, state.crashes,
+                               PS_STORED_CRASHES_MAX, now_ms);
+    sharing->next_state_save_ms = now_ms + SAVE_INTERVAL_MS;
+    if (sharing->gateway->store_ops->save_state(sharing->gateway->store_ops,
+                                                &state)) {
+        sharing->is_stored_usage_empty = state.n_teams == 0;
+        crashes->has_unsaved_ban = false;
     }
 }
 
@@ -311,7 +318,7 @@
     }
     int members = (int)g_hash_table_size(sharing->gateway->members);
     PsAllocator_DivideQuotas(&sharing->allocator, members, now_ms);
-    save_quota_usage(sharing, now_ms);
+    save_state(sharing, now_ms);
     round_data_t round = {
         .silent = list_silent(sharing, now_ms),
         .servers_hash = PsGateway_HashServers(sharing->gateway),
--- a/src/content_crashes.c
+++ b/src/content_crashes.c
@@ -7,7 +7,7 @@
 
 /* ---- Internal functions ----------------------------------------------- */
 
-// Has all daemons told of a content that has just been banned.
+// Has a ban that has just come into force told to all daemons and stored.
 static void
 announce_ban(ps_content_crashes_t *crashes, uint64_t content, const char *from)
 {
@@ -15,18 +15,19 @@
     PsEvents_Add("content.banned", "{s:s,s:s}", "content", hash.data, "from",
                  from);
     PsCrashReports_AddAll(&crashes->to_members);
+    crashes->has_unsaved_ban = true;
 }
 
 // Counts a crash. Returns false if it is not counted.
 static bool
 count_crash(ps_content_crashes_t *crashes, const ps_crash_t *crash,
-            const char *from)
+            const char *from, int64_t now_ms)
 {
     if (!PsSuspects_AddCrash(&crashes->suspects, crash)) {
         return false;
     }
-    if (PsSuspects_GetCrashes(&crashes->suspects, crash->content,
-                              crash->at_ms) == PS_CONTENT_CRASHES_MAX) {
+    if (PsSuspects_GetCrashes(&crashes->suspects, crash->content, now_ms) ==
+        PS_CONTENT_CRASHES_MAX) {
         announce_ban(crashes, crash->content, from);
     }
     return true;
@@ -40,6 +41,7 @@
     PsSuspects_Init(&crashes->suspects, PS_CONTENT_CRASHES_MAX);
     PsCrashReports_Init(&crashes->to_allocator, &crashes->suspects, true);
     PsCrashReports_Init(&crashes->to_members, &crashes->suspects, false);
+    crashes->has_unsaved_ban = false;
 }
 
 void
@@ -59,7 +61,7 @@
                                     (uint64_t)server->started_ms),
                         .at_ms = now_ms,
                         .is_own = true};
-    if (count_crash(crashes, &crash, "this daemon")) {
+    if (count_crash(crashes, &crash, "this daemon", now_ms)) {
         PsCrashReports_Add(&crashes->to_allocator, &crash);
     }
 }
@@ -73,7 +75,7 @@
         ps_crash_t crash = {.content = messages[i]->content,
                             .id = messages[i]->crash,
                             .at_ms = now_ms - (int64_t)messages[i]->age_ms};
-        if (count_crash(crashes, &crash, from->data)) {
+        if (count_crash(crashes, &crash, from->data, now_ms)) {
             ps_name_t content = PsSuspects_FormatHash(crash.content);
             PsEvents_Add("content.reported", "{s:s,s:s,s:i}", "content",
                          content.data, "from", from->data, "crashes",
@@ -83,6 +85,17 @@
     }
 }
 
+void
+PsContentCrashes_Restore(ps_content_crashes_t *crashes,
+                         const ps_crash_t *stored, size_t n, int64_t now_ms)
+{
+    bool had_unsaved_ban = crashes->has_unsaved_ban;
+    for (size_t i = 0; i < n; i++) {
+        count_crash(crashes, &stored[i], "the store", now_ms);
+    }
+    crashes->has_unsaved_ban = had_unsaved_ban;
+}
+
 Ps__ContentCrash **
 PsContentCrashes_MakeMessages(ps_crash_reports_t *reports, size_t *n,
                               int64_t now_ms)
--- a/src/content_crashes.h
+++ b/src/content_crashes.h
@@ -21,6 +21,7 @@
     ps_suspects_t suspects;
     ps_crash_reports_t to_allocator;
     ps_crash_reports_t to_members; /* used while this is the allocator */
+    bool has_unsaved_ban; /* the store may lack a ban that is known here */
 } ps_content_crashes_t;
 
 void PsContentCrashes_Init(ps_content_crashes_t *crashes);
@@ -42,6 +43,13 @@
                             Ps__ContentCrash *const *messages, size_t n,
                             const ps_name_t *from, int64_t now_ms);
 
+/**
+ * PsContentCrashes_Restore() - Counts crashes that were read from the store.
+ */
+void PsContentCrashes_Restore(ps_content_crashes_t *crashes,
+                              const ps_crash_t *stored, size_t n,
+                              int64_t now_ms);
+
 /**
  * PsContentCrashes_MakeMessages() - Makes the messages of the next report.
  * @reports: to_allocator or to_members
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -237,17 +237,26 @@
 }
 
 static void
-on_quota_usage(void *user, const ps_quota_usage_t *records, int n,
-               int64_t age_ms)
+on_state_read(void *user, const ps_stored_state_t *state, int64_t age_ms)
 {
     ps_gateway_t *gateway = user;
-    PsEvents_Add("quota.recover", "{s:i,s:I}", "teams", n, "age_ms",
+    PsEvents_Add("quota.recover", "{s:i,s:i,s:I}", "teams", state->n_teams,
+                 "crashes", (int)state->n_crashes, "age_ms",
                  (json_int_t)age_ms);
+    PsContentCrashes_Restore(&gateway->content_crashes, state->crashes,
+                             state->n_crashes, PsClock_Now());
     gateway->sharing.allocator.window_s =
         gateway->settings.gateway.quota_window_s;
-    gateway->sharing.is_stored_usage_empty = n == 0;
-    PsAllocator_AddQuotaUsage(&gateway->sharing.allocator, records, n, age_ms,
-                              PsClock_Now());
+    gateway->sharing.is_stored_usage_empty = state->n_teams == 0;
+    PsAllocator_AddQuotaUsage(&gateway->sharing.allocator, state->teams,
+                              state->n_teams, age_ms, PsClock_Now());
+}
+
+static void
+on_state_saved(void *user, bool is_saved)
+{
+    ps_gateway_t *gateway = user;
+    gateway->content_crashes.has_unsaved_ban |= !is_saved;
 }
 
 static void
@@ -553,7 +562,8 @@
         .member_changed = on_member_changed,
         .member_removed = on_member_removed,
         .members_listed = on_members_listed,
-        .quota_usage_read = on_quota_usage,
+        .state_read = on_state_read,
+        .state_saved = on_state_saved,
         .unavailable = on_store_unavailable,
         .available = on_store_available};
     return &events;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -81,15 +81,15 @@
 /**
  * struct ps_store_ops - Operations of the store's client.
  * @remove_member: removes a dead daemon's registration
- * @save_quota_usage: writes the teams' quota usage
+ * @save_state: starts a write of the allocator's state; false if it can't yet
  * @read_now: lists the given kinds of objects as soon as possible
  * @set_poll_rate: sets how often the store is polled
  */
 typedef struct ps_store_ops {
     void (*remove_member)(const struct ps_store_ops *ops,
                           const ps_daemon_info_t *member);
-    void (*save_quota_usage)(const struct ps_store_ops *ops,
-                             const ps_quota_usage_t *records, int n);
+    bool (*save_state)(const struct ps_store_ops *ops,
+                       const ps_stored_state_t *state);
     void (*read_now)(const struct ps_store_ops *ops, bool config, bool servers,
                      bool members);
     void (*set_poll_rate)(const struct ps_store_ops *ops, ps_poll_rate_t rate);
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -51,7 +51,7 @@
     int64_t last_run_ms;                     /* last PsSharing_Run() */
     int64_t next_round_ms;
     int64_t next_choice_ms;     /* next check for a better allocator */
-    int64_t next_usage_save_ms; /* quota usage is not saved before */
+    int64_t next_state_save_ms; /* the state is not saved before */
     bool is_stored_usage_empty; /* the usage in the store names no team */
     GHashTable *avoided; /* name to the time until which it is not chosen */
     GHashTable *silent_members; /* names of members that do not report */
--- a/src/store_events.h
+++ b/src/store_events.h
@@ -10,6 +10,7 @@
 
 #include "backend.h"
 #include "catalog.h"
+#include "suspects.h"
 
 /**
  * struct ps_daemon_info - Registration of a daemon.
@@ -40,6 +41,20 @@
     double used_units[PS_QUOTA_USAGE_PARTS]; /* by part, newest first */
 } ps_quota_usage_t;
 
+#define PS_STORED_TEAMS_MAX 64    /* teams whose usage is stored */
+#define PS_STORED_CRASHES_MAX 128 /* crashes that are stored */
+
+/**
+ * struct ps_stored_state - What the allocator keeps in the store, for a start
+ * of all daemons at once.
+ */
+typedef struct ps_stored_state {
+    ps_quota_usage_t teams[PS_STORED_TEAMS_MAX];
+    int n_teams;
+    ps_crash_t crashes[PS_STORED_CRASHES_MAX]; /* of banned contents */
+    size_t n_crashes;
+} ps_stored_state_t;
+
 /**
  * struct ps_store_events - Handlers of the store's events.
  * @catalog_changed: there is a newer configuration; the handler owns a
@@ -52,8 +67,9 @@
  * @member_changed: a daemon's registration was added or changed
  * @member_removed: a daemon's registration was removed
  * @members_listed: like @servers_listed, of daemons
- * @quota_usage: the teams' usage as stored, read once at the start; @n is 0
- *               if none is stored; @age_ms is the time since it was written
+ * @state_read: the allocator's state, read once at the start; empty if none is
+ *              stored; @age_ms is the time since it was written
+ * @state_saved: a write of the allocator's state has ended
  * @unavailable: the store does not answer
  * @available: the store answers again
  */
@@ -66,8 +82,9 @@
     void (*member_changed)(void *user, const ps_daemon_info_t *member);
     void (*member_removed)(void *user, const ps_name_t *name);
     void (*members_listed)(void *user, GHashTable *names);
-    void (*quota_usage_read)(void *user, const ps_quota_usage_t *records,
-                             int n, int64_t age_ms);
+    void (*state_read)(void *user, const ps_stored_state_t *state,
+                       int64_t age_ms);
+    void (*state_saved)(void *user, bool is_saved);
     void (*unavailable)(void *user, const char *reason);
     void (*available)(void *user);
 } ps_store_events_t;
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -270,7 +270,9 @@
         // Operations that do nothing, as there is no store.
         static const ps_store_ops_t store = {
             [](const ps_store_ops_t *, const ps_daemon_info_t *) {},
-            [](const ps_store_ops_t *, const ps_quota_usage_t *, int) {},
+            [](const ps_store_ops_t *, const ps_stored_state_t *) {
+                return true;
+            },
             [](const ps_store_ops_t *, bool, bool, bool) {},
             [](const ps_store_ops_t *, ps_poll_rate_t) {}};
         signal(SIGPIPE, SIG_IGN);
@@ -471,7 +473,8 @@
         "{\"domain\":\"z2\",\"caller\":\"127.0.0.1:9\",\"peer\":"
         "\"127.0.0.1:9\",\"incarnation\":12345,\"cpuShare\":0.5}",
         "{\"writtenMs\":1700000000000,\"teams\":[{\"team\":\"team\","
-        "\"spent\":[1,2,3,4,5,6,7,8]}]}"};
+        "\"spent\":[1,2,3,4,5,6,7,8]}],\"crashes\":[{\"content\":"
+        "\"000000000000002a\",\"crash\":\"0000000000000007\",\"ageMs\":5}]}"};
     int accepted = 0;
     for (int i = 0; i < GetCaseCount(); i++) {
         size_t kind = mutator.DrawBelow(G_N_ELEMENTS(texts));
@@ -479,7 +482,7 @@
         ps_name_t name = ToName("x" + std::to_string(mutator.DrawBelow(8)));
         ps_registration_t registration;
         ps_daemon_info_t member;
-        ps_quota_usage_t records[4];
+        ps_stored_state_t state;
         int64_t age_ms;
         if (kind == 0 &&
             PsCodec_DecodeRegistration(&name, spec, &registration)) {
@@ -491,16 +494,17 @@
             accepted++;
         }
         else if (kind == 2) {
-            int n = PsCodec_DecodeQuotaUsage(spec, records, 4, &age_ms);
-            store_events->quota_usage_read(&harness.gateway, records, n,
-                                           age_ms);
+            PsCodec_DecodeState(spec, &state, &age_ms, PsClock_Now());
+            store_events->state_read(&harness.gateway, &state, age_ms);
         }
         json_decref(spec);
         RawCaller caller(harness.GetCallerPort(),
                          MakeRequest("/stream/x", "e-" + std::to_string(i)));
         harness.RunLoop(0.002);
         if (i % 100 == 99) {
-            store_events->quota_usage_read(&harness.gateway, nullptr, 0, 0);
+            state.n_teams = 0;
+            state.n_crashes = 0;
+            store_events->state_read(&harness.gateway, &state, 0);
             harness.ExpectGoodRequestServed("object " + std::to_string(i));
         }
     }
@@ -508,6 +512,38 @@
     harness.ExpectGoodRequestServed("all objects");
 }
 
+TEST(Codec, StateIsReadAsItWasWritten)
+{
+    ps_stored_state_t written = {}, read;
+    written.n_teams = 1;
+    written.teams[0].team = ToName("team");
+    written.teams[0].used_units[3] = 12.5;
+    written.n_crashes = 2;
+    written.crashes[0].content = UINT64_MAX;
+    written.crashes[0].id = 1;
+    written.crashes[0].at_ms = 100000;
+    written.crashes[1].content = 0x123456789abcdef;
+    written.crashes[1].id = UINT64_MAX - 1;
+    written.crashes[1].at_ms = 90000;
+    json_t *object = PsCodec_EncodeState("spent", &written, 101000);
+    int64_t age_ms = -1;
+    PsCodec_DecodeState(json_object_get(object, "spec"), &read, &age_ms,
+                        501000);
+    json_decref(object);
+    EXPECT_LT(age_ms, 1000);
+    ASSERT_EQ(read.n_teams, 1);
+    EXPECT_EQ(ToString(read.teams[0].team), "team");
+    EXPECT_EQ(read.teams[0].used_units[3], 12.5);
+    ASSERT_EQ(read.n_crashes, 2u);
+    for (int i = 0; i < 2; i++) {
+        EXPECT_EQ(read.crashes[i].content, written.crashes[i].content);
+        EXPECT_EQ(read.crashes[i].id, written.crashes[i].id);
+        EXPECT_NEAR((double)read.crashes[i].at_ms,
+                    (double)written.crashes[i].at_ms + 400000, 1000);
+        EXPECT_FALSE(read.crashes[i].is_own);
+    }
+}
+
 /* ---- Callers and servers ---------------------------------------------- */
 
 TEST(Mutations, RequestsEndAndDoNotStopService)
