Count a crash also when the server falls silent

What callers would see: a content whose servers lose power, rather than close their connections, is sent on and on.

Cause: only a lost connection counted. A request at a server that falls silent is moved, times out, or its caller leaves; the transfer is cancelled then, and the crash that becomes known later was not connected with it.

Three different servers are needed for a ban, as before.

--- /dev/null
+++ b/src/abandoned_runs.c
@@ -0,0 +1,39 @@
+/* abandoned_runs.c - Requests abandoned at servers that may have crashed. */
+#include "abandoned_runs.h"
+
+/* ---- Public functions ------------------------------------------------- */
+
+void
+PsAbandonedRuns_Init(ps_abandoned_runs_t *abandoned)
+{
+    *abandoned = (ps_abandoned_runs_t){.next = 0};
+}
+
+void
+PsAbandonedRuns_Add(ps_abandoned_runs_t *abandoned, uint64_t content,
+                    uint64_t crash_id, int64_t now_ms)
+{
+    if (content == 0) {
+        return;
+    }
+    abandoned->runs[abandoned->next] =
+        (ps_abandoned_run_t){content, crash_id, now_ms};
+    abandoned->next = (abandoned->next + 1) % PS_ABANDONED_RUNS_MAX;
+}
+
+uint64_t
+PsAbandonedRuns_TakeNext(ps_abandoned_runs_t *abandoned, uint64_t crash_id,
+                         int64_t now_ms)
+{
+    for (size_t i = 0; i < PS_ABANDONED_RUNS_MAX; i++) {
+        ps_abandoned_run_t *run = &abandoned->runs[i];
+        if (run->content != 0 && run->crash_id == crash_id) {
+            uint64_t content = run->content;
+            run->content = 0;
+            if (now_ms - run->at_ms <= PS_ABANDONED_RUN_TTL_MS) {
+                return content;
+            }
+        }
+    }
+    return 0;
+}
--- a/src/content_crashes.c
+++ b/src/content_crashes.c
@@ -18,6 +18,14 @@
     crashes->has_unsaved_ban = true;
 }
 
+// Returns the id of a crash of this start of a server.
+static uint64_t
+get_crash_id(const ps_registration_t *server)
+{
+    return XXH64(server->name.data, server->name.len,
+                 (uint64_t)server->started_ms);
+}
+
 // Counts a crash. Returns false if it is not counted.
 static bool
 count_crash(ps_content_crashes_t *crashes, const ps_crash_t *crash,
@@ -41,6 +49,7 @@
     PsSuspects_Init(&crashes->suspects, PS_CONTENT_CRASHES_MAX);
     PsCrashReports_Init(&crashes->to_allocator, &crashes->suspects, true);
     PsCrashReports_Init(&crashes->to_members, &crashes->suspects, false);
+    PsAbandonedRuns_Init(&crashes->abandoned_runs);
     crashes->has_unsaved_ban = false;
 }
 
@@ -57,8 +66,7 @@
                      const ps_registration_t *server, int64_t now_ms)
 {
     ps_crash_t crash = {.content = content,
-                        .id = XXH64(server->name.data, server->name.len,
-                                    (uint64_t)server->started_ms),
+                        .id = get_crash_id(server),
                         .at_ms = now_ms,
                         .is_own = true};
     if (count_crash(crashes, &crash, "this daemon", now_ms)) {
@@ -66,6 +74,31 @@
     }
 }
 
+void
+PsContentCrashes_AddAbandoned(ps_content_crashes_t *crashes, uint64_t content,
+                              const ps_registration_t *server, int64_t now_ms)
+{
+    PsAbandonedRuns_Add(&crashes->abandoned_runs, content,
+                        get_crash_id(server), now_ms);
+}
+
+void
+PsContentCrashes_HandleServerEnd(ps_content_crashes_t *crashes,
+                                 const ps_registration_t *server,
+                                 int64_t now_ms)
+{
+    uint64_t content;
+    while ((content = PsAbandonedRuns_TakeNext(
+                &crashes->abandoned_runs, get_crash_id(server), now_ms))) {
+        PsContentCrashes_Add(crashes, content, server, now_ms);
+        ps_name_t hash = PsSuspects_FormatHash(content);
+        PsEvents_Add(
+            "content.server_ended", "{s:s,s:s,s:i}", "content", hash.data,
+            "server", server->name.data, "crashes",
+            PsSuspects_GetCrashes(&crashes->suspects, content, now_ms));
+    }
+}
+
 void
 PsContentCrashes_Merge(ps_content_crashes_t *crashes,
                        Ps__ContentCrash *const *messages, size_t n,
--- a/src/content_crashes.h
+++ b/src/content_crashes.h
@@ -7,6 +7,7 @@
 #ifndef PS_CONTENT_CRASHES_H
 #define PS_CONTENT_CRASHES_H
 
+#include "abandoned_runs.h"
 #include "backend.h"
 #include "crash_reports.h"
 #include "peer.pb-c.h"
@@ -19,6 +20,7 @@
  */
 typedef struct ps_content_crashes {
     ps_suspects_t suspects;
+    ps_abandoned_runs_t abandoned_runs;
     ps_crash_reports_t to_allocator;
     ps_crash_reports_t to_members; /* used while this is the allocator */
     bool has_unsaved_ban; /* the store may lack a ban that is known here */
@@ -35,6 +37,23 @@
 void PsContentCrashes_Add(ps_content_crashes_t *crashes, uint64_t content,
                           const ps_registration_t *server, int64_t now_ms);
 
+/**
+ * PsContentCrashes_AddAbandoned() - Notes a request that is given up at a
+ * server before the end of its response.
+ */
+void PsContentCrashes_AddAbandoned(ps_content_crashes_t *crashes,
+                                   uint64_t content,
+                                   const ps_registration_t *server,
+                                   int64_t now_ms);
+
+/**
+ * PsContentCrashes_HandleServerEnd() - Counts the end of a server as a crash
+ * for the contents that were given up there shortly before.
+ */
+void PsContentCrashes_HandleServerEnd(ps_content_crashes_t *crashes,
+                                      const ps_registration_t *server,
+                                      int64_t now_ms);
+
 /**
  * PsContentCrashes_Merge() - Counts the crashes in a report or grant.
  * @from: the daemon that sent it, for the log
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -789,11 +789,22 @@
                        now_ms);
 }
 
+// Cancels the transfer. If its server turns out to have crashed, the content
+// may be the cause.
 static void
-stop_transfer(ps_exchange_t *exchange, int64_t now_ms, ps_task_result_t result)
+abandon_transfer(ps_exchange_t *exchange, int64_t now_ms)
 {
+    PsContentCrashes_AddAbandoned(
+        &exchange->gateway->content_crashes, exchange->content_hash,
+        &exchange->task.backend->registration, now_ms);
     PsTransfer_Cancel(&exchange->gateway->http_client, &exchange->transfer);
     close_transfer(exchange);
+}
+
+static void
+stop_transfer(ps_exchange_t *exchange, int64_t now_ms, ps_task_result_t result)
+{
+    abandon_transfer(exchange, now_ms);
     PsScheduler_EndTask(&exchange->dispatcher->scheduler, &exchange->task,
                         result, now_ms);
 }
@@ -835,8 +846,7 @@
                  (int)exchange->n_events);
     exchange->may_have_run = true;
     exchange->gateway->stats.retries++;
-    PsTransfer_Cancel(&exchange->gateway->http_client, &exchange->transfer);
-    close_transfer(exchange);
+    abandon_transfer(exchange, now_ms);
     PsScheduler_MoveTask(scheduler, &exchange->task, now_ms);
     return true;
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -307,6 +307,10 @@
     PsEvents_Add("server.unlisted", "{s:s,s:s,s:s}", "name",
                  backend->registration.name.data, "service",
                  backend->registration.service.data, "reason", reason);
+    if (!backend->registration.is_leaving) {
+        PsContentCrashes_HandleServerEnd(
+            &gateway->content_crashes, &backend->registration, PsClock_Now());
+    }
     PsChanges_AddServer(&gateway->changes, &backend->registration, true,
                         !gateway->is_applying_change, PsClock_Now());
     ps_dispatcher_t *dispatcher =
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -17,12 +17,14 @@
  * foreign: the answer has another request's id.
  * A request whose body begins with "CRASH N" ends the process with status 1:
  * within a stream after N events, and in place of a plain answer or a stream's
- * head if N is 0.
+ * head if N is 0. One with "STOP N" stops it (SIGSTOP) instead, so that its
+ * connections stay open and silent.
  * GET /counts: runs by request id, rejected and running requests.
  */
 #include <glib.h>
 #include <jansson.h>
 #include <curl/curl.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -35,14 +37,14 @@
 #define EVENT_INTERVAL_MS 12     /* between events of a stream */
 #define SILENCE_MS 2500          /* until a silent stream is broken off */
 #define EVENT_BYTES_MAX 200      /* bytes of one event */
-#define CRASH_PREFIX "CRASH "
 
 typedef struct stream {
     char id[128];
     int next_event; /* number of the event to send */
     int last_event;
     int cut_event;   /* the stream breaks off within this event; 0: none */
-    int crash_event; /* the process ends before this event; 0: it does not */
+    int crash_event; /* the process fails before this event; 0: it does not */
+    const char *crash; /* how it fails */
     bool is_silent;
     size_t bytes_sent; /* of the next event */
 } stream_t;
@@ -126,6 +128,35 @@
     return NULL;
 }
 
+// Returns how the request makes this process fail; NULL: it does not.
+static const char *
+get_crash(const standin_request_t *request)
+{
+    static const char *const ways[] = {"CRASH ", "STOP "};
+    for (size_t i = 0; i < G_N_ELEMENTS(ways) && request->body.len > 0; i++) {
+        if (g_str_has_prefix(request->body.data, ways[i])) {
+            return ways[i];
+        }
+    }
+    return NULL;
+}
+
+// Returns the number of events after which the process fails.
+static int
+get_crash_events(const standin_request_t *request)
+{
+    return atoi(strchr(request->body.data, ' '));
+}
+
+static void
+fail_process(const char *way)
+{
+    if (strcmp(way, "STOP ") == 0) {
+        raise(SIGSTOP);
+    }
+    _exit(1);
+}
+
 static ssize_t
 read_stream(void *user, uint64_t position, char *out, size_t max)
 {
@@ -139,7 +170,7 @@
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
     if (stream->next_event == stream->crash_event) {
-        _exit(1);
+        fail_process(stream->crash);
     }
     if (stream->next_event > stream->last_event) {
         return MHD_CONTENT_READER_END_OF_STREAM;
@@ -175,21 +206,6 @@
     g_free(user);
 }
 
-static bool
-is_crashing(const standin_request_t *request)
-{
-    return request->body.len > 0 && strncmp(request->body.data, CRASH_PREFIX,
-                                            strlen(CRASH_PREFIX)) == 0;
-}
-
-// Returns the number of events after which a crashing request ends the
-// process.
-static int
-get_crash_events(const standin_request_t *request)
-{
-    return atoi(request->body.data + strlen(CRASH_PREFIX));
-}
-
 static enum MHD_Result
 send_stream(standin_request_t *request, const char *id)
 {
@@ -202,7 +218,8 @@
     stream->next_event = last_event ? atoi(last_event) + 1 : 1;
     stream->cut_event =
         should_inject(cut_percent) ? stream->next_event + rand() % 4 : 0;
-    if (is_crashing(request)) {
+    stream->crash = get_crash(request);
+    if (stream->crash) {
         stream->crash_event = stream->next_event + get_crash_events(request);
     }
     stream->is_silent = should_inject(silent_percent);
@@ -283,8 +300,8 @@
     if (is_full) {
         return reject_request(request, id, 503);
     }
-    if (is_crashing(request) && get_crash_events(request) == 0) {
-        _exit(1);
+    if (get_crash(request) && get_crash_events(request) == 0) {
+        fail_process(get_crash(request));
     }
     bool is_stream =
         strstr(request->path, "/stream") && !should_inject(error_percent);
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -9,6 +9,7 @@
 #include "kernel.hpp"
 
 extern "C" {
+#include "abandoned_runs.h"
 #include "allocator.h"
 #include "crash_reports.h"
 #include "even_shares.h"
@@ -745,6 +746,28 @@
     PsSuspects_Finish(&suspects);
 }
 
+// Requests abandoned at a server count when its end becomes known in time.
+TEST(AbandonedRuns, ServerEndFindsItsLatestRequests)
+{
+    ps_abandoned_runs_t abandoned;
+    PsAbandonedRuns_Init(&abandoned);
+    PsAbandonedRuns_Add(&abandoned, 1, 70, kStart);
+    PsAbandonedRuns_Add(&abandoned, 0, 70, kStart); // no content
+    PsAbandonedRuns_Add(&abandoned, 2, 71, kStart);
+    PsAbandonedRuns_Add(&abandoned, 3, 70, kStart + 5000);
+    int64_t later = kStart + PS_ABANDONED_RUN_TTL_MS + 1;
+    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 72, later), 0u);
+    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 70, later), 3u);
+    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 70, later), 0u);
+    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 71, kStart), 2u);
+    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 71, kStart), 0u);
+    for (uint64_t i = 1; i <= PS_ABANDONED_RUNS_MAX + 1; i++) {
+        PsAbandonedRuns_Add(&abandoned, i, i == 1 ? 80 : 81, kStart);
+    }
+    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 80, kStart), 0u);
+    EXPECT_NE(PsAbandonedRuns_TakeNext(&abandoned, 81, kStart), 0u);
+}
+
 // Reports and grants get lost, allocators change and daemons start again: once
 // three crashes were seen by daemons that live on, all daemons ban the
 // content, and none bans it before.
