Count the crashes of requests without a body

What callers would see: a request without a body that ends each server that runs it is sent on and on.

Cause: only requests with a body had a content hash, since many callers send the same path without one, which may well be in flight at several crashes. So their crashes were not counted at all.

Each request has a hash now. ContentCrashes.ContentThatRunsToItsEndIsNotSuspected has both kinds in flight at the same crashes.

--- a/src/content_crashes.c
+++ b/src/content_crashes.c
@@ -50,6 +50,7 @@
     PsCrashReports_Init(&crashes->to_allocator, &crashes->suspects, true);
     PsCrashReports_Init(&crashes->to_members, &crashes->suspects, false);
     PsAbandonedRuns_Init(&crashes->abandoned_runs);
+    PsRecentSet_Init(&crashes->completed);
     crashes->has_unsaved_ban = false;
 }
 
@@ -58,6 +59,7 @@
 {
     PsCrashReports_Finish(&crashes->to_members);
     PsCrashReports_Finish(&crashes->to_allocator);
+    PsRecentSet_Finish(&crashes->completed);
     PsSuspects_Finish(&crashes->suspects);
 }
 
@@ -65,6 +67,9 @@
 PsContentCrashes_Add(ps_content_crashes_t *crashes, uint64_t content,
                      const ps_registration_t *server, int64_t now_ms)
 {
+    if (PsRecentSet_Contains(&crashes->completed, content, now_ms)) {
+        return;
+    }
     ps_crash_t crash = {.content = content,
                         .id = get_crash_id(server),
                         .at_ms = now_ms,
@@ -74,6 +79,13 @@
     }
 }
 
+void
+PsContentCrashes_AddCompleted(ps_content_crashes_t *crashes, uint64_t content,
+                              int64_t now_ms)
+{
+    PsRecentSet_Add(&crashes->completed, content, now_ms);
+}
+
 void
 PsContentCrashes_AddAbandoned(ps_content_crashes_t *crashes, uint64_t content,
                               const ps_registration_t *server, int64_t now_ms)
--- a/src/content_crashes.h
+++ b/src/content_crashes.h
@@ -11,6 +11,7 @@
 #include "backend.h"
 #include "crash_reports.h"
 #include "peer.pb-c.h"
+#include "recent_set.h"
 
 // Crashes of servers, as seen by all daemons, until a content is refused.
 #define PS_CONTENT_CRASHES_MAX 3
@@ -21,6 +22,7 @@
 typedef struct ps_content_crashes {
     ps_suspects_t suspects;
     ps_abandoned_runs_t abandoned_runs;
+    ps_recent_set_t completed; /* contents that ran to their end lately */
     ps_crash_reports_t to_allocator;
     ps_crash_reports_t to_members; /* used while this is the allocator */
     bool has_unsaved_ban; /* the store may lack a ban that is known here */
@@ -31,12 +33,21 @@
 
 /**
  * PsContentCrashes_Add() - Counts a crash that this daemon has seen.
- * @content: hash of the content in flight; 0 is ignored
+ * @content: hash of the content in flight
  * @server: that the connection was lost to; each start of it counts once
+ *
+ * A content that ran to its end here lately is not the cause and is ignored:
+ * many callers may send the same one.
  */
 void PsContentCrashes_Add(ps_content_crashes_t *crashes, uint64_t content,
                           const ps_registration_t *server, int64_t now_ms);
 
+/**
+ * PsContentCrashes_AddCompleted() - Notes a content that ran to its end.
+ */
+void PsContentCrashes_AddCompleted(ps_content_crashes_t *crashes,
+                                   uint64_t content, int64_t now_ms);
+
 /**
  * PsContentCrashes_AddAbandoned() - Notes a request that is given up at a
  * server before the end of its response.
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -522,7 +522,7 @@
 }
 
 // Logs that the connection was lost before the end of the response, and the
-// crashes counted for the content so far; a request without a body has none.
+// crashes counted for the content so far.
 static void
 log_lost_connection(const ps_exchange_t *exchange, int64_t now_ms)
 {
@@ -568,6 +568,10 @@
                              &exchange->task.backend->registration, now_ms);
         log_lost_connection(exchange, now_ms);
     }
+    else if (is_complete(exchange, result)) {
+        PsContentCrashes_AddCompleted(&exchange->gateway->content_crashes,
+                                      exchange->content_hash, now_ms);
+    }
     bool is_relayable = exchange->is_relaying
                             ? is_stream_response(exchange)
                             : !means_not_run(transfer->status);
@@ -631,15 +635,10 @@
     }
 }
 
-// Returns 0, which is never a suspect, for a request without a body: many
-// callers send the same one.
 static uint64_t
 hash_content(const ps_exchange_t *exchange)
 {
     const ps_http_request_t *request = exchange->request;
-    if (request->body.len == 0) {
-        return 0;
-    }
     uint64_t hash = XXH64(request->path.data, request->path.len, 0);
     if (exchange->team) {
         hash =
--- a/tests/runs/gw_crashing_content.sh
+++ b/tests/runs/gw_crashing_content.sh
@@ -18,16 +18,18 @@
 send_crashing() {
     local n_ended=0 i answer
     for i in $(seq 6); do
-        answer=$(gw_send_request $((i % 3 + 1)) "$1" "${2// /-}-$i" -X POST -d "$2" -H 'Token-Counts: 100,200')
+        answer=$(gw_send_request $((i % 3 + 1)) "$1" "crash-$((++n_sent))" -X POST -d "$2" -H 'Token-Counts: 100,200')
         sleep 0.2
         restart_ended_servers
     done
     [ "$n_ended" -le 3 ] && n_ended="at most 3"
-    echo "$2 to $1: $n_ended servers ended; last answer $answer"
+    echo "${2:-no body} to $1: $n_ended servers ended; last answer $answer"
 }
+n_sent=0
 send_crashing /stream/1 "CRASH 0 a"
 send_crashing /stream/1 "CRASH 1 b"
 send_crashing /stream/1 "CRASH 4 c"
 send_crashing /safe/1 "CRASH 0 d"
 send_crashing /once/1 "CRASH 0 e"
+send_crashing /safe/CRASH-0 ""
 for i in $(seq 6); do gw_send_stream $((i % 3 + 1)) "other-$i" 6; done | sort | uniq -c | sed 's/^ *//'
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -15,11 +15,11 @@
  * mute: a plain answer is 2 s late, then with the same probability 2 s more,
  *     and so on; a stream sends no event and breaks off after SILENCE_MS
  * foreign: the answer has another request's id.
- * A request whose body begins with "CRASH N" ends the process with status 1:
- * within a stream after N events, and in place of a plain answer or a stream's
- * head if N is 0. One with "STOP N" stops it (SIGSTOP) instead, so that its
- * connections stay open and silent.
- * GET /counts: runs by request id, rejected and running requests.
+ * A request whose body begins with "CRASH N", or without a body the last part
+ * of whose path is CRASH-N, ends the process with status 1: within a stream
+ * after N events, and in place of a plain answer or a stream's head if N is 0.
+ * STOP stops the process (SIGSTOP) instead, so that its connections stay open
+ * and silent. GET /counts: runs by request id, rejected and running requests.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -36,15 +36,17 @@
 #define PLAIN_ANSWER_MS 15       /* time that a plain answer takes */
 #define EVENT_INTERVAL_MS 12     /* between events of a stream */
 #define SILENCE_MS 2500          /* until a silent stream is broken off */
+#define CRASH "CRASH"            /* ends the process */
+#define STOP "STOP"              /* stops the process */
 #define EVENT_BYTES_MAX 200      /* bytes of one event */
 
 typedef struct stream {
     char id[128];
     int next_event; /* number of the event to send */
     int last_event;
-    int cut_event;   /* the stream breaks off within this event; 0: none */
-    int crash_event; /* the process fails before this event; 0: it does not */
-    const char *crash; /* how it fails */
+    int cut_event;    /* the stream breaks off within this event; 0: none */
+    int crash_event;  /* the process fails before this event; 0: it does not */
+    bool is_stopping; /* it fails by stopping, not by ending */
     bool is_silent;
     size_t bytes_sent; /* of the next event */
 } stream_t;
@@ -128,30 +130,27 @@
     return NULL;
 }
 
-// Returns how the request makes this process fail; NULL: it does not.
+// Returns how the request makes this process fail, followed by a character and
+// the number of events after which it does; NULL: it does not.
 static const char *
 get_crash(const standin_request_t *request)
 {
-    static const char *const ways[] = {"CRASH ", "STOP "};
-    for (size_t i = 0; i < G_N_ELEMENTS(ways) && request->body.len > 0; i++) {
-        if (g_str_has_prefix(request->body.data, ways[i])) {
-            return ways[i];
-        }
-    }
-    return NULL;
+    const char *way = request->body.len > 0 ? request->body.data
+                                            : strrchr(request->path, '/') + 1;
+    return g_str_has_prefix(way, CRASH) || g_str_has_prefix(way, STOP) ? way
+                                                                       : NULL;
 }
 
-// Returns the number of events after which the process fails.
 static int
-get_crash_events(const standin_request_t *request)
+get_crash_events(const char *way)
 {
-    return atoi(strchr(request->body.data, ' '));
+    return atoi(way + strlen(g_str_has_prefix(way, STOP) ? STOP : CRASH) + 1);
 }
 
 static void
-fail_process(const char *way)
+fail_process(bool is_stopping)
 {
-    if (strcmp(way, "STOP ") == 0) {
+    if (is_stopping) {
         raise(SIGSTOP);
     }
     _exit(1);
@@ -170,7 +169,7 @@
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
     if (stream->next_event == stream->crash_event) {
-        fail_process(stream->crash);
+        fail_process(stream->is_stopping);
     }
     if (stream->next_event > stream->last_event) {
         return MHD_CONTENT_READER_END_OF_STREAM;
@@ -218,9 +217,10 @@
     stream->next_event = last_event ? atoi(last_event) + 1 : 1;
     stream->cut_event =
         should_inject(cut_percent) ? stream->next_event + rand() % 4 : 0;
-    stream->crash = get_crash(request);
-    if (stream->crash) {
-        stream->crash_event = stream->next_event + get_crash_events(request);
+    const char *crash = get_crash(request);
+    if (crash) {
+        stream->crash_event = stream->next_event + get_crash_events(crash);
+        stream->is_stopping = g_str_has_prefix(crash, STOP);
     }
     stream->is_silent = should_inject(silent_percent);
     struct MHD_Response *response = MHD_create_response_from_callback(
@@ -300,8 +300,9 @@
     if (is_full) {
         return reject_request(request, id, 503);
     }
-    if (get_crash(request) && get_crash_events(request) == 0) {
-        fail_process(get_crash(request));
+    const char *crash = get_crash(request);
+    if (crash && get_crash_events(crash) == 0) {
+        fail_process(g_str_has_prefix(crash, STOP));
     }
     bool is_stream =
         strstr(request->path, "/stream") && !should_inject(error_percent);
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -15,6 +15,7 @@
 #include "even_shares.h"
 #include "outliers.h"
 #include "quota.h"
+#include "recent_set.h"
 #include "retry_budget.h"
 }
 
@@ -768,6 +769,29 @@
     EXPECT_NE(PsAbandonedRuns_TakeNext(&abandoned, 81, kStart), 0u);
 }
 
+TEST(RecentSet, KeepsHashesForItsTimeInBoundedMemory)
+{
+    ps_recent_set_t set;
+    PsRecentSet_Init(&set);
+    int64_t now = kStart;
+    PsRecentSet_Add(&set, 1, now);
+    EXPECT_TRUE(PsRecentSet_Contains(&set, 1, now + PS_RECENT_SET_MS));
+    EXPECT_FALSE(PsRecentSet_Contains(&set, 2, now));
+    PsRecentSet_Add(&set, 2, now + PS_RECENT_SET_MS);
+    EXPECT_TRUE(PsRecentSet_Contains(&set, 2, now + 2 * PS_RECENT_SET_MS));
+    EXPECT_FALSE(PsRecentSet_Contains(&set, 1, now + 4 * PS_RECENT_SET_MS));
+    EXPECT_FALSE(PsRecentSet_Contains(&set, 2, now + 4 * PS_RECENT_SET_MS));
+    now += 5 * PS_RECENT_SET_MS;
+    for (uint64_t i = 0; i < 5 * PS_RECENT_SET_GENERATION_MAX; i++) {
+        PsRecentSet_Add(&set, i, now);
+        ASSERT_TRUE(PsRecentSet_Contains(&set, i, now));
+        ASSERT_LE(g_hash_table_size(set.newer) + g_hash_table_size(set.older),
+                  2u * PS_RECENT_SET_GENERATION_MAX);
+    }
+    EXPECT_FALSE(PsRecentSet_Contains(&set, 1, now));
+    PsRecentSet_Finish(&set);
+}
+
 // Reports and grants get lost, allocators change and daemons start again: once
 // three crashes were seen by daemons that live on, all daemons ban the
 // content, and none bans it before.
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -512,6 +512,30 @@
     harness.ExpectGoodRequestServed("all objects");
 }
 
+// Many callers send the same request without a body. When all servers of its
+// service crash at once, it is in flight at each of them.
+TEST(ContentCrashes, ContentThatRunsToItsEndIsNotSuspected)
+{
+    const uint64_t common = 1, crashing = 2;
+    ps_content_crashes_t crashes;
+    PsContentCrashes_Init(&crashes);
+    int64_t now = 1000000;
+    for (int64_t start = 1; start <= 5; start++) {
+        for (const char *name : {"x1", "x2", "x3"}) {
+            ps_registration_t server = {};
+            server.name = ToName(name);
+            server.started_ms = start;
+            PsContentCrashes_AddCompleted(&crashes, common, now);
+            PsContentCrashes_Add(&crashes, common, &server, now + 50);
+            PsContentCrashes_Add(&crashes, crashing, &server, now + 50);
+            now += 1000;
+        }
+        EXPECT_FALSE(PsSuspects_IsBanned(&crashes.suspects, common, now));
+        EXPECT_TRUE(PsSuspects_IsBanned(&crashes.suspects, crashing, now));
+    }
+    PsContentCrashes_Finish(&crashes);
+}
+
 TEST(Codec, StateIsReadAsItWasWritten)
 {
     ps_stored_state_t written = {}, read;
