Ban a request without a body only for servers that have ended

Cause: such a request counted each lost connection as a crash. One request of a route with three attempts is cut by three servers within milliseconds, and a daemon that has just started knows no earlier answer to it.

A lost connection of such a request is kept like one that was given up, and counts when the server turns out to have ended, unless the content ran to its end here meanwhile.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -521,20 +521,30 @@
                  PsBackend_GetFailureRate(backend));
 }
 
-// Logs that the connection was lost before the end of the response, and the
-// crashes counted for the content so far.
+// Counts a connection that was lost before the end of the response as a crash
+// of the server. Many callers may send the same request without a body, so
+// that such a request counts only if the server turns out to have ended.
 static void
-log_lost_connection(const ps_exchange_t *exchange, int64_t now_ms)
+count_lost_connection(ps_exchange_t *exchange, int64_t now_ms)
 {
+    ps_content_crashes_t *crashes = &exchange->gateway->content_crashes;
+    const ps_registration_t *server = &exchange->task.backend->registration;
+    exchange->gateway->stats.lost_connections++;
+    if (exchange->request->body.len > 0) {
+        PsContentCrashes_Add(crashes, exchange->content_hash, server, now_ms);
+    }
+    else {
+        PsContentCrashes_AddAbandoned(crashes, exchange->content_hash, server,
+                                      now_ms);
+    }
     ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
-    PsEvents_Add(
-        "content.lost_connection", "{s:s,s:s,s:s,s:b,s:i,s:i}", "id",
-        exchange->inbound.request_id.data, "content", content.data, "server",
-        exchange->task.backend->registration.name.data, "response_began",
-        (int)exchange->has_response_head, "events", (int)exchange->n_events,
-        "crashes",
-        PsSuspects_GetCrashes(&exchange->gateway->content_crashes.suspects,
-                              exchange->content_hash, now_ms));
+    PsEvents_Add("content.lost_connection", "{s:s,s:s,s:s,s:b,s:i,s:i}", "id",
+                 exchange->inbound.request_id.data, "content", content.data,
+                 "server", server->name.data, "response_began",
+                 (int)exchange->has_response_head, "events",
+                 (int)exchange->n_events, "crashes",
+                 PsSuspects_GetCrashes(&crashes->suspects,
+                                       exchange->content_hash, now_ms));
 }
 
 static const char *
@@ -562,11 +572,7 @@
         log_failure(exchange, task_result);
     }
     if (was_cut_by_server(exchange, result)) {
-        exchange->gateway->stats.lost_connections++;
-        PsContentCrashes_Add(&exchange->gateway->content_crashes,
-                             exchange->content_hash,
-                             &exchange->task.backend->registration, now_ms);
-        log_lost_connection(exchange, now_ms);
+        count_lost_connection(exchange, now_ms);
     }
     else if (is_complete(exchange, result)) {
         PsContentCrashes_AddCompleted(&exchange->gateway->content_crashes,
