Send a content that ends servers in the soak

Nothing in the soak sent a content that crashes servers, so that the reported fault could not show there. One of a hundred requests is such a one now; the seed chooses its route and where in the answer the server ends.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -12,6 +12,8 @@
  * torn: the response was broken off, which the caller can detect
  * none: no response
  * refused: a complete response with another status than 200
+ * KIND is once, safe, stream, or crash: one content that ends each backend
+ * server that runs it, which SEED chooses, is sent again and again.
  */
 #include <curl/curl.h>
 #include <glib.h>
@@ -28,6 +30,7 @@
 #define REQUEST_TIMEOUT_MS 3000   /* also sent as Deadline-Ms */
 #define STREAM_EVENTS 15          /* events requested of each stream */
 #define MEAN_PAUSE_MS 30          /* between requests of a thread */
+#define CRASH_ONE_IN 100 /* one of so many requests is a crashing one */
 
 /* ---- Types ------------------------------------------------------------ */
 
@@ -48,7 +51,10 @@
 /* ---- Globals ---------------------------------------------------------- */
 
 static int64_t end_ms; /* no request is sent after */
-static FILE *results;  /* OUT; guarded by results_lock */
+static const char *const kinds[] = {"once", "safe", "stream"};
+static const char *crash_path; /* of the crashing content, a kind */
+static char *crash_body;
+static FILE *results; /* OUT; guarded by results_lock */
 static char **directories;
 static int n_directories;
 static pthread_mutex_t results_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -168,12 +174,15 @@
 static void
 send_request(caller_t *caller, const char *id)
 {
-    static const char *const kinds[] = {"once", "safe", "stream"};
-    const char *kind = kinds[rand_r(&caller->seed) % 3];
+    bool is_crashing = rand_r(&caller->seed) % CRASH_ONE_IN == 0;
+    const char *kind =
+        is_crashing ? "crash" : kinds[rand_r(&caller->seed) % 3];
     const char *key = rand_r(&caller->seed) % 4 == 0 ? "key-2" : "key-1";
     const char *address =
         caller->addresses[rand_r(&caller->seed) % caller->n_addresses];
-    char *url = g_strdup_printf("http://%s/%s/a", address, kind);
+    key = is_crashing ? "key-1" : key;
+    char *url = g_strdup_printf("http://%s/%s/a", address,
+                                is_crashing ? crash_path : kind);
     GString *body = g_string_new(NULL);
     struct curl_slist *headers = make_headers(id, key);
     CURL *easy = caller->easy;
@@ -191,7 +200,8 @@
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
                      rand_r(&caller->seed) % 2 ? 1L : 0L);
     if (strcmp(kind, "safe") != 0) {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, id);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+                         is_crashing ? crash_body : id);
     }
     int64_t sent_ms = now_ms();
     CURLcode code = curl_easy_perform(easy);
@@ -242,6 +252,11 @@
     }
     curl_global_init(CURL_GLOBAL_ALL);
     end_ms = now_ms() + atoi(argv[1]) * 1000;
+    crash_path = kinds[atoi(argv[3]) % 3];
+    // A stream's server ends within the stream, after as many events.
+    bool is_stream = strcmp(crash_path, "stream") == 0;
+    crash_body =
+        g_strdup_printf("CRASH %d", is_stream ? atoi(argv[3]) / 3 % 4 : 0);
     int n = atoi(argv[2]);
     results = fopen(argv[4], "w");
     directories = argv + 5;
