Report old crashes of suspects rarely

A loss of many servers leaves many contents with one crash for half an hour, and each daemon reported up to 256 of them again each second: 5 to 6 KB/s a daemon, 2 MB/s at an allocator of 370 daemons (by the size of the messages, not measured). After 30 s such a crash is reported each 30 s, and at once to another allocator; those of banned contents still each second.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -296,7 +296,7 @@
         return;
     }
     state.n_crashes =
-        PsSuspects_ListCrashes(&crashes->suspects, false, state.crashes,
+        PsSuspects_ListCrashes(&crashes->suspects, INT64_MAX, state.crashes,
                                PS_STORED_CRASHES_MAX, now_ms);
     sharing->next_state_save_ms = now_ms + SAVE_INTERVAL_MS;
     if (sharing->gateway->store_ops->save_state(sharing->gateway->store_ops,
--- a/src/crash_reports.c
+++ b/src/crash_reports.c
@@ -33,6 +33,7 @@
 void
 PsCrashReports_AddAll(ps_crash_reports_t *reports)
 {
+    reports->next_recent_ms = 0;
     reports->next_all_ms = 0;
 }
 
@@ -41,10 +42,16 @@
                     int64_t now_ms)
 {
     size_t n = reports->unreported->len;
-    if (now_ms >= reports->next_all_ms) {
-        reports->next_all_ms = now_ms + PS_CRASH_REPORTS_INTERVAL_MS;
-        n = PsSuspects_ListCrashes(reports->suspects, reports->with_own,
-                                   crashes, PS_CRASH_REPORTS_MAX, now_ms);
+    if (now_ms >= reports->next_recent_ms) {
+        int64_t own_since_ms = now_ms - PS_CRASH_REPORTS_RECENT_MS;
+        reports->next_recent_ms = now_ms + PS_CRASH_REPORTS_INTERVAL_MS;
+        if (now_ms >= reports->next_all_ms) {
+            reports->next_all_ms = now_ms + PS_CRASH_REPORTS_ALL_INTERVAL_MS;
+            own_since_ms = INT64_MIN;
+        }
+        n = PsSuspects_ListCrashes(
+            reports->suspects, reports->with_own ? own_since_ms : INT64_MAX,
+            crashes, PS_CRASH_REPORTS_MAX, now_ms);
     }
     else if (n > 0) {
         memcpy(crashes, reports->unreported->data, n * sizeof *crashes);
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -78,6 +78,7 @@
             PsName_IsEmpty(&sharing->allocator_name);
         sharing->allocator_name = best->name;
         sharing->allocator_since_ms = now_ms;
+        PsCrashReports_AddAll(&sharing->gateway->content_crashes.to_allocator);
     }
 }
 
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -158,7 +158,7 @@
 }
 
 size_t
-PsSuspects_ListCrashes(const ps_suspects_t *suspects, bool with_own,
+PsSuspects_ListCrashes(const ps_suspects_t *suspects, int64_t own_since_ms,
                        ps_crash_t *crashes, size_t max, int64_t now_ms)
 {
     GArray *all = g_array_new(FALSE, FALSE, sizeof(listed_crash_t));
@@ -170,8 +170,9 @@
         bool is_banned = suspect->n_crashes >= suspects->crashes_max;
         for (int i = 0; i < suspect->n_crashes && !is_expired(suspect, now_ms);
              i++) {
-            if (is_banned || (with_own && suspect->crashes[i].is_own)) {
-                listed_crash_t listed = {suspect->crashes[i], is_banned};
+            const ps_crash_t *crash = &suspect->crashes[i];
+            if (is_banned || (crash->is_own && crash->at_ms >= own_since_ms)) {
+                listed_crash_t listed = {*crash, is_banned};
                 g_array_append_val(all, listed);
             }
         }
--- a/src/suspects.h
+++ b/src/suspects.h
@@ -76,15 +76,17 @@
                          int64_t now_ms);
 
 /**
- * PsSuspects_ListCrashes() - Lists the crashes of banned contents.
- * @with_own: lists the crashes that were seen here, too
+ * PsSuspects_ListCrashes() - Lists the crashes of banned contents, and others
+ * that were seen here.
+ * @own_since_ms: lists those that were seen here since; INT64_MAX: none
  * @crashes: receives at most @max crashes: those of banned contents first,
  *           then by age, the latest first
  *
  * Return: number of crashes.
  */
-size_t PsSuspects_ListCrashes(const ps_suspects_t *suspects, bool with_own,
-                              ps_crash_t *crashes, size_t max, int64_t now_ms);
+size_t PsSuspects_ListCrashes(const ps_suspects_t *suspects,
+                              int64_t own_since_ms, ps_crash_t *crashes,
+                              size_t max, int64_t now_ms);
 
 /**
  * PsSuspects_FormatHash() - Returns a content hash as it appears in the log:
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -736,12 +736,12 @@
     }
     EXPECT_TRUE(PsSuspects_IsBanned(&suspects, 7, kStart));
     ps_crash_t crashes[PS_CRASH_REPORTS_MAX];
-    EXPECT_EQ(PsSuspects_ListCrashes(&suspects, true, crashes,
+    EXPECT_EQ(PsSuspects_ListCrashes(&suspects, kStart, crashes,
                                      PS_CRASH_REPORTS_MAX, kStart),
               (size_t)PS_CRASH_REPORTS_MAX);
     EXPECT_EQ(crashes[0].content, 7u);
     EXPECT_EQ(crashes[3].content, 1000u + 3 * PS_SUSPECTS_MAX - 1);
-    EXPECT_EQ(PsSuspects_ListCrashes(&suspects, false, crashes,
+    EXPECT_EQ(PsSuspects_ListCrashes(&suspects, INT64_MAX, crashes,
                                      PS_CRASH_REPORTS_MAX, kStart),
               3u);
     PsSuspects_Finish(&suspects);
@@ -792,6 +792,51 @@
     PsRecentSet_Finish(&set);
 }
 
+// A loss of many servers leaves many suspects for half an hour.
+TEST(CrashReports, OldCrashesOfSuspectsAreReportedRarely)
+{
+    ps_suspects_t suspects;
+    ps_crash_reports_t reports;
+    PsSuspects_Init(&suspects, 3);
+    PsCrashReports_Init(&reports, &suspects, true);
+    for (uint64_t i = 1; i <= 1000; i++) {
+        ps_crash_t crash = MakeCrash(i, i, kStart);
+        PsSuspects_AddCrash(&suspects, &crash);
+        PsCrashReports_Add(&reports, &crash);
+    }
+    for (uint64_t id = 1; id <= 3; id++) {
+        ps_crash_t crash = MakeCrash(5000, id, kStart);
+        PsSuspects_AddCrash(&suspects, &crash);
+    }
+    struct Case {
+        int64_t after_ms;
+        size_t reported;
+    };
+    const Case cases[] = {{0, PS_CRASH_REPORTS_MAX},
+                          {20, 0},
+                          {1000, PS_CRASH_REPORTS_MAX},
+                          {1020, 0},
+                          {29000, PS_CRASH_REPORTS_MAX},
+                          {30000, PS_CRASH_REPORTS_MAX},
+                          {31000, 3},
+                          {32000, 3},
+                          {60000, PS_CRASH_REPORTS_MAX},
+                          {61000, 3}};
+    ps_crash_t crashes[PS_CRASH_REPORTS_MAX];
+    for (const Case &each : cases) {
+        EXPECT_EQ(
+            PsCrashReports_Take(&reports, crashes, kStart + each.after_ms),
+            each.reported)
+            << each.after_ms;
+        EXPECT_TRUE(each.reported == 0 || crashes[0].content == 5000u);
+    }
+    PsCrashReports_AddAll(&reports); // for another allocator
+    EXPECT_EQ(PsCrashReports_Take(&reports, crashes, kStart + 61020),
+              (size_t)PS_CRASH_REPORTS_MAX);
+    PsCrashReports_Finish(&reports);
+    PsSuspects_Finish(&suspects);
+}
+
 // Reports and grants get lost, allocators change and daemons start again: once
 // three crashes were seen by daemons that live on, all daemons ban the
 // content, and none bans it before.
