--- a/src/abandoned_runs.h
+++ b/src/abandoned_runs.h
@@ -3,9 +3,9 @@
  * crashed.
  *
  * A server that loses power does not close its connections: a request there
- * falls silent, and is moved, times out, or its caller leaves. And a lost
- * connection alone does not mean that its server has crashed. Whether it has
- * is known later, from its registration. Does no I/O; all times are passed in.
+ * falls silent, and is moved, times out, or its caller leaves. That the server
+ * has crashed is known only later, from its registration. Does no I/O; all
+ * times are passed in.
  */
 #ifndef PS_ABANDONED_RUNS_H
 #define PS_ABANDONED_RUNS_H
--- a/src/content_crashes.c
+++ b/src/content_crashes.c
@@ -83,7 +83,9 @@
 PsContentCrashes_AddCompleted(ps_content_crashes_t *crashes, uint64_t content,
                               int64_t now_ms)
 {
-    PsRecentSet_Add(&crashes->completed, content, now_ms);
+    if (content != 0) {
+        PsRecentSet_Add(&crashes->completed, content, now_ms);
+    }
 }
 
 void
--- a/src/content_crashes.h
+++ b/src/content_crashes.h
@@ -33,7 +33,7 @@
 
 /**
  * PsContentCrashes_Add() - Counts a crash that this daemon has seen.
- * @content: hash of the content in flight
+ * @content: hash of the content in flight; 0 is ignored
  * @server: that the connection was lost to; each start of it counts once
  *
  * A content that ran to its end here lately is not the cause and is ignored:
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -522,21 +522,14 @@
 }
 
 // Counts a connection that was lost before the end of the response as a crash
-// of the server. Many callers may send the same request without a body, so
-// that such a request counts only if the server turns out to have ended.
+// of the server.
 static void
 count_lost_connection(ps_exchange_t *exchange, int64_t now_ms)
 {
     ps_content_crashes_t *crashes = &exchange->gateway->content_crashes;
     const ps_registration_t *server = &exchange->task.backend->registration;
     exchange->gateway->stats.lost_connections++;
-    if (exchange->request->body.len > 0) {
-        PsContentCrashes_Add(crashes, exchange->content_hash, server, now_ms);
-    }
-    else {
-        PsContentCrashes_AddAbandoned(crashes, exchange->content_hash, server,
-                                      now_ms);
-    }
+    PsContentCrashes_Add(crashes, exchange->content_hash, server, now_ms);
     ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
     PsEvents_Add("content.lost_connection", "{s:s,s:s,s:s,s:b,s:i,s:i}", "id",
                  exchange->inbound.request_id.data, "content", content.data,
@@ -641,10 +634,16 @@
     }
 }
 
+// Returns 0, which is never a suspect, for a request without a body: many
+// callers send the same one, so that it is in flight at crashes that others
+// cause.
 static uint64_t
 hash_content(const ps_exchange_t *exchange)
 {
     const ps_http_request_t *request = exchange->request;
+    if (request->body.len == 0) {
+        return 0;
+    }
     uint64_t hash = XXH64(request->path.data, request->path.len, 0);
     if (exchange->team) {
         hash =
