Say once how a banned request ends and when a content is banned

From reading the whole change again: a banned request was logged and ended by the same two lines at its arrival and before a send, the limit of crashes was compared in three places, and five process runs started an ended server by the same lines. end_banned(), has_too_many_crashes() and gw_restart_runner() serve them now.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -46,8 +46,6 @@
 // estimate.
 #define OUTPUT_SHARE 0.3
 
-#define BANNED_REASON "content was in flight at crashes"
-
 /* ---- Responses to the caller ------------------------------------------ */
 
 static void
@@ -187,9 +185,9 @@
                                exchange->content_hash, now_ms);
 }
 
-// Logs that the request is not sent because of its content.
+// Ends the exchange because of its content.
 static void
-log_banned(const ps_exchange_t *exchange, int64_t now_ms)
+end_banned(ps_exchange_t *exchange, int64_t now_ms)
 {
     ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
     exchange->gateway->stats.banned_requests++;
@@ -198,6 +196,7 @@
         exchange->inbound.request_id.data, "content", content.data, "crashes",
         PsSuspects_GetCrashes(&exchange->gateway->content_crashes.suspects,
                               exchange->content_hash, now_ms));
+    refuse_or_fail(exchange, 0, "content was in flight at crashes");
 }
 
 static bool
@@ -268,8 +267,7 @@
     }
     if (is_banned(exchange, now_ms)) {
         PsScheduler_EndTask(scheduler, task, PS_TASK_CANCELLED, now_ms);
-        log_banned(exchange, now_ms);
-        refuse_or_fail(exchange, 0, BANNED_REASON);
+        end_banned(exchange, now_ms);
         return;
     }
     if (exchange->sends == 0) {
@@ -766,8 +764,7 @@
     exchange->last_event_id = exchange->inbound.last_event_id;
     exchange->content_hash = hash_content(exchange);
     if (is_banned(exchange, now_ms)) {
-        log_banned(exchange, now_ms);
-        refuse_request(exchange, 503, 0, BANNED_REASON);
+        end_banned(exchange, now_ms);
         return;
     }
     if (!charge_quota(exchange, now_ms)) {
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -41,6 +41,12 @@
     return suspect && !is_expired(suspect, now_ms) ? suspect : NULL;
 }
 
+static bool
+has_too_many_crashes(const ps_suspects_t *suspects, const suspect_t *suspect)
+{
+    return suspect->n_crashes >= suspects->crashes_max;
+}
+
 static ps_crash_t *
 find_crash(suspect_t *suspect, uint64_t id)
 {
@@ -62,9 +68,9 @@
     g_hash_table_iter_init(&each, suspects->by_hash);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         const suspect_t *suspect = value;
-        bool is_banned = suspect->n_crashes >= suspects->crashes_max;
+        bool is_banned = has_too_many_crashes(suspects, suspect);
         bool is_oldest_banned =
-            oldest && oldest->n_crashes >= suspects->crashes_max;
+            oldest && has_too_many_crashes(suspects, oldest);
         if (!oldest || (is_oldest_banned && !is_banned) ||
             (is_banned == is_oldest_banned &&
              suspect->last_crash_ms < oldest->last_crash_ms)) {
@@ -155,8 +161,8 @@
 PsSuspects_IsBanned(const ps_suspects_t *suspects, uint64_t hash,
                     int64_t now_ms)
 {
-    return PsSuspects_GetCrashes(suspects, hash, now_ms) >=
-           suspects->crashes_max;
+    const suspect_t *suspect = find(suspects, hash, now_ms);
+    return suspect && has_too_many_crashes(suspects, suspect);
 }
 
 size_t
@@ -172,7 +178,7 @@
         if (is_expired(suspect, now_ms)) {
             continue;
         }
-        bool is_banned = suspect->n_crashes >= suspects->crashes_max;
+        bool is_banned = has_too_many_crashes(suspects, suspect);
         for (int i = 0; i < suspect->n_crashes; i++) {
             const ps_crash_t *crash = &suspect->crashes[i];
             if (is_banned || (crash->is_own && crash->at_ms >= own_since_ms)) {
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -74,6 +74,13 @@
     rig_start_process "r$1" "$RIG_BUILD/standin-runner" "$(gw_runner "$1")" "$(gw_store)" "r$1" "$service" "$GW_SLOTS"
 }
 
+# gw_restart_runner N - starts backend server N again, after its end, and waits
+# until it answers
+gw_restart_runner() {
+    gw_start_runner "$1"
+    rig_wait_until 5 curl -sf "http://$(gw_runner "$1")/counts"
+}
+
 gw_is_ready() { curl -sf "http://$(gw_ready "$1")/pearstair/ready"; }
 gw_addresses() { curl -s "http://$(gw_directory "$1")/pearstair/resolve?name=a.example&region=r&zone=z$1" | jq -r '.addresses[]' | sort; }
 gw_lists_all_daemons() { [ "$(gw_addresses "$1" | wc -l)" = "$GW_DAEMONS" ]; }
--- a/tests/runs/gw_crash_counts.sh
+++ b/tests/runs/gw_crash_counts.sh
@@ -12,8 +12,7 @@
     local answer
     answer=$(gw_send_request "${senders[$1]}" /once/1 "crashing-$1" -X POST -d "CRASH 0 x")
     if rig_wait_exit r2 1; then
-        gw_start_runner 2
-        rig_wait_until 5 curl -sf "http://$(gw_runner 2)/counts"
+        gw_restart_runner 2
         sleep 1 # until the daemons use it again
         echo "$answer, server ended"
     else
--- a/tests/runs/gw_crash_restart.sh
+++ b/tests/runs/gw_crash_restart.sh
@@ -3,8 +3,7 @@
 send_crashing() { gw_send_request "$1" /once/1 "crashing-$2" -X POST -d "CRASH 0 x"; }
 for i in 1 2 3; do
     send_crashing "$i" "$i"
-    rig_wait_exit r2 2 && gw_start_runner 2
-    rig_wait_until 5 curl -sf "http://$(gw_runner 2)/counts"
+    rig_wait_exit r2 2 && gw_restart_runner 2
     sleep 1 # until the daemons use it again
 done
 send_crashing 1 4
--- a/tests/runs/gw_crashing_content.sh
+++ b/tests/runs/gw_crashing_content.sh
@@ -8,8 +8,7 @@
     for i in $(seq "$GW_RUNNERS"); do
         kill -0 "${RIG_PID[r$i]}" 2>/dev/null && continue
         n_ended=$((n_ended + 1)) has_ended=1
-        gw_start_runner "$i"
-        rig_wait_until 5 curl -sf "http://$(gw_runner "$i")/counts"
+        gw_restart_runner "$i"
     done
     [ -z "$has_ended" ] || sleep 1 # until the daemons use them again
 }
--- a/tests/runs/gw_crashing_no_body.sh
+++ b/tests/runs/gw_crashing_no_body.sh
@@ -8,8 +8,7 @@
     for n in 2 4 6; do
         kill -0 "${RIG_PID[r$n]}" 2>/dev/null && continue
         n_ended=$((n_ended + 1))
-        gw_start_runner "$n"
-        rig_wait_until 5 curl -sf "http://$(gw_runner "$n")/counts"
+        gw_restart_runner "$n"
     done
     sleep 1 # until the daemons use them again
 done
--- a/tests/runs/gw_silent_crash.sh
+++ b/tests/runs/gw_silent_crash.sh
@@ -11,8 +11,7 @@
         n_ended=$((n_ended + 1))
         rig_kill "r$i" KILL
         rig_wait_exit "r$i" 2
-        gw_start_runner "$i"
-        rig_wait_until 5 curl -sf "http://$(gw_runner "$i")/counts"
+        gw_restart_runner "$i"
     done
 }
 for i in 1 2 3; do
