Log each decision of a retry budget; check the retries that servers saw

Cause: request.repeat did not say what the budget knew, a refused retry wrote no line, and the stand-in of a backend server recorded no rejected requests, so that the hypotheses of the incident could not be told apart.

The soak's callers no longer let libcurl send a request again under the same id, which would count as a retry of the daemon's.

No change of logic.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -46,6 +46,7 @@
     int n_addresses;
     int64_t refreshed_ms; /* last query to a directory, answered or not */
     CURL *easy;
+    int sends; /* times that libcurl began to send the current request */
 } caller_t;
 
 /* ---- Globals ---------------------------------------------------------- */
@@ -151,6 +152,20 @@
     pthread_mutex_unlock(&results_lock);
 }
 
+// Stops libcurl from sending a request again when a connection that it reuses
+// turns out to be closed: that would be a second request with the same id.
+static int
+on_before_send(void *user, char *remote_ip, char *local_ip, int remote_port,
+               int local_port)
+{
+    (void)remote_ip;
+    (void)local_ip;
+    (void)remote_port;
+    (void)local_port;
+    caller_t *caller = user;
+    return caller->sends++ == 0 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 static struct curl_slist *
 make_headers(const char *id, const char *key)
 {
@@ -194,9 +209,9 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)REQUEST_TIMEOUT_MS);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, body);
-    // If a connection that libcurl reuses turns out to be closed, libcurl
-    // sends the request again, which makes a second request with the same id.
-    // A new connection avoids that; half of the requests use one.
+    caller->sends = 0;
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_send);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, caller);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
                      rand_r(&caller->seed) % 2 ? 1L : 0L);
     if (strcmp(kind, "safe") != 0) {
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -427,6 +427,25 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+// Takes a retry from the service's budget, and logs what the budget knew.
+static bool
+take_from_budget(ps_exchange_t *exchange, int64_t now_ms)
+{
+    ps_gateway_t *gateway = exchange->gateway;
+    ps_retry_budget_t *budget = &exchange->dispatcher->retry_budget;
+    ps_retry_use_t use = PsRetryBudget_GetUse(budget, now_ms);
+    bool is_allowed = PsRetryBudget_AddRetry(budget, now_ms);
+    gateway->stats.refused_retries += is_allowed ? 0 : 1;
+    PsEvents_Add("retry.budget", "{s:s,s:s,s:b,s:f,s:f,s:f,s:i,s:I}", "id",
+                 exchange->inbound.request_id.data, "service",
+                 exchange->dispatcher->name.data, "allowed", (int)is_allowed,
+                 "retries", use.retries, "requests", use.requests, "limit",
+                 use.allowed, "daemons",
+                 (int)g_hash_table_size(gateway->members), "age_ms",
+                 (json_int_t)(now_ms - gateway->started_ms));
+    return is_allowed;
+}
+
 // Tells whether the request may be sent once more after a failed attempt, and
 // takes a retry from the budget. An unreachable server was sent nothing: then
 // neither the budget nor the route's attempts_max counts, only SENDS_MAX.
@@ -441,8 +460,7 @@
     }
     return result == PS_TASK_UNREACHABLE ||
            (exchange->task.n_tried < exchange->route->attempts_max &&
-            PsRetryBudget_AddRetry(&exchange->dispatcher->retry_budget,
-                                   now_ms));
+            take_from_budget(exchange, now_ms));
 }
 
 static void
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -49,6 +49,7 @@
     uint64_t caller_disconnects; /* before their response was complete */
     uint64_t sends;              /* attempts, first ones and retries */
     uint64_t retries;
+    uint64_t refused_retries;    /* over the retry budget */
     uint64_t lost_connections;   /* before the end of a response */
     uint64_t banned_requests;    /* refused for their contents' crashes */
     ps_histogram_t wait_latency; /* arrival to first send */
--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -54,12 +54,20 @@
 bool
 PsRetryBudget_AddRetry(ps_retry_budget_t *budget, int64_t now_ms)
 {
-    move_window(budget, now_ms);
-    double allowed =
-        budget->ratio * sum_buckets(budget->requests) + budget->slack;
-    if (sum_buckets(budget->retries) + 1 > allowed) {
+    ps_retry_use_t use = PsRetryBudget_GetUse(budget, now_ms);
+    if (use.retries + 1 > use.allowed) {
         return false;
     }
     budget->retries[budget->current % PS_RETRY_BUCKETS]++;
     return true;
 }
+
+ps_retry_use_t
+PsRetryBudget_GetUse(ps_retry_budget_t *budget, int64_t now_ms)
+{
+    move_window(budget, now_ms);
+    ps_retry_use_t use = {.requests = sum_buckets(budget->requests),
+                          .retries = sum_buckets(budget->retries)};
+    use.allowed = budget->ratio * use.requests + budget->slack;
+    return use;
+}
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -26,6 +26,15 @@
     double slack; /* retries allowed in addition; this daemon's share */
 } ps_retry_budget_t;
 
+/**
+ * struct ps_retry_use - What is counted in a budget's window.
+ */
+typedef struct ps_retry_use {
+    double requests;
+    double retries;
+    double allowed; /* retries that the budget allows with these requests */
+} ps_retry_use_t;
+
 /**
  * PsRetryBudget_SetLimits() - Sets how many retries are allowed.
  * @window_s: seconds over which requests and retries are counted
@@ -44,4 +53,9 @@
  */
 bool PsRetryBudget_AddRetry(ps_retry_budget_t *budget, int64_t now_ms);
 
+/**
+ * PsRetryBudget_GetUse() - Returns what is counted in the window before now.
+ */
+ps_retry_use_t PsRetryBudget_GetUse(ps_retry_budget_t *budget, int64_t now_ms);
+
 #endif
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -8,6 +8,7 @@
 GW_DAEMONS=${GW_DAEMONS:-3}
 GW_RUNNERS=${GW_RUNNERS:-3}
 GW_SLOTS=${GW_SLOTS:-8}
+export GW_RETRY_RATIO=0.2 GW_RETRY_WINDOW_S=10 GW_RETRY_SLACK=50
 
 gw_store() { echo "127.0.0.1:$((RIG_PORT + 500))"; }
 gw_runner() { echo "127.0.0.1:$((RIG_PORT + 500 + $1))"; }
@@ -35,7 +36,9 @@
 [gateway]
 revoke_ms = ${GW_REVOKE_MS:-5000}
 grace_s = ${GW_GRACE_S:-4}
-retry_slack = 50
+retry_ratio = $GW_RETRY_RATIO
+retry_window = $GW_RETRY_WINDOW_S
+retry_slack = $GW_RETRY_SLACK
 END
 }
 
@@ -71,7 +74,8 @@
 gw_start_runner() {
     local service
     service=$([ $(($1 % 2)) = 1 ] && echo m || echo s)
-    rig_start_process "r$1" "$RIG_BUILD/standin-runner" "$(gw_runner "$1")" "$(gw_store)" "r$1" "$service" "$GW_SLOTS"
+    rig_start_process "r$1" "$RIG_BUILD/standin-runner" "$(gw_runner "$1")" "$(gw_store)" "r$1" "$service" "$GW_SLOTS" \
+        "$(gw_runner "$1")" "$RIG_DIR/arrivals"
 }
 
 # gw_restart_runner N - starts backend server N again, after its end, and waits
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -6,7 +6,8 @@
  * of IP:PORT if given. Sends plain answers, and streams of events for paths
  * that contain "/stream": an event for each 5 output tokens that Token-Counts
  * announces, 5 events without it. Writes a line to LOG for each request that
- * it runs: the request's id, the time in ms since 1970, the server's name.
+ * arrives: the request's id, the time in ms since 1970, the server's name, the
+ * service, and "ran" or "rejected".
  * POST /switch sets faults: leaving (announced in the registration), reject
  * (all requests), and in percent of requests
  * errors: status 500; a stream's path gets a plain answer, of which the same
@@ -55,7 +56,7 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static GHashTable *runs_by_id; /* request id to number of runs */
 static const char *advertised_address;
-static FILE *run_log;
+static FILE *arrival_log;
 static const char *store_address;
 static const char *server_name;
 static const char *service;
@@ -263,6 +264,16 @@
     return result;
 }
 
+static void
+log_arrival(const char *id, bool is_run)
+{
+    if (arrival_log) {
+        fprintf(arrival_log, "%s %lld %s %s %s\n", id,
+                (long long)(g_get_real_time() / 1000), server_name, service,
+                is_run ? "ran" : "rejected");
+    }
+}
+
 // Rejects a request that has not run; the answer says so.
 static enum MHD_Result
 reject_request(standin_request_t *request, const char *id, unsigned status)
@@ -284,6 +295,7 @@
         return Standin_SendText(request, 400, "", NULL);
     }
     if (expected && strcmp(expected, server_name) != 0) {
+        log_arrival(id, false);
         return reject_request(request, id, 421);
     }
     pthread_mutex_lock(&lock);
@@ -292,11 +304,8 @@
         n_running++;
         int n = GPOINTER_TO_INT(g_hash_table_lookup(runs_by_id, id));
         g_hash_table_replace(runs_by_id, g_strdup(id), GINT_TO_POINTER(n + 1));
-        if (run_log) {
-            fprintf(run_log, "%s %lld %s\n", id,
-                    (long long)(g_get_real_time() / 1000), server_name);
-        }
     }
+    log_arrival(id, !is_full);
     pthread_mutex_unlock(&lock);
     if (is_full) {
         return reject_request(request, id, 503);
@@ -360,9 +369,9 @@
         return 2;
     }
     advertised_address = argc > 6 ? argv[6] : argv[1];
-    run_log = argc > 7 ? fopen(argv[7], "a") : NULL;
-    if (run_log) {
-        setvbuf(run_log, NULL, _IOLBF, 0);
+    arrival_log = argc > 7 ? fopen(argv[7], "a") : NULL;
+    if (arrival_log) {
+        setvbuf(arrival_log, NULL, _IOLBF, 0);
     }
     store_address = argv[2];
     server_name = argv[3];
