Reproduce retries beyond their budget, as known red

Callers' view: while servers fail, a service gets more retries than its budget allows, and these add to its load.

Evidence: with the servers of a service failing, three daemons that are killed and started again twice send 153 retries within 10 s, with a limit of 92.6 (runs/gw_retry_restarts); each start brings its whole share of the slack. Two of three daemons that shut down in turn: 99 retries, limit 82.8 (runs/gw_retry_leaving); the last one takes over the shares that the others have used. Both counted from what the servers saw.

--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -132,6 +132,20 @@
     echo "$sum"
 }
 
+# gw_send_safe_requests N COUNT PREFIX - sends COUNT requests of service s that
+# may be retried to daemon N, one after another, for gw_check_retries
+gw_send_safe_requests() {
+    local i
+    for i in $(seq "$2"); do
+        echo "$(date +%s%3N) s" >> "$RIG_DIR/requests"
+        gw_send_request "$1" /safe/1 "$3-$1-$i" > /dev/null
+    done
+}
+
+# gw_check_retries - whether the retries that the backend servers saw of all
+# those requests stay within the budget
+gw_check_retries() { tests/check_retries "$RIG_DIR/arrivals" "$RIG_DIR/requests" "$GW_RETRY_RATIO" "$GW_RETRY_WINDOW_S" "$GW_RETRY_SLACK" >&2; }
+
 # gw_set_switches ADDRESS QUERY - sets a stand-in's faults
 gw_set_switches() { curl -sf -X POST "http://$1/switch?$2" > /dev/null; }
 
