--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -7,7 +7,7 @@
  * that contain "/stream": an event for each 5 output tokens that Token-Counts
  * announces, 5 events without it. Writes a line to LOG for each request that
  * arrives: the request's id, the time in ms since 1970, the server's name, the
- * service, and "ran" or "rejected".
+ * service, "ran" or "rejected", and its Deadline-Ms, 0 without one.
  * POST /switch sets faults: leaving (announced in the registration), reject
  * (all requests), and in percent of requests
  * errors: status 500; a stream's path gets a plain answer, of which the same
@@ -265,12 +265,13 @@
 }
 
 static void
-log_arrival(const char *id, bool is_run)
+log_arrival(standin_request_t *request, const char *id, bool is_run)
 {
+    const char *time_left = Standin_GetHeader(request, "Deadline-Ms");
     if (arrival_log) {
-        fprintf(arrival_log, "%s %lld %s %s %s\n", id,
+        fprintf(arrival_log, "%s %lld %s %s %s %s\n", id,
                 (long long)(g_get_real_time() / 1000), server_name, service,
-                is_run ? "ran" : "rejected");
+                is_run ? "ran" : "rejected", time_left ? time_left : "0");
     }
 }
 
@@ -295,7 +296,7 @@
         return Standin_SendText(request, 400, "", NULL);
     }
     if (expected && strcmp(expected, server_name) != 0) {
-        log_arrival(id, false);
+        log_arrival(request, id, false);
         return reject_request(request, id, 421);
     }
     pthread_mutex_lock(&lock);
@@ -305,7 +306,7 @@
         int n = GPOINTER_TO_INT(g_hash_table_lookup(runs_by_id, id));
         g_hash_table_replace(runs_by_id, g_strdup(id), GINT_TO_POINTER(n + 1));
     }
-    log_arrival(id, !is_full);
+    log_arrival(request, id, !is_full);
     pthread_mutex_unlock(&lock);
     if (is_full) {
         return reject_request(request, id, 503);
