Keep the shares of daemons that leave out of the retry budget for a window

Callers' view: while servers fail and daemons leave, a service gets more retries than its budget allows.

Cause: the slack of the budget was divided by the number of daemons known now. A daemon that left, or was removed as dead after 3 s, handed its share to the others at once, though it had used it in the same window.

Change: a budget keeps the smallest share of each bucket of its window and uses the smallest of these. All daemons that use a share at a time were members a window earlier, so that their shares add up to the slack at most.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -90,9 +90,10 @@
         ps_dispatcher_t *dispatcher = value;
         const ps_gateway_settings_t *settings = &gateway->settings.gateway;
         PsScheduler_SetDaemons(&dispatcher->scheduler, n_daemons, index);
-        PsRetryBudget_SetLimits(
-            &dispatcher->retry_budget, settings->retry_window_s,
-            settings->retry_ratio, settings->retry_slack, n_daemons);
+        PsRetryBudget_SetLimits(&dispatcher->retry_budget,
+                                settings->retry_window_s,
+                                settings->retry_ratio, settings->retry_slack,
+                                n_daemons, PsClock_Now());
     }
 }
 
--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -18,6 +18,7 @@
     for (int64_t b = first_new; b <= bucket; b++) {
         budget->requests[b % PS_RETRY_BUCKETS] = 0;
         budget->retries[b % PS_RETRY_BUCKETS] = 0;
+        budget->shares[b % PS_RETRY_BUCKETS] = budget->share;
     }
     budget->current = MAX(budget->current, bucket);
 }
@@ -32,16 +33,36 @@
     return total;
 }
 
+// Returns the smallest share of the slack in the window.
+static double
+get_smallest_share(const ps_retry_budget_t *budget)
+{
+    double smallest = budget->share;
+    for (int i = 0; i < PS_RETRY_BUCKETS; i++) {
+        smallest = MIN(smallest, budget->shares[i]);
+    }
+    return smallest;
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 void
 PsRetryBudget_SetLimits(ps_retry_budget_t *budget, double window_s,
-                        double ratio, double slack, int n_daemons)
+                        double ratio, double slack, int n_daemons,
+                        int64_t now_ms)
 {
+    bool is_new = budget->bucket_ms == 0;
+    double share = slack * TOLERANCE_USED / MAX(n_daemons, 1);
     // The bucket in progress comes on top of a whole window of buckets.
     budget->bucket_ms = (int64_t)(window_s * 1000.0 / (PS_RETRY_BUCKETS - 1));
     budget->ratio = ratio * TOLERANCE_USED;
-    budget->slack = slack * TOLERANCE_USED / MAX(n_daemons, 1);
+    if (is_new) {
+        budget->share = share;
+    }
+    move_window(budget, now_ms);
+    budget->share = share;
+    double *current = &budget->shares[budget->current % PS_RETRY_BUCKETS];
+    *current = MIN(*current, share);
 }
 
 void
@@ -68,6 +89,6 @@
     move_window(budget, now_ms);
     ps_retry_use_t use = {.requests = sum_buckets(budget->requests),
                           .retries = sum_buckets(budget->retries)};
-    use.allowed = budget->ratio * use.requests + budget->slack;
+    use.allowed = budget->ratio * use.requests + get_smallest_share(budget);
     return use;
 }
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -2,9 +2,9 @@
  * retry_budget.h - Limits how many retries this daemon sends to a service.
  *
  * Load pattern: a service fails or rejects a large part of its requests, and
- * each daemon would double the load by retrying all of them. Each daemon
- * counts its own requests in a sliding window; the slack is divided among the
- * daemons. Does no I/O; all times are passed in.
+ * each daemon would double the load by retrying all of them, also while
+ * daemons leave. Each daemon counts its own requests in a sliding window; the
+ * slack is divided among the daemons. Does no I/O; all times are passed in.
  */
 #ifndef PS_RETRY_BUDGET_H
 #define PS_RETRY_BUDGET_H
@@ -22,8 +22,10 @@
     int64_t current;   /* number of the newest bucket: time / @bucket_ms */
     uint32_t requests[PS_RETRY_BUCKETS]; /* at number % PS_RETRY_BUCKETS */
     uint32_t retries[PS_RETRY_BUCKETS];  /* likewise */
-    double ratio;                        /* retries allowed per request */
-    double slack; /* retries allowed in addition; this daemon's share */
+    double shares[PS_RETRY_BUCKETS]; /* likewise: this daemon's smallest share
+                                        of the slack in the bucket */
+    double ratio;                    /* retries allowed per request */
+    double share; /* retries allowed in addition: this daemon's part now */
 } ps_retry_budget_t;
 
 /**
@@ -41,9 +43,13 @@
  * @ratio: retries allowed per request
  * @slack: retries allowed in addition in a window, over all daemons
  * @n_daemons: daemons that the slack is divided among
+ *
+ * A share that grows is used only when a window has passed, since the daemons
+ * that have left may have used theirs.
  */
 void PsRetryBudget_SetLimits(ps_retry_budget_t *budget, double window_s,
-                             double ratio, double slack, int n_daemons);
+                             double ratio, double slack, int n_daemons,
+                             int64_t now_ms);
 void PsRetryBudget_AddRequest(ps_retry_budget_t *budget, int64_t now_ms);
 
 /**
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -128,12 +128,21 @@
 
 /* ---- Retry budget ----------------------------------------------------- */
 
+// Returns how many of the times lie within 10 s from a time on.
+static int64_t
+CountWithin(const std::vector<int64_t> &times, int64_t from)
+{
+    return std::count_if(times.begin(), times.end(), [&](int64_t t) {
+        return t >= from && t < from + 10000;
+    });
+}
+
 RC_GTEST_PROP(RetryBudget, RetriesStayWithinRatioAndSlack, ())
 {
     const int n = *rc::gen::inRange(1, 12);
     std::vector<ps_retry_budget_t> budgets(n);
     for (ps_retry_budget_t &budget : budgets) {
-        PsRetryBudget_SetLimits(&budget, 10, 0.2, 56, n);
+        PsRetryBudget_SetLimits(&budget, 10, 0.2, 56, n, kStart);
     }
     std::vector<int64_t> requests, retries;
     int64_t now = kStart;
@@ -147,12 +156,47 @@
         }
     }
     for (int64_t from = kStart; from < now; from += 500) {
-        auto within = [&](const std::vector<int64_t> &times) {
-            return std::count_if(times.begin(), times.end(), [&](int64_t t) {
-                return t >= from && t < from + 10000;
-            });
-        };
-        RC_ASSERT(within(retries) <= 0.2 * within(requests) + 56);
+        RC_ASSERT(CountWithin(retries, from) <=
+                  0.2 * CountWithin(requests, from) + 56);
+    }
+}
+
+// A daemon that leaves has used its share of the slack; those that stay must
+// not use it again in the same window.
+RC_GTEST_PROP(RetryBudget, SharesOfDaemonsThatLeaveAreNotUsedTwice, ())
+{
+    const int n = *rc::gen::inRange(2, 12);
+    std::vector<ps_retry_budget_t> budgets(n);
+    std::vector<int> live(n);
+    std::iota(live.begin(), live.end(), 0);
+    int64_t now = kStart;
+    auto divide = [&] {
+        for (int i : live) {
+            PsRetryBudget_SetLimits(&budgets[i], 10, 0.2, 56,
+                                    (int)live.size(), now);
+        }
+    };
+    divide();
+    std::vector<int64_t> requests, retries;
+    for (int i = 0; i < 1500; i++) {
+        now += *rc::gen::inRange(0, 30);
+        if (live.size() > 1 && *rc::gen::inRange(0, 100) == 0) {
+            live.erase(live.begin() + *rc::gen::inRange<int>(0, live.size()));
+            divide();
+        }
+        ps_retry_budget_t *budget =
+            &budgets[live[*rc::gen::inRange<int>(0, live.size())]];
+        if (*rc::gen::inRange(0, 4) == 0) {
+            PsRetryBudget_AddRequest(budget, now);
+            requests.push_back(now);
+        }
+        if (PsRetryBudget_AddRetry(budget, now)) {
+            retries.push_back(now);
+        }
+    }
+    for (int64_t from : retries) {
+        RC_ASSERT(CountWithin(retries, from) <=
+                  0.2 * CountWithin(requests, from) + 56);
     }
 }
 
