Count a retry when it is sent, not when it is decided

Callers' view: none seen; a service can get up to two budgets of retries within one window.

Cause: a retry was counted when it was decided. It may then wait 1.4 s for a server's slot and a second for a connection, so that it arrives in a later window than the one it was counted in. A retry that was refused while it waited stayed counted.

Evidence: RetryBudget.RetriesThatWaitCountWhenTheyAreSent fails with the former counting (57 retries within 10 s, limit 56) and passes 300 cases now. In virtual time only; not seen with processes.

Change: a retry is reserved when it is decided, counted by a callback of the HTTP client just before it is sent on an open connection, and given back if the request ends before. A reservation is kept over servers that are not reached.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -66,6 +66,9 @@
                           &exchange->transfer);
         close_transfer(exchange);
     }
+    if (exchange->has_reserved_retry) {
+        PsRetryBudget_Release(&exchange->dispatcher->retry_budget);
+    }
     g_queue_unlink(&exchange->gateway->exchanges, &exchange->link);
     PsBuf_Finish(&exchange->body);
     PsCatalog_Unref(exchange->catalog);
@@ -205,6 +208,19 @@
     return exchange->route->retry_policy != PS_RETRY_NEVER;
 }
 
+// Counts a retry when it is sent, not when it is decided: it may have waited
+// for a server and for a connection.
+static void
+on_sending(ps_transfer_t *transfer)
+{
+    ps_exchange_t *exchange = transfer->user;
+    if (exchange->has_reserved_retry) {
+        exchange->has_reserved_retry = false;
+        PsRetryBudget_CountSent(&exchange->dispatcher->retry_budget,
+                                PsClock_Now());
+    }
+}
+
 static void on_headers(ps_transfer_t *transfer);
 static void on_data(ps_transfer_t *transfer, const char *data, size_t len);
 static void on_done(ps_transfer_t *transfer, ps_transfer_result_t result);
@@ -212,7 +228,8 @@
 static void
 send_request(ps_exchange_t *exchange, int64_t now_ms)
 {
-    static const ps_transfer_events_t events = {on_headers, on_data, on_done};
+    static const ps_transfer_events_t events = {on_sending, on_headers,
+                                                on_data, on_done};
     const ps_backend_t *backend = exchange->task.backend;
     exchange->has_response_head = false;
     exchange->sends++;
@@ -427,14 +444,19 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-// Takes a retry from the service's budget, and logs what the budget knew.
+// Reserves a retry in the service's budget, and logs what the budget knew.
 static bool
-take_from_budget(ps_exchange_t *exchange, int64_t now_ms)
+reserve_retry(ps_exchange_t *exchange, int64_t now_ms)
 {
+    // The last retry did not reach its server.
+    if (exchange->has_reserved_retry) {
+        return true;
+    }
     ps_gateway_t *gateway = exchange->gateway;
     ps_retry_budget_t *budget = &exchange->dispatcher->retry_budget;
     ps_retry_use_t use = PsRetryBudget_GetUse(budget, now_ms);
-    bool is_allowed = PsRetryBudget_AddRetry(budget, now_ms);
+    bool is_allowed = PsRetryBudget_Reserve(budget, now_ms);
+    exchange->has_reserved_retry = is_allowed;
     gateway->stats.refused_retries += is_allowed ? 0 : 1;
     PsEvents_Add("retry.budget", "{s:s,s:s,s:b,s:f,s:f,s:f,s:i,s:I}", "id",
                  exchange->inbound.request_id.data, "service",
@@ -447,7 +469,7 @@
 }
 
 // Tells whether the request may be sent once more after a failed attempt, and
-// takes a retry from the budget. An unreachable server was sent nothing: then
+// reserves a retry in the budget. An unreachable server was sent nothing: then
 // neither the budget nor the route's attempts_max counts, only SENDS_MAX.
 static bool
 take_retry(ps_exchange_t *exchange, ps_task_result_t result, int64_t now_ms)
@@ -460,7 +482,7 @@
     }
     return result == PS_TASK_UNREACHABLE ||
            (exchange->task.n_tried < exchange->route->attempts_max &&
-            take_from_budget(exchange, now_ms));
+            reserve_retry(exchange, now_ms));
 }
 
 static void
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -27,13 +27,14 @@
     int64_t deadline_ms; /* the response is due by then */
     double quota_units;  /* charged to the team */
     ps_transfer_t transfer;
-    bool is_transferring;   /* @transfer is in use */
-    bool may_have_run;      /* a server may have run an earlier attempt */
-    int sends;              /* attempts so far */
-    ps_reply_t reply;       /* valid with @has_response_head */
-    bool has_response_head; /* of the current transfer */
-    bool is_relaying;       /* a stream's headers have gone to the caller */
-    ps_buf_t body;          /* response body, or a stream's incomplete event */
+    bool is_transferring;    /* @transfer is in use */
+    bool may_have_run;       /* a server may have run an earlier attempt */
+    int sends;               /* attempts so far */
+    bool has_reserved_retry; /* a retry that is not sent yet */
+    ps_reply_t reply;        /* valid with @has_response_head */
+    bool has_response_head;  /* of the current transfer */
+    bool is_relaying;        /* a stream's headers have gone to the caller */
+    ps_buf_t body; /* response body, or a stream's incomplete event */
     ps_name_t last_event_id; /* of the last event relayed; before, of the one
                                 after which the caller resumes the stream */
     uint32_t n_events;       /* events relayed */
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -160,6 +160,9 @@
         return CURL_PREREQFUNC_ABORT;
     }
     transfer->sends++;
+    if (transfer->events->sending) {
+        transfer->events->sending(transfer);
+    }
     return CURL_PREREQFUNC_OK;
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -27,16 +27,18 @@
 
 /**
  * struct ps_transfer_events - Callbacks of a transfer.
+ * @sending: the request is about to be sent on an open connection; may be NULL
  * @headers: status and headers of the final response (not of a 1xx one) were
  *           received; may be NULL
  * @data: bytes of the response body were received; NULL: they are appended to
  *        the transfer's body
  * @done: the transfer has ended; its memory may be released
  *
- * @headers and @data stop a transfer by setting its is_aborted; they must not
- * call PsTransfer_Cancel().
+ * @headers and @data stop a transfer by setting its is_aborted; they and
+ * @sending must not call PsTransfer_Cancel().
  */
 typedef struct ps_transfer_events {
+    void (*sending)(struct ps_transfer *transfer);
     void (*headers)(struct ps_transfer *transfer);
     void (*data)(struct ps_transfer *transfer, const char *data, size_t len);
     void (*done)(struct ps_transfer *transfer, ps_transfer_result_t result);
--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -69,7 +69,9 @@
     double share = n_daemons > 0 ? slack * TOLERANCE_USED / n_daemons : 0;
     bool is_first = budget->bucket_ms == 0;
     if (!is_first && budget->bucket_ms != bucket_ms) {
+        int reserved = budget->reserved;
         PsRetryBudget_Init(budget, now_ms);
+        budget->reserved = reserved;
         is_first = true;
     }
     budget->bucket_ms = bucket_ms;
@@ -91,22 +93,37 @@
 }
 
 bool
-PsRetryBudget_AddRetry(ps_retry_budget_t *budget, int64_t now_ms)
+PsRetryBudget_Reserve(ps_retry_budget_t *budget, int64_t now_ms)
 {
     ps_retry_use_t use = PsRetryBudget_GetUse(budget, now_ms);
     if (use.retries + 1 > use.allowed) {
         return false;
     }
-    budget->retries[budget->current % PS_RETRY_BUCKETS]++;
+    budget->reserved++;
     return true;
 }
 
+void
+PsRetryBudget_CountSent(ps_retry_budget_t *budget, int64_t now_ms)
+{
+    move_window(budget, now_ms);
+    budget->reserved--;
+    budget->retries[budget->current % PS_RETRY_BUCKETS]++;
+}
+
+void
+PsRetryBudget_Release(ps_retry_budget_t *budget)
+{
+    budget->reserved--;
+}
+
 ps_retry_use_t
 PsRetryBudget_GetUse(ps_retry_budget_t *budget, int64_t now_ms)
 {
     move_window(budget, now_ms);
     ps_retry_use_t use = {.requests = sum_buckets(budget->requests),
-                          .retries = sum_buckets(budget->retries)};
+                          .retries =
+                              sum_buckets(budget->retries) + budget->reserved};
     use.allowed =
         budget->ratio * use.requests + get_usable_share(budget, now_ms);
     return use;
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -21,11 +21,12 @@
     int64_t bucket_ms; /* length of one bucket */
     int64_t current;   /* number of the newest bucket: time / @bucket_ms */
     uint32_t requests[PS_RETRY_BUCKETS]; /* at number % PS_RETRY_BUCKETS */
-    uint32_t retries[PS_RETRY_BUCKETS];  /* likewise */
+    uint32_t retries[PS_RETRY_BUCKETS];  /* sent; likewise */
     double shares[PS_RETRY_BUCKETS]; /* likewise: this daemon's smallest share
                                         of the slack in the bucket */
     int64_t known_from_ms; /* retries before then are unknown, since another
                               process may have sent them */
+    int reserved;          /* retries that are not sent yet */
     double ratio;          /* retries allowed per request */
     double share; /* retries allowed in addition: this daemon's part now */
 } ps_retry_budget_t;
@@ -35,7 +36,7 @@
  */
 typedef struct ps_retry_use {
     double requests;
-    double retries;
+    double retries; /* sent and reserved ones */
     double allowed; /* retries that the budget allows with these requests */
 } ps_retry_use_t;
 
@@ -64,11 +65,26 @@
 void PsRetryBudget_AddRequest(ps_retry_budget_t *budget, int64_t now_ms);
 
 /**
- * PsRetryBudget_AddRetry() - Counts a retry if the budget allows it.
+ * PsRetryBudget_Reserve() - Reserves a retry if the budget allows it.
  *
- * Return: false if it does not; the request must not be retried then.
+ * A retry may wait for a server and for a connection, and counts in the window
+ * in which it is sent. Each reservation is ended by one of the two functions
+ * below.
+ *
+ * Return: false if the budget does not allow it; the request must not be
+ * retried then.
+ */
+bool PsRetryBudget_Reserve(ps_retry_budget_t *budget, int64_t now_ms);
+
+/**
+ * PsRetryBudget_CountSent() - Counts a reserved retry that is being sent.
+ */
+void PsRetryBudget_CountSent(ps_retry_budget_t *budget, int64_t now_ms);
+
+/**
+ * PsRetryBudget_Release() - Gives back a reserved retry that was not sent.
  */
-bool PsRetryBudget_AddRetry(ps_retry_budget_t *budget, int64_t now_ms);
+void PsRetryBudget_Release(ps_retry_budget_t *budget);
 
 /**
  * PsRetryBudget_GetUse() - Returns what is counted in the window before now.
--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -38,7 +38,7 @@
     out->result = result;
 }
 
-const ps_transfer_events_t kTransferEvents = {nullptr, nullptr,
+const ps_transfer_events_t kTransferEvents = {nullptr, nullptr, nullptr,
                                               OnTransferDone};
 
 ps_transfer_result_t
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 #include "kernel.hpp"
 
@@ -140,6 +141,17 @@
     });
 }
 
+// Sends a retry at once if the budget allows it.
+static bool
+SendRetry(ps_retry_budget_t *budget, int64_t now)
+{
+    bool is_allowed = PsRetryBudget_Reserve(budget, now);
+    if (is_allowed) {
+        PsRetryBudget_CountSent(budget, now);
+    }
+    return is_allowed;
+}
+
 RC_GTEST_PROP(RetryBudget, RetriesStayWithinRatioAndSlack, ())
 {
     const int n = *rc::gen::inRange(1, 12);
@@ -155,7 +167,7 @@
         int at = *rc::gen::inRange(0, n);
         PsRetryBudget_AddRequest(&budgets[at], now);
         requests.push_back(now);
-        if (PsRetryBudget_AddRetry(&budgets[at], now)) {
+        if (SendRetry(&budgets[at], now)) {
             retries.push_back(now);
         }
     }
@@ -197,7 +209,7 @@
             PsRetryBudget_AddRequest(budget, now);
             requests.push_back(now);
         }
-        if (PsRetryBudget_AddRetry(budget, now)) {
+        if (SendRetry(budget, now)) {
             retries.push_back(now);
         }
     }
@@ -233,7 +245,7 @@
             PsRetryBudget_AddRequest(budget, now);
             requests.push_back(now);
         }
-        if (PsRetryBudget_AddRetry(budget, now)) {
+        if (SendRetry(budget, now)) {
             retries.push_back(now);
         }
     }
@@ -243,6 +255,38 @@
     }
 }
 
+// Two bursts of retries, of which the first waits: they must not arrive within
+// one window.
+RC_GTEST_PROP(RetryBudget, RetriesThatWaitCountWhenTheyAreSent, ())
+{
+    ps_retry_budget_t budget;
+    PsRetryBudget_Init(&budget, kStart - kWindowMs);
+    PsRetryBudget_SetLimits(&budget, 10, 0.2, 56, 1, kStart);
+    const int64_t wait = *rc::gen::inRange(0, 4800);
+    std::multiset<int64_t> waiting;
+    std::vector<int64_t> sent;
+    int n_ended = 0;
+    for (int64_t now = kStart; now < kStart + 25000; now += 10) {
+        while (!waiting.empty() && *waiting.begin() <= now) {
+            waiting.erase(waiting.begin());
+            if (++n_ended % 20 == 0) {
+                PsRetryBudget_Release(&budget);
+            }
+            else {
+                PsRetryBudget_CountSent(&budget, now);
+                sent.push_back(now);
+            }
+        }
+        if (PsRetryBudget_Reserve(&budget, now)) {
+            waiting.insert(now < kStart + 5000 ? now + wait : now);
+        }
+    }
+    RC_ASSERT(sent.size() > 56u);
+    for (int64_t from : sent) {
+        RC_ASSERT(CountWithin(sent, from) <= 56);
+    }
+}
+
 TEST(RetryBudget, SlackNeedsAKnownWindowAndKnownMembers)
 {
     struct Case {
@@ -269,10 +313,10 @@
     ps_retry_budget_t budget;
     PsRetryBudget_Init(&budget, kStart - kWindowMs);
     PsRetryBudget_SetLimits(&budget, 10, 0.2, 50, 1, kStart);
-    EXPECT_TRUE(PsRetryBudget_AddRetry(&budget, kStart));
+    EXPECT_TRUE(SendRetry(&budget, kStart));
     PsRetryBudget_SetLimits(&budget, 20, 0.2, 50, 1, kStart + 1000);
-    EXPECT_FALSE(PsRetryBudget_AddRetry(&budget, kStart + 20900));
-    EXPECT_TRUE(PsRetryBudget_AddRetry(&budget, kStart + 21100));
+    EXPECT_FALSE(SendRetry(&budget, kStart + 20900));
+    EXPECT_TRUE(SendRetry(&budget, kStart + 21100));
 }
 
 /* ---- Even shares ------------------------------------------------------ */
