Don't take a daemon's own pause for the silence of backend servers

Callers' view: none; servers run streams a second time, within the retry budget, when a daemon has been paused for longer than 0.5 s.

Cause: after a pause the loop runs its timers before it reads its sockets. The time since a stream's last event then includes the pause, so that each stream with a free slot elsewhere was taken for silent and moved, though its events waited at the socket.

Change: the gateway notes pauses in its tick (before, the sharing of slots did so for itself), and silence is counted from the end of the last one.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -11,6 +11,8 @@
 
 #define TICK_S 0.01 /* period of the gateway's periodic work */
 
+#define PAUSE_MS 300 /* longer without a tick: this daemon was paused */
+
 // Largest body in bytes until a configuration sets another limit.
 #define DEFAULT_BODY_MAX (8 * 1024 * 1024)
 
@@ -490,6 +492,26 @@
     gateway->store_ops->set_poll_rate(gateway->store_ops, rate);
 }
 
+// After a pause of this daemon, what others have sent since waits at its
+// sockets: the time of the pause shows no silence of theirs.
+static void
+check_pause(ps_gateway_t *gateway, int64_t now_ms)
+{
+    int64_t passed_ms = now_ms - gateway->last_tick_ms;
+    if (gateway->last_tick_ms > 0 && passed_ms > PAUSE_MS) {
+        PsEvents_Add("daemon.paused", "{s:I}", "ms", (json_int_t)passed_ms);
+        PsSharing_HandlePause(&gateway->sharing, now_ms);
+        GHashTableIter each;
+        gpointer value;
+        g_hash_table_iter_init(&each, gateway->dispatchers);
+        while (g_hash_table_iter_next(&each, NULL, &value)) {
+            ps_dispatcher_t *dispatcher = value;
+            dispatcher->scheduler.paused_until_ms = now_ms;
+        }
+    }
+    gateway->last_tick_ms = now_ms;
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -497,6 +519,7 @@
     (void)events;
     ps_gateway_t *gateway = timer->data;
     int64_t now_ms = PsClock_Now();
+    check_pause(gateway, now_ms);
     PsBackendRegistry_RemoveMissing(&gateway->backend_registry, now_ms);
     PsSharing_Run(&gateway->sharing, now_ms);
     update_poll_rate(gateway, now_ms);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -129,6 +129,7 @@
     ps_changes_t changes;
     GQueue exchanges; /* ps_exchange_t in progress */
     ev_timer tick;
+    int64_t last_tick_ms; /* 0: none yet */
     int64_t started_ms;
     bool is_shutting_down;
     int64_t shutdown_started_ms;
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -639,7 +639,8 @@
     }
     double silence_max =
         CLAMP(usual * SILENT_FACTOR, SILENT_MIN_MS, SILENT_MAX_MS);
-    return (double)(now_ms - task->last_event_ms) > silence_max;
+    int64_t since_ms = MAX(task->last_event_ms, scheduler->paused_until_ms);
+    return (double)(now_ms - since_ms) > silence_max;
 }
 
 bool
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -115,6 +115,8 @@
     double mean_run_ms;         /* moving average of times at a server */
     double mean_first_event_ms; /* moving average of times to first event */
     uint32_t random_state;
+    int64_t paused_until_ms; /* end of this daemon's last pause, in which it
+                                read no events; 0: none */
     bool has_granted_limits; /* slot limits come from the allocator; false:
                                 from even shares */
     bool is_running; /* PsScheduler_Run() is active; stops it from re-entry */
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -27,7 +27,6 @@
 // have failed.
 #define CONFIG_AGE_MAX_MS 2500
 
-#define PAUSE_MS 300      /* longer without a run: this daemon was paused */
 #define WANTED_DECAY 0.95 /* factor on units asked for, at each report */
 
 /* ---- Choice of the allocator ------------------------------------------ */
@@ -503,12 +502,6 @@
         sharing->next_choice_ms = now_ms + CHOICE_INTERVAL_MS;
         choose_allocator(sharing, now_ms);
     }
-    if (sharing->last_run_ms > 0 && now_ms - sharing->last_run_ms > PAUSE_MS) {
-        PsEvents_Add("daemon.paused", "{s:I}", "ms",
-                     (json_int_t)(now_ms - sharing->last_run_ms));
-        sharing->allocator_since_ms = now_ms;
-    }
-    sharing->last_run_ms = now_ms;
     check_allocator(sharing, now_ms);
     if (now_ms < sharing->next_round_ms) {
         return;
@@ -520,6 +513,12 @@
     }
 }
 
+void
+PsSharing_HandlePause(ps_sharing_t *sharing, int64_t now_ms)
+{
+    sharing->allocator_since_ms = now_ms;
+}
+
 void
 PsSharing_HandleMemberChange(ps_sharing_t *sharing,
                              const ps_daemon_info_t *member)
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -48,7 +48,6 @@
     int64_t reconnected_ms;     /* last reconnect to the allocator */
     uint64_t round;             /* number of the last report */
     int64_t sent_ms[PS_SHARING_ROUNDS_KEPT]; /* when each report was sent */
-    int64_t last_run_ms;                     /* last PsSharing_Run() */
     int64_t next_round_ms;
     int64_t next_choice_ms;     /* next check for a better allocator */
     int64_t next_state_save_ms; /* the state is not saved before */
@@ -82,6 +81,12 @@
  */
 void PsSharing_Run(ps_sharing_t *sharing, int64_t now_ms);
 
+/**
+ * PsSharing_HandlePause() - Gives the allocator and the members time to be
+ * heard again after a pause of this daemon.
+ */
+void PsSharing_HandlePause(ps_sharing_t *sharing, int64_t now_ms);
+
 /**
  * PsSharing_HandleMemberChange() - Sets a member's peer address and chooses
  * the allocator again.
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -497,6 +497,19 @@
         PsScheduler_IsSilent(&harness.scheduler, &task, harness.now + 100));
 }
 
+// Events that came during a pause of this daemon are not read yet when it ends.
+TEST(Scheduler, PauseOfThisDaemonIsNoSilenceOfAServer)
+{
+    SchedulerHarness harness(2, 1);
+    ps_task_t task = harness.MakeTask(0);
+    harness.Submit(&task);
+    harness.now += 3000;
+    harness.scheduler.paused_until_ms = harness.now;
+    EXPECT_FALSE(PsScheduler_IsSilent(&harness.scheduler, &task, harness.now));
+    harness.now += 3000;
+    EXPECT_TRUE(PsScheduler_IsSilent(&harness.scheduler, &task, harness.now));
+}
+
 /* ---- Histograms ------------------------------------------------------- */
 
 TEST(Histogram, BucketsAreCumulative)
