Test that a request is sent once on a connection that is used again

The gateway forbids that in each request to a backend server, but no test showed it for a kept connection.

--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -170,6 +170,52 @@
     PsHttpClient_Finish(&client);
 }
 
+// What must not be resent is sent once also on a connection that is used again,
+// and its sending is reported once.
+TEST(HttpClient, RequestThatMustNotBeResentIsSentOnceOnAReusedConnection)
+{
+    struct Outcome : TransferOutcome {
+        int n_sending = 0;
+    };
+    const ps_transfer_events_t events = {
+        [](ps_transfer_t *transfer) {
+            ((Outcome *)transfer->user)->n_sending++;
+        },
+        nullptr, nullptr, OnTransferDone};
+    ps_http_client_t client;
+    PsHttpClient_Init(&client, GetLoop());
+    RawServer server;
+    server.answer = MakeResponse("200 OK", "ok");
+    server.closes_after_answer = false;
+    for (const char *method : {"GET", "POST"}) {
+        SCOPED_TRACE(method);
+        server.answer = MakeResponse("200 OK", "ok");
+        server.closes_after_answer = false;
+        EXPECT_EQ(PostRequest(&client, server.address, false),
+                  PS_TRANSFER_COMPLETE);
+        server.answer = "";
+        server.closes_after_answer = true;
+        int before = server.requests;
+        Outcome out;
+        ps_transfer_t transfer;
+        TransferOutcome *user = &out;
+        PsTransfer_Init(&transfer, &events, user);
+        std::string url = "http://" + server.address + "/x";
+        ps_transfer_request_t request = {};
+        request.method = method;
+        request.url = url.c_str();
+        request.timeout_ms = 3000;
+        request.must_not_resend = true;
+        PsTransfer_StartRequest(&client, &transfer, &request);
+        RunUntil([&] { return out.is_done; });
+        PsTransfer_Finish(&transfer);
+        EXPECT_EQ(out.result, PS_TRANSFER_INCOMPLETE);
+        EXPECT_EQ(server.requests - before, 1);
+        EXPECT_EQ(out.n_sending, 1);
+    }
+    PsHttpClient_Finish(&client);
+}
+
 namespace {
 
 struct PeerEvents {
