Keep the crashes of contents below the ban in the store

Callers' view: a content that ends servers is sent on when all daemons are lost between its crashes, and ends more servers than the ban allows.

A limit over a window was built from what this process has seen; the store kept only the crashes of banned contents, so that each start of all daemons counted from zero.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -277,8 +277,8 @@
     return silent;
 }
 
-// Saves in the store how much teams have spent of their quotas, and which
-// contents are banned.
+// Saves in the store how much teams have spent of their quotas, and the
+// crashes of contents.
 static void
 save_state(ps_sharing_t *sharing, int64_t now_ms)
 {
@@ -292,17 +292,16 @@
                                               PS_STORED_TEAMS_MAX, now_ms);
     // An empty list of teams is saved once, to replace a list with teams.
     if (state.n_teams == 0 && sharing->is_stored_usage_empty &&
-        !crashes->has_unsaved_ban) {
+        !crashes->has_unsaved_crash) {
         return;
     }
-    state.n_crashes =
-        PsSuspects_ListCrashes(&crashes->suspects, INT64_MAX, state.crashes,
-                               PS_STORED_CRASHES_MAX, now_ms);
+    state.n_crashes = PsSuspects_ListAllCrashes(
+        &crashes->suspects, state.crashes, PS_STORED_CRASHES_MAX, now_ms);
     sharing->next_state_save_ms = now_ms + SAVE_INTERVAL_MS;
     if (sharing->gateway->store_ops->save_state(sharing->gateway->store_ops,
                                                 &state)) {
         sharing->is_stored_usage_empty = state.n_teams == 0;
-        crashes->has_unsaved_ban = false;
+        crashes->has_unsaved_crash = false;
     }
 }
 
--- a/src/content_crashes.c
+++ b/src/content_crashes.c
@@ -7,7 +7,7 @@
 
 /* ---- Internal functions ----------------------------------------------- */
 
-// Has a ban that has just come into force told to all daemons and stored.
+// Has a ban that has just come into force told to all daemons.
 static void
 announce_ban(ps_content_crashes_t *crashes, uint64_t content, const char *from)
 {
@@ -15,7 +15,6 @@
     PsEvents_Add("content.banned", "{s:s,s:s}", "content", hash.data, "from",
                  from);
     PsCrashReports_AddAll(&crashes->to_members);
-    crashes->has_unsaved_ban = true;
 }
 
 // Returns the id of a crash of this start of a server.
@@ -34,6 +33,7 @@
     if (!PsSuspects_AddCrash(&crashes->suspects, crash)) {
         return false;
     }
+    crashes->has_unsaved_crash = true;
     if (PsSuspects_GetCrashes(&crashes->suspects, crash->content, now_ms) ==
         PS_CONTENT_CRASHES_MAX) {
         announce_ban(crashes, crash->content, from);
@@ -51,7 +51,7 @@
     PsCrashReports_Init(&crashes->to_members, &crashes->suspects, false);
     PsAbandonedRuns_Init(&crashes->abandoned_runs);
     PsRecentSet_Init(&crashes->completed);
-    crashes->has_unsaved_ban = false;
+    crashes->has_unsaved_crash = false;
 }
 
 void
@@ -136,11 +136,11 @@
 PsContentCrashes_Restore(ps_content_crashes_t *crashes,
                          const ps_crash_t *stored, size_t n, int64_t now_ms)
 {
-    bool had_unsaved_ban = crashes->has_unsaved_ban;
+    bool had_unsaved_crash = crashes->has_unsaved_crash;
     for (size_t i = 0; i < n; i++) {
         count_crash(crashes, &stored[i], "the store", now_ms);
     }
-    crashes->has_unsaved_ban = had_unsaved_ban;
+    crashes->has_unsaved_crash = had_unsaved_crash;
 }
 
 Ps__ContentCrash **
--- a/src/content_crashes.h
+++ b/src/content_crashes.h
@@ -25,7 +25,7 @@
     ps_recent_set_t completed; /* contents that ran to their end lately */
     ps_crash_reports_t to_allocator;
     ps_crash_reports_t to_members; /* used while this is the allocator */
-    bool has_unsaved_ban; /* the store may lack a ban that is known here */
+    bool has_unsaved_crash; /* the store may lack a crash that is known here */
 } ps_content_crashes_t;
 
 void PsContentCrashes_Init(ps_content_crashes_t *crashes);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -263,7 +263,7 @@
 on_state_saved(void *user, bool is_saved)
 {
     ps_gateway_t *gateway = user;
-    gateway->content_crashes.has_unsaved_ban |= !is_saved;
+    gateway->content_crashes.has_unsaved_crash |= !is_saved;
 }
 
 static void
--- a/src/store_events.h
+++ b/src/store_events.h
@@ -51,7 +51,7 @@
 typedef struct ps_stored_state {
     ps_quota_usage_t teams[PS_STORED_TEAMS_MAX];
     int n_teams;
-    ps_crash_t crashes[PS_STORED_CRASHES_MAX]; /* of banned contents */
+    ps_crash_t crashes[PS_STORED_CRASHES_MAX];
     size_t n_crashes;
 } ps_stored_state_t;
 
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -95,6 +95,41 @@
                                              : 0;
 }
 
+// Lists the crashes of banned contents, and those of others seen since a time:
+// here only, or reported by other daemons too.
+static size_t
+list_crashes(const ps_suspects_t *suspects, int64_t since_ms,
+             bool with_reported, ps_crash_t *crashes, size_t max,
+             int64_t now_ms)
+{
+    GArray *all = g_array_new(FALSE, FALSE, sizeof(listed_crash_t));
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, suspects->by_hash);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const suspect_t *suspect = value;
+        if (is_expired(suspect, now_ms)) {
+            continue;
+        }
+        bool is_banned = has_too_many_crashes(suspects, suspect);
+        for (int i = 0; i < suspect->n_crashes; i++) {
+            const ps_crash_t *crash = &suspect->crashes[i];
+            if (is_banned || ((crash->is_own || with_reported) &&
+                              crash->at_ms >= since_ms)) {
+                listed_crash_t listed = {*crash, is_banned};
+                g_array_append_val(all, listed);
+            }
+        }
+    }
+    g_array_sort(all, compare_listed);
+    size_t n = MIN(all->len, max);
+    for (size_t i = 0; i < n; i++) {
+        crashes[i] = g_array_index(all, listed_crash_t, i).crash;
+    }
+    g_array_unref(all);
+    return n;
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 void
@@ -169,31 +204,14 @@
 PsSuspects_ListCrashes(const ps_suspects_t *suspects, int64_t own_since_ms,
                        ps_crash_t *crashes, size_t max, int64_t now_ms)
 {
-    GArray *all = g_array_new(FALSE, FALSE, sizeof(listed_crash_t));
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, suspects->by_hash);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const suspect_t *suspect = value;
-        if (is_expired(suspect, now_ms)) {
-            continue;
-        }
-        bool is_banned = has_too_many_crashes(suspects, suspect);
-        for (int i = 0; i < suspect->n_crashes; i++) {
-            const ps_crash_t *crash = &suspect->crashes[i];
-            if (is_banned || (crash->is_own && crash->at_ms >= own_since_ms)) {
-                listed_crash_t listed = {*crash, is_banned};
-                g_array_append_val(all, listed);
-            }
-        }
-    }
-    g_array_sort(all, compare_listed);
-    size_t n = MIN(all->len, max);
-    for (size_t i = 0; i < n; i++) {
-        crashes[i] = g_array_index(all, listed_crash_t, i).crash;
-    }
-    g_array_unref(all);
-    return n;
+    return list_crashes(suspects, own_since_ms, false, crashes, max, now_ms);
+}
+
+size_t
+PsSuspects_ListAllCrashes(const ps_suspects_t *suspects, ps_crash_t *crashes,
+                          size_t max, int64_t now_ms)
+{
+    return list_crashes(suspects, INT64_MIN, true, crashes, max, now_ms);
 }
 
 ps_name_t
--- a/src/suspects.h
+++ b/src/suspects.h
@@ -88,6 +88,17 @@
                               int64_t own_since_ms, ps_crash_t *crashes,
                               size_t max, int64_t now_ms);
 
+/**
+ * PsSuspects_ListAllCrashes() - Lists the crashes of all contents, those of
+ * banned ones first, then by age, the latest first.
+ * @crashes: receives at most @max crashes
+ *
+ * Return: number of crashes.
+ */
+size_t PsSuspects_ListAllCrashes(const ps_suspects_t *suspects,
+                                 ps_crash_t *crashes, size_t max,
+                                 int64_t now_ms);
+
 /**
  * PsSuspects_FormatHash() - Returns a content hash as it appears in the log:
  * 16 hexadecimal digits.
