Let the soak's callers run until they are stopped

Cause: callers ended after a fixed time, counted from their start. When faults took longer than planned (a series of restarts, a shell that stood still), the calm part began after the callers' end: "calm part 0 of 0".

The checks and their bounds are as before.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -2,6 +2,9 @@
  * caller.c - Callers of a soak run: send requests and check each answer.
  *
  * Usage: soak-caller SECONDS THREADS SEED OUT DIRECTORY...
+ * Runs for SECONDS, or until SIGTERM: then the requests in progress are ended
+ * as usual and no others are sent.
+ *
  * Each thread asks the directories for daemons' addresses, sends requests one
  * after another, and writes a line to OUT for each:
  * ID KIND KEY SENT_MS END_MS STATUS VERDICT
@@ -19,6 +22,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -51,7 +55,8 @@
 
 /* ---- Globals ---------------------------------------------------------- */
 
-static int64_t end_ms; /* no request is sent after */
+static int64_t end_ms;                    /* no request is sent after */
+static volatile sig_atomic_t is_stopping; /* set by SIGTERM */
 static const char *const kinds[] = {"once", "safe", "stream"};
 static const char *crash_path; /* of the crashing content, a kind */
 static char *crash_body;
@@ -239,7 +244,7 @@
 {
     caller_t *caller = user;
     caller->easy = curl_easy_init();
-    for (int i = 0; now_ms() < end_ms; i++) {
+    for (int i = 0; !is_stopping && now_ms() < end_ms; i++) {
         if (now_ms() - caller->refreshed_ms > ADDRESSES_MAX_AGE_MS) {
             refresh_addresses(caller);
         }
@@ -255,6 +260,13 @@
     return NULL;
 }
 
+static void
+on_term(int signal)
+{
+    (void)signal;
+    is_stopping = 1;
+}
+
 /* ---- Program ---------------------------------------------------------- */
 
 int
@@ -266,6 +278,7 @@
         return 2;
     }
     curl_global_init(CURL_GLOBAL_ALL);
+    signal(SIGTERM, on_term);
     end_ms = now_ms() + atoi(argv[1]) * 1000;
     crash_path = kinds[atoi(argv[3]) % 3];
     // A stream's server ends within the stream, after as many events.
