Count crashes of requests without a body, for servers that have ended

Cause: many callers send the same request without a body, so that it is in flight at crashes that others cause.

Change: a content without a body (a bit of its hash says so) counts only when the server has ended, not when a connection is cut. A daemon that has seen it run to its end within the last minute tells the allocator to clear it, which tells all; fields of reports and grants that older daemons ignore.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -26,6 +26,8 @@
     GPtrArray *silent;          /* names of members that do not report */
     Ps__ContentCrash **crashes; /* of banned contents */
     size_t n_crashes;
+    uint64_t cleared[PS_CONTENTS_CLEARED_MAX];
+    size_t n_cleared;
     uint64_t servers_hash; /* PsGateway_HashServers() */
     uint64_t members_hash; /* PsGateway_HashMembers() */
 } round_data_t;
@@ -91,8 +93,11 @@
                                use_message->wanted, use_message->total,
                                now_ms);
     }
-    PsContentCrashes_Merge(&sharing->gateway->content_crashes, report->crashes,
-                           report->n_crashes, from, now_ms);
+    ps_content_crashes_t *crashes = &sharing->gateway->content_crashes;
+    PsContentCrashes_MergeCleared(crashes, report->cleared, report->n_cleared,
+                                  from, now_ms);
+    PsContentCrashes_Merge(crashes, report->crashes, report->n_crashes, from,
+                           now_ms);
     if (report->leaving) {
         reporter->is_leaving = true;
     }
@@ -205,6 +210,8 @@
     grant.n_silent = round->silent->len;
     grant.crashes = round->crashes;
     grant.n_crashes = round->n_crashes;
+    grant.cleared = round->cleared;
+    grant.n_cleared = round->n_cleared;
     grant.leaving = sharing->gateway->is_shutting_down;
     add_store_state(sharing, &grant, round);
     Ps__Frame frame = PS__FRAME__INIT;
@@ -325,6 +332,8 @@
     round.crashes = PsContentCrashes_MakeMessages(
         &sharing->gateway->content_crashes.to_members, &round.n_crashes,
         now_ms);
+    round.n_cleared = PsContentCrashes_ListCleared(
+        &sharing->gateway->content_crashes, round.cleared, now_ms);
     g_hash_table_iter_init(&each, sharing->allocator.reporters);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         ps_reporter_t *reporter = value;
--- a/src/content_crashes.c
+++ b/src/content_crashes.c
@@ -1,10 +1,15 @@
 /* content_crashes.c - Counts the crashes of contents over all daemons. */
 #include "content_crashes.h"
 
+#include <string.h>
 #include <xxhash.h>
 
 #include "events_log.h"
 
+// Time for which reports and grants name a cleared content: several rounds, as
+// each may be lost.
+#define CLEARED_REPORT_MS 2000
+
 /* ---- Internal functions ----------------------------------------------- */
 
 // Has a ban that has just come into force told to all daemons.
@@ -41,6 +46,67 @@
     return true;
 }
 
+static bool
+has_body(uint64_t content)
+{
+    return (content & PS_CONTENT_NO_BODY) == 0;
+}
+
+static bool
+ran_to_its_end(ps_content_crashes_t *crashes, uint64_t content, int64_t now_ms)
+{
+    return PsRecentSet_Contains(&crashes->completed, content, now_ms);
+}
+
+// Has other daemons clear a content, unless they were told lately.
+static void
+announce_cleared(ps_content_crashes_t *crashes, uint64_t content,
+                 const char *from, int64_t now_ms)
+{
+    for (size_t i = 0; i < PS_CONTENTS_CLEARED_MAX; i++) {
+        const ps_cleared_content_t *cleared = &crashes->cleared[i];
+        if (cleared->content == content &&
+            now_ms - cleared->at_ms <= CLEARED_REPORT_MS) {
+            return;
+        }
+    }
+    ps_name_t hash = PsSuspects_FormatHash(content);
+    PsEvents_Add("content.cleared", "{s:s,s:s}", "content", hash.data, "from",
+                 from);
+    crashes->cleared[crashes->next_cleared] =
+        (ps_cleared_content_t){content, now_ms};
+    crashes->next_cleared =
+        (crashes->next_cleared + 1) % PS_CONTENTS_CLEARED_MAX;
+}
+
+// Forgets the crashes of a content, if any are known here.
+static void
+clear_content(ps_content_crashes_t *crashes, uint64_t content,
+              const char *from, int64_t now_ms)
+{
+    if (PsSuspects_GetCrashes(&crashes->suspects, content, now_ms) > 0) {
+        PsSuspects_Remove(&crashes->suspects, content);
+        crashes->has_unsaved_crash = true;
+        announce_cleared(crashes, content, from, now_ms);
+    }
+}
+
+static void
+count_own_crash(ps_content_crashes_t *crashes, uint64_t content,
+                const ps_registration_t *server, int64_t now_ms)
+{
+    if (ran_to_its_end(crashes, content, now_ms)) {
+        return;
+    }
+    ps_crash_t crash = {.content = content,
+                        .id = get_crash_id(server),
+                        .at_ms = now_ms,
+                        .is_own = true};
+    if (count_crash(crashes, &crash, "this daemon", now_ms)) {
+        PsCrashReports_Add(&crashes->to_allocator, &crash);
+    }
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 void
@@ -51,6 +117,8 @@
     PsCrashReports_Init(&crashes->to_members, &crashes->suspects, false);
     PsAbandonedRuns_Init(&crashes->abandoned_runs);
     PsRecentSet_Init(&crashes->completed);
+    memset(crashes->cleared, 0, sizeof crashes->cleared);
+    crashes->next_cleared = 0;
     crashes->has_unsaved_crash = false;
 }
 
@@ -67,15 +135,11 @@
 PsContentCrashes_Add(ps_content_crashes_t *crashes, uint64_t content,
                      const ps_registration_t *server, int64_t now_ms)
 {
-    if (PsRecentSet_Contains(&crashes->completed, content, now_ms)) {
-        return;
+    if (has_body(content)) {
+        count_own_crash(crashes, content, server, now_ms);
     }
-    ps_crash_t crash = {.content = content,
-                        .id = get_crash_id(server),
-                        .at_ms = now_ms,
-                        .is_own = true};
-    if (count_crash(crashes, &crash, "this daemon", now_ms)) {
-        PsCrashReports_Add(&crashes->to_allocator, &crash);
+    else {
+        PsContentCrashes_AddAbandoned(crashes, content, server, now_ms);
     }
 }
 
@@ -83,8 +147,9 @@
 PsContentCrashes_AddCompleted(ps_content_crashes_t *crashes, uint64_t content,
                               int64_t now_ms)
 {
-    if (content != 0) {
-        PsRecentSet_Add(&crashes->completed, content, now_ms);
+    PsRecentSet_Add(&crashes->completed, content, now_ms);
+    if (!has_body(content)) {
+        clear_content(crashes, content, "this daemon", now_ms);
     }
 }
 
@@ -104,7 +169,7 @@
     uint64_t content;
     while ((content = PsAbandonedRuns_TakeNext(
                 &crashes->abandoned_runs, get_crash_id(server), now_ms))) {
-        PsContentCrashes_Add(crashes, content, server, now_ms);
+        count_own_crash(crashes, content, server, now_ms);
         ps_name_t hash = PsSuspects_FormatHash(content);
         PsEvents_Add(
             "content.server_ended", "{s:s,s:s,s:i}", "content", hash.data,
@@ -122,6 +187,11 @@
         ps_crash_t crash = {.content = messages[i]->content,
                             .id = messages[i]->crash,
                             .at_ms = now_ms - (int64_t)messages[i]->age_ms};
+        if (!has_body(crash.content) &&
+            ran_to_its_end(crashes, crash.content, now_ms)) {
+            announce_cleared(crashes, crash.content, "this daemon", now_ms);
+            continue;
+        }
         if (count_crash(crashes, &crash, from->data, now_ms)) {
             ps_name_t content = PsSuspects_FormatHash(crash.content);
             PsEvents_Add("content.reported", "{s:s,s:s,s:i}", "content",
@@ -132,6 +202,34 @@
     }
 }
 
+void
+PsContentCrashes_MergeCleared(ps_content_crashes_t *crashes,
+                              const uint64_t *contents, size_t n,
+                              const ps_name_t *from, int64_t now_ms)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (!has_body(contents[i])) {
+            clear_content(crashes, contents[i], from->data, now_ms);
+            PsRecentSet_Add(&crashes->completed, contents[i], now_ms);
+        }
+    }
+}
+
+size_t
+PsContentCrashes_ListCleared(const ps_content_crashes_t *crashes,
+                             uint64_t *contents, int64_t now_ms)
+{
+    size_t n = 0;
+    for (size_t i = 0; i < PS_CONTENTS_CLEARED_MAX; i++) {
+        const ps_cleared_content_t *cleared = &crashes->cleared[i];
+        if (cleared->content != 0 &&
+            now_ms - cleared->at_ms <= CLEARED_REPORT_MS) {
+            contents[n++] = cleared->content;
+        }
+    }
+    return n;
+}
+
 void
 PsContentCrashes_Restore(ps_content_crashes_t *crashes,
                          const ps_crash_t *stored, size_t n, int64_t now_ms)
--- a/src/content_crashes.h
+++ b/src/content_crashes.h
@@ -3,6 +3,11 @@
  *
  * Each daemon reports what it has seen to the allocator, and the allocator
  * tells all daemons of the crashes of banned contents.
+ *
+ * Many callers may send the same request without a body, which is then in
+ * flight at crashes that others cause. Such a content counts only for servers
+ * that have ended, and is cleared everywhere as soon as one daemon has seen it
+ * run to its end lately.
  */
 #ifndef PS_CONTENT_CRASHES_H
 #define PS_CONTENT_CRASHES_H
@@ -16,6 +21,20 @@
 // Crashes of servers, as seen by all daemons, until a content is refused.
 #define PS_CONTENT_CRASHES_MAX 3
 
+// Set in the hash of a content without a body, clear in all others.
+#define PS_CONTENT_NO_BODY 1u
+
+// Contents that are told to others as cleared, the latest ones.
+#define PS_CONTENTS_CLEARED_MAX 64
+
+/**
+ * struct ps_cleared_content - A suspected content that ran to its end.
+ */
+typedef struct ps_cleared_content {
+    uint64_t content; /* its hash; 0: unused entry */
+    int64_t at_ms;    /* when it was cleared here */
+} ps_cleared_content_t;
+
 /**
  * struct ps_content_crashes - Crashes known to one daemon.
  */
@@ -25,7 +44,9 @@
     ps_recent_set_t completed; /* contents that ran to their end lately */
     ps_crash_reports_t to_allocator;
     ps_crash_reports_t to_members; /* used while this is the allocator */
-    bool has_unsaved_crash; /* the store may lack a crash that is known here */
+    ps_cleared_content_t cleared[PS_CONTENTS_CLEARED_MAX];
+    size_t next_cleared;    /* index of the entry that is replaced next */
+    bool has_unsaved_crash; /* what is known here may differ from the store */
 } ps_content_crashes_t;
 
 void PsContentCrashes_Init(ps_content_crashes_t *crashes);
@@ -37,13 +58,15 @@
  * @server: that the connection was lost to; each start of it counts once
  *
  * A content that ran to its end here lately is not the cause and is ignored:
- * many callers may send the same one.
+ * many callers may send the same one. One without a body counts when the
+ * server turns out to have ended.
  */
 void PsContentCrashes_Add(ps_content_crashes_t *crashes, uint64_t content,
                           const ps_registration_t *server, int64_t now_ms);
 
 /**
- * PsContentCrashes_AddCompleted() - Notes a content that ran to its end.
+ * PsContentCrashes_AddCompleted() - Notes a content that ran to its end. One
+ * without a body is cleared.
  */
 void PsContentCrashes_AddCompleted(ps_content_crashes_t *crashes,
                                    uint64_t content, int64_t now_ms);
@@ -73,6 +96,24 @@
                             Ps__ContentCrash *const *messages, size_t n,
                             const ps_name_t *from, int64_t now_ms);
 
+/**
+ * PsContentCrashes_MergeCleared() - Clears the contents in a report or grant.
+ * @from: the daemon that sent it, for the log
+ */
+void PsContentCrashes_MergeCleared(ps_content_crashes_t *crashes,
+                                   const uint64_t *contents, size_t n,
+                                   const ps_name_t *from, int64_t now_ms);
+
+/**
+ * PsContentCrashes_ListCleared() - Lists the contents cleared lately, for the
+ * next report or grant.
+ * @contents: receives at most PS_CONTENTS_CLEARED_MAX hashes
+ *
+ * Return: number of contents.
+ */
+size_t PsContentCrashes_ListCleared(const ps_content_crashes_t *crashes,
+                                    uint64_t *contents, int64_t now_ms);
+
 /**
  * PsContentCrashes_Restore() - Counts crashes that were read from the store.
  */
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -605,7 +605,7 @@
     if (was_cut_by_server(exchange, result)) {
         count_lost_connection(exchange, now_ms);
     }
-    else if (is_complete(exchange, result)) {
+    else if (task_result == PS_TASK_SUCCEEDED) {
         PsContentCrashes_AddCompleted(&exchange->gateway->content_crashes,
                                       exchange->content_hash, now_ms);
     }
@@ -672,22 +672,20 @@
     }
 }
 
-// Returns 0, which is never a suspect, for a request without a body: many
-// callers send the same one, so that it is in flight at crashes that others
-// cause.
 static uint64_t
 hash_content(const ps_exchange_t *exchange)
 {
     const ps_http_request_t *request = exchange->request;
-    if (request->body.len == 0) {
-        return 0;
-    }
     uint64_t hash = XXH64(request->path.data, request->path.len, 0);
     if (exchange->team) {
         hash =
             XXH64(exchange->team->name.data, exchange->team->name.len, hash);
     }
-    return XXH64(request->body.data, request->body.len, hash);
+    if (request->body.len == 0) {
+        return hash | PS_CONTENT_NO_BODY;
+    }
+    hash = XXH64(request->body.data, request->body.len, hash);
+    return hash & ~(uint64_t)PS_CONTENT_NO_BODY;
 }
 
 // Finds the request's route and team. Refuses the request and returns false if
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -3311,7 +3311,7 @@
   (ProtobufCMessageInit) ps__content_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ps__share_report__field_descriptors[7] =
 {
   {
     "round",
@@ -3385,9 +3385,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cleared",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ps__ShareReport, n_cleared),
+    offsetof(Ps__ShareReport, cleared),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_report__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
+  6,   /* field[6] = cleared */
   5,   /* field[5] = crashes */
   3,   /* field[3] = leaving */
   0,   /* field[0] = round */
@@ -3398,7 +3411,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ps__share_report__descriptor =
 {
@@ -3408,7 +3421,7 @@
   "Ps__ShareReport",
   "ps",
   sizeof(Ps__ShareReport),
-  6,
+  7,
   ps__share_report__field_descriptors,
   ps__share_report__field_indices_by_name,
   2,  ps__share_report__number_ranges,
@@ -3775,7 +3788,7 @@
   (ProtobufCMessageInit) ps__member_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[12] =
+static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[13] =
 {
   {
     "round",
@@ -3921,8 +3934,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cleared",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ps__ShareGrant, n_cleared),
+    offsetof(Ps__ShareGrant, cleared),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_grant__field_indices_by_name[] = {
+  12,   /* field[12] = cleared */
   5,   /* field[5] = config_age_ms */
   4,   /* field[4] = config_version */
   11,   /* field[11] = crashes */
@@ -3940,7 +3966,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor ps__share_grant__descriptor =
 {
@@ -3950,7 +3976,7 @@
   "Ps__ShareGrant",
   "ps",
   sizeof(Ps__ShareGrant),
-  12,
+  13,
   ps__share_grant__field_descriptors,
   ps__share_grant__field_indices_by_name,
   2,  ps__share_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -578,10 +578,15 @@
    */
   size_t n_crashes;
   Ps__ContentCrash **crashes;
+  /*
+   * contents that ran to their end
+   */
+  size_t n_cleared;
+  uint64_t *cleared;
 };
 #define PS__SHARE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_report__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -725,10 +730,15 @@
    */
   size_t n_crashes;
   Ps__ContentCrash **crashes;
+  /*
+   * contents that ran to their end
+   */
+  size_t n_cleared;
+  uint64_t *cleared;
 };
 #define PS__SHARE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_grant__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /* Ps__Frame methods */
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -238,6 +238,10 @@
     add_team_uses(sharing, &report, now_ms);
     report.crashes = PsContentCrashes_MakeMessages(
         &gateway->content_crashes.to_allocator, &report.n_crashes, now_ms);
+    uint64_t cleared[PS_CONTENTS_CLEARED_MAX];
+    report.cleared = cleared;
+    report.n_cleared = PsContentCrashes_ListCleared(&gateway->content_crashes,
+                                                    cleared, now_ms);
     Ps__Frame frame = PS__FRAME__INIT;
     frame.body_case = PS__FRAME__BODY_SHARE_REPORT;
     frame.share_report = &report;
@@ -373,8 +377,11 @@
         g_hash_table_add(sharing->silent_members,
                          g_memdup2(&name, sizeof name));
     }
-    PsContentCrashes_Merge(&sharing->gateway->content_crashes, grant->crashes,
-                           grant->n_crashes, &sharing->allocator_name, now_ms);
+    ps_content_crashes_t *crashes = &sharing->gateway->content_crashes;
+    PsContentCrashes_MergeCleared(crashes, grant->cleared, grant->n_cleared,
+                                  &sharing->allocator_name, now_ms);
+    PsContentCrashes_Merge(crashes, grant->crashes, grant->n_crashes,
+                           &sharing->allocator_name, now_ms);
     for (size_t i = 0; i < grant->n_services; i++) {
         apply_service_grant(sharing, grant->services[i], now_ms);
     }
--- a/tests/runs/gw_crashing_no_body.sh
+++ b/tests/runs/gw_crashing_no_body.sh
@@ -1,6 +1,7 @@
 # A request without a body that ends every backend server that runs it comes
 # again under new ids, at each daemon in turn: it is refused after at most three
 # servers have ended.
+gw_wait_for_slack
 n_ended=0
 for i in $(seq 6); do
     answer=$(gw_send_request $((i % 3 + 1)) /safe/CRASH-0 "crash-$i")
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -536,6 +536,90 @@
     PsContentCrashes_Finish(&crashes);
 }
 
+// A request without a body is in flight at crashes that others cause: it counts
+// for servers that have ended, not for connections that are cut.
+TEST(ContentCrashes, ContentWithoutABodyCountsForEndedServersOnly)
+{
+    const uint64_t content = 16 | PS_CONTENT_NO_BODY;
+    ps_content_crashes_t crashes;
+    PsContentCrashes_Init(&crashes);
+    int64_t now = 1000000;
+    ps_registration_t server = {};
+    server.name = ToName("x");
+    for (server.started_ms = 1; server.started_ms <= 3; server.started_ms++) {
+        PsContentCrashes_Add(&crashes, content, &server, now);
+        EXPECT_EQ(
+            PsSuspects_GetCrashes(&crashes.suspects, content, now + 50),
+            (int)server.started_ms - 1);
+        PsContentCrashes_HandleServerEnd(&crashes, &server, now + 100);
+        EXPECT_EQ(
+            PsSuspects_GetCrashes(&crashes.suspects, content, now + 200),
+            (int)server.started_ms);
+        now += 1000;
+    }
+    EXPECT_TRUE(PsSuspects_IsBanned(&crashes.suspects, content, now));
+    PsContentCrashes_Finish(&crashes);
+}
+
+// The allocator and two members that saw the same content without a body at
+// three servers that ended. Another member has seen it run to its end: all clear
+// it, and stop telling each other of it.
+TEST(ContentCrashes, ContentThatRanToItsEndAtOneDaemonIsClearedByAll)
+{
+    const uint64_t content = 16 | PS_CONTENT_NO_BODY;
+    const int n = 4; // the first one is the allocator
+    ps_content_crashes_t daemons[n];
+    for (ps_content_crashes_t &each : daemons) {
+        PsContentCrashes_Init(&each);
+    }
+    int64_t now = 1000000;
+    PsContentCrashes_AddCompleted(&daemons[3], content, now);
+    ps_registration_t server = {};
+    server.name = ToName("x");
+    for (server.started_ms = 1; server.started_ms <= 3; server.started_ms++) {
+        for (int i = 1; i <= 2; i++) {
+            PsContentCrashes_Add(&daemons[i], content, &server, now);
+            PsContentCrashes_HandleServerEnd(&daemons[i], &server, now);
+        }
+    }
+    const ps_name_t name = ToName("d");
+    // Sends what one daemon reports or grants to others.
+    auto send = [&](int from, ps_crash_reports_t *reports, int to, int last) {
+        size_t n_crashes;
+        uint64_t cleared[PS_CONTENTS_CLEARED_MAX];
+        Ps__ContentCrash **messages =
+            PsContentCrashes_MakeMessages(reports, &n_crashes, now);
+        size_t n_cleared =
+            PsContentCrashes_ListCleared(&daemons[from], cleared, now);
+        for (; to <= last; to++) {
+            PsContentCrashes_MergeCleared(&daemons[to], cleared, n_cleared,
+                                          &name, now);
+            PsContentCrashes_Merge(&daemons[to], messages, n_crashes, &name,
+                                   now);
+        }
+        PsContentCrashes_FreeMessages(messages, n_crashes);
+    };
+    bool was_banned = false;
+    for (int round = 0; round < 150; round++, now += 100) {
+        for (int i = 1; i < n; i++) {
+            send(i, &daemons[i].to_allocator, 0, 0);
+        }
+        was_banned |= PsSuspects_IsBanned(&daemons[0].suspects, content, now);
+        send(0, &daemons[0].to_members, 1, n - 1);
+        for (int i = 0; i < n && round >= 5; i++) {
+            EXPECT_FALSE(
+                PsSuspects_IsBanned(&daemons[i].suspects, content, now))
+                << "daemon " << i << ", round " << round;
+        }
+    }
+    EXPECT_TRUE(was_banned);
+    for (ps_content_crashes_t &each : daemons) {
+        uint64_t cleared[PS_CONTENTS_CLEARED_MAX];
+        EXPECT_EQ(PsContentCrashes_ListCleared(&each, cleared, now), 0u);
+        PsContentCrashes_Finish(&each);
+    }
+}
+
 TEST(Codec, StateIsReadAsItWasWritten)
 {
     ps_stored_state_t written = {}, read;
