Follow a store that comes back from an older copy

Callers' view: after such a drill a new configuration was ignored for good, a daemon that had started lately was missing, and bans written lately were lost.

Cause: objects were taken only if their revision was above the known one. A restored store gives revisions out again, so that what was written anew counted as old; what the daemons had written was not written again.

For 2 s the registry keeps missing servers and takes no earlier start and no server back that was leaving or removed.

--- a/src/backend_registry.c
+++ b/src/backend_registry.c
@@ -35,6 +35,20 @@
             now_ms < registry->keep_missing_until_ms);
 }
 
+// Tells whether a registration of a restored store is older than what is known
+// of the server.
+static bool
+is_outdated(const ps_backend_registry_t *registry,
+            const backend_record_t *record,
+            const ps_registration_t *registration, int64_t now_ms)
+{
+    const ps_registration_t *known = &record->backend->registration;
+    bool is_same_start = known->started_ms == registration->started_ms;
+    return now_ms < registry->restored_until_ms &&
+           (registration->started_ms < known->started_ms ||
+            (is_same_start && known->is_leaving && !registration->is_leaving));
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 void
@@ -64,6 +78,9 @@
 {
     backend_record_t *record =
         g_hash_table_lookup(registry->by_name, &registration->name);
+    if (record && is_outdated(registry, record, registration, now_ms)) {
+        return;
+    }
     if (record && (record->backend->registration.started_ms !=
                        registration->started_ms ||
                    !PsName_IsEqual(&record->backend->registration.service,
@@ -141,6 +158,14 @@
     registry->keep_missing_until_ms = now_ms + MISSING_GRACE_MS;
 }
 
+void
+PsBackendRegistry_HandleStoreRestored(ps_backend_registry_t *registry,
+                                      int64_t now_ms)
+{
+    registry->keep_missing_until_ms = now_ms + MISSING_GRACE_MS;
+    registry->restored_until_ms = registry->keep_missing_until_ms;
+}
+
 void
 PsBackendRegistry_RemoveMissing(ps_backend_registry_t *registry,
                                 int64_t now_ms)
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -35,6 +35,8 @@
     GHashTable *by_name; /* name to backend_record_t */
     bool is_store_unavailable;
     int64_t keep_missing_until_ms; /* end of the grace period */
+    int64_t restored_until_ms; /* registrations may be older than those known
+                                  until then */
 } ps_backend_registry_t;
 
 /**
@@ -56,7 +58,9 @@
  * PsBackendRegistry_Set() - Adds a server or updates its registration.
  *
  * A server that registers with another start time, service or address is
- * removed and added as a new one.
+ * removed and added as a new one. In the grace period after the store was
+ * restored, a registration of an earlier start, or one that is not leaving any
+ * more, is ignored.
  */
 void PsBackendRegistry_Set(ps_backend_registry_t *registry,
                            const ps_registration_t *registration,
@@ -93,6 +97,13 @@
 void PsBackendRegistry_HandleStoreAvailable(ps_backend_registry_t *registry,
                                             int64_t now_ms);
 
+/**
+ * PsBackendRegistry_HandleStoreRestored() - Starts the grace period in which
+ * registrations may be missing or older than those known.
+ */
+void PsBackendRegistry_HandleStoreRestored(ps_backend_registry_t *registry,
+                                           int64_t now_ms);
+
 /**
  * PsBackendRegistry_RemoveMissing() - Removes the servers that are still
  * missing once the grace period is over.
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -168,8 +168,14 @@
 on_server_changed(void *user, const ps_registration_t *registration)
 {
     ps_gateway_t *gateway = user;
-    PsBackendRegistry_Set(&gateway->backend_registry, registration,
-                          PsClock_Now());
+    int64_t now_ms = PsClock_Now();
+    // A restored store may hold a registration that was removed since.
+    if (now_ms < gateway->backend_registry.restored_until_ms &&
+        PsChanges_IsServerRemoved(&gateway->changes, &registration->name,
+                                  registration->started_ms)) {
+        return;
+    }
+    PsBackendRegistry_Set(&gateway->backend_registry, registration, now_ms);
 }
 
 static void
@@ -283,6 +289,17 @@
     PsEvents_Add("store.back", "{}");
 }
 
+// Has the allocator's state written again, also when it is empty.
+static void
+on_store_restored(void *user)
+{
+    ps_gateway_t *gateway = user;
+    PsBackendRegistry_HandleStoreRestored(&gateway->backend_registry,
+                                          PsClock_Now());
+    gateway->content_crashes.has_unsaved_crash = true;
+    gateway->sharing.is_stored_usage_empty = false;
+}
+
 /* ---- Backend servers -------------------------------------------------- */
 
 static void
@@ -628,7 +645,8 @@
         .state_read = on_state_read,
         .state_saved = on_state_saved,
         .unavailable = on_store_unavailable,
-        .available = on_store_available};
+        .available = on_store_available,
+        .restored = on_store_restored};
     return &events;
 }
 
--- a/src/store_events.h
+++ b/src/store_events.h
@@ -72,6 +72,8 @@
  * @state_saved: a write of the allocator's state has ended
  * @unavailable: the store does not answer
  * @available: the store answers again
+ * @restored: the store has come back from an older copy: what was written to
+ * it lately is gone until its writers write it again
  */
 typedef struct ps_store_events {
     void (*catalog_changed)(void *user, ps_catalog_t *catalog);
@@ -87,6 +89,7 @@
     void (*state_saved)(void *user, bool is_saved);
     void (*unavailable)(void *user, const char *reason);
     void (*available)(void *user);
+    void (*restored)(void *user);
 } ps_store_events_t;
 
 #endif
--- a/tests/standins/common.c
+++ b/tests/standins/common.c
@@ -9,6 +9,11 @@
 #include <time.h>
 #include <unistd.h>
 
+#define COMMON_VALUE_MAX 32 /* bytes of the common header's value */
+
+static const char *common_name; /* NULL: there is no common header */
+static char common_value[COMMON_VALUE_MAX];
+
 static enum MHD_Result
 on_request_data(void *user, struct MHD_Connection *connection, const char *url,
                 const char *method, const char *version, const char *data,
@@ -82,6 +87,13 @@
     _exit(0);
 }
 
+void
+Standin_SetCommonHeader(const char *name, const char *value)
+{
+    common_name = name;
+    snprintf(common_value, sizeof common_value, "%s", value);
+}
+
 enum MHD_Result
 Standin_SendText(standin_request_t *request, unsigned status, const char *text,
                  const char *const *headers)
@@ -92,6 +104,9 @@
     for (int i = 0; headers && headers[i]; i += 2) {
         MHD_add_response_header(response, headers[i], headers[i + 1]);
     }
+    if (common_name) {
+        MHD_add_response_header(response, common_name, common_value);
+    }
     enum MHD_Result result =
         MHD_queue_response(request->connection, status, response);
     MHD_destroy_response(response);
--- a/tests/standins/common.h
+++ b/tests/standins/common.h
@@ -36,6 +36,13 @@
  */
 void Standin_RunServer(const char *address, standin_handler_t handler);
 
+/**
+ * Standin_SetCommonHeader() - Sets a header of all responses from now on.
+ * @name: not copied
+ * @value: copied
+ */
+void Standin_SetCommonHeader(const char *name, const char *value);
+
 /**
  * Standin_SendText() - Sends a response of type application/json.
  * @text: the body, copied
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -11,7 +11,11 @@
  * request), hang (requests wait; watches end with status 503), lose (the next
  * writes are carried out but not answered) and compact (past changes are
  * forgotten, so that watches get status 410).
- * GET /counts: requests so far and the current revision.
+ * With copy, it keeps a copy of all objects and of the revision; with restore
+ * it goes back to that copy, as a store does that is restored from a backup:
+ * what was written since is gone, revisions are given out again, watches from
+ * later ones get status 410, and the header Store-Era of all responses rises
+ * by one. GET /counts: requests so far and the current revision.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -44,6 +48,66 @@
 static int64_t slow_ms;
 static int64_t answers_to_lose; /* next writes to carry out unanswered */
 static int64_t n_calls;
+static int64_t era = 1;       /* value of the header Store-Era */
+static GTree *copied_objects; /* like @objects; NULL: no copy was made */
+static int64_t copied_revision;
+
+static GTree *
+new_object_tree(void)
+{
+    return g_tree_new_full((GCompareDataFunc)(void *)strcmp, NULL, g_free,
+                           (GDestroyNotify)(void *)json_decref);
+}
+
+static gboolean
+add_object_to(gpointer key, gpointer value, gpointer data)
+{
+    g_tree_insert(data, g_strdup(key), json_deep_copy(value));
+    return FALSE;
+}
+
+static GTree *
+copy_objects(GTree *from)
+{
+    GTree *copy = new_object_tree();
+    g_tree_foreach(from, add_object_to, copy);
+    return copy;
+}
+
+static void
+free_change(change_t *change)
+{
+    json_decref(change->event);
+    g_free(change->kind);
+    g_free(change);
+}
+
+static void
+set_era(int64_t value)
+{
+    era = value;
+    char text[24];
+    snprintf(text, sizeof text, "%lld", (long long)era);
+    Standin_SetCommonHeader("Store-Era", text);
+}
+
+// Goes back to the copy. Registrations in it count as written now.
+static void
+restore_copy(void)
+{
+    if (!copied_objects) {
+        return;
+    }
+    g_tree_destroy(objects);
+    objects = copy_objects(copied_objects);
+    revision = copied_revision;
+    change_t *last;
+    while ((last = g_queue_peek_tail(&changes)) && last->revision > revision) {
+        free_change(g_queue_pop_tail(&changes));
+    }
+    g_hash_table_remove_all(write_times);
+    set_era(era + 1);
+}
 
 static void
 add_change(const char *kind, json_t *object, bool is_deleted)
@@ -57,9 +121,7 @@
     if (changes.length > CHANGES_MAX) {
         change_t *old = g_queue_pop_head(&changes);
         oldest_revision = old->revision;
-        json_decref(old->event);
-        g_free(old->kind);
-        g_free(old);
+        free_change(old);
     }
     pthread_cond_broadcast(&change_added);
 }
@@ -189,12 +251,13 @@
     int64_t after = Standin_GetQueryNumber(request, "watch", 0);
     int64_t end_ms =
         Standin_GetTimeMs() + Standin_GetQueryNumber(request, "waitMs", 0);
-    if (after < oldest_revision) {
+    int64_t first_era = era;
+    if (after < oldest_revision || after > revision) {
         return Standin_SendText(request, 410, "{}", NULL);
     }
     json_t *events = list_changes(kind, after);
     while (json_array_size(events) == 0 && Standin_GetTimeMs() < end_ms &&
-           !is_down && !is_hung) {
+           !is_down && !is_hung && era == first_era) {
         struct timespec wake;
         clock_gettime(CLOCK_REALTIME, &wake);
         wake.tv_nsec += 50000000;
@@ -204,7 +267,7 @@
         json_decref(events);
         events = list_changes(kind, after);
     }
-    if (is_down || is_hung) {
+    if (is_down || is_hung || era != first_era) {
         json_decref(events);
         return Standin_SendText(request, 503, "{}", NULL);
     }
@@ -253,6 +316,18 @@
     is_hung = Standin_GetQueryNumber(request, "hang", is_hung) != 0;
     slow_ms = Standin_GetQueryNumber(request, "slow_ms", slow_ms);
     answers_to_lose = Standin_GetQueryNumber(request, "lose", answers_to_lose);
+    pthread_mutex_lock(&lock);
+    if (Standin_GetQueryNumber(request, "copy", 0) != 0) {
+        if (copied_objects) {
+            g_tree_destroy(copied_objects);
+        }
+        copied_objects = copy_objects(objects);
+        copied_revision = revision;
+    }
+    if (Standin_GetQueryNumber(request, "restore", 0) != 0) {
+        restore_copy();
+    }
+    pthread_mutex_unlock(&lock);
     if (Standin_GetQueryNumber(request, "compact", 0) != 0) {
         oldest_revision = revision + 1;
         revision += 2;
@@ -350,8 +425,8 @@
         fprintf(stderr, "usage: standin-store IP:PORT\n");
         return 2;
     }
-    objects = g_tree_new_full((GCompareDataFunc)(void *)strcmp, NULL, g_free,
-                              (GDestroyNotify)(void *)json_decref);
+    objects = new_object_tree();
+    set_era(era);
     write_times =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_queue_init(&changes);
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -169,6 +169,32 @@
         << "removed while the store is available";
 }
 
+// A restored store holds registrations that are older than what is known.
+TEST(BackendRegistry, RestoredStoreTakesBackNoStartAndNoLeaving)
+{
+    RegistryRecorder recorder;
+    ps_registration_t leaving = MakeRegistration("a", 4, 2);
+    leaving.is_leaving = true;
+    recorder.Set(leaving, kStart);
+    recorder.Set(MakeRegistration("b", 4, 7), kStart);
+    recorder.Set(MakeRegistration("c", 4, 1), kStart);
+    PsBackendRegistry_HandleStoreRestored(&recorder.registry, kStart + 100);
+    recorder.Set(MakeRegistration("a", 4, 2), kStart + 200);
+    recorder.Set(MakeRegistration("b", 4, 6), kStart + 200);
+    recorder.Remove("c", kStart + 200);
+    EXPECT_TRUE(recorder.listed["a"]->registration.is_leaving);
+    EXPECT_EQ(recorder.listed["b"]->registration.started_ms, 7);
+    EXPECT_EQ(recorder.listed.count("c"), 1u) << "it may register again";
+    recorder.Set(MakeRegistration("a", 4, 3), kStart + 300);
+    EXPECT_FALSE(recorder.listed["a"]->registration.is_leaving)
+        << "a later start";
+    PsBackendRegistry_RemoveMissing(&recorder.registry, kStart + 2200);
+    EXPECT_EQ(recorder.listed.count("c"), 0u);
+    recorder.Set(MakeRegistration("b", 4, 6), kStart + 2200);
+    EXPECT_EQ(recorder.listed["b"]->registration.started_ms, 6)
+        << "the grace period is over";
+}
+
 // A restarted server has lost its cache, although its name is the same.
 TEST(BackendRegistry, RestartedServerIsANewOneWithAnEmptyCache)
 {
