Keep a removed daemon's part of a quota for a window

Callers' view: none; a team gets more than its quota (rule QUOTA).

Daemons that the others don't hear are removed as dead after 3 s, and what is left of each quota was then divided among the others alone. Those that are cut off go on serving with their even shares.

Change: daemons that left within the quotas' window still count when quotas are divided, by the allocator and for even shares.

Not done: in the first 0.5 s of a cut the allocator grants as if it heard all.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
     rule_kinds settings config server pool estimate place_finish \
     place_baseline ids ledger owner members entry clock catalog quota \
     retry_budget backend even_shares backend_registry scheduler allocator \
-    outliers histogram crash_reports abandoned_runs recent_set
+    outliers histogram crash_reports abandoned_runs recent_set recent_members
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -322,8 +322,8 @@
         const ps_dispatcher_t *dispatcher = value;
         divide_service(sharing, dispatcher, now_ms);
     }
-    int members = (int)g_hash_table_size(sharing->gateway->members);
-    PsAllocator_DivideQuotas(&sharing->allocator, members, now_ms);
+    int n_daemons = PsGateway_CountQuotaDaemons(sharing->gateway, now_ms);
+    PsAllocator_DivideQuotas(&sharing->allocator, n_daemons, now_ms);
     save_state(sharing, now_ms);
     round_data_t round = {
         .silent = list_silent(sharing, now_ms),
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -206,6 +206,7 @@
     PsChanges_AddMember(&gateway->changes, info, false,
                         !gateway->is_applying_change, PsClock_Now());
     g_hash_table_remove(gateway->members, &info->name);
+    PsRecentMembers_RemoveJoined(&gateway->recent_members, &info->name);
     ps_daemon_info_t *member = g_memdup2(info, sizeof *info);
     member->joined_ms = PsClock_Now();
     g_hash_table_insert(gateway->members, &member->name, member);
@@ -224,6 +225,7 @@
                             g_hash_table_lookup(gateway->members, name), true,
                             !gateway->is_applying_change, PsClock_Now());
         PsAllocator_RemoveReporter(&gateway->sharing.allocator, name);
+        PsRecentMembers_AddLeft(&gateway->recent_members, name, PsClock_Now());
         g_hash_table_remove(gateway->members, name);
         divide_among_daemons(gateway);
         PsSharing_HandleMemberChange(&gateway->sharing, &gateway->self);
@@ -604,6 +606,7 @@
                            .cpu_share = settings->gateway.cpu_share};
     ps_daemon_info_t *self = g_memdup2(&gateway->self, sizeof gateway->self);
     g_hash_table_insert(gateway->members, &self->name, self);
+    PsRecentMembers_Init(&gateway->recent_members);
     g_queue_init(&gateway->exchanges);
     ev_timer_init(&gateway->tick, on_tick, TICK_S, TICK_S);
     gateway->tick.data = gateway;
@@ -627,6 +630,7 @@
     PsCatalog_Unref(gateway->catalog);
     PsChanges_Finish(&gateway->changes);
     PsContentCrashes_Finish(&gateway->content_crashes);
+    PsRecentMembers_Finish(&gateway->recent_members);
     PsEvents_Flush();
 }
 
@@ -762,6 +766,16 @@
     return quota;
 }
 
+int
+PsGateway_CountQuotaDaemons(ps_gateway_t *gateway, int64_t now_ms)
+{
+    int64_t window_ms =
+        (int64_t)(gateway->settings.gateway.quota_window_s * 1000.0);
+    return (int)g_hash_table_size(gateway->members) +
+           PsRecentMembers_CountLeft(&gateway->recent_members, window_ms,
+                                     now_ms);
+}
+
 uint64_t
 PsGateway_HashServers(const ps_gateway_t *gateway)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -20,6 +20,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "quota.h"
+#include "recent_members.h"
 #include "retry_budget.h"
 #include "scheduler.h"
 #include "settings.h"
@@ -116,7 +117,8 @@
     ps_content_crashes_t content_crashes;
     ps_daemon_info_t self;
     GHashTable *members; /* name to ps_daemon_info_t, this daemon included */
-    bool has_listed_members; /* @members was read from the store */
+    ps_recent_members_t recent_members; /* that left */
+    bool has_listed_members;            /* @members was read from the store */
     ps_sharing_t sharing;
     const ps_store_ops_t *store_ops; /* set by the user before the loop runs */
     int64_t last_summary_ms;         /* when the allocator's last one came */
@@ -212,6 +214,12 @@
  */
 ps_quota_t *PsGateway_GetQuota(ps_gateway_t *gateway, const ps_name_t *team);
 
+/**
+ * PsGateway_CountQuotaDaemons() - Counts the daemons that quotas are divided
+ * among: the members, and those that have left within the quotas' window.
+ */
+int PsGateway_CountQuotaDaemons(ps_gateway_t *gateway, int64_t now_ms);
+
 /**
  * PsGateway_HashServers() - Hashes names, start times and states of the known
  * backend servers.
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -550,7 +550,7 @@
     bool is_granted = !sharing->uses_even_shares && spending->granted_ms > 0 &&
                       now_ms - spending->granted_ms <= GRANT_TTL_MS;
     if (!is_granted) {
-        int n = (int)g_hash_table_size(sharing->gateway->members);
+        int n = PsGateway_CountQuotaDaemons(sharing->gateway, now_ms);
         return PsQuota_ChargeEvenShare(quota, units, n, now_ms);
     }
     double left =
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -16,6 +16,7 @@
 #include "even_shares.h"
 #include "outliers.h"
 #include "quota.h"
+#include "recent_members.h"
 #include "recent_set.h"
 #include "retry_budget.h"
 }
@@ -674,6 +675,93 @@
     }
 }
 
+// Three of nine daemons are cut off from the others, and removed as dead after
+// 3 s; each goes on spending its even share of the quota, as callers still reach
+// it. All together stay within the quota in each window.
+TEST(Allocator, RemovedDaemonsThatGoOnServingKeepTheirPartOfAQuota)
+{
+    const int n = 9, n_cut = 3;
+    const double limit = 9000, window_s = 8;
+    const double kUnits = 7.5; // asked for in 20 ms: 3 times the quota's rate
+    const ps_name_t team = ToName("t");
+    AllocatorHarness harness(1, 1);
+    PsAllocator_SetQuotaLimit(&harness.allocator, &team, limit, window_s);
+    ps_recent_members_t recent;
+    PsRecentMembers_Init(&recent);
+    std::vector<ps_quota_t> quotas(n);
+    for (ps_quota_t &quota : quotas) {
+        PsQuota_SetLimit(&quota, limit, window_s);
+    }
+    const int64_t cut_at = kStart + 1000, removed_at = cut_at + 3000;
+    int n_members = n;
+    std::vector<std::pair<int64_t, double>> spent;
+    for (int64_t now = kStart; now < kStart + 20000; now += 20) {
+        int n_reporting = now < cut_at ? n : n - n_cut;
+        for (int i = n_reporting; now == removed_at && i < n; i++) {
+            ps_name_t name = ToName("d" + std::to_string(i));
+            PsAllocator_RemoveReporter(&harness.allocator, &name);
+            PsRecentMembers_AddLeft(&recent, &name, now);
+            n_members--;
+        }
+        std::vector<ps_reporter_t *> reporters;
+        for (int i = 0; i < n_reporting; i++) {
+            ps_name_t name = ToName("d" + std::to_string(i));
+            ps_reporter_t *reporter =
+                PsAllocator_StartReport(&harness.allocator, &name, 1, now);
+            reporter->age_ms = 60000;
+            PsAllocator_SetTeamUse(&harness.allocator, reporter, &team,
+                                   PsQuota_GetSpent(&quotas[i], now), 100,
+                                   quotas[i].total_spent, now);
+            reporters.push_back(reporter);
+        }
+        PsAllocator_DivideQuotas(
+            &harness.allocator,
+            n_members + PsRecentMembers_CountLeft(
+                            &recent, (int64_t)(window_s * 1000), now),
+            now);
+        for (int i = 0; i < n; i++) {
+            double units = 0;
+            if (now < cut_at) {
+                continue; // the team's load begins then
+            }
+            if (i < n_reporting) {
+                auto *use = (ps_team_use_t *)g_hash_table_lookup(
+                    reporters[i]->teams, &team);
+                units = std::min(use->granted, kUnits);
+                PsQuota_Charge(&quotas[i], units, now);
+            }
+            else if (now < cut_at + 4600 &&
+                     PsQuota_ChargeEvenShare(&quotas[i], kUnits, n, now)) {
+                units = kUnits; // until its API keys are too old
+            }
+            spent.push_back({now, units});
+        }
+    }
+    PsRecentMembers_Finish(&recent);
+    for (int64_t from = kStart; from < kStart + 12000; from += 250) {
+        double sum = 0;
+        for (const auto &[at, units] : spent) {
+            sum += at >= from && at < from + 8000 ? units : 0;
+        }
+        EXPECT_LE(sum, limit * 1.001) << "from " << from - kStart;
+    }
+}
+
+TEST(RecentMembers, CountsThoseThatLeftWithinTheWindow)
+{
+    const ps_name_t a = ToName("a"), b = ToName("b");
+    ps_recent_members_t recent;
+    PsRecentMembers_Init(&recent);
+    PsRecentMembers_AddLeft(&recent, &a, kStart);
+    PsRecentMembers_AddLeft(&recent, &b, kStart + 1000);
+    EXPECT_EQ(PsRecentMembers_CountLeft(&recent, 8000, kStart + 8000), 2);
+    PsRecentMembers_AddLeft(&recent, &b, kStart + 2000);
+    EXPECT_EQ(PsRecentMembers_CountLeft(&recent, 8000, kStart + 8100), 1);
+    PsRecentMembers_RemoveJoined(&recent, &b);
+    EXPECT_EQ(PsRecentMembers_CountLeft(&recent, 8000, kStart + 8100), 0);
+    PsRecentMembers_Finish(&recent);
+}
+
 TEST(Quota, RefundReachesOlderCharges)
 {
     ps_quota_t quota = {};
