--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -3,8 +3,9 @@
  *
  * Load pattern: a service fails or rejects a large part of its requests, and
  * each daemon would double the load by retrying all of them, also while
- * daemons leave. Each daemon counts its own requests in a sliding window; the
- * slack is divided among the daemons. Does no I/O; all times are passed in.
+ * daemons leave, or are killed and start again. Each daemon counts its own
+ * requests in a sliding window; the slack is divided among the daemons. Does
+ * no I/O; all times are passed in.
  */
 #ifndef PS_RETRY_BUDGET_H
 #define PS_RETRY_BUDGET_H
