--- a/tests/check.sh
+++ b/tests/check.sh
@@ -43,7 +43,7 @@
 done
 
 if [ -z "${CHECK_NO_RUNS:-}" ]; then
-    port=13000
+    port=10000
     names=()
     for script in tests/runs/*.sh; do
         name=$(basename "$script" .sh)
