Let registrations of a restored copy expire in the stand-in

A registration in the copy had no time of its last write, so that it never expired, though its server may have ended since. It counts as written when the copy is restored, as the comment said. gw_store_restored passes as before.

--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -15,7 +15,9 @@
  * it goes back to that copy, as a store does that is restored from a backup:
  * what was written since is gone, revisions are given out again, watches from
  * later ones get status 410, and the header Store-Era of all responses rises
- * by one. GET /counts: requests so far and the current revision.
+ * by one.
+ *
+ * GET /counts: requests so far and the current revision.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -91,6 +93,23 @@
     Standin_SetCommonHeader("Store-Era", text);
 }
 
+static void
+set_write_time(const char *key)
+{
+    int64_t now_ms = Standin_GetTimeMs();
+    g_hash_table_replace(write_times, g_strdup(key),
+                         g_memdup2(&now_ms, sizeof now_ms));
+}
+
+static gboolean
+renew(gpointer key, gpointer value, gpointer data)
+{
+    (void)value;
+    (void)data;
+    set_write_time(key);
+    return FALSE;
+}
+
 // Goes back to the copy. Registrations in it count as written now.
 static void
 restore_copy(void)
@@ -105,7 +124,7 @@
     while ((last = g_queue_peek_tail(&changes)) && last->revision > revision) {
         free_change(g_queue_pop_tail(&changes));
     }
-    g_hash_table_remove_all(write_times);
+    g_tree_foreach(objects, renew, NULL);
     set_era(era + 1);
 }
 
@@ -126,14 +145,6 @@
     pthread_cond_broadcast(&change_added);
 }
 
-static void
-set_write_time(const char *key)
-{
-    int64_t now_ms = Standin_GetTimeMs();
-    g_hash_table_replace(write_times, g_strdup(key),
-                         g_memdup2(&now_ms, sizeof now_ms));
-}
-
 static json_t *
 make_object(const char *name, json_t *spec, const json_t *old)
 {
