--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -178,6 +178,33 @@
     }
 }
 
+// When all daemons have sent requests and retries.
+struct SentByAll {
+    std::vector<int64_t> requests, retries;
+
+    // Sends a retry if the budget allows it, and before it, one time in four, a
+    // request.
+    void
+    Load(ps_retry_budget_t *budget, int64_t now)
+    {
+        if (*rc::gen::inRange(0, 4) == 0) {
+            PsRetryBudget_AddRequest(budget, now);
+            requests.push_back(now);
+        }
+        if (SendRetry(budget, now)) {
+            retries.push_back(now);
+        }
+    }
+    void
+    Check() const
+    {
+        for (int64_t from : retries) {
+            RC_ASSERT(CountWithin(retries, from) <=
+                      0.2 * CountWithin(requests, from) + 56);
+        }
+    }
+};
+
 // A daemon that leaves has used its share of the slack; those that stay must
 // not use it again in the same window.
 RC_GTEST_PROP(RetryBudget, SharesOfDaemonsThatLeaveAreNotUsedTwice, ())
@@ -197,7 +224,7 @@
         }
     };
     divide();
-    std::vector<int64_t> requests, retries;
+    SentByAll sent;
     for (int i = 0; i < 1500; i++) {
         now += *rc::gen::inRange(0, 30);
         if (live.size() > 1 && *rc::gen::inRange(0, 100) == 0) {
@@ -206,18 +233,9 @@
         }
         ps_retry_budget_t *budget =
             &budgets[live[*rc::gen::inRange<int>(0, live.size())]];
-        if (*rc::gen::inRange(0, 4) == 0) {
-            PsRetryBudget_AddRequest(budget, now);
-            requests.push_back(now);
-        }
-        if (SendRetry(budget, now)) {
-            retries.push_back(now);
-        }
-    }
-    for (int64_t from : retries) {
-        RC_ASSERT(CountWithin(retries, from) <=
-                  0.2 * CountWithin(requests, from) + 56);
+        sent.Load(budget, now);
     }
+    sent.Check();
 }
 
 // A process that starts again does not know what the one before it has sent.
@@ -233,7 +251,7 @@
         start(i, kStart - kWindowMs);
     }
     int64_t now = kStart;
-    std::vector<int64_t> requests, retries;
+    SentByAll sent;
     for (int i = 0; i < 1500; i++) {
         now += *rc::gen::inRange(0, 30);
         if (*rc::gen::inRange(0, 200) == 0) {
@@ -242,18 +260,9 @@
             }
         }
         ps_retry_budget_t *budget = &budgets[*rc::gen::inRange(0, n)];
-        if (*rc::gen::inRange(0, 4) == 0) {
-            PsRetryBudget_AddRequest(budget, now);
-            requests.push_back(now);
-        }
-        if (SendRetry(budget, now)) {
-            retries.push_back(now);
-        }
-    }
-    for (int64_t from : retries) {
-        RC_ASSERT(CountWithin(retries, from) <=
-                  0.2 * CountWithin(requests, from) + 56);
+        sent.Load(budget, now);
     }
+    sent.Check();
 }
 
 // Two bursts of retries, of which the first waits: they must not arrive within
