Log how long after a lost connection a server's end is known

The two likely causes of the incident, that requests without a body are not counted and that their servers' ends are known too late, look the same in the logs. content.server_ended says now how many ms before the request had been given up.

AbandonedRuns tests pass with the changed call.

--- a/src/abandoned_runs.c
+++ b/src/abandoned_runs.c
@@ -21,19 +21,19 @@
     abandoned->next = (abandoned->next + 1) % PS_ABANDONED_RUNS_MAX;
 }
 
-uint64_t
+bool
 PsAbandonedRuns_TakeNext(ps_abandoned_runs_t *abandoned, uint64_t crash_id,
-                         int64_t now_ms)
+                         int64_t now_ms, ps_abandoned_run_t *taken)
 {
     for (size_t i = 0; i < PS_ABANDONED_RUNS_MAX; i++) {
         ps_abandoned_run_t *run = &abandoned->runs[i];
         if (run->content != 0 && run->crash_id == crash_id) {
-            uint64_t content = run->content;
+            *taken = *run;
             run->content = 0;
-            if (now_ms - run->at_ms <= PS_ABANDONED_RUN_TTL_MS) {
-                return content;
+            if (now_ms - taken->at_ms <= PS_ABANDONED_RUN_TTL_MS) {
+                return true;
             }
         }
     }
-    return 0;
+    return false;
 }
--- a/src/abandoned_runs.h
+++ b/src/abandoned_runs.h
@@ -51,10 +51,12 @@
 
 /**
  * PsAbandonedRuns_TakeNext() - Removes a request at a server that has crashed.
+ * @taken: receives the request
  *
- * Return: hash of its content; 0: there are no more.
+ * Return: false if there are no more.
  */
-uint64_t PsAbandonedRuns_TakeNext(ps_abandoned_runs_t *abandoned,
-                                  uint64_t crash_id, int64_t now_ms);
+bool PsAbandonedRuns_TakeNext(ps_abandoned_runs_t *abandoned,
+                              uint64_t crash_id, int64_t now_ms,
+                              ps_abandoned_run_t *taken);
 
 #endif
--- a/src/content_crashes.c
+++ b/src/content_crashes.c
@@ -166,15 +166,16 @@
                                  const ps_registration_t *server,
                                  int64_t now_ms)
 {
-    uint64_t content;
-    while ((content = PsAbandonedRuns_TakeNext(
-                &crashes->abandoned_runs, get_crash_id(server), now_ms))) {
-        count_own_crash(crashes, content, server, now_ms);
-        ps_name_t hash = PsSuspects_FormatHash(content);
+    ps_abandoned_run_t run;
+    while (PsAbandonedRuns_TakeNext(&crashes->abandoned_runs,
+                                    get_crash_id(server), now_ms, &run)) {
+        count_own_crash(crashes, run.content, server, now_ms);
+        ps_name_t hash = PsSuspects_FormatHash(run.content);
         PsEvents_Add(
-            "content.server_ended", "{s:s,s:s,s:i}", "content", hash.data,
-            "server", server->name.data, "crashes",
-            PsSuspects_GetCrashes(&crashes->suspects, content, now_ms));
+            "content.server_ended", "{s:s,s:s,s:I,s:i}", "content", hash.data,
+            "server", server->name.data, "after_ms",
+            (json_int_t)(now_ms - run.at_ms), "crashes",
+            PsSuspects_GetCrashes(&crashes->suspects, run.content, now_ms));
     }
 }
 
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -1036,16 +1036,21 @@
     PsAbandonedRuns_Add(&abandoned, 2, 71, kStart);
     PsAbandonedRuns_Add(&abandoned, 3, 70, kStart + 5000);
     int64_t later = kStart + PS_ABANDONED_RUN_TTL_MS + 1;
-    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 72, later), 0u);
-    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 70, later), 3u);
-    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 70, later), 0u);
-    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 71, kStart), 2u);
-    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 71, kStart), 0u);
+    auto take = [&](uint64_t crash, int64_t now) -> uint64_t {
+        ps_abandoned_run_t run;
+        bool found = PsAbandonedRuns_TakeNext(&abandoned, crash, now, &run);
+        return found ? run.content : 0;
+    };
+    EXPECT_EQ(take(72, later), 0u);
+    EXPECT_EQ(take(70, later), 3u);
+    EXPECT_EQ(take(70, later), 0u);
+    EXPECT_EQ(take(71, kStart), 2u);
+    EXPECT_EQ(take(71, kStart), 0u);
     for (uint64_t i = 1; i <= PS_ABANDONED_RUNS_MAX + 1; i++) {
         PsAbandonedRuns_Add(&abandoned, i, i == 1 ? 80 : 81, kStart);
     }
-    EXPECT_EQ(PsAbandonedRuns_TakeNext(&abandoned, 80, kStart), 0u);
-    EXPECT_NE(PsAbandonedRuns_TakeNext(&abandoned, 81, kStart), 0u);
+    EXPECT_EQ(take(80, kStart), 0u);
+    EXPECT_NE(take(81, kStart), 0u);
 }
 
 TEST(RecentSet, KeepsHashesForItsTimeInBoundedMemory)
