--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -69,13 +69,14 @@
     rig_start_process "d$1" "$RIG_BUILD/pearstaird" -s "$RIG_DIR/d$1.ini"
 }
 
-# gw_start_runner N - starts backend server N; those with odd numbers belong to
-# service m, the others to s
+# gw_start_runner N [NAME] - starts backend server N, under the name rN if none is
+# given; those with odd numbers belong to service m, the others to s.
+# GW_HEARTBEAT_MS sets how often it registers.
 gw_start_runner() {
-    local service
+    local service name=${2:-r$1}
     service=$([ $(($1 % 2)) = 1 ] && echo m || echo s)
-    rig_start_process "r$1" "$RIG_BUILD/standin-runner" "$(gw_runner "$1")" "$(gw_store)" "r$1" "$service" "$GW_SLOTS" \
-        "$(gw_runner "$1")" "$RIG_DIR/arrivals"
+    rig_start_process "r$1" "$RIG_BUILD/standin-runner" "$(gw_runner "$1")" "$(gw_store)" "$name" "$service" "$GW_SLOTS" \
+        "$(gw_runner "$1")" "$RIG_DIR/arrivals" "${GW_HEARTBEAT_MS:-400}"
 }
 
 # gw_restart_runner N - starts backend server N again, after its end, and waits
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -1,9 +1,10 @@
 /*
  * runner.c - Stand-in for a backend server of the fleet's dialect.
  *
- * Usage: standin-runner IP:PORT STORE NAME SERVICE SLOTS [ADVERTISED [LOG]]
+ * Usage: standin-runner IP:PORT STORE NAME SERVICE SLOTS
+ *                       [ADVERTISED [LOG [HEARTBEAT_MS]]]
  * Registers itself in the store at STORE, with the address ADVERTISED in place
- * of IP:PORT if given. Sends plain answers, and streams of events for paths
+ * of IP:PORT if given, and again every HEARTBEAT_MS, 400 without it. Sends plain answers, and streams of events for paths
  * that contain "/stream": an event for each 5 output tokens that Token-Counts
  * announces, 5 events without it. Writes a line to LOG for each request that
  * arrives: the request's id, the time in ms since 1970, the server's name, the
@@ -34,7 +35,7 @@
 
 #include "common.h"
 
-#define REGISTER_INTERVAL_MS 400 /* between writes of the registration */
+#define HEARTBEAT_MS 400         /* between writes of the registration */
 #define PLAIN_ANSWER_MS 15       /* time that a plain answer takes */
 #define EVENT_INTERVAL_MS 12     /* between events of a stream */
 #define SILENCE_MS 2500          /* until a silent stream is broken off */
@@ -60,6 +61,7 @@
 static const char *store_address;
 static const char *server_name;
 static const char *service;
+static int heartbeat_ms = HEARTBEAT_MS;
 static int slots;
 static int n_running;
 static int64_t started_ms;
@@ -107,8 +109,8 @@
     return status;
 }
 
-// Writes the registration every REGISTER_INTERVAL_MS, as the store removes
-// those that are not renewed.
+// Writes the registration at each heartbeat, as the store removes those that
+// are not renewed.
 static void *
 run_registration(void *user)
 {
@@ -127,7 +129,7 @@
             send_to_store("POST", "/pearstair/objects/servers", text);
         }
         free(text);
-        Standin_SleepMs(REGISTER_INTERVAL_MS);
+        Standin_SleepMs(heartbeat_ms);
     }
     return NULL;
 }
@@ -366,9 +368,9 @@
 int
 main(int argc, char **argv)
 {
-    if (argc < 6 || argc > 8) {
+    if (argc < 6 || argc > 9) {
         fprintf(stderr, "usage: standin-runner IP:PORT STORE NAME SERVICE "
-                        "SLOTS [ADVERTISED [LOG]]\n");
+                        "SLOTS [ADVERTISED [LOG [HEARTBEAT_MS]]]\n");
         return 2;
     }
     advertised_address = argc > 6 ? argv[6] : argv[1];
@@ -376,6 +378,7 @@
     if (arrival_log) {
         setvbuf(arrival_log, NULL, _IOLBF, 0);
     }
+    heartbeat_ms = argc > 8 ? atoi(argv[8]) : HEARTBEAT_MS;
     store_address = argv[2];
     server_name = argv[3];
     service = argv[4];
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -5,8 +5,8 @@
  * Under /pearstair/objects/KIND: GET lists the objects (those with a name
  * after afterRev), GET with watch and waitMs waits for changes after the
  * revision watch, POST adds an object; GET, PUT and DELETE of /NAME.
- * Objects of kind "servers" that are not written for REGISTRATION_TTL_MS are
- * removed.
+ * Objects of kind "servers" that are not written for REGISTRATION_TTL_MS, or
+ * for what the switch registration_ttl_ms says, are removed.
  * POST /switch sets faults: down (status 503), slow_ms (delay of each
  * request), hang (requests wait; watches end with status 503), lose (the next
  * writes are carried out but not answered) and compact (past changes are
@@ -30,7 +30,7 @@
 #define OBJECTS_PATH "/pearstair/objects/"
 #define CHANGES_MAX 4000         /* changes kept for watches */
 #define LIST_OBJECTS_MAX 500     /* objects in one list */
-#define REGISTRATION_TTL_MS 1800 /* since its last write */
+#define REGISTRATION_TTL_MS 1800 /* since its last write, if not set */
 
 typedef struct change {
     char *kind;
@@ -48,6 +48,7 @@
 static bool is_down;
 static bool is_hung;
 static int64_t slow_ms;
+static int64_t registration_ttl_ms = REGISTRATION_TTL_MS;
 static int64_t answers_to_lose; /* next writes to carry out unanswered */
 static int64_t n_calls;
 static int64_t era = 1;       /* value of the header Store-Era */
@@ -295,7 +296,7 @@
     (void)value;
     const int64_t *written_ms = g_hash_table_lookup(write_times, key);
     if (strncmp(key, "servers/", 8) == 0 && written_ms &&
-        Standin_GetTimeMs() - *written_ms > REGISTRATION_TTL_MS) {
+        Standin_GetTimeMs() - *written_ms > registration_ttl_ms) {
         g_ptr_array_add(data, g_strdup(key));
     }
     return FALSE;
@@ -326,6 +327,8 @@
     is_down = Standin_GetQueryNumber(request, "down", is_down) != 0;
     is_hung = Standin_GetQueryNumber(request, "hang", is_hung) != 0;
     slow_ms = Standin_GetQueryNumber(request, "slow_ms", slow_ms);
+    registration_ttl_ms = Standin_GetQueryNumber(
+        request, "registration_ttl_ms", registration_ttl_ms);
     answers_to_lose = Standin_GetQueryNumber(request, "lose", answers_to_lose);
     pthread_mutex_lock(&lock);
     if (Standin_GetQueryNumber(request, "copy", 0) != 0) {
