Count the end of a server once it refuses connections

What callers saw: a request without a body that crashes servers went on ending them after their return, later than 3 s after the third. Requests of others failed with them.

Cause: such a request counts only for servers that are known to have ended, and that was known from the removal of their registrations, three heartbeats after the last one. The servers are back sooner, and a larger service has others to crash meanwhile. A belief depended on the slowest of the signs for it.

A daemon that loses the connection of a request without a body now opens another one to the server 0.1 s later. A refused one shows that no process listens there, which counts at once; a server that cuts connections and lives accepts it. Without an answer the registration decides, as before. One check of a server waits at a time.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
-    allocator_rounds changes content_crashes
+    allocator_rounds changes content_crashes server_checks
 PLATFORM := endpoints codec dialect_fleet run_gateway store
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
--- a/src/content_crashes.c
+++ b/src/content_crashes.c
@@ -131,16 +131,16 @@
     PsSuspects_Finish(&crashes->suspects);
 }
 
-void
+bool
 PsContentCrashes_Add(ps_content_crashes_t *crashes, uint64_t content,
                      const ps_registration_t *server, int64_t now_ms)
 {
     if (has_body(content)) {
         count_own_crash(crashes, content, server, now_ms);
+        return false;
     }
-    else {
-        PsContentCrashes_AddAbandoned(crashes, content, server, now_ms);
-    }
+    PsContentCrashes_AddAbandoned(crashes, content, server, now_ms);
+    return true;
 }
 
 void
--- a/src/content_crashes.h
+++ b/src/content_crashes.h
@@ -60,8 +60,10 @@
  * A content that ran to its end here lately is not the cause and is ignored:
  * many callers may send the same one. One without a body counts when the
  * server turns out to have ended.
+ *
+ * Return: whether it counts only once the server is known to have ended.
  */
-void PsContentCrashes_Add(ps_content_crashes_t *crashes, uint64_t content,
+bool PsContentCrashes_Add(ps_content_crashes_t *crashes, uint64_t content,
                           const ps_registration_t *server, int64_t now_ms);
 
 /**
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -567,7 +567,10 @@
     ps_content_crashes_t *crashes = &exchange->gateway->content_crashes;
     const ps_registration_t *server = &exchange->task.backend->registration;
     exchange->gateway->stats.lost_connections++;
-    PsContentCrashes_Add(crashes, exchange->content_hash, server, now_ms);
+    if (PsContentCrashes_Add(crashes, exchange->content_hash, server,
+                             now_ms)) {
+        PsServerChecks_Add(&exchange->gateway->server_checks, server, now_ms);
+    }
     ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
     PsEvents_Add("content.lost_connection", "{s:s,s:s,s:s,s:b,s:i,s:i}", "id",
                  exchange->inbound.request_id.data, "content", content.data,
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -344,6 +344,14 @@
     PsScheduler_RemoveBackend(&dispatcher->scheduler, backend);
 }
 
+static void
+on_server_ended(void *user, const ps_registration_t *server)
+{
+    ps_gateway_t *gateway = user;
+    PsContentCrashes_HandleServerEnd(&gateway->content_crashes, server,
+                                     PsClock_Now());
+}
+
 /* ---- Callers ---------------------------------------------------------- */
 
 static void
@@ -540,6 +548,7 @@
     int64_t now_ms = PsClock_Now();
     check_pause(gateway, now_ms);
     PsBackendRegistry_RemoveMissing(&gateway->backend_registry, now_ms);
+    PsServerChecks_Run(&gateway->server_checks, now_ms);
     PsSharing_Run(&gateway->sharing, now_ms);
     update_poll_rate(gateway, now_ms);
     run_dispatchers(gateway, now_ms);
@@ -592,6 +601,8 @@
     PsBackendRegistry_Init(&gateway->backend_registry, &registry_events,
                            gateway);
     PsContentCrashes_Init(&gateway->content_crashes);
+    PsServerChecks_Init(&gateway->server_checks, &gateway->http_client,
+                        on_server_ended, gateway);
     gateway->dispatchers = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
     gateway->quotas =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
@@ -629,6 +640,7 @@
     PsSharing_Finish(&gateway->sharing);
     PsCatalog_Unref(gateway->catalog);
     PsChanges_Finish(&gateway->changes);
+    PsServerChecks_Finish(&gateway->server_checks);
     PsContentCrashes_Finish(&gateway->content_crashes);
     PsRecentMembers_Finish(&gateway->recent_members);
     PsEvents_Flush();
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -23,6 +23,7 @@
 #include "recent_members.h"
 #include "retry_budget.h"
 #include "scheduler.h"
+#include "server_checks.h"
 #include "settings.h"
 #include "sharing.h"
 #include "store_events.h"
@@ -115,6 +116,7 @@
     GHashTable *dispatchers; /* service name to ps_dispatcher_t */
     GHashTable *quotas;      /* team name to ps_quota_t */
     ps_content_crashes_t content_crashes;
+    ps_server_checks_t server_checks;
     ps_daemon_info_t self;
     GHashTable *members; /* name to ps_daemon_info_t, this daemon included */
     ps_recent_members_t recent_members; /* that left */
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,6 +1,7 @@
 /* http_client.c - Runs curl's multi interface on a libev loop. */
 #include "http_client.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -33,6 +34,10 @@
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &transfer->status);
     ps_transfer_result_t result = PS_TRANSFER_COMPLETE;
     if (code != CURLE_OK) {
+        long os_error = 0;
+        curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &os_error);
+        transfer->is_refused =
+            code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
         result = transfer->sends == 0 ? PS_TRANSFER_NOT_SENT
                                       : PS_TRANSFER_INCOMPLETE;
     }
@@ -349,6 +354,7 @@
     CURL *easy = transfer->easy;
     transfer->sends = 0;
     transfer->is_aborted = false;
+    transfer->is_refused = false;
     transfer->must_not_resend = request->must_not_resend;
     set_callbacks(easy, client, transfer);
     curl_easy_setopt(easy, CURLOPT_URL, request->url);
@@ -361,7 +367,10 @@
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->request_headers);
-    long has_own_connection = request->has_own_connection ? 1L : 0L;
+    bool needs_new = request->has_own_connection || request->connects_only;
+    long has_own_connection = needs_new ? 1L : 0L;
+    curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY,
+                     request->connects_only ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, has_own_connection);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, has_own_connection);
     if (request->idle_max_s > 0) {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -60,6 +60,7 @@
     int sends;                 /* times that curl began to send the request */
     bool must_not_resend;      /* copied from the ps_transfer_request_t */
     bool is_aborted;           /* set by a callback to close the connection */
+    bool is_refused;           /* no process listens at the address */
     ps_buf_t body;             /* of the response, when events->data is NULL */
     ps_name_t content_type;    /* Content-Type of the response */
     ps_name_t request_id;      /* X-Request-Id of the response, or empty */
@@ -77,6 +78,7 @@
  * @has_own_connection: uses a new connection and closes it afterwards
  * @must_not_resend: sent at most once, also when a reused connection turns out
  *                   to be closed; the transfer is then incomplete
+ * @connects_only: sends nothing; complete when a new connection is open
  * @idle_max_s: seconds; a connection that was idle for longer is not reused;
  *              0: curl's default
  */
@@ -88,6 +90,7 @@
     int64_t timeout_ms;
     bool has_own_connection;
     bool must_not_resend;
+    bool connects_only;
     int idle_max_s;
 } ps_transfer_request_t;
 
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -4,25 +4,24 @@
  * Usage: standin-runner IP:PORT STORE NAME SERVICE SLOTS
  *                       [ADVERTISED [LOG [HEARTBEAT_MS]]]
  * Registers itself in the store at STORE, with the address ADVERTISED in place
- * of IP:PORT if given, and again every HEARTBEAT_MS, 400 without it. Sends plain answers, and streams of events for paths
- * that contain "/stream": an event for each 5 output tokens that Token-Counts
- * announces, 5 events without it. Writes a line to LOG for each request that
- * arrives: the request's id, the time in ms since 1970, the server's name, the
- * service, "ran" or "rejected", and its Deadline-Ms, 0 without one.
- * POST /switch sets faults: leaving (announced in the registration), reject
- * (all requests), and in percent of requests
- * errors: status 500; a stream's path gets a plain answer, of which the same
- *     percentage has status 500
- * cut: the connection is closed before the answer or within a stream
- * mute: a plain answer is 2 s late, then with the same probability 2 s more,
- *     and so on; a stream sends no event and breaks off after SILENCE_MS
- * foreign: the answer has another request's id.
- * A request whose body begins with "CRASH N", or without a body the last part
- * of whose path is CRASH-N, ends the process with status 1: within a stream
- * after N events, and in place of a plain answer or a stream's head if N is 0.
- * STOP stops the process (SIGSTOP) instead, so that its connections stay open
- * and silent. The faults above don't strike such a request.
- * GET /counts: runs by request id, rejected and running requests.
+ * of IP:PORT if given, and again every HEARTBEAT_MS, 400 without it. Sends
+ * plain answers, and streams of events for paths that contain "/stream": an
+ * event for each 5 output tokens that Token-Counts announces, 5 events without
+ * it. Writes a line to LOG for each request that arrives: the request's id,
+ * the time in ms since 1970, the server's name, the service, "ran" or
+ * "rejected", and its Deadline-Ms, 0 without one. POST /switch sets faults:
+ * leaving (announced in the registration), reject (all requests), and in
+ * percent of requests errors: status 500; a stream's path gets a plain answer,
+ * of which the same percentage has status 500 cut: the connection is closed
+ * before the answer or within a stream mute: a plain answer is 2 s late, then
+ * with the same probability 2 s more, and so on; a stream sends no event and
+ * breaks off after SILENCE_MS foreign: the answer has another request's id. A
+ * request whose body begins with "CRASH N", or without a body the last part of
+ * whose path is CRASH-N, ends the process with status 1: within a stream after
+ * N events, and in place of a plain answer or a stream's head if N is 0. STOP
+ * stops the process (SIGSTOP) instead, so that its connections stay open and
+ * silent. The faults above don't strike such a request. GET /counts: runs by
+ * request id, rejected and running requests.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -35,13 +34,13 @@
 
 #include "common.h"
 
-#define HEARTBEAT_MS 400         /* between writes of the registration */
-#define PLAIN_ANSWER_MS 15       /* time that a plain answer takes */
-#define EVENT_INTERVAL_MS 12     /* between events of a stream */
-#define SILENCE_MS 2500          /* until a silent stream is broken off */
-#define CRASH "CRASH"            /* ends the process */
-#define STOP "STOP"              /* stops the process */
-#define EVENT_BYTES_MAX 200      /* bytes of one event */
+#define HEARTBEAT_MS 400     /* between writes of the registration */
+#define PLAIN_ANSWER_MS 15   /* time that a plain answer takes */
+#define EVENT_INTERVAL_MS 12 /* between events of a stream */
+#define SILENCE_MS 2500      /* until a silent stream is broken off */
+#define CRASH "CRASH"        /* ends the process */
+#define STOP "STOP"          /* stops the process */
+#define EVENT_BYTES_MAX 200  /* bytes of one event */
 
 typedef struct stream {
     char id[128];
--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -7,6 +7,7 @@
 #include "http_client.h"
 #include "peers.h"
 #include "platform.h"
+#include "server_checks.h"
 }
 
 namespace {
@@ -143,6 +144,47 @@
     PsHttpClient_Finish(&client);
 }
 
+namespace {
+
+void
+AddName(void *user, const ps_registration_t *server)
+{
+    ((std::vector<std::string> *)user)->push_back(server->name.data);
+}
+
+} // namespace
+
+// Only a server whose process has ended refuses connections: one that cuts or
+// ignores them still runs.
+TEST(ServerChecks, RefusedConnectionShowsTheEndOfAServer)
+{
+    ps_http_client_t client;
+    PsHttpClient_Init(&client, GetLoop());
+    std::vector<std::string> ended;
+    ps_server_checks_t checks;
+    PsServerChecks_Init(&checks, &client, AddName, &ended);
+    RawServer running;
+    ps_registration_t servers[2] = {};
+    servers[0].name = ToName("running");
+    servers[0].address = ToName(running.address);
+    servers[1].name = ToName("ended");
+    servers[1].address = ToName("127.0.0.1:1");
+    for (int i = 0; i < 4; i++) { // each is checked once
+        PsServerChecks_Add(&checks, &servers[i % 2], 1000);
+    }
+    EXPECT_EQ(checks.checks.length, 2u);
+    PsServerChecks_Run(&checks, 1000 + PS_SERVER_CHECK_DELAY_MS - 1);
+    EXPECT_EQ(client.connects, 0u);
+    PsServerChecks_Run(&checks, 1000 + PS_SERVER_CHECK_DELAY_MS);
+    RunUntil([&] { return checks.checks.length == 0; });
+    EXPECT_EQ(ended, std::vector<std::string>{"ended"});
+    EXPECT_EQ(running.requests, 0) << "sent a request";
+    PsServerChecks_Add(&checks, &servers[0], 2000);
+    PsServerChecks_Run(&checks, 2000 + PS_SERVER_CHECK_DELAY_MS);
+    PsServerChecks_Finish(&checks); // while a check is in progress
+    PsHttpClient_Finish(&client);
+}
+
 // libcurl retries a request when a connection that it reuses turns out to be
 // closed. A request that must be sent at most once therefore gets a connection
 // of its own.
