--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -4,24 +4,28 @@
  * Usage: standin-runner IP:PORT STORE NAME SERVICE SLOTS
  *                       [ADVERTISED [LOG [HEARTBEAT_MS]]]
  * Registers itself in the store at STORE, with the address ADVERTISED in place
- * of IP:PORT if given, and again every HEARTBEAT_MS, 400 without it. Sends
+ * of IP:PORT if given, and again every HEARTBEAT_MS, 400 if not given. Sends
  * plain answers, and streams of events for paths that contain "/stream": an
  * event for each 5 output tokens that Token-Counts announces, 5 events without
  * it. Writes a line to LOG for each request that arrives: the request's id,
  * the time in ms since 1970, the server's name, the service, "ran" or
- * "rejected", and its Deadline-Ms, 0 without one. POST /switch sets faults:
- * leaving (announced in the registration), reject (all requests), and in
- * percent of requests errors: status 500; a stream's path gets a plain answer,
- * of which the same percentage has status 500 cut: the connection is closed
- * before the answer or within a stream mute: a plain answer is 2 s late, then
- * with the same probability 2 s more, and so on; a stream sends no event and
- * breaks off after SILENCE_MS foreign: the answer has another request's id. A
- * request whose body begins with "CRASH N", or without a body the last part of
- * whose path is CRASH-N, ends the process with status 1: within a stream after
- * N events, and in place of a plain answer or a stream's head if N is 0. STOP
- * stops the process (SIGSTOP) instead, so that its connections stay open and
- * silent. The faults above don't strike such a request. GET /counts: runs by
- * request id, rejected and running requests.
+ * "rejected", and its Deadline-Ms, 0 without one.
+ * POST /switch sets faults: leaving (announced in the registration), reject
+ * (all requests), and in percent of requests
+ * errors: status 500; a stream's path gets a plain answer, of which the same
+ *     percentage has status 500
+ * cut: the connection is closed before the answer or within a stream
+ * mute: a plain answer is 2 s late, then with the same probability 2 s more,
+ *     and so on; a stream sends no event and breaks off after SILENCE_MS
+ * foreign: the answer has another request's id.
+ * The switch limit sets the text of the header Server-Limit of all answers;
+ * with the text "none" they have no such header.
+ * A request whose body begins with "CRASH N", or without a body the last part
+ * of whose path is CRASH-N, ends the process with status 1: within a stream
+ * after N events, and in place of a plain answer or a stream's head if N is 0.
+ * STOP stops the process (SIGSTOP) instead, so that its connections stay open
+ * and silent. The faults above don't strike such a request.
+ * GET /counts: runs by request id, rejected and running requests.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -71,6 +75,7 @@
 static int64_t cut_percent;
 static int64_t silent_percent;
 static int64_t wrong_id_percent;
+static char limit_text[64]; /* of Server-Limit; empty: no such header */
 
 // Decides at random whether to inject a fault: true in this percentage of
 // calls.
@@ -235,6 +240,9 @@
     MHD_add_response_header(response, "Request-Id",
                             should_inject(wrong_id_percent) ? "another" : id);
     MHD_add_response_header(response, "Response-Stamp", stamp);
+    if (*limit_text) {
+        MHD_add_response_header(response, "Server-Limit", limit_text);
+    }
     g_free(stamp);
     enum MHD_Result result =
         MHD_queue_response(request->connection, 200, response);
@@ -256,7 +264,11 @@
     char *text = g_strdup_printf("ok %s", id);
     const char *headers[] = {"Request-Id",
                              should_inject(wrong_id_percent) ? "another" : id,
-                             "Response-Stamp", stamp, NULL};
+                             "Response-Stamp",
+                             stamp,
+                             *limit_text ? "Server-Limit" : NULL,
+                             limit_text,
+                             NULL};
     enum MHD_Result result = MHD_NO;
     if (!should_inject(cut_percent)) {
         result = Standin_SendText(
@@ -285,8 +297,15 @@
     pthread_mutex_lock(&lock);
     n_rejected++;
     pthread_mutex_unlock(&lock);
-    const char *headers[] = {"Request-Id", id,          "Not-Run", "1",
-                             "Instance",   server_name, NULL};
+    const char *headers[] = {"Request-Id",
+                             id,
+                             "Not-Run",
+                             "1",
+                             "Instance",
+                             server_name,
+                             *limit_text ? "Server-Limit" : NULL,
+                             limit_text,
+                             NULL};
     return Standin_SendText(request, status, "", headers);
 }
 
@@ -347,6 +366,11 @@
 handle_request(standin_request_t *request)
 {
     if (strcmp(request->path, "/switch") == 0) {
+        const char *limit = Standin_GetQueryText(request, "limit");
+        if (limit) {
+            bool is_none = strcmp(limit, "none") == 0;
+            g_strlcpy(limit_text, is_none ? "" : limit, sizeof limit_text);
+        }
         is_leaving = Standin_GetQueryNumber(request, "leaving", is_leaving);
         rejects_all = Standin_GetQueryNumber(request, "reject", rejects_all);
         error_percent =
