Keep to the rates that backend servers name, over all daemons

Callers see it as an overloaded server that gets worse.

Cause: nobody read Server-Limit. It is a limit that a server tells some daemons and that holds over all of them, as quotas and retries do, and changes with each answer.

The adapter reads the header of all answers. A notice is known to hold at some moment between sending and answer, so that late answers end nothing; the latest one counts, the stricter one if the order is not certain. Reports and grants carry notices to all daemons. The allocator keeps a token bucket for each limited server and permits a request with each free slot that it grants, by rank as before; work goes to other servers while it has no token. Without grants daemons take turns that add up to the rate. A new allocator begins with an empty bucket, a daemon that doesn't know the others sends nothing. Retry-After follows what the limits leave.

Quotas and this limit share the scheme (totals in reports, grants beyond them, even parts without grants), not the code: a quota meters a window of units once spent, this permits single requests in time, where a window would let all come at its start. The retry budget has no grants.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
     rule_kinds settings config server pool estimate place_finish \
     place_baseline ids ledger owner members entry clock catalog quota \
     retry_budget backend even_shares backend_registry scheduler allocator \
-    outliers histogram crash_reports abandoned_runs recent_set recent_members
+    outliers histogram crash_reports abandoned_runs recent_set recent_members \
+    rate_bucket server_limit
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
@@ -107,7 +108,7 @@
 # Tests
 
 TESTS := test_tables test_pool test_ledger test_contract test_simulation \
-    test_gateway test_limits test_mutations
+    test_gateway test_limits test_mutations test_server_limits
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
@@ -128,6 +129,10 @@
     $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
+$(BUILD)/test_server_limits: $(BUILD)/tests/test_server_limits.o \
+    $(DAEMON_OBJS) $(KERNEL_OBJS)
+	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
+
 $(BUILD)/test_simulation: $(BUILD)/tests/test_simulation.o \
     $(BUILD)/tests/simulation.o $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
--- a/src/allocator.c
+++ b/src/allocator.c
@@ -43,6 +43,7 @@
     ps_reporter_t *reporter = data;
     g_hash_table_destroy(reporter->services);
     g_hash_table_destroy(reporter->teams);
+    g_hash_table_destroy(reporter->starts);
     g_free(reporter);
 }
 
@@ -127,6 +128,24 @@
     return MAX(free_slots - count_running(uses, slots->server), 0);
 }
 
+// Lowers a server's free slots to the requests that its limit allows now. A
+// free slot that is granted permits one request.
+static int
+apply_server_rate(ps_allocator_t *allocator, const GPtrArray *uses,
+                  uint32_t server, int free_slots, int n_daemons,
+                  int64_t now_ms)
+{
+    ps_server_bucket_t *limited = g_hash_table_lookup(
+        allocator->server_buckets, GUINT_TO_POINTER(server));
+    if (!limited) {
+        return free_slots;
+    }
+    double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
+    PsRateBucket_SetRate(&limited->bucket, limited->rate * part, now_ms);
+    return MIN(free_slots,
+               PsRateBucket_CountAllowed(&limited->bucket, now_ms));
+}
+
 // Returns the index of the server with the largest part of its slots free; -1:
 // none is free.
 static int
@@ -231,7 +250,12 @@
     }
     PsOutliers_Find(&allocator->outliers, servers, n, is_outlier, now_ms);
     for (int i = 0; i < n; i++) {
-        if (is_outlier[i] && count_running(uses, servers[i]) == 0) {
+        bool is_rate_used_up =
+            free_slots[i] == 0 &&
+            g_hash_table_contains(allocator->server_buckets,
+                                  GUINT_TO_POINTER(servers[i]));
+        if (is_outlier[i] && !is_rate_used_up &&
+            count_running(uses, servers[i]) == 0) {
             guint turn = (guint)(now_ms / TRIAL_MS) + servers[i];
             add_slot(uses->pdata[turn % uses->len], servers[i]);
         }
@@ -370,6 +394,8 @@
     *allocator = (ps_allocator_t){0};
     allocator->reporters = new_name_table(free_reporter);
     allocator->team_quotas = new_name_table(g_free);
+    allocator->server_buckets =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     PsOutliers_Init(&allocator->outliers);
 }
 
@@ -378,6 +404,7 @@
 {
     g_hash_table_destroy(allocator->reporters);
     g_hash_table_destroy(allocator->team_quotas);
+    g_hash_table_destroy(allocator->server_buckets);
     PsOutliers_Finish(&allocator->outliers);
 }
 
@@ -411,6 +438,8 @@
         reporter->incarnation = incarnation;
         reporter->services = new_name_table(free_service_use);
         reporter->teams = new_name_table(g_free);
+        reporter->starts =
+            g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
         g_hash_table_insert(allocator->reporters,
                             g_memdup2(name, sizeof *name), reporter);
     }
@@ -521,6 +550,54 @@
     PsQuota_SetLimit(get_team_quota(allocator, team), limit, window_s);
 }
 
+void
+PsAllocator_SetServerRate(ps_allocator_t *allocator, uint32_t server,
+                          double rate, int64_t now_ms)
+{
+    gpointer key = GUINT_TO_POINTER(server);
+    if (rate < 0) {
+        g_hash_table_remove(allocator->server_buckets, key);
+        return;
+    }
+    ps_server_bucket_t *limited =
+        g_hash_table_lookup(allocator->server_buckets, key);
+    if (!limited) {
+        limited = g_new0(ps_server_bucket_t, 1);
+        PsRateBucket_Init(&limited->bucket, rate, now_ms);
+        g_hash_table_insert(allocator->server_buckets, key, limited);
+    }
+    limited->rate = rate;
+}
+
+void
+PsAllocator_SetStarts(ps_allocator_t *allocator, ps_reporter_t *reporter,
+                      uint32_t server, uint64_t starts, int64_t now_ms)
+{
+    gpointer key = GUINT_TO_POINTER(server);
+    uint64_t *known = g_hash_table_lookup(reporter->starts, key);
+    if (!known) {
+        g_hash_table_insert(reporter->starts, key,
+                            g_memdup2(&starts, sizeof starts));
+        return;
+    }
+    // A daemon that has started again counts from 0.
+    uint64_t sent = starts >= *known ? starts - *known : starts;
+    *known = starts;
+    ps_server_bucket_t *limited =
+        g_hash_table_lookup(allocator->server_buckets, key);
+    if (limited && sent > 0) {
+        PsRateBucket_Charge(&limited->bucket, (double)sent, now_ms);
+    }
+}
+
+int
+PsServiceUse_CountGranted(const ps_service_use_t *use, uint32_t server)
+{
+    const int *limit = find_count(use->limits, server);
+    const int *running = find_count(use->running, server);
+    return MAX((limit ? *limit : 0) - (running ? *running : 0), 0);
+}
+
 void
 PsAllocator_DivideSlots(ps_allocator_t *allocator, const ps_name_t *service,
                         const ps_slot_count_t *slots, int n_slots,
@@ -533,7 +610,9 @@
     }
     int *free_slots = g_new(int, n_slots);
     for (int i = 0; i < n_slots; i++) {
-        free_slots[i] = count_free_slots(uses, &slots[i], n_daemons);
+        free_slots[i] = apply_server_rate(
+            allocator, uses, slots[i].server,
+            count_free_slots(uses, &slots[i], n_daemons), n_daemons, now_ms);
     }
     for (guint i = 0; i < uses->len; i++) {
         ps_service_use_t *use = uses->pdata[i];
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -20,6 +20,7 @@
 
 #include "outliers.h"
 #include "quota.h"
+#include "rate_bucket.h"
 #include "scheduler.h"
 #include "store_events.h"
 
@@ -67,8 +68,18 @@
     bool is_leaving;
     GHashTable *services; /* name to ps_service_use_t */
     GHashTable *teams;    /* name to ps_team_use_t */
+    GHashTable *starts;   /* hash of a server with a limit to the requests that
+                             the daemon has sent there, uint64_t */
 } ps_reporter_t;
 
+/**
+ * struct ps_server_bucket - What may be sent to one server with a limit.
+ */
+typedef struct ps_server_bucket {
+    double rate; /* requests a second over all daemons */
+    ps_rate_bucket_t bucket;
+} ps_server_bucket_t;
+
 /**
  * struct ps_allocator - State of the allocator that outlasts a round.
  */
@@ -76,7 +87,9 @@
     GHashTable *reporters;   /* name to ps_reporter_t */
     GHashTable *team_quotas; /* team to ps_quota_t, over all daemons */
     ps_outliers_t outliers;
-    double window_s;          /* of the quotas, seconds */
+    GHashTable *server_buckets; /* hash of a server with a limit to its
+                                   ps_server_bucket_t */
+    double window_s;            /* of the quotas, seconds */
     int64_t started_ms;       /* usage before then is unknown, except what was
                                  stored; 0: all usage is known */
     bool has_stored_usage;    /* the usage before the start was read from the
@@ -150,6 +163,26 @@
 void PsAllocator_RemoveReporter(ps_allocator_t *allocator,
                                 const ps_name_t *name);
 
+/**
+ * PsAllocator_SetServerRate() - Sets how many requests a second a server takes
+ * from all daemons.
+ * @server: hash of its name
+ * @rate: negative: no limit
+ *
+ * Nothing may be sent to a server at first, since what was sent before is not
+ * known.
+ */
+void PsAllocator_SetServerRate(ps_allocator_t *allocator, uint32_t server,
+                               double rate, int64_t now_ms);
+
+/**
+ * PsAllocator_SetStarts() - Counts what a daemon has sent to a server with a
+ * limit since its last report.
+ * @starts: requests since the daemon's start
+ */
+void PsAllocator_SetStarts(ps_allocator_t *allocator, ps_reporter_t *reporter,
+                           uint32_t server, uint64_t starts, int64_t now_ms);
+
 /**
  * PsAllocator_SetQuotaLimit() - Sets what all daemons together may spend of a
  * team's quota in a window.
@@ -160,6 +193,12 @@
                                const ps_name_t *team, double limit,
                                double window_s);
 
+/**
+ * PsServiceUse_CountGranted() - Returns how many slots of a server a daemon
+ * was granted beyond those in which its requests run.
+ */
+int PsServiceUse_CountGranted(const ps_service_use_t *use, uint32_t server);
+
 /**
  * PsAllocator_DivideSlots() - Computes each daemon's limits for one service.
  * @slots: slots of each server
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -21,6 +21,10 @@
 // Shortest time between two writes of the allocator's state to the store.
 #define SAVE_INTERVAL_MS 500
 
+// Time that a report takes at most, unless links or daemons are disturbed. A
+// notice of a server's limit in it may be older than it says by that much.
+#define REPORT_DELAY_MAX_MS 100
+
 /* The fields that are the same in all grants of a round. */
 typedef struct round_data {
     GPtrArray *silent;          /* names of members that do not report */
@@ -49,6 +53,24 @@
     return true;
 }
 
+static void
+handle_server_limits(ps_sharing_t *sharing, ps_reporter_t *reporter,
+                     const Ps__ServiceUse *use, const ps_name_t *service,
+                     int64_t now_ms)
+{
+    const ps_dispatcher_t *dispatcher =
+        PsGateway_GetDispatcher(sharing->gateway, service);
+    for (size_t i = 0; i < use->n_server_limits; i++) {
+        const Ps__ServerLimit *message = use->server_limits[i];
+        if (PsSharing_MergeServerLimit(&dispatcher->scheduler, message,
+                                       &reporter->name,
+                                       now_ms - REPORT_DELAY_MAX_MS, now_ms)) {
+            PsAllocator_SetStarts(&sharing->allocator, reporter,
+                                  message->server, message->starts, now_ms);
+        }
+    }
+}
+
 void
 PsAllocatorRounds_HandleReport(ps_sharing_t *sharing, const ps_name_t *from,
                                const Ps__ShareReport *report, int64_t now_ms)
@@ -72,6 +94,7 @@
                                         (int)use_message->waiting[k]->count};
             g_array_append_val(use->waiting, count);
         }
+        handle_server_limits(sharing, reporter, use_message, &service, now_ms);
         for (size_t k = 0; k < use_message->n_outcomes; k++) {
             const Ps__ServerOutcomes *each = use_message->outcomes[k];
             ps_outcomes_t outcomes = {each->good, each->failed, each->absent};
@@ -112,6 +135,12 @@
     int n = 0;
     for (guint i = 0; i < backends->len; i++) {
         const ps_backend_t *backend = backends->pdata[i];
+        PsAllocator_SetServerRate(
+            &sharing->allocator, PsSharing_HashServer(backend),
+            PsServerLimit_IsLimited(&backend->limit)
+                ? MAX(backend->limit.notice.rate, PS_SERVER_RATE_MIN)
+                : PS_SERVER_RATE_NONE,
+            now_ms);
         if (!backend->registration.is_leaving) {
             slots[n].server = PsSharing_HashServer(backend);
             slots[n++].count =
@@ -126,6 +155,31 @@
     g_free(slots);
 }
 
+// Adds the limits that servers have named to any daemon, and how many requests
+// one daemon may send there. This daemon's own grant has no notices: read back
+// with the time of the message added, they would become younger in each round.
+static void
+add_limits_to_grant(Ps__ServiceGrant *grant, const ps_dispatcher_t *dispatcher,
+                    const ps_service_use_t *use, bool is_own, int64_t now_ms)
+{
+    const GPtrArray *backends = dispatcher->scheduler.backends;
+    grant->server_limits = g_new0(Ps__ServerLimit *, backends->len + 1);
+    for (guint i = 0; i < backends->len; i++) {
+        const ps_backend_t *backend = backends->pdata[i];
+        if (!PsServerLimit_IsTold(&backend->limit, now_ms)) {
+            continue;
+        }
+        Ps__ServerLimit *message = g_new(Ps__ServerLimit, 1);
+        ps__server_limit__init(message);
+        PsSharing_SetLimitNotice(message, backend, &backend->limit.notice,
+                                 now_ms);
+        message->has_notice = message->has_notice && !is_own;
+        message->starts =
+            (uint64_t)PsServiceUse_CountGranted(use, message->server);
+        grant->server_limits[grant->n_server_limits++] = message;
+    }
+}
+
 static Ps__ServiceGrant *
 make_service_grant(const ps_name_t *service, const ps_service_use_t *use)
 {
@@ -146,8 +200,10 @@
 }
 
 static void
-add_service_grants(Ps__ShareGrant *grant, ps_reporter_t *reporter)
+add_service_grants(const ps_sharing_t *sharing, Ps__ShareGrant *grant,
+                   ps_reporter_t *reporter, int64_t now_ms)
 {
+    bool is_own = PsName_IsEqual(&reporter->name, &sharing->peers.self);
     grant->services =
         g_new0(Ps__ServiceGrant *, g_hash_table_size(reporter->services) + 1);
     GHashTableIter each;
@@ -155,7 +211,11 @@
     gpointer value;
     g_hash_table_iter_init(&each, reporter->services);
     while (g_hash_table_iter_next(&each, &key, &value)) {
-        grant->services[grant->n_services++] = make_service_grant(key, value);
+        Ps__ServiceGrant *service = make_service_grant(key, value);
+        add_limits_to_grant(service,
+                            PsGateway_GetDispatcher(sharing->gateway, key),
+                            value, is_own, now_ms);
+        grant->services[grant->n_services++] = service;
     }
 }
 
@@ -204,7 +264,7 @@
 {
     Ps__ShareGrant grant = PS__SHARE_GRANT__INIT;
     grant.round = reporter->round;
-    add_service_grants(&grant, reporter);
+    add_service_grants(sharing, &grant, reporter, PsClock_Now());
     add_team_grants(&sharing->allocator, &grant, reporter);
     grant.silent = (char **)round->silent->pdata;
     grant.n_silent = round->silent->len;
@@ -223,7 +283,11 @@
         for (size_t k = 0; k < each->n_limits; k++) {
             g_free(each->limits[k]);
         }
+        for (size_t k = 0; k < each->n_server_limits; k++) {
+            g_free(each->server_limits[k]);
+        }
         g_free(each->limits);
+        g_free(each->server_limits);
         g_free(each);
     }
     for (size_t i = 0; i < grant.n_teams; i++) {
--- a/src/backend.h
+++ b/src/backend.h
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "outliers.h"
+#include "server_limit.h"
 #include "speed.h"
 #include "str.h"
 
@@ -42,6 +43,8 @@
     /* work of this daemon */
     int slot_limit; /* requests that this daemon may run there */
     int running;
+    ps_server_limit_t limit;  /* the rate that it takes from all daemons */
+    bool has_malformed_limit; /* its last one was; it has been logged */
     double pending_prefill_tokens; /* prefill of requests sent there that have
                                       no event yet */
     /* speeds */
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -52,6 +52,15 @@
     PS_REPLY_MISMATCH      /* it is not the response to this request */
 } ps_reply_t;
 
+/**
+ * enum ps_limit_reading - Whether a response names a limit of its server.
+ */
+typedef enum ps_limit_reading {
+    PS_LIMIT_ABSENT,
+    PS_LIMIT_NAMED,
+    PS_LIMIT_MALFORMED
+} ps_limit_reading_t;
+
 /**
  * struct ps_dialect - Interface of a dialect.
  * @name: short name of the dialect
@@ -60,6 +69,7 @@
  * @add_request_headers: adds to @transfer the headers of @request that are
  *                       passed on, and those for @outbound
  * @classify: reads the headers of the response to request @request_id
+ * @read_limit: reads the requests a second that the response's server takes
  * @is_header_relayed: tells whether a response's header goes to the caller
  * @request_id_header: name of the header in which responses repeat the
  *                     request's id
@@ -73,6 +83,8 @@
                                 ps_transfer_t *transfer);
     ps_reply_t (*classify)(const ps_transfer_t *transfer,
                            const ps_name_t *request_id);
+    ps_limit_reading_t (*read_limit)(const ps_transfer_t *transfer,
+                                     double *rate);
     bool (*is_header_relayed)(ps_str_t header);
     const char *request_id_header;
 } ps_dialect_t;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -388,6 +388,41 @@
            exchange->reply == PS_REPLY_ANSWER;
 }
 
+// Takes the limit that the server names in a response. Only a response to a
+// request that it has run shows, without one, that it names none.
+static void
+take_limit(ps_exchange_t *exchange)
+{
+    const ps_transfer_t *transfer = &exchange->transfer;
+    ps_backend_t *backend = exchange->task.backend;
+    const char *name = backend->registration.name.data;
+    int64_t now_ms = PsClock_Now();
+    double rate = PS_SERVER_RATE_NONE;
+    switch (exchange->gateway->dialect->read_limit(transfer, &rate)) {
+    case PS_LIMIT_MALFORMED:
+        if (!backend->has_malformed_limit) {
+            backend->has_malformed_limit = true;
+            PsEvents_Add("server.limit_malformed", "{s:s,s:s}", "name", name,
+                         "id", exchange->inbound.request_id.data);
+        }
+        return;
+    case PS_LIMIT_ABSENT:
+        if (exchange->reply != PS_REPLY_ANSWER || transfer->status >= 300) {
+            return;
+        }
+        break;
+    case PS_LIMIT_NAMED:
+        break;
+    }
+    backend->has_malformed_limit = false;
+    ps_limit_notice_t notice = {.rate = rate,
+                                .asked_ms = exchange->task.started_ms,
+                                .answered_ms = now_ms};
+    if (PsServerLimit_AddNotice(&backend->limit, &notice, now_ms)) {
+        PsGateway_LogServerLimit(backend, "this daemon", now_ms);
+    }
+}
+
 static void
 on_headers(ps_transfer_t *transfer)
 {
@@ -395,6 +430,10 @@
     exchange->has_response_head = true;
     exchange->reply = exchange->gateway->dialect->classify(
         transfer, &exchange->inbound.request_id);
+    if (exchange->reply == PS_REPLY_ANSWER ||
+        exchange->reply == PS_REPLY_NOT_RUN) {
+        take_limit(exchange);
+    }
     if (exchange->reply == PS_REPLY_MISMATCH) {
         transfer->is_aborted = true;
     }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -85,6 +85,10 @@
         }
     }
     g_list_free(members);
+    // Daemons that have left may go on taking their turns for a while.
+    int n_turns = gateway->has_listed_members
+                      ? PsGateway_CountQuotaDaemons(gateway, PsClock_Now())
+                      : 0;
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, gateway->dispatchers);
@@ -92,6 +96,7 @@
         ps_dispatcher_t *dispatcher = value;
         const ps_gateway_settings_t *settings = &gateway->settings.gateway;
         PsScheduler_SetDaemons(&dispatcher->scheduler, n_daemons, index);
+        PsScheduler_SetTurns(&dispatcher->scheduler, n_turns, PsClock_Now());
         PsRetryBudget_SetLimits(
             &dispatcher->retry_budget, settings->retry_window_s,
             settings->retry_ratio, settings->retry_slack,
@@ -411,6 +416,24 @@
     }
 }
 
+static int
+count_limited_servers(const ps_gateway_t *gateway)
+{
+    int n = 0;
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->dispatchers);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const GPtrArray *backends =
+            ((ps_dispatcher_t *)value)->scheduler.backends;
+        for (guint i = 0; i < backends->len; i++) {
+            const ps_backend_t *backend = backends->pdata[i];
+            n += PsServerLimit_IsLimited(&backend->limit) ? 1 : 0;
+        }
+    }
+    return n;
+}
+
 static void
 on_metrics(ps_http_server_t *server, ps_http_request_t *request)
 {
@@ -443,6 +466,8 @@
                  gateway->sharing.uses_even_shares);
     print_metric(&out, "pearstair_members",
                  g_hash_table_size(gateway->members));
+    print_metric(&out, "pearstair_servers_limited",
+                 count_limited_servers(gateway));
     print_retry_budgets(gateway, &out);
     PsHistogram_Print(&stats->wait_latency, "pearstair_wait_milliseconds",
                       &out);
@@ -788,6 +813,19 @@
                                      now_ms);
 }
 
+void
+PsGateway_LogServerLimit(const ps_backend_t *backend, const char *from,
+                         int64_t now_ms)
+{
+    const ps_limit_notice_t *notice = &backend->limit.notice;
+    PsEvents_Add("server.limit", "{s:s,s:s,s:b,s:f,s:s,s:I}", "name",
+                 backend->registration.name.data, "service",
+                 backend->registration.service.data, "limited",
+                 (int)PsServerLimit_IsLimited(&backend->limit), "rate",
+                 MAX(notice->rate, 0.0), "from", from, "age_ms",
+                 (json_int_t)(now_ms - notice->answered_ms));
+}
+
 uint64_t
 PsGateway_HashServers(const ps_gateway_t *gateway)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -222,6 +222,14 @@
  */
 int PsGateway_CountQuotaDaemons(ps_gateway_t *gateway, int64_t now_ms);
 
+/**
+ * PsGateway_LogServerLimit() - Logs a limit that was learned, has changed or
+ * has ended.
+ * @from: daemon that the server told
+ */
+void PsGateway_LogServerLimit(const ps_backend_t *backend, const char *from,
+                              int64_t now_ms);
+
 /**
  * PsGateway_HashServers() - Hashes names, start times and states of the known
  * backend servers.
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -907,6 +907,51 @@
   assert(message->base.descriptor == &ps__server_outcomes__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__server_limit__init
+                     (Ps__ServerLimit         *message)
+{
+  static const Ps__ServerLimit init_value = PS__SERVER_LIMIT__INIT;
+  *message = init_value;
+}
+size_t ps__server_limit__get_packed_size
+                     (const Ps__ServerLimit *message)
+{
+  assert(message->base.descriptor == &ps__server_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__server_limit__pack
+                     (const Ps__ServerLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__server_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__server_limit__pack_to_buffer
+                     (const Ps__ServerLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__server_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ServerLimit *
+       ps__server_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ServerLimit *)
+     protobuf_c_message_unpack (&ps__server_limit__descriptor,
+                                allocator, len, data);
+}
+void   ps__server_limit__free_unpacked
+                     (Ps__ServerLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__server_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__service_use__init
                      (Ps__ServiceUse         *message)
 {
@@ -3093,7 +3138,123 @@
   (ProtobufCMessageInit) ps__server_outcomes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ps__server_limit__field_descriptors[7] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerLimit, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerLimit, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerLimit, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerLimit, asked_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerLimit, answered_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "starts",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerLimit, starts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_notice",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerLimit, has_notice),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__server_limit__field_indices_by_name[] = {
+  4,   /* field[4] = answered_age_ms */
+  3,   /* field[3] = asked_age_ms */
+  6,   /* field[6] = has_notice */
+  2,   /* field[2] = rate */
+  0,   /* field[0] = server */
+  1,   /* field[1] = started_ms */
+  5,   /* field[5] = starts */
+};
+static const ProtobufCIntRange ps__server_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor ps__server_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ServerLimit",
+  "ServerLimit",
+  "Ps__ServerLimit",
+  "ps",
+  sizeof(Ps__ServerLimit),
+  7,
+  ps__server_limit__field_descriptors,
+  ps__server_limit__field_indices_by_name,
+  1,  ps__server_limit__number_ranges,
+  (ProtobufCMessageInit) ps__server_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[5] =
 {
   {
     "service",
@@ -3143,17 +3304,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server_limits",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceUse, n_server_limits),
+    offsetof(Ps__ServiceUse, server_limits),
+    &ps__server_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_use__field_indices_by_name[] = {
   3,   /* field[3] = outcomes */
   1,   /* field[1] = running */
+  4,   /* field[4] = server_limits */
   0,   /* field[0] = service */
   2,   /* field[2] = waiting */
 };
 static const ProtobufCIntRange ps__service_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ps__service_use__descriptor =
 {
@@ -3163,7 +3337,7 @@
   "Ps__ServiceUse",
   "ps",
   sizeof(Ps__ServiceUse),
-  4,
+  5,
   ps__service_use__field_descriptors,
   ps__service_use__field_indices_by_name,
   1,  ps__service_use__number_ranges,
@@ -3428,7 +3602,7 @@
   (ProtobufCMessageInit) ps__share_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[3] =
 {
   {
     "service",
@@ -3454,15 +3628,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server_limits",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceGrant, n_server_limits),
+    offsetof(Ps__ServiceGrant, server_limits),
+    &ps__server_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_grant__field_indices_by_name[] = {
   1,   /* field[1] = limits */
+  2,   /* field[2] = server_limits */
   0,   /* field[0] = service */
 };
 static const ProtobufCIntRange ps__service_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ps__service_grant__descriptor =
 {
@@ -3472,7 +3659,7 @@
   "Ps__ServiceGrant",
   "ps",
   sizeof(Ps__ServiceGrant),
-  2,
+  3,
   ps__service_grant__field_descriptors,
   ps__service_grant__field_indices_by_name,
   1,  ps__service_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -35,6 +35,7 @@
 typedef struct Ps__ServerCount Ps__ServerCount;
 typedef struct Ps__WaitingCount Ps__WaitingCount;
 typedef struct Ps__ServerOutcomes Ps__ServerOutcomes;
+typedef struct Ps__ServerLimit Ps__ServerLimit;
 typedef struct Ps__ServiceUse Ps__ServiceUse;
 typedef struct Ps__TeamUse Ps__TeamUse;
 typedef struct Ps__ContentCrash Ps__ContentCrash;
@@ -491,6 +492,49 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * How many requests a second a server takes from all daemons together.
+ */
+struct  Ps__ServerLimit
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the backend server's name
+   */
+  uint32_t server;
+  /*
+   * Unix time of its start
+   */
+  int64_t started_ms;
+  /*
+   * negative: it names no limit any more
+   */
+  double rate;
+  /*
+   * since the request that it answered was sent
+   */
+  uint32_t asked_age_ms;
+  /*
+   * since its response was received
+   */
+  uint32_t answered_age_ms;
+  /*
+   * report: requests sent there since the sender's start;
+   */
+  uint64_t starts;
+  /*
+   * grant: requests that may be sent beyond those
+   */
+  /*
+   * rate and ages are set
+   */
+  protobuf_c_boolean has_notice;
+};
+#define PS__SERVER_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__server_limit__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
 struct  Ps__ServiceUse
 {
   ProtobufCMessage base;
@@ -504,10 +548,15 @@
    */
   size_t n_outcomes;
   Ps__ServerOutcomes **outcomes;
+  /*
+   * named to the sender
+   */
+  size_t n_server_limits;
+  Ps__ServerLimit **server_limits;
 };
 #define PS__SERVICE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Ps__TeamUse
@@ -601,10 +650,15 @@
    */
   size_t n_limits;
   Ps__ServerCount **limits;
+  /*
+   * named to any daemon
+   */
+  size_t n_server_limits;
+  Ps__ServerLimit **server_limits;
 };
 #define PS__SERVICE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
 
 
 struct  Ps__TeamGrant
@@ -1121,6 +1175,25 @@
 void   ps__server_outcomes__free_unpacked
                      (Ps__ServerOutcomes *message,
                       ProtobufCAllocator *allocator);
+/* Ps__ServerLimit methods */
+void   ps__server_limit__init
+                     (Ps__ServerLimit         *message);
+size_t ps__server_limit__get_packed_size
+                     (const Ps__ServerLimit   *message);
+size_t ps__server_limit__pack
+                     (const Ps__ServerLimit   *message,
+                      uint8_t             *out);
+size_t ps__server_limit__pack_to_buffer
+                     (const Ps__ServerLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ServerLimit *
+       ps__server_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__server_limit__free_unpacked
+                     (Ps__ServerLimit *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ServiceUse methods */
 void   ps__service_use__init
                      (Ps__ServiceUse         *message);
@@ -1354,6 +1427,9 @@
 typedef void (*Ps__ServerOutcomes_Closure)
                  (const Ps__ServerOutcomes *message,
                   void *closure_data);
+typedef void (*Ps__ServerLimit_Closure)
+                 (const Ps__ServerLimit *message,
+                  void *closure_data);
 typedef void (*Ps__ServiceUse_Closure)
                  (const Ps__ServiceUse *message,
                   void *closure_data);
@@ -1408,6 +1484,7 @@
 extern const ProtobufCMessageDescriptor ps__server_count__descriptor;
 extern const ProtobufCMessageDescriptor ps__waiting_count__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_outcomes__descriptor;
+extern const ProtobufCMessageDescriptor ps__server_limit__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__content_crash__descriptor;
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -168,6 +168,9 @@
         now_ms < backend->ejected_until_ms) {
         return false;
     }
+    if (!PsServerLimit_MayStart(&backend->limit, now_ms)) {
+        return false;
+    }
     int limit = backend->is_on_trial ? MIN(backend->slot_limit, 1)
                                      : backend->slot_limit;
     return backend->running < limit;
@@ -309,6 +312,7 @@
         PsBackend_AddCachedPart(backend, task->part_hashes[i], now_ms);
     }
     backend->running++;
+    PsServerLimit_CountStart(&backend->limit, now_ms);
     backend->pending_prefill_tokens += task->prefill_tokens;
     scheduler->events->start(scheduler, task);
 }
@@ -331,17 +335,30 @@
     return left->arrived_ms < right->arrived_ms;
 }
 
-// Estimates how many tasks end per millisecond while all slots of this daemon
-// are in use.
+// Estimates how many tasks this daemon can start per millisecond: those that
+// end while all its slots are in use, or what a server's limit leaves it.
 static double
-get_completion_rate(const ps_scheduler_t *scheduler)
+get_start_rate(const ps_scheduler_t *scheduler)
 {
+    double run_ms = MAX(scheduler->mean_run_ms, 1.0);
+    double rate = 0;
     int slots = 0;
+    bool is_any_limited = false;
     for (guint i = 0; i < scheduler->backends->len; i++) {
         const ps_backend_t *backend = scheduler->backends->pdata[i];
-        slots += backend->registration.is_leaving ? 0 : backend->slot_limit;
+        if (backend->registration.is_leaving) {
+            continue;
+        }
+        if (PsServerLimit_IsLimited(&backend->limit)) {
+            is_any_limited = true;
+            rate += PsServerLimit_GetShare(&backend->limit) / 1000.0;
+        }
+        else {
+            slots += backend->slot_limit;
+        }
     }
-    return MAX(slots, 0.5) / MAX(scheduler->mean_run_ms, 1.0);
+    rate += slots / run_ms;
+    return MAX(rate, is_any_limited ? RATE_MIN / RATE_DECAY_MS : 0.5 / run_ms);
 }
 
 // Returns a Retry-After in milliseconds: RETRY_AFTER_MIN_MS plus twice the
@@ -350,8 +367,7 @@
 static int64_t
 get_retry_after(ps_scheduler_t *scheduler)
 {
-    double wait =
-        2.0 * scheduler->waiting.length / get_completion_rate(scheduler);
+    double wait = 2.0 * scheduler->waiting.length / get_start_rate(scheduler);
     // Linear congruential generator; its upper 24 bits are used.
     scheduler->random_state = scheduler->random_state * 1664525U + 1013904223U;
     double spread = 0.75 + 0.5 * (scheduler->random_state >> 8) / 16777216.0;
@@ -501,11 +517,24 @@
     set_even_shares(scheduler);
 }
 
+void
+PsScheduler_SetTurns(ps_scheduler_t *scheduler, int n_turns, int64_t now_ms)
+{
+    scheduler->n_turns = n_turns;
+    for (guint i = 0; i < scheduler->backends->len; i++) {
+        ps_backend_t *backend = scheduler->backends->pdata[i];
+        PsServerLimit_SetDaemons(&backend->limit, n_turns,
+                                 scheduler->daemon_index, now_ms);
+    }
+}
+
 void
 PsScheduler_AddBackend(ps_scheduler_t *scheduler, ps_backend_t *backend)
 {
     if (!g_ptr_array_find(scheduler->backends, backend, NULL)) {
         g_ptr_array_add(scheduler->backends, backend);
+        PsServerLimit_SetDaemons(&backend->limit, scheduler->n_turns,
+                                 scheduler->daemon_index, 0);
     }
     set_even_shares(scheduler);
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -110,6 +110,8 @@
     GQueue waiting;      /* ps_task_t, in order of arrival */
     int n_daemons;
     int daemon_index; /* this daemon's index among @n_daemons */
+    int n_turns;      /* daemons that take turns at servers with a limit; 0:
+                         not known yet */
     ps_rank_rate_t rates[PS_RANKS_MAX];
     int n_rates;
     double mean_run_ms;         /* moving average of times at a server */
@@ -146,6 +148,13 @@
 void PsScheduler_SetDaemons(ps_scheduler_t *scheduler, int n_daemons,
                             int daemon_index);
 
+/**
+ * PsScheduler_SetTurns() - Sets how many daemons take turns at servers that
+ * have named a limit; 0: not known yet.
+ */
+void PsScheduler_SetTurns(ps_scheduler_t *scheduler, int n_turns,
+                          int64_t now_ms);
+
 /**
  * PsScheduler_AddBackend() - Adds a backend server, or recomputes the even
  * shares after its registration has changed.
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -29,6 +29,8 @@
 
 #define WANTED_DECAY 0.95 /* factor on units asked for, at each report */
 
+G_STATIC_ASSERT(PS_SERVER_LIMIT_ROUNDS >= PS_SHARING_ROUNDS_KEPT);
+
 /* ---- Choice of the allocator ------------------------------------------ */
 
 // Returns a member's weight in rendezvous hashing: a hash of its name, scaled
@@ -105,6 +107,46 @@
                  backend->registration.name.len, 0);
 }
 
+void
+PsSharing_SetLimitNotice(Ps__ServerLimit *message, const ps_backend_t *backend,
+                         const ps_limit_notice_t *notice, int64_t now_ms)
+{
+    message->server = PsSharing_HashServer(backend);
+    message->started_ms = backend->registration.started_ms;
+    message->has_notice = notice->answered_ms > 0;
+    message->rate = notice->rate;
+    message->asked_age_ms =
+        (uint32_t)CLAMP(now_ms - notice->asked_ms, 0, INT32_MAX);
+    message->answered_age_ms =
+        (uint32_t)CLAMP(now_ms - notice->answered_ms, 0, INT32_MAX);
+}
+
+ps_backend_t *
+PsSharing_MergeServerLimit(const ps_scheduler_t *scheduler,
+                           const Ps__ServerLimit *message,
+                           const ps_name_t *from, int64_t sent_ms,
+                           int64_t now_ms)
+{
+    const GPtrArray *backends = scheduler->backends;
+    for (guint i = 0; i < backends->len; i++) {
+        ps_backend_t *backend = backends->pdata[i];
+        if (PsSharing_HashServer(backend) != message->server ||
+            backend->registration.started_ms != message->started_ms) {
+            continue;
+        }
+        ps_limit_notice_t notice = {
+            .rate = message->rate,
+            .asked_ms = sent_ms - (int64_t)message->asked_age_ms,
+            .answered_ms = now_ms - (int64_t)message->answered_age_ms};
+        if (message->has_notice && isfinite(message->rate) &&
+            PsServerLimit_MergeNotice(&backend->limit, &notice, now_ms)) {
+            PsGateway_LogServerLimit(backend, from->data, now_ms);
+        }
+        return backend;
+    }
+    return NULL;
+}
+
 static ps_spending_t *
 get_spending(ps_sharing_t *sharing, const ps_name_t *team)
 {
@@ -135,10 +177,29 @@
     backend->unreported_outcomes = (ps_outcomes_t){0};
 }
 
+// Adds what this daemon knows of a server's limit from the server itself, and
+// what it has sent there, to the next report.
+static void
+add_server_limit(Ps__ServiceUse *use, ps_backend_t *backend, uint64_t round,
+                 int64_t now_ms)
+{
+    ps_server_limit_t *limit = &backend->limit;
+    PsServerLimit_NoteReport(limit, round);
+    if (!PsServerLimit_IsTold(limit, now_ms)) {
+        return;
+    }
+    Ps__ServerLimit *message = g_new(Ps__ServerLimit, 1);
+    ps__server_limit__init(message);
+    PsSharing_SetLimitNotice(message, backend, &limit->own, now_ms);
+    message->starts = limit->starts;
+    use->server_limits[use->n_server_limits++] = message;
+}
+
 // Returns a service's part of the report: running requests and outcomes by
 // server, and waiting requests by rank. Freed with free_service_use().
 static Ps__ServiceUse *
-make_service_use(const ps_dispatcher_t *dispatcher, int64_t now_ms)
+make_service_use(const ps_dispatcher_t *dispatcher, uint64_t round,
+                 int64_t now_ms)
 {
     Ps__ServiceUse *use = g_new(Ps__ServiceUse, 1);
     ps__service_use__init(use);
@@ -146,9 +207,11 @@
     const GPtrArray *backends = dispatcher->scheduler.backends;
     use->running = g_new0(Ps__ServerCount *, backends->len + 1);
     use->outcomes = g_new0(Ps__ServerOutcomes *, backends->len + 1);
+    use->server_limits = g_new0(Ps__ServerLimit *, backends->len + 1);
     for (guint i = 0; i < backends->len; i++) {
         ps_backend_t *backend = backends->pdata[i];
         add_outcomes(use, backend);
+        add_server_limit(use, backend, round, now_ms);
         if (backend->running > 0) {
             Ps__ServerCount *count = g_new(Ps__ServerCount, 1);
             ps__server_count__init(count);
@@ -183,9 +246,13 @@
     for (size_t i = 0; i < use->n_outcomes; i++) {
         g_free(use->outcomes[i]);
     }
+    for (size_t i = 0; i < use->n_server_limits; i++) {
+        g_free(use->server_limits[i]);
+    }
     g_free(use->running);
     g_free(use->waiting);
     g_free(use->outcomes);
+    g_free(use->server_limits);
     g_free(use);
 }
 
@@ -233,7 +300,7 @@
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         const ps_dispatcher_t *dispatcher = value;
         report.services[report.n_services++] =
-            make_service_use(dispatcher, now_ms);
+            make_service_use(dispatcher, report.round, now_ms);
     }
     add_team_uses(sharing, &report, now_ms);
     report.crashes = PsContentCrashes_MakeMessages(
@@ -259,10 +326,31 @@
 
 /* ---- Grants ----------------------------------------------------------- */
 
+// Takes what the allocator knows of servers' limits, and what it permits this
+// daemon to send there beyond what the answered report said.
+static void
+apply_server_limits(const ps_sharing_t *sharing,
+                    const ps_dispatcher_t *dispatcher,
+                    const Ps__ServiceGrant *grant, uint64_t round,
+                    int64_t now_ms)
+{
+    int64_t sent_ms = sharing->sent_ms[round % PS_SHARING_ROUNDS_KEPT];
+    for (size_t i = 0; i < grant->n_server_limits; i++) {
+        const Ps__ServerLimit *message = grant->server_limits[i];
+        ps_backend_t *backend = PsSharing_MergeServerLimit(
+            &dispatcher->scheduler, message, &sharing->allocator_name, sent_ms,
+            now_ms);
+        if (backend) {
+            PsServerLimit_Permit(&backend->limit, round, message->starts,
+                                 now_ms);
+        }
+    }
+}
+
 // Sets the slot limits of a service; a server without a granted limit gets 0.
 static void
 apply_service_grant(ps_sharing_t *sharing, const Ps__ServiceGrant *grant,
-                    int64_t now_ms)
+                    uint64_t round, int64_t now_ms)
 {
     ps_name_t name = PsName_FromC(grant->service);
     ps_dispatcher_t *dispatcher =
@@ -278,6 +366,7 @@
             }
         }
     }
+    apply_server_limits(sharing, dispatcher, grant, round, now_ms);
     dispatcher->scheduler.has_granted_limits = true;
     PsScheduler_Run(&dispatcher->scheduler, now_ms);
 }
@@ -383,7 +472,7 @@
     PsContentCrashes_Merge(crashes, grant->crashes, grant->n_crashes,
                            &sharing->allocator_name, now_ms);
     for (size_t i = 0; i < grant->n_services; i++) {
-        apply_service_grant(sharing, grant->services[i], now_ms);
+        apply_service_grant(sharing, grant->services[i], grant->round, now_ms);
     }
 }
 
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -65,6 +65,25 @@
  */
 uint32_t PsSharing_HashServer(const ps_backend_t *backend);
 
+/**
+ * PsSharing_SetLimitNotice() - Sets a message from a notice of a server.
+ */
+void PsSharing_SetLimitNotice(Ps__ServerLimit *message,
+                              const ps_backend_t *backend,
+                              const ps_limit_notice_t *notice, int64_t now_ms);
+
+/**
+ * PsSharing_MergeServerLimit() - Takes a notice that another daemon has.
+ * @from: that daemon
+ * @sent_ms: earliest time at which the message can have been made
+ *
+ * Return: the server; NULL: that start of it is not known here.
+ */
+ps_backend_t *PsSharing_MergeServerLimit(const ps_scheduler_t *scheduler,
+                                         const Ps__ServerLimit *message,
+                                         const ps_name_t *from,
+                                         int64_t sent_ms, int64_t now_ms);
+
 /**
  * PsSharing_Init() - Starts listening for peers. Even shares are used until
  * the first grant.
