--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -8,6 +8,7 @@
 #include "peers.h"
 #include "platform.h"
 #include "server_checks.h"
+#include "store.h"
 }
 
 namespace {
@@ -146,6 +147,79 @@
 
 namespace {
 
+std::string
+MakeServerObject(const std::string &name, int revision)
+{
+    return R"({"metadata":{"name":")" + name + R"(","revision":)" +
+           std::to_string(revision) +
+           R"(},"spec":{"service":"s","address":"127.0.0.1:9","slots":1,)"
+           R"("state":"ready"}})";
+}
+
+// What a store's client has reported of servers.
+struct ServerReports {
+    std::vector<std::string> changed;
+    std::vector<size_t> listed; // number of names in each list
+};
+
+} // namespace
+
+// A list that the store made before a watch reported a new server, and that
+// arrives after that, doesn't take the server back: it would not be reported
+// again, as its revision is known.
+TEST(Store, ListOlderThanAWatchTakesNoServerBack)
+{
+    RawServer server;
+    bool is_told = false;
+    server.respond = [&](const std::string &request) {
+        std::string items = MakeServerObject("r1", 5);
+        bool is_servers = request.find("/objects/servers") != std::string::npos;
+        if (!is_servers) {
+            return MakeResponse("200 OK",
+                                R"({"items":[],"events":[],"currentRev":10})");
+        }
+        if (request.find("watch=") == std::string::npos) {
+            return MakeResponse("200 OK", R"({"items":[)" + items +
+                                              R"(],"currentRev":10})");
+        }
+        is_told = true;
+        return MakeResponse("200 OK",
+                            R"({"events":[{"deleted":false,"object":)" +
+                                MakeServerObject("r2", 11) +
+                                R"(}],"currentRev":11})");
+    };
+    static ps_store_events_t events = {};
+    events.catalog_confirmed = [](void *, int64_t) {};
+    events.server_changed = [](void *user, const ps_registration_t *changed) {
+        ((ServerReports *)user)->changed.push_back(changed->name.data);
+    };
+    events.server_removed = [](void *, const ps_name_t *) {
+        ADD_FAILURE() << "removed";
+    };
+    events.servers_listed = [](void *user, GHashTable *names) {
+        ((ServerReports *)user)->listed.push_back(g_hash_table_size(names));
+    };
+    events.members_listed = [](void *, GHashTable *) {};
+    events.state_read = [](void *, const ps_stored_state_t *, int64_t) {};
+    events.unavailable = [](void *, const char *) {};
+    events.available = [](void *) {};
+    ps_http_client_t client;
+    PsHttpClient_Init(&client, GetLoop());
+    ServerReports reports;
+    ps_store_t store;
+    ps_name_t address = ToName(server.address);
+    PsStore_Init(&store, &client, GetLoop(), &address, &events, &reports);
+    RunUntil([&] { return reports.changed.size() == 2; });
+    size_t before = reports.listed.size();
+    RunUntil([&] { return reports.listed.size() > before; });
+    EXPECT_TRUE(is_told);
+    EXPECT_EQ(reports.listed.back(), 2u) << "r2 is missing in the list";
+    PsStore_Finish(&store);
+    PsHttpClient_Finish(&client);
+}
+
+namespace {
+
 void
 AddName(void *user, const ps_registration_t *server)
 {
