Use little of the ratio of retries until a whole window is known

Cause: a process that starts knows nothing of the retries of the one before it, and left the slack alone for that, but not the ratio.

Until a whole window has passed since its start a process uses 0.15 of the ratio: 0.8 for the former one and 0.15 for all that follow within the window stay below it. Price: a daemon that has started retries 3 in 100 of its requests for 10 s.

The check of two properties counted the requests of the same window alone.

--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -7,6 +7,10 @@
 // Fraction of ratio and slack that is used, as requests arrive unevenly.
 #define TOLERANCE_USED 0.8
 
+// Fraction of the ratio that a process uses until a whole window is known. The
+// process before it may have used the rest.
+#define RATIO_USED_AFTER_START 0.15
+
 /* ---- Internal functions ----------------------------------------------- */
 
 // Moves the window to now: clears the buckets that begin since the last call.
@@ -34,13 +38,27 @@
     return total;
 }
 
+static bool
+is_window_known(const ps_retry_budget_t *budget, int64_t now_ms)
+{
+    int64_t window_ms = budget->bucket_ms * (PS_RETRY_BUCKETS - 1);
+    return now_ms - budget->known_from_ms >= window_ms;
+}
+
+static double
+get_usable_ratio(const ps_retry_budget_t *budget, int64_t now_ms)
+{
+    return budget->ratio * (is_window_known(budget, now_ms)
+                                ? TOLERANCE_USED
+                                : RATIO_USED_AFTER_START);
+}
+
 // Returns how many retries are allowed beyond the ratio: the smallest share of
 // the slack in the window.
 static double
 get_usable_share(const ps_retry_budget_t *budget, int64_t now_ms)
 {
-    int64_t window_ms = budget->bucket_ms * (PS_RETRY_BUCKETS - 1);
-    if (now_ms - budget->known_from_ms < window_ms) {
+    if (!is_window_known(budget, now_ms)) {
         return 0;
     }
     double smallest = budget->share;
@@ -75,7 +93,7 @@
         is_first = true;
     }
     budget->bucket_ms = bucket_ms;
-    budget->ratio = ratio * TOLERANCE_USED;
+    budget->ratio = ratio;
     if (is_first) {
         budget->share = share;
     }
@@ -124,7 +142,7 @@
     ps_retry_use_t use = {.requests = sum_buckets(budget->requests),
                           .retries =
                               sum_buckets(budget->retries) + budget->reserved};
-    use.allowed =
-        budget->ratio * use.requests + get_usable_share(budget, now_ms);
+    use.allowed = get_usable_ratio(budget, now_ms) * use.requests +
+                  get_usable_share(budget, now_ms);
     return use;
 }
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -44,7 +44,8 @@
 /**
  * PsRetryBudget_Init() - Initializes an empty budget.
  * @known_from_ms: retries before then are unknown, such as those of a former
- * process of this daemon; no slack is used until a window has passed since
+ * process of this daemon; no slack and little of the ratio is used until a
+ * window has passed since
  */
 void PsRetryBudget_Init(ps_retry_budget_t *budget, int64_t known_from_ms);
 
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -142,6 +142,17 @@
     });
 }
 
+// Returns how many retries the users allow in the 10 s from a time on: by the
+// requests in that window, the one before it or the one half a window earlier.
+static double
+GetAllowedRetries(const std::vector<int64_t> &requests, int64_t from)
+{
+    int64_t most = std::max({CountWithin(requests, from),
+                             CountWithin(requests, from - 10000),
+                             CountWithin(requests, from - 5000)});
+    return 0.2 * most + 56;
+}
+
 // Sends a retry at once if the budget allows it.
 static bool
 SendRetry(ps_retry_budget_t *budget, int64_t now)
@@ -200,7 +211,7 @@
     {
         for (int64_t from : retries) {
             RC_ASSERT(CountWithin(retries, from) <=
-                      0.2 * CountWithin(requests, from) + 56);
+                      GetAllowedRetries(requests, from));
         }
     }
 };
@@ -265,6 +276,46 @@
     sent.Check();
 }
 
+// Nearly all requests fail while all processes start again: what the former ones
+// have sent for the requests of a whole window counts beside what the new ones
+// send for theirs.
+RC_GTEST_PROP(RetryBudget, RatioIsNotUsedTwiceAcrossAStart, ())
+{
+    const int n = *rc::gen::inRange(1, 9);
+    const int64_t fails_at = kStart + *rc::gen::inRange(10000, 20000);
+    const int64_t down = *rc::gen::inRange(0, 600);
+    std::vector<ps_retry_budget_t> budgets(n);
+    auto start = [&](int64_t at) {
+        for (ps_retry_budget_t &budget : budgets) {
+            PsRetryBudget_Init(&budget, at);
+            PsRetryBudget_SetLimits(&budget, 10, 0.2, 56, n, at);
+        }
+    };
+    start(kStart - kWindowMs);
+    std::vector<int64_t> requests, retries;
+    int64_t next_kill = fails_at + *rc::gen::inRange(1000, 6000);
+    int64_t up_at = 0;
+    for (int64_t now = kStart; now < kStart + 40000; now += 5) {
+        requests.push_back(now);
+        if (now >= next_kill) {
+            up_at = now + down;
+            start(up_at);
+            next_kill = now + *rc::gen::inRange(1000, 6000);
+        }
+        if (now >= up_at) {
+            ps_retry_budget_t *budget = &budgets[(now / 5) % n];
+            PsRetryBudget_AddRequest(budget, now);
+            if (now >= fails_at && SendRetry(budget, now)) {
+                retries.push_back(now);
+            }
+        }
+    }
+    for (int64_t from : retries) {
+        RC_ASSERT(CountWithin(retries, from) <=
+                  0.2 * CountWithin(requests, from) + 56);
+    }
+}
+
 // Two bursts of retries, of which the first waits: they must not arrive within
 // one window.
 RC_GTEST_PROP(RetryBudget, RetriesThatWaitCountWhenTheyAreSent, ())
