Forget the limits of servers that have left

By reading: an allocator kept the token bucket and the reported totals of each limited server after its end, and each start has a new name, so that these grew with every limited server that ended. They are removed with the server.

One loop over all backend servers of the gateway serves the hash and the metric; the log's `from` is described as what it is. ServerLimit.* pass with 300 cases.

--- a/src/allocator.c
+++ b/src/allocator.c
@@ -569,6 +569,19 @@
     limited->rate = rate;
 }
 
+void
+PsAllocator_RemoveServer(ps_allocator_t *allocator, uint32_t server)
+{
+    gpointer key = GUINT_TO_POINTER(server);
+    g_hash_table_remove(allocator->server_buckets, key);
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, allocator->reporters);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        g_hash_table_remove(((ps_reporter_t *)value)->starts, key);
+    }
+}
+
 void
 PsAllocator_SetStarts(ps_allocator_t *allocator, ps_reporter_t *reporter,
                       uint32_t server, uint64_t starts, int64_t now_ms)
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -175,6 +175,11 @@
 void PsAllocator_SetServerRate(ps_allocator_t *allocator, uint32_t server,
                                double rate, int64_t now_ms);
 
+/**
+ * PsAllocator_RemoveServer() - Forgets the limit of a server that has left.
+ */
+void PsAllocator_RemoveServer(ps_allocator_t *allocator, uint32_t server);
+
 /**
  * PsAllocator_SetStarts() - Counts what a daemon has sent to a server with a
  * limit since its last report.
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -347,6 +347,8 @@
     ps_dispatcher_t *dispatcher =
         PsGateway_GetDispatcher(gateway, &backend->registration.service);
     PsScheduler_RemoveBackend(&dispatcher->scheduler, backend);
+    PsAllocator_RemoveServer(&gateway->sharing.allocator,
+                             PsSharing_HashServer(backend));
 }
 
 static void
@@ -376,6 +378,24 @@
 
 static const ps_http_server_events_t caller_events = {on_request, on_closed};
 
+// Calls a function for each backend server of all services.
+static void
+for_each_backend(const ps_gateway_t *gateway,
+                 void (*visit)(const ps_backend_t *backend, void *user),
+                 void *user)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->dispatchers);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const GPtrArray *backends =
+            ((ps_dispatcher_t *)value)->scheduler.backends;
+        for (guint i = 0; i < backends->len; i++) {
+            visit(backends->pdata[i], user);
+        }
+    }
+}
+
 /* ---- Metrics ---------------------------------------------------------- */
 
 static void
@@ -416,22 +436,10 @@
     }
 }
 
-static int
-count_limited_servers(const ps_gateway_t *gateway)
+static void
+count_limited(const ps_backend_t *backend, void *count)
 {
-    int n = 0;
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, gateway->dispatchers);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const GPtrArray *backends =
-            ((ps_dispatcher_t *)value)->scheduler.backends;
-        for (guint i = 0; i < backends->len; i++) {
-            const ps_backend_t *backend = backends->pdata[i];
-            n += PsServerLimit_IsLimited(&backend->limit) ? 1 : 0;
-        }
-    }
-    return n;
+    *(int *)count += PsServerLimit_IsLimited(&backend->limit) ? 1 : 0;
 }
 
 static void
@@ -466,8 +474,9 @@
                  gateway->sharing.uses_even_shares);
     print_metric(&out, "pearstair_members",
                  g_hash_table_size(gateway->members));
-    print_metric(&out, "pearstair_servers_limited",
-                 count_limited_servers(gateway));
+    int n_limited = 0;
+    for_each_backend(gateway, count_limited, &n_limited);
+    print_metric(&out, "pearstair_servers_limited", n_limited);
     print_retry_budgets(gateway, &out);
     PsHistogram_Print(&stats->wait_latency, "pearstair_wait_milliseconds",
                       &out);
@@ -826,24 +835,20 @@
                  (json_int_t)(now_ms - notice->answered_ms));
 }
 
+static void
+add_server_hash(const ps_backend_t *backend, void *sum)
+{
+    uint64_t seed = (uint64_t)backend->registration.started_ms * 2 +
+                    (backend->registration.is_leaving ? 1 : 0);
+    *(uint64_t *)sum += XXH64(backend->registration.name.data,
+                              backend->registration.name.len, seed);
+}
+
 uint64_t
 PsGateway_HashServers(const ps_gateway_t *gateway)
 {
     uint64_t sum = 0;
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, gateway->dispatchers);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const GPtrArray *backends =
-            ((ps_dispatcher_t *)value)->scheduler.backends;
-        for (guint i = 0; i < backends->len; i++) {
-            const ps_backend_t *backend = backends->pdata[i];
-            uint64_t seed = (uint64_t)backend->registration.started_ms * 2 +
-                            (backend->registration.is_leaving ? 1 : 0);
-            sum += XXH64(backend->registration.name.data,
-                         backend->registration.name.len, seed);
-        }
-    }
+    for_each_backend(gateway, add_server_hash, &sum);
     return sum;
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -225,7 +225,7 @@
 /**
  * PsGateway_LogServerLimit() - Logs a limit that was learned, has changed or
  * has ended.
- * @from: daemon that the server told
+ * @from: where it was learned: this daemon, or a peer that reported it
  */
 void PsGateway_LogServerLimit(const ps_backend_t *backend, const char *from,
                               int64_t now_ms);
--- a/tests/test_server_limits.cpp
+++ b/tests/test_server_limits.cpp
@@ -203,14 +203,13 @@
         report_rounds.clear();
     }
     void
-    SendRequests(Daemon &daemon, int64_t now)
+    SendRequest(Daemon &daemon, int64_t now)
     {
         auto &ends = daemon.running;
         ends.erase(std::remove_if(ends.begin(), ends.end(),
                                   [&](int64_t end) { return end <= now; }),
                    ends.end());
-        bool has_request = *rc::gen::inRange(0, 100) < daemon.load * 100;
-        if (has_request && (int)ends.size() < daemon.slot_limit &&
+        if ((int)ends.size() < daemon.slot_limit &&
             PsServerLimit_MayStart(&daemon.limit, now)) {
             PsServerLimit_CountStart(&daemon.limit, now);
             ends.push_back(now + 30);
@@ -341,7 +340,10 @@
         }
         for (int i = 0; i < n; i++) {
             if (now >= cluster.daemons[i].paused_until) {
-                cluster.SendRequests(cluster.daemons[i], now);
+                Cluster::Daemon &daemon = cluster.daemons[i];
+                if (*rc::gen::inRange(0, 100) < daemon.load * 100) {
+                    cluster.SendRequest(daemon, now);
+                }
                 if (now % 20 == 0 && now >= without_allocator_until) {
                     cluster.Report(i, now, *rc::gen::inRange(0, 60));
                 }
@@ -370,19 +372,8 @@
         }
         for (int64_t now = kStart; now < kStart + 40000; now += 10) {
             for (int i = 0; i < 9; i++) {
-                if (i < 3) {
-                    Cluster::Daemon &daemon = cluster.daemons[i];
-                    auto &ends = daemon.running;
-                    ends.erase(
-                        std::remove_if(ends.begin(), ends.end(),
-                                       [&](int64_t end) { return end <= now; }),
-                        ends.end());
-                    if (PsServerLimit_MayStart(&daemon.limit, now) &&
-                        (int)ends.size() < daemon.slot_limit) {
-                        PsServerLimit_CountStart(&daemon.limit, now);
-                        ends.push_back(now + 30);
-                        cluster.sent.push_back(now);
-                    }
+                if (cluster.daemons[i].load > 0) {
+                    cluster.SendRequest(cluster.daemons[i], now);
                 }
                 if (now % 20 == 0) {
                     cluster.Report(i, now, 2);
