Look a service's dispatcher up in reports, don't make it

By reading: the change for the limits of servers had the allocator make a dispatcher for each service that a report names, also for names that no configuration has, so that a peer's reports could add to this daemon's memory without an end. It looks them up now, and skips limits of services that it has no dispatcher for, as it did with the rest before.

The server's hash is computed once for each server and round; the loop over all servers stands with their events.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -59,8 +59,8 @@
                      int64_t now_ms)
 {
     const ps_dispatcher_t *dispatcher =
-        PsGateway_GetDispatcher(sharing->gateway, service);
-    for (size_t i = 0; i < use->n_server_limits; i++) {
+        PsGateway_FindDispatcher(sharing->gateway, service);
+    for (size_t i = 0; dispatcher && i < use->n_server_limits; i++) {
         const Ps__ServerLimit *message = use->server_limits[i];
         if (PsSharing_MergeServerLimit(&dispatcher->scheduler, message,
                                        &reporter->name,
@@ -135,14 +135,15 @@
     int n = 0;
     for (guint i = 0; i < backends->len; i++) {
         const ps_backend_t *backend = backends->pdata[i];
+        uint32_t server = PsSharing_HashServer(backend);
         PsAllocator_SetServerRate(
-            &sharing->allocator, PsSharing_HashServer(backend),
+            &sharing->allocator, server,
             PsServerLimit_IsLimited(&backend->limit)
                 ? MAX(backend->limit.notice.rate, PS_SERVER_RATE_MIN)
                 : PS_SERVER_RATE_NONE,
             now_ms);
         if (!backend->registration.is_leaving) {
-            slots[n].server = PsSharing_HashServer(backend);
+            slots[n].server = server;
             slots[n++].count =
                 dispatcher->scheduler.is_engine
                     ? backend->registration.slots
@@ -212,9 +213,11 @@
     g_hash_table_iter_init(&each, reporter->services);
     while (g_hash_table_iter_next(&each, &key, &value)) {
         Ps__ServiceGrant *service = make_service_grant(key, value);
-        add_limits_to_grant(service,
-                            PsGateway_GetDispatcher(sharing->gateway, key),
-                            value, is_own, now_ms);
+        const ps_dispatcher_t *dispatcher =
+            PsGateway_FindDispatcher(sharing->gateway, key);
+        if (dispatcher) {
+            add_limits_to_grant(service, dispatcher, value, is_own, now_ms);
+        }
         grant->services[grant->n_services++] = service;
     }
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -359,6 +359,24 @@
                                      PsClock_Now());
 }
 
+// Calls a function for each backend server of all services.
+static void
+for_each_backend(const ps_gateway_t *gateway,
+                 void (*visit)(const ps_backend_t *backend, void *user),
+                 void *user)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->dispatchers);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const GPtrArray *backends =
+            ((ps_dispatcher_t *)value)->scheduler.backends;
+        for (guint i = 0; i < backends->len; i++) {
+            visit(backends->pdata[i], user);
+        }
+    }
+}
+
 /* ---- Callers ---------------------------------------------------------- */
 
 static void
@@ -378,24 +396,6 @@
 
 static const ps_http_server_events_t caller_events = {on_request, on_closed};
 
-// Calls a function for each backend server of all services.
-static void
-for_each_backend(const ps_gateway_t *gateway,
-                 void (*visit)(const ps_backend_t *backend, void *user),
-                 void *user)
-{
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, gateway->dispatchers);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const GPtrArray *backends =
-            ((ps_dispatcher_t *)value)->scheduler.backends;
-        for (guint i = 0; i < backends->len; i++) {
-            visit(backends->pdata[i], user);
-        }
-    }
-}
-
 /* ---- Metrics ---------------------------------------------------------- */
 
 static void
@@ -781,11 +781,16 @@
     return n;
 }
 
+ps_dispatcher_t *
+PsGateway_FindDispatcher(const ps_gateway_t *gateway, const ps_name_t *service)
+{
+    return g_hash_table_lookup(gateway->dispatchers, service);
+}
+
 ps_dispatcher_t *
 PsGateway_GetDispatcher(ps_gateway_t *gateway, const ps_name_t *service)
 {
-    ps_dispatcher_t *dispatcher =
-        g_hash_table_lookup(gateway->dispatchers, service);
+    ps_dispatcher_t *dispatcher = PsGateway_FindDispatcher(gateway, service);
     if (dispatcher) {
         return dispatcher;
     }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -203,6 +203,13 @@
 int PsGateway_ListAddresses(const ps_gateway_t *gateway, const char *domain,
                             const ps_name_t **addresses, int max);
 
+/**
+ * PsGateway_FindDispatcher() - Returns a service's dispatcher, or NULL if it
+ * has none yet. Owned by the gateway.
+ */
+ps_dispatcher_t *PsGateway_FindDispatcher(const ps_gateway_t *gateway,
+                                          const ps_name_t *service);
+
 /**
  * PsGateway_GetDispatcher() - Returns a service's dispatcher, made at first
  * use; never NULL. Owned by the gateway.
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -409,6 +409,34 @@
 
 } // namespace
 
+/* ---- Reports ---------------------------------------------------------- */
+
+// A peer that names services which no configuration has must not make this
+// daemon keep anything for them.
+TEST(AllocatorRounds, ReportOfAnUnknownServiceAddsNoDispatcher)
+{
+    GatewayHarness harness;
+    guint before = g_hash_table_size(harness.gateway.dispatchers);
+    char service[] = "unknown";
+    Ps__ServerLimit limit = PS__SERVER_LIMIT__INIT;
+    limit.has_notice = true;
+    limit.rate = 1;
+    Ps__ServerLimit *limits[] = {&limit};
+    Ps__ServiceUse use = PS__SERVICE_USE__INIT;
+    use.service = service;
+    use.server_limits = limits;
+    use.n_server_limits = 1;
+    Ps__ServiceUse *uses[] = {&use};
+    Ps__ShareReport report = PS__SHARE_REPORT__INIT;
+    report.services = uses;
+    report.n_services = 1;
+    ps_name_t peer = ToName("d2");
+    ps_sharing_t *sharing = &harness.gateway.sharing;
+    PsAllocatorRounds_HandleReport(sharing, &peer, &report, PsClock_Now());
+    PsAllocatorRounds_Run(sharing, PsClock_Now());
+    EXPECT_EQ(g_hash_table_size(harness.gateway.dispatchers), before);
+}
+
 /* ---- Settings --------------------------------------------------------- */
 
 TEST(Mutations, SettingsAreLoadedOrRefusedWithAReason)
