--- a/src/allocator.c
+++ b/src/allocator.c
@@ -115,6 +115,13 @@
     return sum;
 }
 
+// Returns the part of a limit that belongs to the daemons with fresh reports.
+static double
+get_reporting_part(const GPtrArray *uses, int n_daemons)
+{
+    return (double)uses->len / MAX(n_daemons, (int)uses->len);
+}
+
 // Returns how many slots of a server are free for the daemons with fresh
 // reports: of all its slots a part in proportion to their number, minus the
 // slots that they use.
@@ -122,7 +129,7 @@
 count_free_slots(const GPtrArray *uses, const ps_slot_count_t *slots,
                  int n_daemons)
 {
-    double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
+    double part = get_reporting_part(uses, n_daemons);
     // 1e-9 keeps a rounding error from taking away a whole slot.
     int free_slots = (int)floor(slots->count * part + 1e-9);
     return MAX(free_slots - count_running(uses, slots->server), 0);
@@ -140,7 +147,7 @@
     if (!limited) {
         return free_slots;
     }
-    double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
+    double part = get_reporting_part(uses, n_daemons);
     PsRateBucket_SetRate(&limited->bucket, limited->rate * part, now_ms);
     return MIN(free_slots,
                PsRateBucket_CountAllowed(&limited->bucket, now_ms));
@@ -371,7 +378,7 @@
         PsQuota_GetSpent(quota, now_ms) +
         estimate_unsaved(allocator, quota->limit,
                          (double)n_restarted / MAX(uses->len, 1), now_ms);
-    double part = (double)uses->len / MAX(n_daemons, (int)uses->len);
+    double part = get_reporting_part(uses, n_daemons);
     double left = MAX(quota->limit * part - MAX(spent, reported), 0.0);
     if (spent > PACED_RATIO * quota->limit) {
         left = MIN(left, get_paced_units(allocator, quota, part, now_ms));
--- a/src/server_checks.h
+++ b/src/server_checks.h
@@ -1,11 +1,11 @@
 /*
  * server_checks.h - Finds out whether backend servers still run.
  *
- * A server that loses a connection may have ended or not, and its registration
- * lasts for some heartbeats after its end. A check opens a connection to it: a
- * refused one shows that no process listens there any more. Load pattern:
- * requests that crash servers come all the time, while other servers cut
- * connections and go on running.
+ * A lost connection doesn't tell whether its server has ended, and the
+ * server's registration lasts for some heartbeats after its end. A check opens
+ * another connection: a refused one shows that no process listens there. Load
+ * pattern: requests that crash servers come all the time, while other servers
+ * cut connections and go on running.
  */
 #ifndef PS_SERVER_CHECKS_H
 #define PS_SERVER_CHECKS_H
