--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -133,6 +133,36 @@
     echo "$sum"
 }
 
+# gw_send_crashing N ID - sends daemon N a content that ends the server of service s
+# that runs it
+gw_send_crashing() { gw_send_request "$1" /once/1 "crashing-$2" -X POST -d "CRASH 0 x"; }
+
+# gw_crash_three_times - has this content end backend server 2 three times, sent to
+# each of three daemons once
+gw_crash_three_times() {
+    local i
+    for i in 1 2 3; do
+        gw_send_crashing "$i" "$i"
+        rig_wait_exit r2 2 && gw_restart_runner 2
+        sleep 1 # until the daemons use it again
+    done
+}
+
+# gw_load SECONDS PREFIX DAEMON... - sends requests of service s for so long, one
+# after another to each of these daemons; the answers go to answers-PREFIX
+gw_load() {
+    local i k senders=() end=$((SECONDS + $1)) prefix=$2
+    shift 2
+    for k in "$@"; do
+        (i=0; while [ "$SECONDS" -lt "$end" ]; do
+            i=$((i + 1))
+            gw_send_request "$k" /safe/1 "$prefix-$BASHPID-$i"
+        done) >> "$RIG_DIR/answers-$prefix" &
+        senders+=($!)
+    done
+    wait "${senders[@]}"
+}
+
 # gw_wait_for_slack - waits until all daemons use the slack of their retry
 # budgets: a window after their start
 gw_has_slack() { curl -s "http://$(gw_metrics "$1")/" | awk '/^pearstair_retries_allowed/ { n++; low += $2 < 10 } END { exit !(n == 2 && low == 0) }'; }
--- a/tests/runs/gw_server_limit.sh
+++ b/tests/runs/gw_server_limit.sh
@@ -2,20 +2,9 @@
 # it gets no more than that over all of them, the others serve the rest. Then all
 # servers of the service name 4 a second each: they get nearly that, and the rest is
 # refused with a Retry-After. Without the header all is served again.
-load() { # load SECONDS PREFIX - requests at all daemons, until the time is over
-    local i k senders=() end=$((SECONDS + $1))
-    for k in 1 1 2 2 3 3; do
-        (i=0; while [ "$SECONDS" -lt "$end" ]; do
-            i=$((i + 1))
-            gw_send_request "$k" /safe/1 "$2-$BASHPID-$i"
-        done) >> "$RIG_DIR/answers-$2" &
-        senders+=($!)
-    done
-    wait "${senders[@]}"
-}
 named_ms=$(date +%s%3N)
 gw_set_switches "$(gw_runner 2)" limit=2
-load 9 one
+gw_load 9 one 1 1 2 2 3 3
 tests/check_limits "$RIG_DIR/arrivals" r2 2 "$named_ms" >&2 && echo "limit of one server kept"
 grep -qv '^200 ok' "$RIG_DIR/answers-one" || echo "all served"
 
@@ -25,7 +14,7 @@
     curl -s -D - -o /dev/null -H 'Host: a.example' -H "Request-Id: header-$i" -H 'Deadline-Ms: 3000' "http://$(gw_caller 1)/open/1"
 done > "$RIG_DIR/headers") &
 asking=$!
-load 9 all
+gw_load 9 all 1 1 2 2 3 3
 wait "$asking"
 for n in 2 4 6; do
     tests/check_limits "$RIG_DIR/arrivals" "r$n" 4 "$named_ms" > "$RIG_DIR/checked" && echo "limit of r$n kept"
@@ -37,5 +26,5 @@
 
 for n in 2 4 6; do gw_set_switches "$(gw_runner "$n")" limit=none; done
 sleep 2 # until each has been asked
-load 3 none
+gw_load 3 none 1 1 2 2 3 3
 grep -qv '^200 ok' "$RIG_DIR/answers-none" || echo "all served again"
--- a/tests/runs/gw_server_limit_faults.sh
+++ b/tests/runs/gw_server_limit_faults.sh
@@ -1,21 +1,10 @@
 # All three servers of a service name 3 requests a second to four daemons under
 # load, while the allocator is killed and started again, the next one is paused for
 # 1.5 s, and all are killed at once. No server gets more than its limit.
-load() { # load SECONDS - requests at all daemons, until the time is over
-    local k senders=() end=$((SECONDS + $1))
-    for k in 1 2 3 4 1 2 3 4; do
-        while [ "$SECONDS" -lt "$end" ]; do
-            gw_send_request "$k" /safe/1 "f-$RANDOM$RANDOM" > /dev/null
-            sleep 0.02
-        done &
-        senders+=($!)
-    done
-    wait "${senders[@]}"
-}
 allocator() { grep -h '"sharing.allocator"' "$RIG_DIR"/d?.log | sort | tail -1 | jq -r .name; }
 named_ms=$(date +%s%3N)
 for n in 2 4 6; do gw_set_switches "$(gw_runner "$n")" limit=3; done
-load 18 &
+gw_load 18 faults 1 2 3 4 1 2 3 4 &
 loading=$!
 sleep 4
 killed=$(allocator)
--- a/tests/runs/gw_store_restored.sh
+++ b/tests/runs/gw_store_restored.sh
@@ -8,12 +8,7 @@
 for i in $(seq 30); do add_object "$i"; done
 gw_put_config 9 '"key-1"'
 rig_wait_until 3 is_applied 9 && echo "version 9 in force, without key-2"
-send_crashing() { gw_send_request "$1" /once/1 "crashing-$2" -X POST -d "CRASH 0 x"; }
-for i in 1 2 3; do
-    send_crashing "$i" "$i"
-    rig_wait_exit r2 2 && gw_restart_runner 2
-    sleep 1 # until the daemons use it again
-done
+gw_crash_three_times
 rig_kill d3 KILL
 rig_wait_exit d3 2
 gw_start_daemon 3
@@ -35,4 +30,4 @@
 for i in 1 2 3; do rig_kill "d$i" KILL; done
 for i in 1 2 3; do gw_start_daemon "$i"; done
 for i in 1 2 3; do rig_wait_until 15 gw_serves "$i"; done
-for i in 1 2 3; do send_crashing "$i" "after-$i"; done
+for i in 1 2 3; do gw_send_crashing "$i" "after-$i"; done
