Rename the crashes of contents to crashes of marks

A content is one mark that a request may have in common with others; parts of its prompt are to be others. Only names inside change: log events, metrics, stored fields and messages keep theirs, and the hashes of contents are the same.

Tests: test_limits, test_mutations and test_pool pass.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 CPPFLAGS += -Isrc -Iplatform $(shell pkg-config --cflags $(PKGS))
 LIBS := $(shell pkg-config --libs $(PKGS)) -lev -lm
 
-KERNEL := status str request forecast prefix_cache speed suspects queue rules \
+KERNEL := status str request forecast prefix_cache speed marks suspects queue rules \
     rule_kinds settings config server pool estimate place_finish \
     place_baseline ids ledger owner members entry clock catalog quota \
     retry_budget backend even_shares backend_registry scheduler allocator \
@@ -21,7 +21,7 @@
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
-    allocator_rounds changes content_crashes server_checks
+    allocator_rounds changes mark_crashes server_checks
 PLATFORM := endpoints codec dialect_fleet run_gateway store
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
--- a/src/abandoned_runs.c
+++ b/src/abandoned_runs.c
@@ -10,14 +10,14 @@
 }
 
 void
-PsAbandonedRuns_Add(ps_abandoned_runs_t *abandoned, uint64_t content,
+PsAbandonedRuns_Add(ps_abandoned_runs_t *abandoned, uint64_t mark,
                     uint64_t crash_id, int64_t now_ms)
 {
-    if (content == 0) {
+    if (mark == 0) {
         return;
     }
     abandoned->runs[abandoned->next] =
-        (ps_abandoned_run_t){content, crash_id, now_ms};
+        (ps_abandoned_run_t){mark, crash_id, now_ms};
     abandoned->next = (abandoned->next + 1) % PS_ABANDONED_RUNS_MAX;
 }
 
@@ -27,9 +27,9 @@
 {
     for (size_t i = 0; i < PS_ABANDONED_RUNS_MAX; i++) {
         ps_abandoned_run_t *run = &abandoned->runs[i];
-        if (run->content != 0 && run->crash_id == crash_id) {
+        if (run->mark != 0 && run->crash_id == crash_id) {
             *taken = *run;
-            run->content = 0;
+            run->mark = 0;
             if (now_ms - taken->at_ms <= PS_ABANDONED_RUN_TTL_MS) {
                 return true;
             }
--- a/src/abandoned_runs.h
+++ b/src/abandoned_runs.h
@@ -24,7 +24,7 @@
  * struct ps_abandoned_run - A request that got no end of a response.
  */
 typedef struct ps_abandoned_run {
-    uint64_t content;  /* hash of its content; 0: unused entry */
+    uint64_t mark;     /* 0: unused entry */
     uint64_t crash_id; /* that a crash of its server has */
     int64_t at_ms;     /* when it was abandoned */
 } ps_abandoned_run_t;
@@ -44,9 +44,9 @@
 
 /**
  * PsAbandonedRuns_Add() - Adds a request.
- * @content: hash of its content; 0 is ignored
+ * @mark: one of its marks; 0 is ignored
  */
-void PsAbandonedRuns_Add(ps_abandoned_runs_t *abandoned, uint64_t content,
+void PsAbandonedRuns_Add(ps_abandoned_runs_t *abandoned, uint64_t mark,
                          uint64_t crash_id, int64_t now_ms);
 
 /**
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -30,7 +30,7 @@
     GPtrArray *silent;          /* names of members that do not report */
     Ps__ContentCrash **crashes; /* of banned contents */
     size_t n_crashes;
-    uint64_t cleared[PS_CONTENTS_CLEARED_MAX];
+    uint64_t cleared[PS_MARKS_CLEARED_MAX];
     size_t n_cleared;
     uint64_t servers_hash; /* PsGateway_HashServers() */
     uint64_t members_hash; /* PsGateway_HashMembers() */
@@ -116,11 +116,11 @@
                                use_message->wanted, use_message->total,
                                now_ms);
     }
-    ps_content_crashes_t *crashes = &sharing->gateway->content_crashes;
-    PsContentCrashes_MergeCleared(crashes, report->cleared, report->n_cleared,
-                                  from, now_ms);
-    PsContentCrashes_Merge(crashes, report->crashes, report->n_crashes, from,
-                           now_ms);
+    ps_mark_crashes_t *crashes = &sharing->gateway->mark_crashes;
+    PsMarkCrashes_MergeCleared(crashes, report->cleared, report->n_cleared,
+                               from, now_ms);
+    PsMarkCrashes_Merge(crashes, report->crashes, report->n_crashes, from,
+                        now_ms);
     if (report->leaving) {
         reporter->is_leaving = true;
     }
@@ -360,7 +360,7 @@
         !gets_most_reports(sharing, now_ms)) {
         return;
     }
-    ps_content_crashes_t *crashes = &sharing->gateway->content_crashes;
+    ps_mark_crashes_t *crashes = &sharing->gateway->mark_crashes;
     ps_stored_state_t state;
     state.n_teams = PsAllocator_GetQuotaUsage(&sharing->allocator, state.teams,
                                               PS_STORED_TEAMS_MAX, now_ms);
@@ -396,11 +396,10 @@
         .silent = list_silent(sharing, now_ms),
         .servers_hash = PsGateway_HashServers(sharing->gateway),
         .members_hash = PsGateway_HashMembers(sharing->gateway)};
-    round.crashes = PsContentCrashes_MakeMessages(
-        &sharing->gateway->content_crashes.to_members, &round.n_crashes,
-        now_ms);
-    round.n_cleared = PsContentCrashes_ListCleared(
-        &sharing->gateway->content_crashes, round.cleared, now_ms);
+    round.crashes = PsMarkCrashes_MakeMessages(
+        &sharing->gateway->mark_crashes.to_members, &round.n_crashes, now_ms);
+    round.n_cleared = PsMarkCrashes_ListCleared(
+        &sharing->gateway->mark_crashes, round.cleared, now_ms);
     g_hash_table_iter_init(&each, sharing->allocator.reporters);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         ps_reporter_t *reporter = value;
@@ -408,6 +407,6 @@
             send_grant(sharing, reporter, &round);
         }
     }
-    PsContentCrashes_FreeMessages(round.crashes, round.n_crashes);
+    PsMarkCrashes_FreeMessages(round.crashes, round.n_crashes);
     g_ptr_array_unref(round.silent);
 }
--- a/src/crash_reports.h
+++ b/src/crash_reports.h
@@ -3,7 +3,7 @@
  *
  * Crashes are counted over all daemons. Each one is reported at once, and
  * again at intervals, since a report may be lost and a daemon that starts
- * knows none: recent ones and those of banned contents often, the others
+ * knows none: recent ones and those of banned marks often, the others
  * rarely, because a loss of many servers leaves many. Does no I/O; all times
  * are passed in.
  */
@@ -12,7 +12,7 @@
 
 #include "suspects.h"
 
-// Interval at which recent crashes and those of banned contents are reported
+// Interval at which recent crashes and those of banned marks are reported
 // again, and the age up to which a crash is recent.
 #define PS_CRASH_REPORTS_INTERVAL_MS 1000
 #define PS_CRASH_REPORTS_RECENT_MS 30000
@@ -28,7 +28,7 @@
 typedef struct ps_crash_reports {
     const ps_suspects_t *suspects; /* the crashes known here */
     bool with_own;      /* reports what was seen here; false: only the crashes
-                           of banned contents */
+                           of banned marks */
     GArray *unreported; /* ps_crash_t to be reported next */
     int64_t next_recent_ms; /* when recent ones are reported again */
     int64_t next_all_ms;    /* when all are reported again */
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -184,7 +184,7 @@
 static bool
 is_banned(const ps_exchange_t *exchange, int64_t now_ms)
 {
-    return PsSuspects_IsBanned(&exchange->gateway->content_crashes.suspects,
+    return PsSuspects_IsBanned(&exchange->gateway->mark_crashes.suspects,
                                exchange->content_hash, now_ms);
 }
 
@@ -192,12 +192,12 @@
 static void
 end_banned(ps_exchange_t *exchange, int64_t now_ms)
 {
-    ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
+    ps_name_t content = PsMark_Format(exchange->content_hash);
     exchange->gateway->stats.banned_requests++;
     PsEvents_Add(
         "content.refused", "{s:s,s:s,s:i}", "id",
         exchange->inbound.request_id.data, "content", content.data, "crashes",
-        PsSuspects_GetCrashes(&exchange->gateway->content_crashes.suspects,
+        PsSuspects_GetCrashes(&exchange->gateway->mark_crashes.suspects,
                               exchange->content_hash, now_ms));
     refuse_or_fail(exchange, 0, "content was in flight at crashes");
 }
@@ -603,14 +603,13 @@
 static void
 count_lost_connection(ps_exchange_t *exchange, int64_t now_ms)
 {
-    ps_content_crashes_t *crashes = &exchange->gateway->content_crashes;
+    ps_mark_crashes_t *crashes = &exchange->gateway->mark_crashes;
     const ps_registration_t *server = &exchange->task.backend->registration;
     exchange->gateway->stats.lost_connections++;
-    if (PsContentCrashes_Add(crashes, exchange->content_hash, server,
-                             now_ms)) {
+    if (PsMarkCrashes_Add(crashes, exchange->content_hash, server, now_ms)) {
         PsServerChecks_Add(&exchange->gateway->server_checks, server, now_ms);
     }
-    ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
+    ps_name_t content = PsMark_Format(exchange->content_hash);
     PsEvents_Add("content.lost_connection", "{s:s,s:s,s:s,s:b,s:i,s:i}", "id",
                  exchange->inbound.request_id.data, "content", content.data,
                  "server", server->name.data, "response_began",
@@ -648,8 +647,8 @@
         count_lost_connection(exchange, now_ms);
     }
     else if (task_result == PS_TASK_SUCCEEDED) {
-        PsContentCrashes_AddCompleted(&exchange->gateway->content_crashes,
-                                      exchange->content_hash, now_ms);
+        PsMarkCrashes_AddCompleted(&exchange->gateway->mark_crashes,
+                                   exchange->content_hash, now_ms);
     }
     bool is_relayable = exchange->is_relaying
                             ? is_stream_response(exchange)
@@ -718,16 +717,12 @@
 hash_content(const ps_exchange_t *exchange)
 {
     const ps_http_request_t *request = exchange->request;
-    uint64_t hash = XXH64(request->path.data, request->path.len, 0);
+    ps_str_t team = {NULL, 0};
     if (exchange->team) {
-        hash =
-            XXH64(exchange->team->name.data, exchange->team->name.len, hash);
+        team = PsName_View(&exchange->team->name);
     }
-    if (request->body.len == 0) {
-        return hash | PS_CONTENT_NO_BODY;
-    }
-    hash = XXH64(request->body.data, request->body.len, hash);
-    return hash & ~(uint64_t)PS_CONTENT_NO_BODY;
+    return PsMark_HashContent(PsBuf_View(&request->path), team,
+                              PsBuf_View(&request->body));
 }
 
 // Finds the request's route and team. Refuses the request and returns false if
@@ -856,7 +851,7 @@
     const ps_name_t *service = PsRoute_PickService(exchange->route, hash);
     exchange->dispatcher = PsGateway_GetDispatcher(gateway, service);
     PsRetryBudget_AddRequest(&exchange->dispatcher->retry_budget, now_ms);
-    ps_name_t content = PsSuspects_FormatHash(exchange->content_hash);
+    ps_name_t content = PsMark_Format(exchange->content_hash);
     PsEvents_Add("request.accept", "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}",
                  "id", exchange->inbound.request_id.data, "content",
                  content.data, "route", exchange->route->name.data, "team",
@@ -875,9 +870,9 @@
 static void
 abandon_transfer(ps_exchange_t *exchange, int64_t now_ms)
 {
-    PsContentCrashes_AddAbandoned(
-        &exchange->gateway->content_crashes, exchange->content_hash,
-        &exchange->task.backend->registration, now_ms);
+    PsMarkCrashes_AddAbandoned(&exchange->gateway->mark_crashes,
+                               exchange->content_hash,
+                               &exchange->task.backend->registration, now_ms);
     PsTransfer_Cancel(&exchange->gateway->http_client, &exchange->transfer);
     close_transfer(exchange);
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -263,8 +263,8 @@
     PsEvents_Add("quota.recover", "{s:i,s:i,s:I}", "teams", state->n_teams,
                  "crashes", (int)state->n_crashes, "age_ms",
                  (json_int_t)age_ms);
-    PsContentCrashes_Restore(&gateway->content_crashes, state->crashes,
-                             state->n_crashes, PsClock_Now());
+    PsMarkCrashes_Restore(&gateway->mark_crashes, state->crashes,
+                          state->n_crashes, PsClock_Now());
     gateway->sharing.allocator.window_s =
         gateway->settings.gateway.quota_window_s;
     gateway->sharing.is_stored_usage_empty = state->n_teams == 0;
@@ -276,7 +276,7 @@
 on_state_saved(void *user, bool is_saved)
 {
     ps_gateway_t *gateway = user;
-    gateway->content_crashes.has_unsaved_crash |= !is_saved;
+    gateway->mark_crashes.has_unsaved_crash |= !is_saved;
 }
 
 static void
@@ -303,7 +303,7 @@
     ps_gateway_t *gateway = user;
     PsBackendRegistry_HandleStoreRestored(&gateway->backend_registry,
                                           PsClock_Now());
-    gateway->content_crashes.has_unsaved_crash = true;
+    gateway->mark_crashes.has_unsaved_crash = true;
     gateway->sharing.is_stored_usage_empty = false;
 }
 
@@ -339,8 +339,8 @@
                  backend->registration.name.data, "service",
                  backend->registration.service.data, "reason", reason);
     if (!backend->registration.is_leaving) {
-        PsContentCrashes_HandleServerEnd(
-            &gateway->content_crashes, &backend->registration, PsClock_Now());
+        PsMarkCrashes_HandleServerEnd(&gateway->mark_crashes,
+                                      &backend->registration, PsClock_Now());
     }
     PsChanges_AddServer(&gateway->changes, &backend->registration, true,
                         !gateway->is_applying_change, PsClock_Now());
@@ -355,8 +355,8 @@
 on_server_ended(void *user, const ps_registration_t *server)
 {
     ps_gateway_t *gateway = user;
-    PsContentCrashes_HandleServerEnd(&gateway->content_crashes, server,
-                                     PsClock_Now());
+    PsMarkCrashes_HandleServerEnd(&gateway->mark_crashes, server,
+                                  PsClock_Now());
 }
 
 // Calls a function for each backend server of all services.
@@ -460,7 +460,7 @@
     print_metric(&out, "pearstair_lost_connections_total",
                  (double)stats->lost_connections);
     print_metric(&out, "pearstair_contents_suspected",
-                 g_hash_table_size(gateway->content_crashes.suspects.by_hash));
+                 g_hash_table_size(gateway->mark_crashes.suspects.by_hash));
     print_metric(&out, "pearstair_content_refused_total",
                  (double)stats->banned_requests);
     print_metric(&out, "pearstair_connects_total",
@@ -634,7 +634,7 @@
     PsChanges_Init(&gateway->changes);
     PsBackendRegistry_Init(&gateway->backend_registry, &registry_events,
                            gateway);
-    PsContentCrashes_Init(&gateway->content_crashes);
+    PsMarkCrashes_Init(&gateway->mark_crashes);
     PsServerChecks_Init(&gateway->server_checks, &gateway->http_client,
                         on_server_ended, gateway);
     gateway->dispatchers = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
@@ -675,7 +675,7 @@
     PsCatalog_Unref(gateway->catalog);
     PsChanges_Finish(&gateway->changes);
     PsServerChecks_Finish(&gateway->server_checks);
-    PsContentCrashes_Finish(&gateway->content_crashes);
+    PsMarkCrashes_Finish(&gateway->mark_crashes);
     PsRecentMembers_Finish(&gateway->recent_members);
     PsEvents_Flush();
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -14,7 +14,7 @@
 #include "backend_registry.h"
 #include "catalog.h"
 #include "changes.h"
-#include "content_crashes.h"
+#include "mark_crashes.h"
 #include "dialect.h"
 #include "histogram.h"
 #include "http_client.h"
@@ -115,7 +115,7 @@
     ps_backend_registry_t backend_registry;
     GHashTable *dispatchers; /* service name to ps_dispatcher_t */
     GHashTable *quotas;      /* team name to ps_quota_t */
-    ps_content_crashes_t content_crashes;
+    ps_mark_crashes_t mark_crashes;
     ps_server_checks_t server_checks;
     ps_daemon_info_t self;
     GHashTable *members; /* name to ps_daemon_info_t, this daemon included */
--- a/src/pool.c
+++ b/src/pool.c
@@ -433,7 +433,7 @@
     if (!pool->is_model) {
         return;
     }
-    ps_crash_t crash = {.content = job->request.content_hash,
+    ps_crash_t crash = {.mark = job->request.content_hash,
                         .id = ++pool->last_crash_id,
                         .at_ms = now_ms,
                         .is_own = true};
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -79,7 +79,7 @@
             PsName_IsEmpty(&sharing->allocator_name);
         sharing->allocator_name = best->name;
         sharing->allocator_since_ms = now_ms;
-        PsCrashReports_AddAll(&sharing->gateway->content_crashes.to_allocator);
+        PsCrashReports_AddAll(&sharing->gateway->mark_crashes.to_allocator);
     }
 }
 
@@ -303,17 +303,17 @@
             make_service_use(dispatcher, report.round, now_ms);
     }
     add_team_uses(sharing, &report, now_ms);
-    report.crashes = PsContentCrashes_MakeMessages(
-        &gateway->content_crashes.to_allocator, &report.n_crashes, now_ms);
-    uint64_t cleared[PS_CONTENTS_CLEARED_MAX];
+    report.crashes = PsMarkCrashes_MakeMessages(
+        &gateway->mark_crashes.to_allocator, &report.n_crashes, now_ms);
+    uint64_t cleared[PS_MARKS_CLEARED_MAX];
     report.cleared = cleared;
-    report.n_cleared = PsContentCrashes_ListCleared(&gateway->content_crashes,
-                                                    cleared, now_ms);
+    report.n_cleared =
+        PsMarkCrashes_ListCleared(&gateway->mark_crashes, cleared, now_ms);
     Ps__Frame frame = PS__FRAME__INIT;
     frame.body_case = PS__FRAME__BODY_SHARE_REPORT;
     frame.share_report = &report;
     PsPeers_Send(&sharing->peers, &sharing->allocator_name, &frame);
-    PsContentCrashes_FreeMessages(report.crashes, report.n_crashes);
+    PsMarkCrashes_FreeMessages(report.crashes, report.n_crashes);
     for (size_t i = 0; i < report.n_services; i++) {
         free_service_use(report.services[i]);
     }
@@ -466,11 +466,11 @@
         g_hash_table_add(sharing->silent_members,
                          g_memdup2(&name, sizeof name));
     }
-    ps_content_crashes_t *crashes = &sharing->gateway->content_crashes;
-    PsContentCrashes_MergeCleared(crashes, grant->cleared, grant->n_cleared,
-                                  &sharing->allocator_name, now_ms);
-    PsContentCrashes_Merge(crashes, grant->crashes, grant->n_crashes,
-                           &sharing->allocator_name, now_ms);
+    ps_mark_crashes_t *crashes = &sharing->gateway->mark_crashes;
+    PsMarkCrashes_MergeCleared(crashes, grant->cleared, grant->n_cleared,
+                               &sharing->allocator_name, now_ms);
+    PsMarkCrashes_Merge(crashes, grant->crashes, grant->n_crashes,
+                        &sharing->allocator_name, now_ms);
     for (size_t i = 0; i < grant->n_services; i++) {
         apply_service_grant(sharing, grant->services[i], grant->round, now_ms);
     }
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -1,8 +1,6 @@
-/* suspects.c - Crashes counted by request content. */
+/* suspects.c - Crashes counted by request mark. */
 #include "suspects.h"
 
-#include <inttypes.h>
-
 /* ---- Types ------------------------------------------------------------ */
 
 typedef struct suspect {
@@ -58,7 +56,7 @@
     return NULL;
 }
 
-// Removes the content with the oldest last crash, banned ones last.
+// Removes the mark with the oldest last crash, banned ones last.
 static void
 remove_oldest(ps_suspects_t *suspects)
 {
@@ -95,7 +93,7 @@
                                              : 0;
 }
 
-// Lists the crashes of banned contents, and those of others seen since a time:
+// Lists the crashes of banned marks, and those of others seen since a time:
 // here only, or reported by other daemons too.
 static size_t
 list_crashes(const ps_suspects_t *suspects, int64_t since_ms,
@@ -149,11 +147,10 @@
 bool
 PsSuspects_AddCrash(ps_suspects_t *suspects, const ps_crash_t *crash)
 {
-    if (crash->content == 0) {
+    if (crash->mark == 0) {
         return false;
     }
-    suspect_t *suspect =
-        g_hash_table_lookup(suspects->by_hash, &crash->content);
+    suspect_t *suspect = g_hash_table_lookup(suspects->by_hash, &crash->mark);
     if (suspect && is_expired(suspect, crash->at_ms)) {
         suspect->n_crashes = 0;
     }
@@ -167,7 +164,7 @@
             remove_oldest(suspects);
         }
         suspect = g_new0(suspect_t, 1);
-        suspect->hash = crash->content;
+        suspect->hash = crash->mark;
         g_hash_table_insert(suspects->by_hash, &suspect->hash, suspect);
     }
     suspect->last_crash_ms = MAX(suspect->last_crash_ms, crash->at_ms);
@@ -214,12 +211,6 @@
     return list_crashes(suspects, INT64_MIN, true, crashes, max, now_ms);
 }
 
-ps_name_t
-PsSuspects_FormatHash(uint64_t hash)
-{
-    return PsName_Format("%016" PRIx64, hash);
-}
-
 void
 PsSuspects_Expire(ps_suspects_t *suspects, int64_t now_ms)
 {
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -910,7 +910,7 @@
 MakeCrash(uint64_t content, uint64_t id, int64_t at_ms)
 {
     ps_crash_t crash = {};
-    crash.content = content;
+    crash.mark = content;
     crash.id = id;
     crash.at_ms = at_ms;
     crash.is_own = true;
@@ -939,7 +939,7 @@
         Count(const ps_crash_t &crash)
         {
             int before =
-                PsSuspects_GetCrashes(&suspects, crash.content, crash.at_ms);
+                PsSuspects_GetCrashes(&suspects, crash.mark, crash.at_ms);
             bool is_new = PsSuspects_AddCrash(&suspects, &crash);
             if (is_new && before == 2) {
                 PsCrashReports_AddAll(&to_members);
@@ -1069,8 +1069,8 @@
     EXPECT_EQ(PsSuspects_ListCrashes(&suspects, kStart, crashes,
                                      PS_CRASH_REPORTS_MAX, kStart),
               (size_t)PS_CRASH_REPORTS_MAX);
-    EXPECT_EQ(crashes[0].content, 7u);
-    EXPECT_EQ(crashes[3].content, 1000u + 3 * PS_SUSPECTS_MAX - 1);
+    EXPECT_EQ(crashes[0].mark, 7u);
+    EXPECT_EQ(crashes[3].mark, 1000u + 3 * PS_SUSPECTS_MAX - 1);
     EXPECT_EQ(PsSuspects_ListCrashes(&suspects, INT64_MAX, crashes,
                                      PS_CRASH_REPORTS_MAX, kStart),
               3u);
@@ -1090,7 +1090,7 @@
     auto take = [&](uint64_t crash, int64_t now) -> uint64_t {
         ps_abandoned_run_t run;
         bool found = PsAbandonedRuns_TakeNext(&abandoned, crash, now, &run);
-        return found ? run.content : 0;
+        return found ? run.mark : 0;
     };
     EXPECT_EQ(take(72, later), 0u);
     EXPECT_EQ(take(70, later), 3u);
@@ -1163,7 +1163,7 @@
             PsCrashReports_Take(&reports, crashes, kStart + each.after_ms),
             each.reported)
             << each.after_ms;
-        EXPECT_TRUE(each.reported == 0 || crashes[0].content == 5000u);
+        EXPECT_TRUE(each.reported == 0 || crashes[0].mark == 5000u);
     }
     PsCrashReports_AddAll(&reports); // for another allocator
     EXPECT_EQ(PsCrashReports_Take(&reports, crashes, kStart + 61020),
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -542,90 +542,90 @@
 
 // Many callers send the same request without a body. When all servers of its
 // service crash at once, it is in flight at each of them.
-TEST(ContentCrashes, ContentThatRunsToItsEndIsNotSuspected)
+TEST(MarkCrashes, ContentThatRunsToItsEndIsNotSuspected)
 {
     const uint64_t common = 1, crashing = 2;
-    ps_content_crashes_t crashes;
-    PsContentCrashes_Init(&crashes);
+    ps_mark_crashes_t crashes;
+    PsMarkCrashes_Init(&crashes);
     int64_t now = 1000000;
     for (int64_t start = 1; start <= 5; start++) {
         for (const char *name : {"x1", "x2", "x3"}) {
             ps_registration_t server = {};
             server.name = ToName(name);
             server.started_ms = start;
-            PsContentCrashes_AddCompleted(&crashes, common, now);
-            PsContentCrashes_Add(&crashes, common, &server, now + 50);
-            PsContentCrashes_Add(&crashes, crashing, &server, now + 50);
+            PsMarkCrashes_AddCompleted(&crashes, common, now);
+            PsMarkCrashes_Add(&crashes, common, &server, now + 50);
+            PsMarkCrashes_Add(&crashes, crashing, &server, now + 50);
             now += 1000;
         }
         EXPECT_FALSE(PsSuspects_IsBanned(&crashes.suspects, common, now));
         EXPECT_TRUE(PsSuspects_IsBanned(&crashes.suspects, crashing, now));
     }
-    PsContentCrashes_Finish(&crashes);
+    PsMarkCrashes_Finish(&crashes);
 }
 
 // A request without a body is in flight at crashes that others cause: it counts
 // for servers that have ended, not for connections that are cut.
-TEST(ContentCrashes, ContentWithoutABodyCountsForEndedServersOnly)
+TEST(MarkCrashes, ContentWithoutABodyCountsForEndedServersOnly)
 {
-    const uint64_t content = 16 | PS_CONTENT_NO_BODY;
-    ps_content_crashes_t crashes;
-    PsContentCrashes_Init(&crashes);
+    const uint64_t content = 16 | 1;
+    ps_mark_crashes_t crashes;
+    PsMarkCrashes_Init(&crashes);
     int64_t now = 1000000;
     ps_registration_t server = {};
     server.name = ToName("x");
     for (server.started_ms = 1; server.started_ms <= 3; server.started_ms++) {
-        PsContentCrashes_Add(&crashes, content, &server, now);
+        PsMarkCrashes_Add(&crashes, content, &server, now);
         EXPECT_EQ(
             PsSuspects_GetCrashes(&crashes.suspects, content, now + 50),
             (int)server.started_ms - 1);
-        PsContentCrashes_HandleServerEnd(&crashes, &server, now + 100);
+        PsMarkCrashes_HandleServerEnd(&crashes, &server, now + 100);
         EXPECT_EQ(
             PsSuspects_GetCrashes(&crashes.suspects, content, now + 200),
             (int)server.started_ms);
         now += 1000;
     }
     EXPECT_TRUE(PsSuspects_IsBanned(&crashes.suspects, content, now));
-    PsContentCrashes_Finish(&crashes);
+    PsMarkCrashes_Finish(&crashes);
 }
 
 // The allocator and two members that saw the same content without a body at
 // three servers that ended. Another member has seen it run to its end: all clear
 // it, and stop telling each other of it.
-TEST(ContentCrashes, ContentThatRanToItsEndAtOneDaemonIsClearedByAll)
+TEST(MarkCrashes, ContentThatRanToItsEndAtOneDaemonIsClearedByAll)
 {
-    const uint64_t content = 16 | PS_CONTENT_NO_BODY;
+    const uint64_t content = 16 | 1;
     const int n = 4; // the first one is the allocator
-    ps_content_crashes_t daemons[n];
-    for (ps_content_crashes_t &each : daemons) {
-        PsContentCrashes_Init(&each);
+    ps_mark_crashes_t daemons[n];
+    for (ps_mark_crashes_t &each : daemons) {
+        PsMarkCrashes_Init(&each);
     }
     int64_t now = 1000000;
-    PsContentCrashes_AddCompleted(&daemons[3], content, now);
+    PsMarkCrashes_AddCompleted(&daemons[3], content, now);
     ps_registration_t server = {};
     server.name = ToName("x");
     for (server.started_ms = 1; server.started_ms <= 3; server.started_ms++) {
         for (int i = 1; i <= 2; i++) {
-            PsContentCrashes_Add(&daemons[i], content, &server, now);
-            PsContentCrashes_HandleServerEnd(&daemons[i], &server, now);
+            PsMarkCrashes_Add(&daemons[i], content, &server, now);
+            PsMarkCrashes_HandleServerEnd(&daemons[i], &server, now);
         }
     }
     const ps_name_t name = ToName("d");
     // Sends what one daemon reports or grants to others.
     auto send = [&](int from, ps_crash_reports_t *reports, int to, int last) {
         size_t n_crashes;
-        uint64_t cleared[PS_CONTENTS_CLEARED_MAX];
+        uint64_t cleared[PS_MARKS_CLEARED_MAX];
         Ps__ContentCrash **messages =
-            PsContentCrashes_MakeMessages(reports, &n_crashes, now);
+            PsMarkCrashes_MakeMessages(reports, &n_crashes, now);
         size_t n_cleared =
-            PsContentCrashes_ListCleared(&daemons[from], cleared, now);
+            PsMarkCrashes_ListCleared(&daemons[from], cleared, now);
         for (; to <= last; to++) {
-            PsContentCrashes_MergeCleared(&daemons[to], cleared, n_cleared,
+            PsMarkCrashes_MergeCleared(&daemons[to], cleared, n_cleared,
                                           &name, now);
-            PsContentCrashes_Merge(&daemons[to], messages, n_crashes, &name,
+            PsMarkCrashes_Merge(&daemons[to], messages, n_crashes, &name,
                                    now);
         }
-        PsContentCrashes_FreeMessages(messages, n_crashes);
+        PsMarkCrashes_FreeMessages(messages, n_crashes);
     };
     bool was_banned = false;
     for (int round = 0; round < 150; round++, now += 100) {
@@ -641,10 +641,10 @@
         }
     }
     EXPECT_TRUE(was_banned);
-    for (ps_content_crashes_t &each : daemons) {
-        uint64_t cleared[PS_CONTENTS_CLEARED_MAX];
-        EXPECT_EQ(PsContentCrashes_ListCleared(&each, cleared, now), 0u);
-        PsContentCrashes_Finish(&each);
+    for (ps_mark_crashes_t &each : daemons) {
+        uint64_t cleared[PS_MARKS_CLEARED_MAX];
+        EXPECT_EQ(PsMarkCrashes_ListCleared(&each, cleared, now), 0u);
+        PsMarkCrashes_Finish(&each);
     }
 }
 
@@ -655,10 +655,10 @@
     written.teams[0].team = ToName("team");
     written.teams[0].used_units[3] = 12.5;
     written.n_crashes = 2;
-    written.crashes[0].content = UINT64_MAX;
+    written.crashes[0].mark = UINT64_MAX;
     written.crashes[0].id = 1;
     written.crashes[0].at_ms = 100000;
-    written.crashes[1].content = 0x123456789abcdef;
+    written.crashes[1].mark = 0x123456789abcdef;
     written.crashes[1].id = UINT64_MAX - 1;
     written.crashes[1].at_ms = 90000;
     json_t *object = PsCodec_EncodeState("spent", &written, 101000);
@@ -672,7 +672,7 @@
     EXPECT_EQ(read.teams[0].used_units[3], 12.5);
     ASSERT_EQ(read.n_crashes, 2u);
     for (int i = 0; i < 2; i++) {
-        EXPECT_EQ(read.crashes[i].content, written.crashes[i].content);
+        EXPECT_EQ(read.crashes[i].mark, written.crashes[i].mark);
         EXPECT_EQ(read.crashes[i].id, written.crashes[i].id);
         EXPECT_NEAR((double)read.crashes[i].at_ms,
                     (double)written.crashes[i].at_ms + 400000, 1000);
