Log the marks of prompt parts and for how long a lost run was writing

The logs could not tell which of the requests in flight at a crash had a part of their prompts in common, nor which of them had just begun to be answered. request.accept and content.lost_connection name the marks of the parts, each hashed alone (the hashes used for placement cover all parts before), and the latter the time since the first event.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -10,6 +10,7 @@
 
 #include "http_client.h"
 #include "http_server.h"
+#include "marks.h"
 #include "scheduler.h"
 
 /**
@@ -66,6 +67,8 @@
  * @name: short name of the dialect
  * @parse_request: parses a request's headers; returns false if one is
  * malformed
+ * @add_part_marks: appends the marks (uint64_t) of the parts of the prompt,
+ * all but the last one
  * @add_request_headers: adds to @transfer the headers of @request that are
  *                       passed on, and those for @outbound
  * @classify: reads the headers of the response to request @request_id
@@ -78,6 +81,7 @@
     const char *name;
     bool (*parse_request)(const ps_http_request_t *request,
                           ps_inbound_request_t *inbound);
+    void (*add_part_marks)(const ps_http_request_t *request, GArray *marks);
     void (*add_request_headers)(const ps_http_request_t *request,
                                 const ps_outbound_request_t *outbound,
                                 ps_transfer_t *transfer);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -71,6 +71,9 @@
     }
     g_queue_unlink(&exchange->gateway->exchanges, &exchange->link);
     PsBuf_Finish(&exchange->body);
+    if (exchange->marks) {
+        g_array_unref(exchange->marks);
+    }
     PsCatalog_Unref(exchange->catalog);
     g_free(exchange);
 }
@@ -180,25 +183,31 @@
 
 /* ---- Sending ---------------------------------------------------------- */
 
+static uint64_t
+get_content(const ps_exchange_t *exchange)
+{
+    return g_array_index(exchange->marks, uint64_t, 0);
+}
+
 // Tells whether the request's content has crashed too many servers to be sent.
 static bool
 is_banned(const ps_exchange_t *exchange, int64_t now_ms)
 {
     return PsSuspects_IsBanned(&exchange->gateway->mark_crashes.suspects,
-                               exchange->content_hash, now_ms);
+                               get_content(exchange), now_ms);
 }
 
 // Ends the exchange because of its content.
 static void
 end_banned(ps_exchange_t *exchange, int64_t now_ms)
 {
-    ps_name_t content = PsMark_Format(exchange->content_hash);
+    ps_name_t content = PsMark_Format(get_content(exchange));
     exchange->gateway->stats.banned_requests++;
     PsEvents_Add(
         "content.refused", "{s:s,s:s,s:i}", "id",
         exchange->inbound.request_id.data, "content", content.data, "crashes",
         PsSuspects_GetCrashes(&exchange->gateway->mark_crashes.suspects,
-                              exchange->content_hash, now_ms));
+                              get_content(exchange), now_ms));
     refuse_or_fail(exchange, 0, "content was in flight at crashes");
 }
 
@@ -598,6 +607,16 @@
                  PsBackend_GetFailureRate(backend));
 }
 
+// Returns for how long a server has been sending events of a stream, in
+// milliseconds.
+static int64_t
+get_writing_time(const ps_task_t *task)
+{
+    return task->first_event_ms > 0
+               ? task->last_event_ms - task->first_event_ms
+               : 0;
+}
+
 // Counts a connection that was lost before the end of the response as a crash
 // of the server.
 static void
@@ -606,17 +625,19 @@
     ps_mark_crashes_t *crashes = &exchange->gateway->mark_crashes;
     const ps_registration_t *server = &exchange->task.backend->registration;
     exchange->gateway->stats.lost_connections++;
-    if (PsMarkCrashes_Add(crashes, exchange->content_hash, server, now_ms)) {
+    if (PsMarkCrashes_Add(crashes, get_content(exchange), server, now_ms)) {
         PsServerChecks_Add(&exchange->gateway->server_checks, server, now_ms);
     }
-    ps_name_t content = PsMark_Format(exchange->content_hash);
-    PsEvents_Add("content.lost_connection", "{s:s,s:s,s:s,s:b,s:i,s:i}", "id",
-                 exchange->inbound.request_id.data, "content", content.data,
-                 "server", server->name.data, "response_began",
-                 (int)exchange->has_response_head, "events",
-                 (int)exchange->n_events, "crashes",
-                 PsSuspects_GetCrashes(&crashes->suspects,
-                                       exchange->content_hash, now_ms));
+    ps_name_t content = PsMark_Format(get_content(exchange));
+    ps_name_t parts = PsMark_FormatParts(exchange->marks);
+    PsEvents_Add(
+        "content.lost_connection", "{s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:i}", "id",
+        exchange->inbound.request_id.data, "content", content.data, "parts",
+        parts.data, "server", server->name.data, "response_began",
+        (int)exchange->has_response_head, "events", (int)exchange->n_events,
+        "writing_ms", (json_int_t)get_writing_time(&exchange->task), "crashes",
+        PsSuspects_GetCrashes(&crashes->suspects, get_content(exchange),
+                              now_ms));
 }
 
 static const char *
@@ -648,7 +669,7 @@
     }
     else if (task_result == PS_TASK_SUCCEEDED) {
         PsMarkCrashes_AddCompleted(&exchange->gateway->mark_crashes,
-                                   exchange->content_hash, now_ms);
+                                   get_content(exchange), now_ms);
     }
     bool is_relayable = exchange->is_relaying
                             ? is_stream_response(exchange)
@@ -713,16 +734,19 @@
     }
 }
 
-static uint64_t
-hash_content(const ps_exchange_t *exchange)
+static void
+set_marks(ps_exchange_t *exchange)
 {
     const ps_http_request_t *request = exchange->request;
     ps_str_t team = {NULL, 0};
     if (exchange->team) {
         team = PsName_View(&exchange->team->name);
     }
-    return PsMark_HashContent(PsBuf_View(&request->path), team,
-                              PsBuf_View(&request->body));
+    uint64_t content = PsMark_HashContent(PsBuf_View(&request->path), team,
+                                          PsBuf_View(&request->body));
+    exchange->marks = g_array_new(FALSE, FALSE, sizeof content);
+    g_array_append_val(exchange->marks, content);
+    exchange->gateway->dialect->add_part_marks(request, exchange->marks);
 }
 
 // Finds the request's route and team. Refuses the request and returns false if
@@ -837,7 +861,7 @@
         return;
     }
     exchange->last_event_id = exchange->inbound.last_event_id;
-    exchange->content_hash = hash_content(exchange);
+    set_marks(exchange);
     if (is_banned(exchange, now_ms)) {
         end_banned(exchange, now_ms);
         return;
@@ -851,16 +875,17 @@
     const ps_name_t *service = PsRoute_PickService(exchange->route, hash);
     exchange->dispatcher = PsGateway_GetDispatcher(gateway, service);
     PsRetryBudget_AddRequest(&exchange->dispatcher->retry_budget, now_ms);
-    ps_name_t content = PsMark_Format(exchange->content_hash);
-    PsEvents_Add("request.accept", "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}",
-                 "id", exchange->inbound.request_id.data, "content",
-                 content.data, "route", exchange->route->name.data, "team",
-                 exchange->team ? exchange->team->name.data : "", "service",
-                 service->data, "tier", exchange->task.tier, "prompt",
-                 exchange->task.prompt_tokens, "output",
-                 exchange->task.output_tokens, "config",
-                 (json_int_t)exchange->catalog->version, "config_age_ms",
-                 (json_int_t)(now_ms - gateway->catalog_confirmed_ms));
+    ps_name_t content = PsMark_Format(get_content(exchange));
+    ps_name_t parts = PsMark_FormatParts(exchange->marks);
+    PsEvents_Add(
+        "request.accept", "{s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}",
+        "id", exchange->inbound.request_id.data, "content", content.data,
+        "parts", parts.data, "route", exchange->route->name.data, "team",
+        exchange->team ? exchange->team->name.data : "", "service",
+        service->data, "tier", exchange->task.tier, "prompt",
+        exchange->task.prompt_tokens, "output", exchange->task.output_tokens,
+        "config", (json_int_t)exchange->catalog->version, "config_age_ms",
+        (json_int_t)(now_ms - gateway->catalog_confirmed_ms));
     PsScheduler_Submit(&exchange->dispatcher->scheduler, &exchange->task,
                        now_ms);
 }
@@ -871,7 +896,7 @@
 abandon_transfer(ps_exchange_t *exchange, int64_t now_ms)
 {
     PsMarkCrashes_AddAbandoned(&exchange->gateway->mark_crashes,
-                               exchange->content_hash,
+                               get_content(exchange),
                                &exchange->task.backend->registration, now_ms);
     PsTransfer_Cancel(&exchange->gateway->http_client, &exchange->transfer);
     close_transfer(exchange);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -22,7 +22,8 @@
     ps_dispatcher_t *dispatcher; /* NULL until the request is admitted */
     ps_inbound_request_t inbound;
     ps_task_t task;
-    uint64_t content_hash; /* of path, team and body */
+    GArray *marks; /* uint64_t, its content's first; NULL until the
+                      request is admitted */
     int64_t arrived_ms;
     int64_t deadline_ms; /* the response is due by then */
     double quota_units;  /* charged to the team */
--- a/src/marks.c
+++ b/src/marks.c
@@ -6,6 +6,8 @@
 
 #define SHARED UINT64_C(1) /* the bit that tells shared marks from others */
 
+#define PART_SEED 1 /* keeps marks of parts apart from those of contents */
+
 /* ---- Public functions ------------------------------------------------- */
 
 uint64_t
@@ -21,6 +23,12 @@
     return XXH64(body.data, body.len, hash) & ~SHARED;
 }
 
+uint64_t
+PsMark_HashPart(ps_str_t id)
+{
+    return XXH64(id.data, id.len, PART_SEED) | SHARED;
+}
+
 bool
 PsMark_IsShared(uint64_t mark)
 {
@@ -32,3 +40,14 @@
 {
     return PsName_Format("%016" PRIx64, mark);
 }
+
+ps_name_t
+PsMark_FormatParts(const GArray *marks)
+{
+    ps_name_t text = PsName_FromC("");
+    for (guint i = 1; i < MIN(marks->len, PS_MARK_PARTS_LOGGED_MAX + 1); i++) {
+        text = PsName_Format("%s%s%016" PRIx64, text.data, i > 1 ? "," : "",
+                             g_array_index(marks, uint64_t, i));
+    }
+    return text;
+}
--- a/src/marks.h
+++ b/src/marks.h
@@ -1,17 +1,21 @@
 /*
  * marks.h - What a request has in common with others that may crash servers.
  *
- * A request's first mark is its content. Each mark is a hash; that of a mark
- * that sound requests may have too is odd, all others are even.
+ * A request's first mark is its content; the others are the parts of its
+ * prompt, without the last one, which is its own. Each mark is a hash; that of
+ * a mark that sound requests may have too is odd, all others are even.
  */
 #ifndef PS_MARKS_H
 #define PS_MARKS_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "str.h"
 
+#define PS_MARK_PARTS_LOGGED_MAX 7 /* so many fit in a ps_name_t */
+
 /**
  * PsMark_HashContent() - Returns the mark of a request's content.
  * @team: empty if the request has none
@@ -19,6 +23,12 @@
  */
 uint64_t PsMark_HashContent(ps_str_t path, ps_str_t team, ps_str_t body);
 
+/**
+ * PsMark_HashPart() - Returns the mark of a part of a prompt, which is the
+ * same after any other parts.
+ */
+uint64_t PsMark_HashPart(ps_str_t id);
+
 /**
  * PsMark_IsShared() - Tells whether sound requests may have this mark too.
  */
@@ -30,4 +40,11 @@
  */
 ps_name_t PsMark_Format(uint64_t mark);
 
+/**
+ * PsMark_FormatParts() - Returns the marks of a request's parts as they appear
+ * in the log, separated by commas; at most the first PS_MARK_PARTS_LOGGED_MAX.
+ * @marks: array of uint64_t, the content's first
+ */
+ps_name_t PsMark_FormatParts(const GArray *marks);
+
 #endif
