Reproduce servers that a part of the prompts goes on crashing (known red)

Seen: requests that are no two alike, with one part of their prompts in common, end every server that begins to answer them; nothing counts the part.

--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -25,7 +25,9 @@
  * after N events, and in place of a plain answer or a stream's head if N is 0.
  * STOP stops the process (SIGSTOP) instead, so that its connections stay open
  * and silent. The faults above don't strike such a request.
- * GET /counts: runs by request id, rejected and running requests.
+ * A stream's request with a part in Prompt-Prefix, not the last one, whose ID
+ * is "dead" and more digits ends the process when its first event is due. GET
+ * /counts: runs by request id, rejected and running requests.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -44,6 +46,7 @@
 #define SILENCE_MS 2500      /* until a silent stream is broken off */
 #define CRASH "CRASH"        /* ends the process */
 #define STOP "STOP"          /* stops the process */
+#define CRASHING_PART "dead" /* first digits of a part's ID */
 #define EVENT_BYTES_MAX 200  /* bytes of one event */
 
 typedef struct stream {
@@ -155,6 +158,21 @@
     return atoi(way + strlen(g_str_has_prefix(way, STOP) ? STOP : CRASH) + 1);
 }
 
+// Tells whether a part of the prompt, but the last one, crashes servers.
+static bool
+has_crashing_part(standin_request_t *request)
+{
+    const char *parts = Standin_GetHeader(request, "Prompt-Prefix");
+    const char *comma;
+    while (parts && (comma = strchr(parts, ','))) {
+        if (g_str_has_prefix(parts, CRASHING_PART)) {
+            return true;
+        }
+        parts = comma + 1;
+    }
+    return false;
+}
+
 static void
 fail_process(bool is_stopping)
 {
@@ -228,6 +246,8 @@
         stream->cut_event =
             should_inject(cut_percent) ? stream->next_event + rand() % 4 : 0;
         stream->is_silent = should_inject(silent_percent);
+        stream->crash_event =
+            has_crashing_part(request) ? stream->next_event : 0;
     }
     else {
         stream->crash_event = stream->next_event + get_crash_events(crash);
@@ -337,8 +357,9 @@
     if (crash && get_crash_events(crash) == 0) {
         fail_process(g_str_has_prefix(crash, STOP));
     }
-    bool is_stream = strstr(request->path, "/stream") &&
-                     (crash || !should_inject(error_percent));
+    bool is_stream =
+        strstr(request->path, "/stream") &&
+        (crash || has_crashing_part(request) || !should_inject(error_percent));
     return is_stream ? send_stream(request, id) : send_plain(request, id);
 }
 
