Refuse requests with a part of their prompts that crashes servers

Cause: the only mark of a request that was counted was the hash of path, team and body. Contents that were resumed at server after server were banned in the part's place.

Change: the parts, all but the last one, are marks too, hashed alone, and go through the counts, reports, bans and the stored state of contents. A part counts only where the server is known to have ended and the request had not been answered for more than a second; of a request's parts only those that have not run to their end lately. A run to its end, or one that is answered for longer, clears its parts at all daemons. Four ends ban a part, so that one request alone (three) can't. Of several banned parts, one whose crashes are all crashes of another one with more is not refused; while they are the same, a request that lacks one of them is let through from time to time, at most until three more servers have ended.

The mark of half of the contents without a body is another one than before.

--- a/Makefile
+++ b/Makefile
@@ -108,7 +108,7 @@
 # Tests
 
 TESTS := test_tables test_pool test_ledger test_contract test_simulation \
-    test_gateway test_limits test_mutations test_server_limits
+    test_gateway test_limits test_mutations test_server_limits test_marks
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
@@ -133,6 +133,10 @@
     $(DAEMON_OBJS) $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
+$(BUILD)/test_marks: $(BUILD)/tests/test_marks.o $(DAEMON_OBJS) \
+    $(KERNEL_OBJS)
+	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
+
 $(BUILD)/test_simulation: $(BUILD)/tests/test_simulation.o \
     $(BUILD)/tests/simulation.o $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
--- a/src/abandoned_runs.h
+++ b/src/abandoned_runs.h
@@ -14,14 +14,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define PS_ABANDONED_RUNS_MAX 512 /* kept; the oldest are replaced */
+#define PS_ABANDONED_RUNS_MAX 4096 /* kept; the oldest are replaced */
 
 // Time in which a server's end has to become known: its registration is
 // removed within some heartbeats, or it registers again after its restart.
 #define PS_ABANDONED_RUN_TTL_MS 15000
 
 /**
- * struct ps_abandoned_run - A request that got no end of a response.
+ * struct ps_abandoned_run - A mark of a request that got no end of a response.
  */
 typedef struct ps_abandoned_run {
     uint64_t mark;     /* 0: unused entry */
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -37,6 +37,10 @@
     (16 * 1024 * 1024)          /* most bytes of a response, if no stream */
 #define EVENT_MAX (1024 * 1024) /* most bytes of one event of a stream */
 
+// A part of a prompt that crashes servers does so when they begin to write the
+// answer, at most this long after the first event.
+#define PART_CRASH_MAX_MS 1000
+
 // Retry-After values, by reason.
 #define RETRY_OTHER_DAEMON_MS 20 /* another daemon can serve it at once */
 #define RETRY_REJECTED_MS 300   /* servers that reject are full for a moment */
@@ -189,26 +193,36 @@
     return g_array_index(exchange->marks, uint64_t, 0);
 }
 
-// Tells whether the request's content has crashed too many servers to be sent.
-static bool
-is_banned(const ps_exchange_t *exchange, int64_t now_ms)
+// Returns the request's mark that has crashed too many servers for it to be
+// sent; 0: none.
+static uint64_t
+find_banned(ps_exchange_t *exchange, int64_t now_ms)
 {
-    return PsSuspects_IsBanned(&exchange->gateway->mark_crashes.suspects,
-                               get_content(exchange), now_ms);
+    ps_mark_crashes_t *crashes = &exchange->gateway->mark_crashes;
+    ps_banned_mark_t banned =
+        PsMarkCrashes_FindBanned(crashes, exchange->marks, now_ms);
+    if (banned.is_unclear && !exchange->is_trial) {
+        exchange->is_trial =
+            PsMarkCrashes_StartTrial(crashes, banned.mark, now_ms);
+    }
+    return banned.is_unclear && exchange->is_trial ? 0 : banned.mark;
 }
 
-// Ends the exchange because of its content.
+// Ends the exchange because of a banned mark.
 static void
-end_banned(ps_exchange_t *exchange, int64_t now_ms)
+end_banned(ps_exchange_t *exchange, uint64_t mark, int64_t now_ms)
 {
-    ps_name_t content = PsMark_Format(get_content(exchange));
+    ps_name_t hash = PsMark_Format(mark);
     exchange->gateway->stats.banned_requests++;
-    PsEvents_Add(
-        "content.refused", "{s:s,s:s,s:i}", "id",
-        exchange->inbound.request_id.data, "content", content.data, "crashes",
-        PsSuspects_GetCrashes(&exchange->gateway->mark_crashes.suspects,
-                              get_content(exchange), now_ms));
-    refuse_or_fail(exchange, 0, "content was in flight at crashes");
+    PsEvents_Add("content.refused", "{s:s,s:s,s:s,s:i}", "id",
+                 exchange->inbound.request_id.data, "content", hash.data,
+                 "kind", PsMark_GetKind(mark), "crashes",
+                 PsSuspects_GetCrashes(
+                     &exchange->gateway->mark_crashes.suspects, mark, now_ms));
+    refuse_or_fail(exchange, 0,
+                   PsMark_IsPart(mark)
+                       ? "a part of the prompt was in flight at crashes"
+                       : "content was in flight at crashes");
 }
 
 static bool
@@ -282,7 +296,7 @@
                  (int)scheduler->waiting.length, "tier", task->tier, "send",
                  exchange->sends + 1, "ms",
                  (json_int_t)(now_ms - task->arrived_ms));
-    // The API key may have been revoked, or the content banned, while the
+    // The API key may have been revoked, or a mark banned, while the
     // request waited.
     if (exchange->team &&
         !PsGateway_IsCatalogFresh(exchange->gateway, now_ms)) {
@@ -291,9 +305,10 @@
                        "API keys not confirmed lately");
         return;
     }
-    if (is_banned(exchange, now_ms)) {
+    uint64_t banned = find_banned(exchange, now_ms);
+    if (banned != 0) {
         PsScheduler_EndTask(scheduler, task, PS_TASK_CANCELLED, now_ms);
-        end_banned(exchange, now_ms);
+        end_banned(exchange, banned, now_ms);
         return;
     }
     if (exchange->sends == 0) {
@@ -360,6 +375,23 @@
     }
 }
 
+// Returns for how long a server has been sending events of a stream, in
+// milliseconds.
+static int64_t
+get_writing_time(const ps_task_t *task)
+{
+    return task->first_event_ms > 0
+               ? task->last_event_ms - task->first_event_ms
+               : 0;
+}
+
+// Tells whether a part of the prompt can still be what ends the server.
+static bool
+has_just_begun(const ps_exchange_t *exchange)
+{
+    return get_writing_time(&exchange->task) <= PART_CRASH_MAX_MS;
+}
+
 // Relays complete events only, so that another backend server can resume the
 // stream after the last one.
 static void
@@ -376,9 +408,14 @@
             PsHistogram_Add(&exchange->gateway->stats.first_event_latency,
                             (double)(now_ms - exchange->arrived_ms));
         }
+        bool had_just_begun = has_just_begun(exchange);
         PsScheduler_HandleEvent(
             &exchange->dispatcher->scheduler, &exchange->task,
             exchange->dispatcher->tokens_per_event, now_ms);
+        if (had_just_begun && !has_just_begun(exchange)) {
+            PsMarkCrashes_AddSoundParts(&exchange->gateway->mark_crashes,
+                                        exchange->marks, now_ms);
+        }
         relayed = end;
     }
     if (relayed > 0) {
@@ -525,7 +562,8 @@
     bool has_run = result == PS_TASK_FAILED || result == PS_TASK_CANCELLED;
     if ((has_run && !may_retry(exchange)) ||
         now_ms + DEADLINE_MARGIN_MS >= exchange->deadline_ms ||
-        exchange->sends >= SENDS_MAX || is_banned(exchange, now_ms)) {
+        exchange->sends >= SENDS_MAX || exchange->is_trial ||
+        find_banned(exchange, now_ms) != 0) {
         return false;
     }
     return result == PS_TASK_UNREACHABLE ||
@@ -607,16 +645,6 @@
                  PsBackend_GetFailureRate(backend));
 }
 
-// Returns for how long a server has been sending events of a stream, in
-// milliseconds.
-static int64_t
-get_writing_time(const ps_task_t *task)
-{
-    return task->first_event_ms > 0
-               ? task->last_event_ms - task->first_event_ms
-               : 0;
-}
-
 // Counts a connection that was lost before the end of the response as a crash
 // of the server.
 static void
@@ -625,7 +653,8 @@
     ps_mark_crashes_t *crashes = &exchange->gateway->mark_crashes;
     const ps_registration_t *server = &exchange->task.backend->registration;
     exchange->gateway->stats.lost_connections++;
-    if (PsMarkCrashes_Add(crashes, get_content(exchange), server, now_ms)) {
+    if (PsMarkCrashes_AddLost(crashes, exchange->marks,
+                              has_just_begun(exchange), server, now_ms)) {
         PsServerChecks_Add(&exchange->gateway->server_checks, server, now_ms);
     }
     ps_name_t content = PsMark_Format(get_content(exchange));
@@ -669,7 +698,7 @@
     }
     else if (task_result == PS_TASK_SUCCEEDED) {
         PsMarkCrashes_AddCompleted(&exchange->gateway->mark_crashes,
-                                   get_content(exchange), now_ms);
+                                   exchange->marks, now_ms);
     }
     bool is_relayable = exchange->is_relaying
                             ? is_stream_response(exchange)
@@ -862,8 +891,9 @@
     }
     exchange->last_event_id = exchange->inbound.last_event_id;
     set_marks(exchange);
-    if (is_banned(exchange, now_ms)) {
-        end_banned(exchange, now_ms);
+    uint64_t banned = find_banned(exchange, now_ms);
+    if (banned != 0) {
+        end_banned(exchange, banned, now_ms);
         return;
     }
     if (!charge_quota(exchange, now_ms)) {
@@ -890,13 +920,13 @@
                        now_ms);
 }
 
-// Cancels the transfer. If its server turns out to have crashed, the content
+// Cancels the transfer. If its server turns out to have crashed, the request
 // may be the cause.
 static void
 abandon_transfer(ps_exchange_t *exchange, int64_t now_ms)
 {
     PsMarkCrashes_AddAbandoned(&exchange->gateway->mark_crashes,
-                               get_content(exchange),
+                               exchange->marks, has_just_begun(exchange),
                                &exchange->task.backend->registration, now_ms);
     PsTransfer_Cancel(&exchange->gateway->http_client, &exchange->transfer);
     close_transfer(exchange);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -24,6 +24,7 @@
     ps_task_t task;
     GArray *marks; /* uint64_t, its content's first; NULL until the
                       request is admitted */
+    bool is_trial; /* sent once although it has a banned part */
     int64_t arrived_ms;
     int64_t deadline_ms; /* the response is due by then */
     double quota_units;  /* charged to the team */
--- a/src/mark_crashes.c
+++ b/src/mark_crashes.c
@@ -10,16 +10,30 @@
 // each may be lost.
 #define CLEARED_REPORT_MS 2000
 
+// Time for which a mark that has run to its end is known to be sound.
+#define COMPLETED_MS (60 * 1000)
+
+// Time between requests that are let through to find out which of several
+// banned parts crashes servers.
+#define TRIAL_INTERVAL_MS 500
+
+// Crashes after the ban of a part until no such request is let through.
+#define TRIAL_CRASHES_MAX 3
+
+// A part that ran to its end at most this long before a server ended did not
+// end it. Load pattern: many servers end at once, with the same part in flight
+// at several of them.
+#define PART_SOUND_MS 3000
+
 /* ---- Internal functions ----------------------------------------------- */
 
-// Has a ban that has just come into force told to all daemons.
+// Logs a ban that has just come into force.
 static void
-announce_ban(ps_mark_crashes_t *crashes, uint64_t mark, const char *from)
+log_ban(uint64_t mark, const char *from)
 {
     ps_name_t hash = PsMark_Format(mark);
-    PsEvents_Add("content.banned", "{s:s,s:s}", "content", hash.data, "from",
-                 from);
-    PsCrashReports_AddAll(&crashes->to_members);
+    PsEvents_Add("content.banned", "{s:s,s:s,s:s}", "content", hash.data,
+                 "kind", PsMark_GetKind(mark), "from", from);
 }
 
 // Returns the id of a crash of this start of a server.
@@ -39,17 +53,27 @@
         return false;
     }
     crashes->has_unsaved_crash = true;
-    if (PsSuspects_GetCrashes(&crashes->suspects, crash->mark, now_ms) ==
-        PS_MARK_CRASHES_MAX) {
-        announce_ban(crashes, crash->mark, from);
+    int n = PsSuspects_GetCrashes(&crashes->suspects, crash->mark, now_ms);
+    int limit = PsSuspects_GetLimit(&crashes->suspects, crash->mark);
+    if (n == limit) {
+        log_ban(crash->mark, from);
+    }
+    if (n >= limit) {
+        PsCrashReports_AddAll(&crashes->to_members);
     }
     return true;
 }
 
+// Tells whether a mark that was in flight at a crash ran to its end here, so
+// that it is not the cause: a part shortly before or later, a content lately.
 static bool
-ran_to_its_end(ps_mark_crashes_t *crashes, uint64_t mark, int64_t now_ms)
+is_sound(ps_mark_crashes_t *crashes, uint64_t mark, int64_t crashed_ms,
+         int64_t now_ms)
 {
-    return PsRecentSet_Contains(&crashes->completed, mark, now_ms);
+    int64_t completed_ms =
+        PsRecentSet_GetTime(&crashes->completed, mark, now_ms);
+    return completed_ms >= 0 && (!PsMark_IsPart(mark) ||
+                                 completed_ms >= crashed_ms - PART_SOUND_MS);
 }
 
 // Has other daemons clear a mark, unless they were told lately.
@@ -65,8 +89,8 @@
         }
     }
     ps_name_t hash = PsMark_Format(mark);
-    PsEvents_Add("content.cleared", "{s:s,s:s}", "content", hash.data, "from",
-                 from);
+    PsEvents_Add("content.cleared", "{s:s,s:s,s:s}", "content", hash.data,
+                 "kind", PsMark_GetKind(mark), "from", from);
     crashes->cleared[crashes->next_cleared] =
         (ps_cleared_mark_t){mark, now_ms};
     crashes->next_cleared = (crashes->next_cleared + 1) % PS_MARKS_CLEARED_MAX;
@@ -86,32 +110,56 @@
 
 static void
 count_own_crash(ps_mark_crashes_t *crashes, uint64_t mark,
-                const ps_registration_t *server, int64_t now_ms)
+                const ps_registration_t *server, int64_t crashed_ms,
+                int64_t now_ms)
 {
-    if (ran_to_its_end(crashes, mark, now_ms)) {
+    if (is_sound(crashes, mark, crashed_ms, now_ms)) {
         return;
     }
     ps_crash_t crash = {.mark = mark,
                         .id = get_crash_id(server),
-                        .at_ms = now_ms,
+                        .at_ms = crashed_ms,
                         .is_own = true};
     if (count_crash(crashes, &crash, "this daemon", now_ms)) {
         PsCrashReports_Add(&crashes->to_allocator, &crash);
     }
 }
 
+// Notes the parts of a request that may have crashed a server: those that have
+// not run to their end here lately, or all if there are none.
+static void
+add_suspected_parts(ps_mark_crashes_t *crashes, const GArray *marks,
+                    const ps_registration_t *server, int64_t now_ms)
+{
+    bool is_any_unknown = false;
+    for (guint i = 1; i < marks->len; i++) {
+        is_any_unknown |= !PsRecentSet_Contains(
+            &crashes->completed, g_array_index(marks, uint64_t, i), now_ms);
+    }
+    for (guint i = 1; i < marks->len; i++) {
+        uint64_t part = g_array_index(marks, uint64_t, i);
+        if (!is_any_unknown ||
+            !PsRecentSet_Contains(&crashes->completed, part, now_ms)) {
+            PsAbandonedRuns_Add(&crashes->abandoned_runs, part,
+                                get_crash_id(server), now_ms);
+        }
+    }
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 void
 PsMarkCrashes_Init(ps_mark_crashes_t *crashes)
 {
-    PsSuspects_Init(&crashes->suspects, PS_MARK_CRASHES_MAX);
+    PsSuspects_Init(&crashes->suspects, PS_CONTENT_CRASHES_MAX,
+                    PS_PART_CRASHES_MAX);
     PsCrashReports_Init(&crashes->to_allocator, &crashes->suspects, true);
     PsCrashReports_Init(&crashes->to_members, &crashes->suspects, false);
     PsAbandonedRuns_Init(&crashes->abandoned_runs);
-    PsRecentSet_Init(&crashes->completed);
+    PsRecentSet_Init(&crashes->completed, COMPLETED_MS);
     memset(crashes->cleared, 0, sizeof crashes->cleared);
     crashes->next_cleared = 0;
+    crashes->next_trial_ms = 0;
     crashes->has_unsaved_crash = false;
 }
 
@@ -125,33 +173,98 @@
 }
 
 bool
-PsMarkCrashes_Add(ps_mark_crashes_t *crashes, uint64_t mark,
-                  const ps_registration_t *server, int64_t now_ms)
+PsMarkCrashes_AddLost(ps_mark_crashes_t *crashes, const GArray *marks,
+                      bool has_just_begun, const ps_registration_t *server,
+                      int64_t now_ms)
 {
-    if (!PsMark_IsShared(mark)) {
-        count_own_crash(crashes, mark, server, now_ms);
-        return false;
+    uint64_t content = g_array_index(marks, uint64_t, 0);
+    if (PsMark_IsShared(content)) {
+        PsMarkCrashes_AddAbandoned(crashes, marks, has_just_begun, server,
+                                   now_ms);
+        return true;
     }
-    PsMarkCrashes_AddAbandoned(crashes, mark, server, now_ms);
-    return true;
+    count_own_crash(crashes, content, server, now_ms, now_ms);
+    if (has_just_begun) {
+        add_suspected_parts(crashes, marks, server, now_ms);
+    }
+    return has_just_begun && marks->len > 1;
 }
 
 void
-PsMarkCrashes_AddCompleted(ps_mark_crashes_t *crashes, uint64_t mark,
+PsMarkCrashes_AddCompleted(ps_mark_crashes_t *crashes, const GArray *marks,
                            int64_t now_ms)
 {
-    PsRecentSet_Add(&crashes->completed, mark, now_ms);
-    if (PsMark_IsShared(mark)) {
-        clear_mark(crashes, mark, "this daemon", now_ms);
+    uint64_t content = g_array_index(marks, uint64_t, 0);
+    PsRecentSet_Add(&crashes->completed, content, now_ms);
+    if (PsMark_IsShared(content)) {
+        clear_mark(crashes, content, "this daemon", now_ms);
+    }
+    PsMarkCrashes_AddSoundParts(crashes, marks, now_ms);
+}
+
+void
+PsMarkCrashes_AddSoundParts(ps_mark_crashes_t *crashes, const GArray *marks,
+                            int64_t now_ms)
+{
+    for (guint i = 1; i < marks->len; i++) {
+        uint64_t part = g_array_index(marks, uint64_t, i);
+        PsRecentSet_Add(&crashes->completed, part, now_ms);
+        clear_mark(crashes, part, "this daemon", now_ms);
     }
 }
 
 void
-PsMarkCrashes_AddAbandoned(ps_mark_crashes_t *crashes, uint64_t mark,
+PsMarkCrashes_AddAbandoned(ps_mark_crashes_t *crashes, const GArray *marks,
+                           bool has_just_begun,
                            const ps_registration_t *server, int64_t now_ms)
 {
-    PsAbandonedRuns_Add(&crashes->abandoned_runs, mark, get_crash_id(server),
-                        now_ms);
+    PsAbandonedRuns_Add(&crashes->abandoned_runs,
+                        g_array_index(marks, uint64_t, 0),
+                        get_crash_id(server), now_ms);
+    if (has_just_begun) {
+        add_suspected_parts(crashes, marks, server, now_ms);
+    }
+}
+
+ps_banned_mark_t
+PsMarkCrashes_FindBanned(const ps_mark_crashes_t *crashes, const GArray *marks,
+                         int64_t now_ms)
+{
+    ps_banned_mark_t found = {0, false};
+    for (guint i = 0; i < marks->len; i++) {
+        uint64_t mark = g_array_index(marks, uint64_t, i);
+        if (!PsSuspects_IsBanned(&crashes->suspects, mark, now_ms)) {
+            continue;
+        }
+        ps_blame_t blame = PS_BLAME_FULL;
+        if (PsMark_IsPart(mark)) {
+            blame =
+                PsSuspects_GetBlame(&crashes->suspects, mark, marks, now_ms);
+        }
+        if (blame == PS_BLAME_FULL) {
+            return (ps_banned_mark_t){mark, false};
+        }
+        if (blame == PS_BLAME_SHARED) {
+            found = (ps_banned_mark_t){mark, true};
+        }
+    }
+    return found;
+}
+
+bool
+PsMarkCrashes_StartTrial(ps_mark_crashes_t *crashes, uint64_t mark,
+                         int64_t now_ms)
+{
+    if (now_ms < crashes->next_trial_ms ||
+        PsSuspects_GetCrashes(&crashes->suspects, mark, now_ms) >=
+            PS_PART_CRASHES_MAX + TRIAL_CRASHES_MAX) {
+        return false;
+    }
+    crashes->next_trial_ms = now_ms + TRIAL_INTERVAL_MS;
+    ps_name_t hash = PsMark_Format(mark);
+    PsEvents_Add("content.trial", "{s:s,s:s}", "content", hash.data, "kind",
+                 PsMark_GetKind(mark));
+    return true;
 }
 
 void
@@ -161,12 +274,13 @@
     ps_abandoned_run_t run;
     while (PsAbandonedRuns_TakeNext(&crashes->abandoned_runs,
                                     get_crash_id(server), now_ms, &run)) {
-        count_own_crash(crashes, run.mark, server, now_ms);
+        count_own_crash(crashes, run.mark, server, run.at_ms, now_ms);
         ps_name_t hash = PsMark_Format(run.mark);
         PsEvents_Add(
-            "content.server_ended", "{s:s,s:s,s:I,s:i}", "content", hash.data,
-            "server", server->name.data, "after_ms",
-            (json_int_t)(now_ms - run.at_ms), "crashes",
+            "content.server_ended", "{s:s,s:s,s:s,s:I,s:i}", "content",
+            hash.data, "kind", PsMark_GetKind(run.mark), "server",
+            server->name.data, "after_ms", (json_int_t)(now_ms - run.at_ms),
+            "crashes",
             PsSuspects_GetCrashes(&crashes->suspects, run.mark, now_ms));
     }
 }
@@ -181,7 +295,7 @@
                             .id = messages[i]->crash,
                             .at_ms = now_ms - (int64_t)messages[i]->age_ms};
         if (PsMark_IsShared(crash.mark) &&
-            ran_to_its_end(crashes, crash.mark, now_ms)) {
+            is_sound(crashes, crash.mark, crash.at_ms, now_ms)) {
             announce_cleared(crashes, crash.mark, "this daemon", now_ms);
             continue;
         }
--- a/src/mark_crashes.h
+++ b/src/mark_crashes.h
@@ -4,10 +4,12 @@
  * Each daemon reports what it has seen to the allocator, and the allocator
  * tells all daemons of the crashes of banned marks.
  *
- * Many callers may send the same request without a body, which is then in
- * flight at crashes that others cause. A shared mark counts only for servers
- * that have ended, and is cleared everywhere as soon as one daemon has seen it
- * run to its end lately.
+ * Sound requests may have a shared mark too, a content without a body or a
+ * part of their prompts, and are then in flight at crashes that others cause.
+ * Such a mark counts only for servers that have ended, and is cleared
+ * everywhere as soon as one daemon has seen it run to its end. A part is
+ * suspected only where its request had not been answered for long, as it
+ * crashes servers that begin to write.
  */
 #ifndef PS_MARK_CRASHES_H
 #define PS_MARK_CRASHES_H
@@ -18,8 +20,11 @@
 #include "peer.pb-c.h"
 #include "recent_set.h"
 
-// Crashes of servers, as seen by all daemons, until a mark is refused.
-#define PS_MARK_CRASHES_MAX 3
+// Crashes of servers, as seen by all daemons, until a content or a part is
+// refused. One request is not in flight at enough crashes to have its parts
+// refused.
+#define PS_CONTENT_CRASHES_MAX 3
+#define PS_PART_CRASHES_MAX 4
 
 // Marks that are told to others as cleared, the latest ones.
 #define PS_MARKS_CLEARED_MAX 64
@@ -43,44 +48,86 @@
     ps_crash_reports_t to_members; /* used while this is the allocator */
     ps_cleared_mark_t cleared[PS_MARKS_CLEARED_MAX];
     size_t next_cleared;    /* index of the entry that is replaced next */
+    int64_t next_trial_ms;  /* no trial before */
     bool has_unsaved_crash; /* what is known here may differ from the store */
 } ps_mark_crashes_t;
 
+/**
+ * struct ps_banned_mark - Why a request is to be refused.
+ */
+typedef struct ps_banned_mark {
+    uint64_t mark;   /* 0: it is not */
+    bool is_unclear; /* another part that the request does not have was in
+                        flight at the same crashes */
+} ps_banned_mark_t;
+
 void PsMarkCrashes_Init(ps_mark_crashes_t *crashes);
 void PsMarkCrashes_Finish(ps_mark_crashes_t *crashes);
 
 /**
- * PsMarkCrashes_Add() - Counts a crash that this daemon has seen.
- * @mark: in flight; 0 is ignored
+ * PsMarkCrashes_AddLost() - Counts a lost connection as a crash for the marks
+ * of the request.
+ * @marks: uint64_t, its content's first
+ * @has_just_begun: the server had not been answering for long, so that a part
+ *                  may be the cause
  * @server: that the connection was lost to; each start of it counts once
  *
- * A mark that ran to its end here lately is not the cause and is ignored:
- * many callers may send the same one. A shared one counts when the
- * server turns out to have ended.
+ * A mark that ran to its end here lately is ignored. A shared mark counts when
+ * the server turns out to have ended.
  *
- * Return: whether it counts only once the server is known to have ended.
+ * Return: whether some count only once the server is known to have ended.
  */
-bool PsMarkCrashes_Add(ps_mark_crashes_t *crashes, uint64_t mark,
-                       const ps_registration_t *server, int64_t now_ms);
+bool PsMarkCrashes_AddLost(ps_mark_crashes_t *crashes, const GArray *marks,
+                           bool has_just_begun,
+                           const ps_registration_t *server, int64_t now_ms);
 
 /**
- * PsMarkCrashes_AddCompleted() - Notes a mark that ran to its end. A
- * shared one is cleared.
+ * PsMarkCrashes_AddCompleted() - Notes the marks of a request that ran to its
+ * end. The shared ones are cleared.
  */
-void PsMarkCrashes_AddCompleted(ps_mark_crashes_t *crashes, uint64_t mark,
-                                int64_t now_ms);
+void PsMarkCrashes_AddCompleted(ps_mark_crashes_t *crashes,
+                                const GArray *marks, int64_t now_ms);
+
+/**
+ * PsMarkCrashes_AddSoundParts() - Clears the parts of a request that a server
+ * has been answering for longer than a part needs to crash it.
+ */
+void PsMarkCrashes_AddSoundParts(ps_mark_crashes_t *crashes,
+                                 const GArray *marks, int64_t now_ms);
 
 /**
  * PsMarkCrashes_AddAbandoned() - Notes a request that is given up at a
  * server before the end of its response.
  */
-void PsMarkCrashes_AddAbandoned(ps_mark_crashes_t *crashes, uint64_t mark,
+void PsMarkCrashes_AddAbandoned(ps_mark_crashes_t *crashes,
+                                const GArray *marks, bool has_just_begun,
                                 const ps_registration_t *server,
                                 int64_t now_ms);
 
+/**
+ * PsMarkCrashes_FindBanned() - Finds the mark for which a request is to be
+ * refused.
+ *
+ * Of the banned parts that were in flight at the same crashes, only the one
+ * with further crashes counts. While there is none, any of them may be the
+ * cause, and a request with some of them shows which.
+ *
+ * Return: its mark is 0 if there is none.
+ */
+ps_banned_mark_t PsMarkCrashes_FindBanned(const ps_mark_crashes_t *crashes,
+                                          const GArray *marks, int64_t now_ms);
+
+/**
+ * PsMarkCrashes_StartTrial() - Tells whether a request whose banned mark may
+ * not be the cause is let through to find out: one is from time to time, until
+ * too many of them have crashed servers.
+ */
+bool PsMarkCrashes_StartTrial(ps_mark_crashes_t *crashes, uint64_t mark,
+                              int64_t now_ms);
+
 /**
  * PsMarkCrashes_HandleServerEnd() - Counts the end of a server as a crash
- * for the marks that were given up there shortly before.
+ * for the marks that were lost or given up there shortly before.
  */
 void PsMarkCrashes_HandleServerEnd(ps_mark_crashes_t *crashes,
                                    const ps_registration_t *server,
--- a/src/marks.c
+++ b/src/marks.c
@@ -4,7 +4,11 @@
 #include <inttypes.h>
 #include <xxhash.h>
 
-#define SHARED UINT64_C(1) /* the bit that tells shared marks from others */
+// Lowest bits of a mark. Of contents that are not shared, only the first
+// counts.
+#define SHARED UINT64_C(1)
+#define PART UINT64_C(2)
+#define KIND_BITS (SHARED | PART)
 
 #define PART_SEED 1 /* keeps marks of parts apart from those of contents */
 
@@ -18,7 +22,7 @@
         hash = XXH64(team.data, team.len, hash);
     }
     if (body.len == 0) {
-        return hash | SHARED;
+        return (hash & ~KIND_BITS) | SHARED;
     }
     return XXH64(body.data, body.len, hash) & ~SHARED;
 }
@@ -26,7 +30,13 @@
 uint64_t
 PsMark_HashPart(ps_str_t id)
 {
-    return XXH64(id.data, id.len, PART_SEED) | SHARED;
+    return XXH64(id.data, id.len, PART_SEED) | SHARED | PART;
+}
+
+bool
+PsMark_IsPart(uint64_t mark)
+{
+    return (mark & KIND_BITS) == (SHARED | PART);
 }
 
 bool
@@ -35,6 +45,12 @@
     return (mark & SHARED) != 0;
 }
 
+const char *
+PsMark_GetKind(uint64_t mark)
+{
+    return PsMark_IsPart(mark) ? "part" : "content";
+}
+
 ps_name_t
 PsMark_Format(uint64_t mark)
 {
--- a/src/marks.h
+++ b/src/marks.h
@@ -2,8 +2,8 @@
  * marks.h - What a request has in common with others that may crash servers.
  *
  * A request's first mark is its content; the others are the parts of its
- * prompt, without the last one, which is its own. Each mark is a hash; that of
- * a mark that sound requests may have too is odd, all others are even.
+ * prompt, without the last one, which is its own. Each mark is a hash, whose
+ * lowest bits tell of what kind it is.
  */
 #ifndef PS_MARKS_H
 #define PS_MARKS_H
@@ -29,11 +29,22 @@
  */
 uint64_t PsMark_HashPart(ps_str_t id);
 
+/**
+ * PsMark_IsPart() - Tells whether this is the mark of a part of a prompt.
+ */
+bool PsMark_IsPart(uint64_t mark);
+
 /**
  * PsMark_IsShared() - Tells whether sound requests may have this mark too.
  */
 bool PsMark_IsShared(uint64_t mark);
 
+/**
+ * PsMark_GetKind() - Returns the kind of a mark for the log: "part" or
+ * "content".
+ */
+const char *PsMark_GetKind(uint64_t mark);
+
 /**
  * PsMark_Format() - Returns a mark as it appears in the log: 16 hexadecimal
  * digits.
--- a/src/pool.c
+++ b/src/pool.c
@@ -521,7 +521,7 @@
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, NULL, g_free);
     PsQueue_Init(&pool->queue);
     PsForecast_Init(&pool->forecast);
-    PsSuspects_Init(&pool->suspects, CRASHES_MAX);
+    PsSuspects_Init(&pool->suspects, CRASHES_MAX, CRASHES_MAX);
 }
 
 void
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -42,11 +42,11 @@
 static bool
 has_too_many_crashes(const ps_suspects_t *suspects, const suspect_t *suspect)
 {
-    return suspect->n_crashes >= suspects->crashes_max;
+    return suspect->n_crashes >= PsSuspects_GetLimit(suspects, suspect->hash);
 }
 
-static ps_crash_t *
-find_crash(suspect_t *suspect, uint64_t id)
+static const ps_crash_t *
+find_crash(const suspect_t *suspect, uint64_t id)
 {
     for (int i = 0; i < suspect->n_crashes; i++) {
         if (suspect->crashes[i].id == id) {
@@ -128,14 +128,39 @@
     return n;
 }
 
+// Tells whether all crashes of @left are crashes of @right too.
+static bool
+has_all_crashes(const suspect_t *right, const suspect_t *left)
+{
+    for (int i = 0; i < left->n_crashes; i++) {
+        if (!find_crash(right, left->crashes[i].id)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+contains_mark(const GArray *marks, uint64_t mark)
+{
+    for (guint i = 0; i < marks->len; i++) {
+        if (g_array_index(marks, uint64_t, i) == mark) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 void
-PsSuspects_Init(ps_suspects_t *suspects, int crashes_max)
+PsSuspects_Init(ps_suspects_t *suspects, int crashes_max, int part_crashes_max)
 {
     suspects->by_hash =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     suspects->crashes_max = MIN(crashes_max, PS_SUSPECT_CRASHES_KEPT);
+    suspects->part_crashes_max =
+        MIN(part_crashes_max, PS_SUSPECT_CRASHES_KEPT);
 }
 
 void
@@ -154,9 +179,9 @@
     if (suspect && is_expired(suspect, crash->at_ms)) {
         suspect->n_crashes = 0;
     }
-    ps_crash_t *known = suspect ? find_crash(suspect, crash->id) : NULL;
+    const ps_crash_t *known = suspect ? find_crash(suspect, crash->id) : NULL;
     if (known) {
-        known->is_own |= crash->is_own;
+        suspect->crashes[known - suspect->crashes].is_own |= crash->is_own;
         return false;
     }
     if (!suspect) {
@@ -189,6 +214,13 @@
     return suspect ? suspect->n_crashes : 0;
 }
 
+int
+PsSuspects_GetLimit(const ps_suspects_t *suspects, uint64_t mark)
+{
+    return PsMark_IsPart(mark) ? suspects->part_crashes_max
+                               : suspects->crashes_max;
+}
+
 bool
 PsSuspects_IsBanned(const ps_suspects_t *suspects, uint64_t hash,
                     int64_t now_ms)
@@ -197,6 +229,32 @@
     return suspect && has_too_many_crashes(suspects, suspect);
 }
 
+ps_blame_t
+PsSuspects_GetBlame(const ps_suspects_t *suspects, uint64_t part,
+                    const GArray *except, int64_t now_ms)
+{
+    ps_blame_t blame = PS_BLAME_FULL;
+    const suspect_t *suspect = find(suspects, part, now_ms);
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, suspects->by_hash);
+    while (suspect && g_hash_table_iter_next(&each, NULL, &value)) {
+        const suspect_t *other = value;
+        if (other == suspect || !PsMark_IsPart(other->hash) ||
+            !has_too_many_crashes(suspects, other) ||
+            is_expired(other, now_ms) || !has_all_crashes(other, suspect)) {
+            continue;
+        }
+        if (other->n_crashes > suspect->n_crashes) {
+            return PS_BLAME_NONE;
+        }
+        if (!contains_mark(except, other->hash)) {
+            blame = PS_BLAME_SHARED;
+        }
+    }
+    return blame;
+}
+
 size_t
 PsSuspects_ListCrashes(const ps_suspects_t *suspects, int64_t own_since_ms,
                        ps_crash_t *crashes, size_t max, int64_t now_ms)
--- a/src/suspects.h
+++ b/src/suspects.h
@@ -17,7 +17,7 @@
 
 #define PS_SUSPECT_TTL_MS (30 * 60 * 1000) /* after the last crash */
 #define PS_SUSPECTS_MAX 4096               /* marks kept */
-#define PS_SUSPECT_CRASHES_KEPT 4          /* crashes kept of one mark */
+#define PS_SUSPECT_CRASHES_KEPT 8          /* crashes kept of one mark */
 
 /**
  * struct ps_crash - A server's crash with a mark in flight.
@@ -33,16 +33,20 @@
  * struct ps_suspects - Marks and their crashes.
  */
 typedef struct ps_suspects {
-    GHashTable *by_hash; /* mark to its suspect_t */
-    int crashes_max;     /* crashes until a mark is banned */
+    GHashTable *by_hash;  /* mark to its suspect_t */
+    int crashes_max;      /* crashes until a mark is banned */
+    int part_crashes_max; /* the same, of the mark of a prompt's part */
 } ps_suspects_t;
 
 /**
  * PsSuspects_Init() - Initializes a set without marks.
- * @crashes_max: crashes until a mark is banned, at most
- *               PS_SUSPECT_CRASHES_KEPT
+ * @crashes_max: crashes until a mark is banned
+ * @part_crashes_max: the same, of the mark of a prompt's part
+ *
+ * Both are at most PS_SUSPECT_CRASHES_KEPT.
  */
-void PsSuspects_Init(ps_suspects_t *suspects, int crashes_max);
+void PsSuspects_Init(ps_suspects_t *suspects, int crashes_max,
+                     int part_crashes_max);
 void PsSuspects_Finish(ps_suspects_t *suspects);
 
 /**
@@ -68,6 +72,12 @@
 int PsSuspects_GetCrashes(const ps_suspects_t *suspects, uint64_t hash,
                           int64_t now_ms);
 
+/**
+ * PsSuspects_GetLimit() - Returns the crashes until a mark of this kind is
+ * banned.
+ */
+int PsSuspects_GetLimit(const ps_suspects_t *suspects, uint64_t mark);
+
 /**
  * PsSuspects_IsBanned() - Tells whether a mark has as many crashes as are
  * allowed.
@@ -75,6 +85,24 @@
 bool PsSuspects_IsBanned(const ps_suspects_t *suspects, uint64_t hash,
                          int64_t now_ms);
 
+/**
+ * enum ps_blame - What the crashes of other banned parts say of a banned part.
+ */
+typedef enum ps_blame {
+    PS_BLAME_FULL,   /* no other part was in flight at the same crashes */
+    PS_BLAME_SHARED, /* another one was in flight at just the same crashes */
+    PS_BLAME_NONE    /* another one was in flight at all of them and at more */
+} ps_blame_t;
+
+/**
+ * PsSuspects_GetBlame() - Compares the crashes of a banned part with those of
+ * other banned parts.
+ * @except: array of uint64_t; parts in it are not compared with for
+ *          PS_BLAME_SHARED
+ */
+ps_blame_t PsSuspects_GetBlame(const ps_suspects_t *suspects, uint64_t part,
+                               const GArray *except, int64_t now_ms);
+
 /**
  * PsSuspects_ListCrashes() - Lists the crashes of banned marks, and others
  * that were seen here.
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -925,7 +925,7 @@
         ps_crash_reports_t to_allocator, to_members;
         Daemon()
         {
-            PsSuspects_Init(&suspects, 3);
+            PsSuspects_Init(&suspects, 3, 3);
             PsCrashReports_Init(&to_allocator, &suspects, true);
             PsCrashReports_Init(&to_members, &suspects, false);
         }
@@ -1000,7 +1000,7 @@
 TEST(Suspects, ContentIsBannedAtThreeDifferentCrashes)
 {
     ps_suspects_t suspects;
-    PsSuspects_Init(&suspects, 3);
+    PsSuspects_Init(&suspects, 3, 3);
     struct Case {
         uint64_t content, id;
         bool is_counted;
@@ -1036,7 +1036,7 @@
 TEST(Suspects, ReportedCrashThatIsSeenHereIsListedAsOwn)
 {
     ps_suspects_t suspects;
-    PsSuspects_Init(&suspects, 3);
+    PsSuspects_Init(&suspects, 3, 3);
     ps_crash_t crash = MakeCrash(7, 1, kStart), listed;
     crash.is_own = false;
     EXPECT_TRUE(PsSuspects_AddCrash(&suspects, &crash));
@@ -1054,7 +1054,7 @@
 TEST(Suspects, MemoryIsBoundedAndBannedContentsStay)
 {
     ps_suspects_t suspects;
-    PsSuspects_Init(&suspects, 3);
+    PsSuspects_Init(&suspects, 3, 3);
     for (uint64_t id = 1; id <= 3; id++) {
         ps_crash_t crash = MakeCrash(7, id, kStart);
         PsSuspects_AddCrash(&suspects, &crash);
@@ -1107,16 +1107,17 @@
 TEST(RecentSet, KeepsHashesForItsTimeInBoundedMemory)
 {
     ps_recent_set_t set;
-    PsRecentSet_Init(&set);
+    const int64_t kKept = 60000;
+    PsRecentSet_Init(&set, kKept);
     int64_t now = kStart;
     PsRecentSet_Add(&set, 1, now);
-    EXPECT_TRUE(PsRecentSet_Contains(&set, 1, now + PS_RECENT_SET_MS));
+    EXPECT_TRUE(PsRecentSet_Contains(&set, 1, now + kKept));
     EXPECT_FALSE(PsRecentSet_Contains(&set, 2, now));
-    PsRecentSet_Add(&set, 2, now + PS_RECENT_SET_MS);
-    EXPECT_TRUE(PsRecentSet_Contains(&set, 2, now + 2 * PS_RECENT_SET_MS));
-    EXPECT_FALSE(PsRecentSet_Contains(&set, 1, now + 4 * PS_RECENT_SET_MS));
-    EXPECT_FALSE(PsRecentSet_Contains(&set, 2, now + 4 * PS_RECENT_SET_MS));
-    now += 5 * PS_RECENT_SET_MS;
+    PsRecentSet_Add(&set, 2, now + kKept);
+    EXPECT_TRUE(PsRecentSet_Contains(&set, 2, now + 2 * kKept));
+    EXPECT_FALSE(PsRecentSet_Contains(&set, 1, now + 4 * kKept));
+    EXPECT_FALSE(PsRecentSet_Contains(&set, 2, now + 4 * kKept));
+    now += 5 * kKept;
     for (uint64_t i = 0; i < 5 * PS_RECENT_SET_GENERATION_MAX; i++) {
         PsRecentSet_Add(&set, i, now);
         ASSERT_TRUE(PsRecentSet_Contains(&set, i, now));
@@ -1132,7 +1133,7 @@
 {
     ps_suspects_t suspects;
     ps_crash_reports_t reports;
-    PsSuspects_Init(&suspects, 3);
+    PsSuspects_Init(&suspects, 3, 3);
     PsCrashReports_Init(&reports, &suspects, true);
     for (uint64_t i = 1; i <= 1000; i++) {
         ps_crash_t crash = MakeCrash(i, i, kStart);
