--- a/src/backend.h
+++ b/src/backend.h
@@ -25,6 +25,7 @@
     ps_name_t service;
     ps_name_t address;
     ps_name_t domain;     /* failure domain */
+    ps_name_t version;    /* of its software; has no order */
     int slots;            /* requests that it can run at once */
     bool is_leaving;      /* takes no new work */
     int64_t cold_left_ms; /* it runs slowly for this long after the
--- a/src/changes.c
+++ b/src/changes.c
@@ -53,6 +53,7 @@
     message->service = (char *)(uintptr_t)change->registration.service.data;
     message->address = (char *)(uintptr_t)change->registration.address.data;
     message->domain = (char *)(uintptr_t)change->registration.domain.data;
+    message->version = (char *)(uintptr_t)change->registration.version.data;
     message->slots = (uint32_t)change->registration.slots;
     message->leaving = change->registration.is_leaving;
     message->cold_left_ms = change->registration.cold_left_ms;
@@ -168,6 +169,7 @@
                                .service = PsName_FromC(message->service),
                                .address = PsName_FromC(message->address),
                                .domain = PsName_FromC(message->domain),
+                               .version = PsName_FromC(message->version),
                                .slots = (int)message->slots,
                                .is_leaving = message->leaving,
                                .cold_left_ms = message->cold_left_ms};
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -29,6 +29,8 @@
                                           before it */
     uint32_t part_tokens[PS_TASK_PARTS_MAX];
     ps_name_t last_event_id; /* resume the stream after it; empty: new */
+    ps_name_t resumed_id;    /* of the request that began that stream; empty:
+                                not given */
 } ps_inbound_request_t;
 
 /**
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -289,10 +289,11 @@
     ps_exchange_t *exchange = task->user;
     int64_t now_ms = PsClock_Now();
     const ps_backend_t *backend = task->backend;
-    PsEvents_Add("request.place", "{s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:I}", "id",
-                 exchange->inbound.request_id.data, "server",
-                 backend->registration.name.data, "running", backend->running,
-                 "share", backend->slot_limit, "waiting",
+    PsEvents_Add("request.place", "{s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:I}",
+                 "id", exchange->inbound.request_id.data, "server",
+                 backend->registration.name.data, "version",
+                 backend->registration.version.data, "running",
+                 backend->running, "share", backend->slot_limit, "waiting",
                  (int)scheduler->waiting.length, "tier", task->tier, "send",
                  exchange->sends + 1, "ms",
                  (json_int_t)(now_ms - task->arrived_ms));
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -314,10 +314,11 @@
 {
     ps_gateway_t *gateway = registry->user;
     const ps_registration_t *registration = &backend->registration;
-    PsEvents_Add("server.listed", "{s:s,s:s,s:s,s:i,s:b,s:b,s:I}", "name",
+    PsEvents_Add("server.listed", "{s:s,s:s,s:s,s:s,s:i,s:b,s:b,s:I}", "name",
                  registration->name.data, "service",
                  registration->service.data, "address",
-                 registration->address.data, "slots", registration->slots,
+                 registration->address.data, "version",
+                 registration->version.data, "slots", registration->slots,
                  "leaving", (int)registration->is_leaving, "new", (int)is_new,
                  "started_ms", (json_int_t)registration->started_ms);
     if (is_new || registration->is_leaving) {
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -3717,7 +3717,7 @@
   (ProtobufCMessageInit) ps__team_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__server_news__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ps__server_news__field_descriptors[10] =
 {
   {
     "name",
@@ -3827,6 +3827,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerNews, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__server_news__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -3838,11 +3850,12 @@
   2,   /* field[2] = service */
   5,   /* field[5] = slots */
   1,   /* field[1] = started_ms */
+  9,   /* field[9] = version */
 };
 static const ProtobufCIntRange ps__server_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ps__server_news__descriptor =
 {
@@ -3852,7 +3865,7 @@
   "Ps__ServerNews",
   "ps",
   sizeof(Ps__ServerNews),
-  9,
+  10,
   ps__server_news__field_descriptors,
   ps__server_news__field_indices_by_name,
   1,  ps__server_news__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -699,10 +699,14 @@
    * removed
    */
   protobuf_c_boolean gone;
+  /*
+   * of its software
+   */
+  char *version;
 };
 #define PS__SERVER_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__server_news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
