Reproduce streams with events of two versions of software (known red)

Seen: a stream that one version of the servers' software began goes on at a server of another version (ORDER).

The stand-in names its version in its registration and in each event.

--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -8,6 +8,7 @@
 GW_DAEMONS=${GW_DAEMONS:-3}
 GW_RUNNERS=${GW_RUNNERS:-3}
 GW_SLOTS=${GW_SLOTS:-8}
+declare -A GW_SERVER_VERSION
 export GW_RETRY_RATIO=0.2 GW_RETRY_WINDOW_S=10 GW_RETRY_SLACK=50
 
 gw_store() { echo "127.0.0.1:$((RIG_PORT + 500))"; }
@@ -71,12 +72,13 @@
 
 # gw_start_runner N [NAME] - starts backend server N, under the name rN if none is
 # given; those with odd numbers belong to service m, the others to s.
-# GW_HEARTBEAT_MS sets how often it registers.
+# GW_HEARTBEAT_MS sets how often it registers, GW_SERVER_VERSION[N] its software's
+# version.
 gw_start_runner() {
     local service name=${2:-r$1}
     service=$([ $(($1 % 2)) = 1 ] && echo m || echo s)
     rig_start_process "r$1" "$RIG_BUILD/standin-runner" "$(gw_runner "$1")" "$(gw_store)" "$name" "$service" "$GW_SLOTS" \
-        "$(gw_runner "$1")" "$RIG_DIR/arrivals" "${GW_HEARTBEAT_MS:-400}"
+        "$(gw_runner "$1")" "$RIG_DIR/arrivals" "${GW_HEARTBEAT_MS:-400}" "${GW_SERVER_VERSION[$1]:-v1}"
 }
 
 # gw_restart_runner N - starts backend server N again, after its end, and waits
@@ -124,6 +126,29 @@
         /^status/ { print $2, code != 0 ? "torn" : good == n ? "whole" : $2 == 200 ? "short" : "refused" }' <<< "$text"
 }
 
+# gw_take_up N ID EVENTS EVERY [CURL-ARGS...] - requests a stream from daemon N, leaves
+# after EVERY seconds and takes it up at the next daemon until it is whole, six times
+# at most, naming the first request that brought an event; prints the number of requests,
+# the versions that events came from, and whole or broken
+gw_take_up() {
+    local daemon=$1 id=$2 events=$3 every=$4 n=0 last=0 text first="" all="" resumes
+    shift 4
+    while [ "$n" -lt 6 ] && [ "$last" -lt "$events" ]; do
+        n=$((n + 1))
+        resumes=()
+        [ "$last" = 0 ] || resumes=(-H "Resumes: $first" -H "Last-Event-Id: $last")
+        text=$(curl -sN -m "$every" -X POST -d "body of $id" -H 'Host: a.example' \
+            -H "Request-Id: $id-$n" -H 'Authorization: Bearer key-1' -H 'Deadline-Ms: 8000' \
+            -H "Token-Counts: 100,$((events * 5))" "${resumes[@]}" "$@" "http://$(gw_caller "$daemon")/stream/1" |
+            awk 'BEGIN { RS = "" } { for (i = 1; i < NF; i++) if ($i == "data:") print $(i + 2), $(i + 3) }')
+        [ -z "$text" ] || [ "$last" != 0 ] || first=$id-$n
+        [ -z "$text" ] || { all+=$text$'\n'; last=$(tail -1 <<< "$text" | cut -d' ' -f1); }
+        daemon=$((daemon % GW_DAEMONS + 1))
+    done
+    awk -v n="$n" -v events="$events" 'NF { good += $1 == good + 1; if (!($2 in seen)) { seen[$2] = 1; list = list (list ? "+" : "") $2 } }
+        END { print n, (list ? list : "none"), (good == events ? "whole" : "broken") }' <<< "$all"
+}
+
 # gw_count_runs ID - prints how often a request ran on all backend servers
 gw_count_runs() {
     local sum=0 i
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -2,24 +2,23 @@
  * runner.c - Stand-in for a backend server of the fleet's dialect.
  *
  * Usage: standin-runner IP:PORT STORE NAME SERVICE SLOTS
- *                       [ADVERTISED [LOG [HEARTBEAT_MS]]]
+ *                       [ADVERTISED [LOG [HEARTBEAT_MS [VERSION]]]]
  * Registers itself in the store at STORE, with the address ADVERTISED in place
  * of IP:PORT if given, and again every HEARTBEAT_MS, 400 if not given. Sends
  * plain answers, and streams of events for paths that contain "/stream": an
  * event for each 5 output tokens that Token-Counts announces, 5 events without
- * it. Writes a line to LOG for each request that arrives: the request's id,
- * the time in ms since 1970, the server's name, the service, "ran" or
- * "rejected", and its Deadline-Ms, 0 without one.
- * POST /switch sets faults: leaving (announced in the registration), reject
- * (all requests), and in percent of requests
- * errors: status 500; a stream's path gets a plain answer, of which the same
- *     percentage has status 500
- * cut: the connection is closed before the answer or within a stream
- * mute: a plain answer is 2 s late, then with the same probability 2 s more,
- *     and so on; a stream sends no event and breaks off after SILENCE_MS
- * foreign: the answer has another request's id.
- * The switch limit sets the text of the header Server-Limit of all answers;
- * with the text "none" they have no such header.
+ * it. An event names the request, its own number, and VERSION (of the
+ * software, v1 if not given). Writes a line to LOG for each request that
+ * arrives: the request's id, the time in ms since 1970, the server's name, the
+ * service, "ran" or "rejected", and its Deadline-Ms, 0 without one. POST
+ * /switch sets faults: leaving (announced in the registration), reject (all
+ * requests), and in percent of requests errors: status 500; a stream's path
+ * gets a plain answer, of which the same percentage has status 500 cut: the
+ * connection is closed before the answer or within a stream mute: a plain
+ * answer is 2 s late, then with the same probability 2 s more, and so on; a
+ * stream sends no event and breaks off after SILENCE_MS foreign: the answer
+ * has another request's id. The switch limit sets the text of the header
+ * Server-Limit of all answers; with the text "none" they have no such header.
  * A request whose body begins with "CRASH N", or without a body the last part
  * of whose path is CRASH-N, ends the process with status 1: within a stream
  * after N events, and in place of a plain answer or a stream's head if N is 0.
@@ -67,6 +66,7 @@
 static const char *store_address;
 static const char *server_name;
 static const char *service;
+static const char *server_version = "v1";
 static int heartbeat_ms = HEARTBEAT_MS;
 static int slots;
 static int n_running;
@@ -124,12 +124,13 @@
     (void)user;
     char *path = g_strdup_printf("/pearstair/objects/servers/%s", server_name);
     for (;;) {
-        json_t *object = json_pack(
-            "{s:{s:s}, s:{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I}}",
-            "metadata", "name", server_name, "spec", "service", service,
-            "address", advertised_address, "zone", "z1", "version", "v1",
-            "slots", slots, "state", is_leaving ? "draining" : "ready",
-            "coldLeftMs", 0, "born", (json_int_t)started_ms);
+        json_t *object =
+            json_pack("{s:{s:s}, s:{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I}}",
+                      "metadata", "name", server_name, "spec", "service",
+                      service, "address", advertised_address, "zone", "z1",
+                      "version", server_version, "slots", slots, "state",
+                      is_leaving ? "draining" : "ready", "coldLeftMs", 0,
+                      "born", (json_int_t)started_ms);
         char *text = json_dumps(object, JSON_COMPACT);
         json_decref(object);
         if (send_to_store("PUT", path, text) == 404) {
@@ -201,8 +202,9 @@
         return MHD_CONTENT_READER_END_OF_STREAM;
     }
     char event[EVENT_BYTES_MAX];
-    int len = snprintf(event, sizeof event, "id: %d\ndata: %s %d\n\n",
-                       stream->next_event, stream->id, stream->next_event);
+    int len = snprintf(event, sizeof event, "id: %d\ndata: %s %d %s\n\n",
+                       stream->next_event, stream->id, stream->next_event,
+                       server_version);
     if (stream->next_event == stream->cut_event && stream->bytes_sent > 0) {
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
@@ -412,9 +414,10 @@
 int
 main(int argc, char **argv)
 {
-    if (argc < 6 || argc > 9) {
+    if (argc < 6 || argc > 10) {
         fprintf(stderr, "usage: standin-runner IP:PORT STORE NAME SERVICE "
-                        "SLOTS [ADVERTISED [LOG [HEARTBEAT_MS]]]\n");
+                        "SLOTS [ADVERTISED [LOG [HEARTBEAT_MS "
+                        "[VERSION]]]]\n");
         return 2;
     }
     advertised_address = argc > 6 ? argv[6] : argv[1];
@@ -422,6 +425,7 @@
     if (arrival_log) {
         setvbuf(arrival_log, NULL, _IOLBF, 0);
     }
+    server_version = argc > 9 ? argv[9] : server_version;
     heartbeat_ms = argc > 8 ? atoi(argv[8]) : HEARTBEAT_MS;
     store_address = argv[2];
     server_name = argv[3];
