Resume a stream within its answer at servers of the same version only

Seen: streams that a server broke off went on at a server of another version of the software, in one answer.

Cause: the version of a registration was not read, and any server could resume a stream. Change: a task may need a version (a hash of service and version), set with each event that is relayed, so that resumption and the move away from a silent server choose only among servers of the one that wrote the last event.

New: Scheduler.TaskStartsOnlyAtServersOfItsVersion.

--- a/src/backend.c
+++ b/src/backend.c
@@ -1,6 +1,8 @@
 /* backend.c - State of one backend server at one daemon. */
 #include "backend.h"
 
+#include <xxhash.h>
+
 // A prompt part that was not used for this long counts as evicted from the
 // engine's prefix cache.
 #define PART_TTL_MS 20000
@@ -28,6 +30,15 @@
 
 /* ---- Public functions ------------------------------------------------- */
 
+uint64_t
+PsRegistration_HashVersion(const ps_registration_t *registration)
+{
+    uint64_t hash =
+        XXH64(registration->version.data, registration->version.len,
+              XXH64(registration->service.data, registration->service.len, 0));
+    return MAX(hash, 1);
+}
+
 ps_backend_t *
 PsBackend_New(const ps_registration_t *registration, int64_t now_ms)
 {
@@ -71,6 +82,7 @@
                  int64_t now_ms)
 {
     backend->registration = *registration;
+    backend->version = PsRegistration_HashVersion(registration);
     backend->cold_until_ms = now_ms + registration->cold_left_ms;
 }
 
--- a/src/backend.h
+++ b/src/backend.h
@@ -38,6 +38,7 @@
 typedef struct ps_backend {
     ps_registration_t registration;
     uint32_t instance_id;  /* differs for each start of each server */
+    uint64_t version;      /* PsRegistration_HashVersion() */
     bool is_listed;        /* may get new work unless it is leaving */
     int64_t cold_until_ms; /* runs slowly until then */
     int ref_count;         /* of the registry and the tasks that run there */
@@ -64,6 +65,15 @@
     bool is_on_trial;       /* one request at a time until one succeeds */
 } ps_backend_t;
 
+/**
+ * PsRegistration_HashVersion() - Returns a hash of a server's service and of
+ * the version of its software; never 0.
+ *
+ * What servers of two versions write doesn't fit together: a stream goes on
+ * only at a server of the version that began it.
+ */
+uint64_t PsRegistration_HashVersion(const ps_registration_t *registration);
+
 /**
  * PsBackend_New() - Creates a listed server.
  *
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -405,6 +405,7 @@
     while ((end = find_event_end(data, relayed)) > 0) {
         ps_str_t event = {data.data + relayed, end - relayed};
         parse_event_id(event, &exchange->last_event_id);
+        exchange->task.version = exchange->task.backend->version;
         if (exchange->n_events++ == 0) {
             PsHistogram_Add(&exchange->gateway->stats.first_event_latency,
                             (double)(now_ms - exchange->arrived_ms));
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -150,6 +150,12 @@
 
 /* ---- Placement -------------------------------------------------------- */
 
+static bool
+has_version(const ps_task_t *task, const ps_backend_t *backend)
+{
+    return task->version == 0 || task->version == backend->version;
+}
+
 static bool
 was_tried(const ps_task_t *task, const ps_backend_t *backend)
 {
@@ -237,7 +243,8 @@
     double lowest = INFINITY;
     for (guint i = 0; i < scheduler->backends->len; i++) {
         ps_backend_t *backend = scheduler->backends->pdata[i];
-        if (!has_free_slot(backend, now_ms) || was_tried(task, backend)) {
+        if (!has_free_slot(backend, now_ms) || was_tried(task, backend) ||
+            !has_version(task, backend)) {
             continue;
         }
         double cost = predict_cost(backend, task, now_ms);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -52,6 +52,8 @@
     uint64_t part_hashes[PS_TASK_PARTS_MAX]; /* each covers all parts before
                                                 it, too */
     uint32_t part_tokens[PS_TASK_PARTS_MAX]; /* of each part alone */
+    uint64_t version; /* of the servers that can run it, as in ps_backend_t;
+                         0: any */
     int n_tried;
     uint32_t tried[PS_TASK_TRIED_MAX]; /* instance_id of servers tried */
     /* set by the scheduler */
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -499,6 +499,43 @@
     EXPECT_EQ(harness.refused.size(), 1u);
 }
 
+// A task that needs a version of the servers' software waits for a free slot
+// at one of these servers, while others that came later are started elsewhere.
+TEST(Scheduler, TaskStartsOnlyAtServersOfItsVersion)
+{
+    SchedulerHarness harness(3, 1);
+    for (int i = 0; i < 3; i++) {
+        ps_registration_t registration = harness.backends[i]->registration;
+        registration.version = ToName(i == 0 ? "v1" : "v2");
+        PsBackend_Update(harness.backends[i], &registration, harness.now);
+    }
+    const uint64_t v1 = harness.backends[0]->version;
+    ASSERT_NE(v1, harness.backends[1]->version);
+    ASSERT_EQ(harness.backends[1]->version, harness.backends[2]->version);
+    std::vector<ps_task_t> tasks(5);
+    for (ps_task_t &task : tasks) {
+        task = harness.MakeTask(0);
+    }
+    tasks[0].version = tasks[1].version = v1;
+    for (int i = 0; i < 4; i++) {
+        harness.Submit(&tasks[i]);
+    }
+    EXPECT_EQ(tasks[0].backend, harness.backends[0]);
+    EXPECT_FALSE(tasks[1].backend);
+    EXPECT_TRUE(tasks[2].backend && tasks[3].backend);
+    EXPECT_FALSE(
+        PsScheduler_CanMoveTask(&harness.scheduler, &tasks[0], harness.now));
+    harness.End(&tasks[2]);
+    EXPECT_FALSE(tasks[1].backend);
+    harness.End(&tasks[0]);
+    EXPECT_EQ(tasks[1].backend, harness.backends[0]);
+    tasks[4].version = v1;
+    harness.Submit(&tasks[4]);
+    harness.now += 1500;
+    PsScheduler_Run(&harness.scheduler, harness.now);
+    EXPECT_EQ(harness.refused, std::vector<ps_task_t *>{&tasks[4]});
+}
+
 // A task moves away from a silent server only if another server has a free
 // slot; otherwise it might wait and be refused, although the silent server may
 // only be slow.
@@ -523,7 +560,8 @@
         PsScheduler_IsSilent(&harness.scheduler, &task, harness.now + 100));
 }
 
-// Events that came during a pause of this daemon are not read yet when it ends.
+// Events that came during a pause of this daemon are not read yet when it
+// ends.
 TEST(Scheduler, PauseOfThisDaemonIsNoSilenceOfAServer)
 {
     SchedulerHarness harness(2, 1);
