Take streams up at the version that began them, also at another daemon

Cause: nothing but the daemon that began a stream knew its version, and not even that one looked. Change: with a stream's first event its daemon keeps a record of service and version under the id's hash, and sends it to two other members, chosen by rendezvous hashing of the id. A request that resumes a stream is placed by the record of the request that it names: here, or asked of four members, for 0.3 s at most. Where nobody knows, the service's only version in the last 30 s is taken, or else the request is refused as not run. A record that names two versions counts as none.

Weighed: a question to all daemons at each resumption costs nothing at the start and fails when the daemon that began the stream is killed, which is why callers come back. Placing by a hash of the id fails as servers change. Records at the allocator need no messages of their own, but end with it, and at 2,600 starts a second their 42 KB/s are more than a daemon's 26. Two records cost each of 370 daemons 14 small frames a second in and out. Records only while there are several versions miss one that comes after the start.

New: StreamOrigins.*.

--- a/Makefile
+++ b/Makefile
@@ -16,12 +16,12 @@
     rule_kinds settings config server pool estimate place_finish \
     place_baseline ids ledger owner members entry clock catalog quota \
     retry_budget backend even_shares backend_registry scheduler allocator \
-    outliers histogram crash_reports abandoned_runs recent_set recent_members \
-    rate_bucket server_limit
+    outliers histogram crash_reports abandoned_runs recent_map recent_members \
+    rate_bucket server_limit stream_origins
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
-    allocator_rounds changes mark_crashes server_checks
+    allocator_rounds changes mark_crashes server_checks origin_lookups
 PLATFORM := endpoints codec dialect_fleet run_gateway store
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
@@ -108,7 +108,8 @@
 # Tests
 
 TESTS := test_tables test_pool test_ledger test_contract test_simulation \
-    test_gateway test_limits test_mutations test_server_limits test_marks
+    test_gateway test_limits test_mutations test_server_limits test_marks \
+    test_origins
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -6,6 +6,7 @@
 
 #include "clock.h"
 #include "events_log.h"
+#include "origin_lookups.h"
 
 // Longest time that the request for a stream, or the retry of any request,
 // waits for a backend server. Callers disconnect from a stream that has been
@@ -41,6 +42,10 @@
 // answer, at most this long after the first event.
 #define PART_CRASH_MAX_MS 1000
 
+// Longest time that other daemons are asked for the version that began a
+// stream.
+#define ORIGIN_WAIT_MAX_MS 300
+
 // Retry-After values, by reason.
 #define RETRY_OTHER_DAEMON_MS 20 /* another daemon can serve it at once */
 #define RETRY_REJECTED_MS 300   /* servers that reject are full for a moment */
@@ -407,6 +412,9 @@
         parse_event_id(event, &exchange->last_event_id);
         exchange->task.version = exchange->task.backend->version;
         if (exchange->n_events++ == 0) {
+            PsOriginLookups_Record(exchange->gateway,
+                                   &exchange->inbound.request_id,
+                                   exchange->task.version, now_ms);
             PsHistogram_Add(&exchange->gateway->stats.first_event_latency,
                             (double)(now_ms - exchange->arrived_ms));
         }
@@ -856,6 +864,123 @@
     return true;
 }
 
+// Returns the service that the request goes to: the one with servers of the
+// version that it needs, if there is one, or else one of its route's by
+// weight.
+static const ps_name_t *
+pick_service(const ps_exchange_t *exchange)
+{
+    const ps_route_t *route = exchange->route;
+    for (int i = 0; exchange->task.version != 0 && i < route->n_targets; i++) {
+        const ps_name_t *service = &route->targets[i].service;
+        const ps_dispatcher_t *dispatcher =
+            PsGateway_FindDispatcher(exchange->gateway, service);
+        if (dispatcher && PsScheduler_HasVersion(&dispatcher->scheduler,
+                                                 exchange->task.version)) {
+            return service;
+        }
+    }
+    uint64_t hash = XXH64(exchange->inbound.request_id.data,
+                          exchange->inbound.request_id.len, 0);
+    return PsRoute_PickService(route, hash);
+}
+
+static void
+submit(ps_exchange_t *exchange, int64_t now_ms)
+{
+    ps_gateway_t *gateway = exchange->gateway;
+    const ps_name_t *service = pick_service(exchange);
+    exchange->dispatcher = PsGateway_GetDispatcher(gateway, service);
+    PsRetryBudget_AddRequest(&exchange->dispatcher->retry_budget, now_ms);
+    ps_name_t content = PsMark_Format(get_content(exchange));
+    ps_name_t parts = PsMark_FormatParts(exchange->marks);
+    PsEvents_Add(
+        "request.accept", "{s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}",
+        "id", exchange->inbound.request_id.data, "content", content.data,
+        "parts", parts.data, "route", exchange->route->name.data, "team",
+        exchange->team ? exchange->team->name.data : "", "service",
+        service->data, "tier", exchange->task.tier, "prompt",
+        exchange->task.prompt_tokens, "output", exchange->task.output_tokens,
+        "config", (json_int_t)exchange->catalog->version, "config_age_ms",
+        (json_int_t)(now_ms - gateway->catalog_confirmed_ms));
+    PsScheduler_Submit(&exchange->dispatcher->scheduler, &exchange->task,
+                       now_ms);
+}
+
+/* ---- Streams that callers take up ------------------------------------- */
+
+// Returns the version that must have begun a stream whose origin nobody knows,
+// because the route's service has had no other; 0: it may be any.
+static uint64_t
+find_only_version(const ps_exchange_t *exchange, int64_t now_ms)
+{
+    const ps_route_t *route = exchange->route;
+    if (route->n_targets != 1) {
+        return 0;
+    }
+    return PsGateway_FindOnlyVersion(
+        exchange->gateway,
+        PsGateway_GetDispatcher(exchange->gateway, &route->targets[0].service),
+        now_ms);
+}
+
+// Submits a request that takes up a stream, or refuses it if it isn't known
+// which version began the stream.
+// @from: who knows the version; NULL: nobody
+static void
+resume_stream(ps_exchange_t *exchange, uint64_t version, const char *from,
+              int64_t now_ms)
+{
+    exchange->origin_request = 0;
+    exchange->task.version =
+        from ? version : find_only_version(exchange, now_ms);
+    ps_name_t hash =
+        PsName_Format("%016llx", (unsigned long long)exchange->task.version);
+    PsEvents_Add("stream.origin", "{s:s,s:s,s:s,s:s,s:I}", "id",
+                 exchange->inbound.request_id.data, "resumes",
+                 exchange->inbound.resumed_id.data, "version", hash.data,
+                 "from",
+                 from                          ? from
+                 : exchange->task.version != 0 ? "only version"
+                                               : "unknown",
+                 "ms", (json_int_t)(now_ms - exchange->arrived_ms));
+    if (exchange->task.version == 0) {
+        exchange->gateway->stats.unknown_origins++;
+        refuse_request(exchange, 503, 0,
+                       "not known which version began the stream");
+        return;
+    }
+    submit(exchange, now_ms);
+}
+
+// Finds out which version began the stream that the caller takes up: here, or
+// by asking other daemons.
+static void
+find_origin(ps_exchange_t *exchange, int64_t now_ms)
+{
+    ps_gateway_t *gateway = exchange->gateway;
+    gateway->stats.taken_up_streams++;
+    if (PsName_IsEmpty(&exchange->inbound.resumed_id)) {
+        resume_stream(exchange, 0, NULL, now_ms);
+        return;
+    }
+    uint64_t request = PsStreamOrigins_HashId(&exchange->inbound.resumed_id);
+    uint64_t version =
+        PsStreamOrigins_Find(&gateway->stream_origins, request, now_ms);
+    if (version != 0) {
+        resume_stream(exchange, version, "this daemon", now_ms);
+        return;
+    }
+    exchange->origins_asked = PsOriginLookups_Ask(gateway, request);
+    if (exchange->origins_asked == 0) {
+        resume_stream(exchange, 0, NULL, now_ms);
+        return;
+    }
+    exchange->origin_request = request;
+    exchange->origin_due_ms =
+        MIN(now_ms + ORIGIN_WAIT_MAX_MS, exchange->deadline_ms);
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 const ps_scheduler_events_t *
@@ -902,24 +1027,13 @@
         return;
     }
     init_task(exchange, now_ms);
-    uint64_t hash = XXH64(exchange->inbound.request_id.data,
-                          exchange->inbound.request_id.len, 0);
-    const ps_name_t *service = PsRoute_PickService(exchange->route, hash);
-    exchange->dispatcher = PsGateway_GetDispatcher(gateway, service);
-    PsRetryBudget_AddRequest(&exchange->dispatcher->retry_budget, now_ms);
-    ps_name_t content = PsMark_Format(get_content(exchange));
-    ps_name_t parts = PsMark_FormatParts(exchange->marks);
-    PsEvents_Add(
-        "request.accept", "{s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}",
-        "id", exchange->inbound.request_id.data, "content", content.data,
-        "parts", parts.data, "route", exchange->route->name.data, "team",
-        exchange->team ? exchange->team->name.data : "", "service",
-        service->data, "tier", exchange->task.tier, "prompt",
-        exchange->task.prompt_tokens, "output", exchange->task.output_tokens,
-        "config", (json_int_t)exchange->catalog->version, "config_age_ms",
-        (json_int_t)(now_ms - gateway->catalog_confirmed_ms));
-    PsScheduler_Submit(&exchange->dispatcher->scheduler, &exchange->task,
-                       now_ms);
+    if (exchange->route->is_stream &&
+        !PsName_IsEmpty(&exchange->last_event_id)) {
+        find_origin(exchange, now_ms);
+    }
+    else {
+        submit(exchange, now_ms);
+    }
 }
 
 // Cancels the transfer. If its server turns out to have crashed, the request
@@ -1003,6 +1117,10 @@
 bool
 PsExchange_Run(ps_exchange_t *exchange, int64_t now_ms)
 {
+    if (exchange->origin_request != 0 && now_ms >= exchange->origin_due_ms) {
+        resume_stream(exchange, 0, NULL, now_ms);
+        return true;
+    }
     if (!exchange->dispatcher) {
         return false;
     }
@@ -1013,3 +1131,19 @@
     return exchange->is_transferring &&
            move_from_silent_server(exchange, now_ms);
 }
+
+bool
+PsExchange_HandleOrigin(ps_exchange_t *exchange, uint64_t request,
+                        uint64_t version, const ps_name_t *from,
+                        int64_t now_ms)
+{
+    if (exchange->origin_request == 0 || exchange->origin_request != request) {
+        return false;
+    }
+    exchange->origins_asked--;
+    if (version == 0 && exchange->origins_asked > 0) {
+        return false;
+    }
+    resume_stream(exchange, version, version != 0 ? from->data : NULL, now_ms);
+    return true;
+}
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -40,6 +40,11 @@
     ps_name_t last_event_id; /* of the last event relayed; before, of the one
                                 after which the caller resumes the stream */
     uint32_t n_events;       /* events relayed */
+    uint64_t origin_request; /* hash of the id of the request whose stream it
+                                takes up, while others are asked for its
+                                version; 0: they are not */
+    int origins_asked;       /* members that have not answered yet */
+    int64_t origin_due_ms;   /* no answer is waited for later */
     GList link;
 } ps_exchange_t;
 
@@ -65,6 +70,19 @@
  */
 bool PsExchange_Run(ps_exchange_t *exchange, int64_t now_ms);
 
+/**
+ * PsExchange_HandleOrigin() - Takes another daemon's answer about the version
+ * that began a stream, if the exchange waits for it.
+ * @request: hash of the id of the request that began it
+ * @version: 0: the other daemon doesn't know
+ *
+ * Return: true if the exchange goes on because of it. Then other exchanges may
+ * have ended.
+ */
+bool PsExchange_HandleOrigin(ps_exchange_t *exchange, uint64_t request,
+                             uint64_t version, const ps_name_t *from,
+                             int64_t now_ms);
+
 /**
  * PsExchange_GetSchedulerEvents() - Returns the handlers for schedulers whose
  * tasks are exchanges.
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -348,6 +348,8 @@
     ps_dispatcher_t *dispatcher =
         PsGateway_GetDispatcher(gateway, &backend->registration.service);
     PsScheduler_RemoveBackend(&dispatcher->scheduler, backend);
+    PsRecentMap_Put(&dispatcher->removed_versions, backend->version, 0,
+                    PsClock_Now());
     PsAllocator_RemoveServer(&gateway->sharing.allocator,
                              PsSharing_HashServer(backend));
 }
@@ -464,6 +466,10 @@
                  g_hash_table_size(gateway->mark_crashes.suspects.by_hash));
     print_metric(&out, "pearstair_content_refused_total",
                  (double)stats->banned_requests);
+    print_metric(&out, "pearstair_streams_taken_up_total",
+                 (double)stats->taken_up_streams);
+    print_metric(&out, "pearstair_stream_origins_unknown_total",
+                 (double)stats->unknown_origins);
     print_metric(&out, "pearstair_connects_total",
                  (double)gateway->http_client.connects);
     print_metric(&out, "pearstair_log_dropped_total",
@@ -636,6 +642,7 @@
     PsBackendRegistry_Init(&gateway->backend_registry, &registry_events,
                            gateway);
     PsMarkCrashes_Init(&gateway->mark_crashes);
+    PsStreamOrigins_Init(&gateway->stream_origins);
     PsServerChecks_Init(&gateway->server_checks, &gateway->http_client,
                         on_server_ended, gateway);
     gateway->dispatchers = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
@@ -677,6 +684,7 @@
     PsChanges_Finish(&gateway->changes);
     PsServerChecks_Finish(&gateway->server_checks);
     PsMarkCrashes_Finish(&gateway->mark_crashes);
+    PsStreamOrigins_Finish(&gateway->stream_origins);
     PsRecentMembers_Finish(&gateway->recent_members);
     PsEvents_Flush();
 }
@@ -800,11 +808,41 @@
     PsScheduler_Init(&dispatcher->scheduler, PsExchange_GetSchedulerEvents(),
                      gateway, service, (uint32_t)gateway->self.incarnation);
     PsRetryBudget_Init(&dispatcher->retry_budget, gateway->started_ms);
+    PsRecentMap_Init(&dispatcher->removed_versions, PS_STREAM_ORIGIN_MS);
     g_hash_table_insert(gateway->dispatchers, &dispatcher->name, dispatcher);
     divide_among_daemons(gateway);
     return dispatcher;
 }
 
+uint64_t
+PsGateway_FindOnlyVersion(const ps_gateway_t *gateway,
+                          ps_dispatcher_t *dispatcher, int64_t now_ms)
+{
+    const GPtrArray *backends = dispatcher->scheduler.backends;
+    int64_t youngest_ms = 0; // Unix time
+    for (guint i = 0; i < backends->len; i++) {
+        const ps_backend_t *backend = backends->pdata[i];
+        const ps_backend_t *first = backends->pdata[0];
+        if (backend->version != first->version) {
+            return 0;
+        }
+        youngest_ms = MAX(youngest_ms, backend->registration.started_ms);
+    }
+    // A daemon that has just started doesn't know which servers were removed
+    // before. Servers are replaced by others that start at that time.
+    bool knows_removed = now_ms - gateway->started_ms > PS_STREAM_ORIGIN_MS;
+    int64_t age_ms = g_get_real_time() / 1000 - youngest_ms;
+    if (backends->len == 0 ||
+        (!knows_removed && age_ms <= PS_STREAM_ORIGIN_MS)) {
+        return 0;
+    }
+    const ps_backend_t *first = backends->pdata[0];
+    return PsRecentMap_HasOther(&dispatcher->removed_versions, first->version,
+                                now_ms)
+               ? 0
+               : first->version;
+}
+
 ps_quota_t *
 PsGateway_GetQuota(ps_gateway_t *gateway, const ps_name_t *team)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -27,6 +27,7 @@
 #include "settings.h"
 #include "sharing.h"
 #include "store_events.h"
+#include "stream_origins.h"
 
 struct ps_gateway;
 
@@ -38,6 +39,7 @@
     ps_scheduler_t scheduler;
     ps_retry_budget_t retry_budget;
     int tokens_per_event; /* output tokens in an event of a stream */
+    ps_recent_map_t removed_versions; /* of servers removed lately */
 } ps_dispatcher_t;
 
 /**
@@ -53,7 +55,10 @@
     uint64_t retries;
     uint64_t refused_retries;    /* over the retry budget */
     uint64_t lost_connections;   /* before the end of a response */
-    uint64_t banned_requests;    /* refused for their contents' crashes */
+    uint64_t banned_requests;    /* refused for their marks' crashes */
+    uint64_t taken_up_streams;   /* resumed by their callers */
+    uint64_t unknown_origins;    /* of these, refused as it isn't known which
+                                    version began them */
     ps_histogram_t wait_latency; /* arrival to first send */
     ps_histogram_t first_event_latency; /* arrival to a stream's first event */
     ps_histogram_t total_latency;       /* arrival to the end */
@@ -117,6 +122,7 @@
     GHashTable *quotas;      /* team name to ps_quota_t */
     ps_mark_crashes_t mark_crashes;
     ps_server_checks_t server_checks;
+    ps_stream_origins_t stream_origins;
     ps_daemon_info_t self;
     GHashTable *members; /* name to ps_daemon_info_t, this daemon included */
     ps_recent_members_t recent_members; /* that left */
@@ -217,6 +223,14 @@
 ps_dispatcher_t *PsGateway_GetDispatcher(ps_gateway_t *gateway,
                                          const ps_name_t *service);
 
+/**
+ * PsGateway_FindOnlyVersion() - Returns the version of a service's servers if
+ * no other one has served within PS_STREAM_ORIGIN_MS; 0: others may have.
+ */
+uint64_t PsGateway_FindOnlyVersion(const ps_gateway_t *gateway,
+                                   ps_dispatcher_t *dispatcher,
+                                   int64_t now_ms);
+
 /**
  * PsGateway_GetQuota() - Returns a team's quota, made at first use; never
  * NULL. Owned by the gateway.
--- a/src/mark_crashes.c
+++ b/src/mark_crashes.c
@@ -70,10 +70,10 @@
 is_sound(ps_mark_crashes_t *crashes, uint64_t mark, int64_t crashed_ms,
          int64_t now_ms)
 {
-    int64_t completed_ms =
-        PsRecentSet_GetTime(&crashes->completed, mark, now_ms);
-    return completed_ms >= 0 && (!PsMark_IsPart(mark) ||
-                                 completed_ms >= crashed_ms - PART_SOUND_MS);
+    uint64_t completed_ms;
+    return PsRecentMap_Get(&crashes->completed, mark, &completed_ms, now_ms) &&
+           (!PsMark_IsPart(mark) ||
+            (int64_t)completed_ms >= crashed_ms - PART_SOUND_MS);
 }
 
 // Has other daemons clear a mark, unless they were told lately.
@@ -133,13 +133,14 @@
 {
     bool is_any_unknown = false;
     for (guint i = 1; i < marks->len; i++) {
-        is_any_unknown |= !PsRecentSet_Contains(
-            &crashes->completed, g_array_index(marks, uint64_t, i), now_ms);
+        is_any_unknown |=
+            !PsRecentMap_Get(&crashes->completed,
+                             g_array_index(marks, uint64_t, i), NULL, now_ms);
     }
     for (guint i = 1; i < marks->len; i++) {
         uint64_t part = g_array_index(marks, uint64_t, i);
         if (!is_any_unknown ||
-            !PsRecentSet_Contains(&crashes->completed, part, now_ms)) {
+            !PsRecentMap_Get(&crashes->completed, part, NULL, now_ms)) {
             PsAbandonedRuns_Add(&crashes->abandoned_runs, part,
                                 get_crash_id(server), now_ms);
         }
@@ -156,7 +157,7 @@
     PsCrashReports_Init(&crashes->to_allocator, &crashes->suspects, true);
     PsCrashReports_Init(&crashes->to_members, &crashes->suspects, false);
     PsAbandonedRuns_Init(&crashes->abandoned_runs);
-    PsRecentSet_Init(&crashes->completed, COMPLETED_MS);
+    PsRecentMap_Init(&crashes->completed, COMPLETED_MS);
     memset(crashes->cleared, 0, sizeof crashes->cleared);
     crashes->next_cleared = 0;
     crashes->next_trial_ms = 0;
@@ -168,7 +169,7 @@
 {
     PsCrashReports_Finish(&crashes->to_members);
     PsCrashReports_Finish(&crashes->to_allocator);
-    PsRecentSet_Finish(&crashes->completed);
+    PsRecentMap_Finish(&crashes->completed);
     PsSuspects_Finish(&crashes->suspects);
 }
 
@@ -195,7 +196,7 @@
                            int64_t now_ms)
 {
     uint64_t content = g_array_index(marks, uint64_t, 0);
-    PsRecentSet_Add(&crashes->completed, content, now_ms);
+    PsRecentMap_Put(&crashes->completed, content, (uint64_t)now_ms, now_ms);
     if (PsMark_IsShared(content)) {
         clear_mark(crashes, content, "this daemon", now_ms);
     }
@@ -208,7 +209,7 @@
 {
     for (guint i = 1; i < marks->len; i++) {
         uint64_t part = g_array_index(marks, uint64_t, i);
-        PsRecentSet_Add(&crashes->completed, part, now_ms);
+        PsRecentMap_Put(&crashes->completed, part, (uint64_t)now_ms, now_ms);
         clear_mark(crashes, part, "this daemon", now_ms);
     }
 }
@@ -316,7 +317,8 @@
     for (size_t i = 0; i < n; i++) {
         if (PsMark_IsShared(marks[i])) {
             clear_mark(crashes, marks[i], from->data, now_ms);
-            PsRecentSet_Add(&crashes->completed, marks[i], now_ms);
+            PsRecentMap_Put(&crashes->completed, marks[i], (uint64_t)now_ms,
+                            now_ms);
         }
     }
 }
--- a/src/mark_crashes.h
+++ b/src/mark_crashes.h
@@ -18,7 +18,7 @@
 #include "backend.h"
 #include "crash_reports.h"
 #include "peer.pb-c.h"
-#include "recent_set.h"
+#include "recent_map.h"
 
 // Crashes of servers, as seen by all daemons, until a content or a part is
 // refused. One request is not in flight at enough crashes to have its parts
@@ -43,7 +43,8 @@
 typedef struct ps_mark_crashes {
     ps_suspects_t suspects;
     ps_abandoned_runs_t abandoned_runs;
-    ps_recent_set_t completed; /* marks that ran to their end lately */
+    ps_recent_map_t
+        completed; /* marks that ran to their end lately, and when */
     ps_crash_reports_t to_allocator;
     ps_crash_reports_t to_members; /* used while this is the allocator */
     ps_cleared_mark_t cleared[PS_MARKS_CLEARED_MAX];
--- /dev/null
+++ b/src/origin_lookups.c
@@ -0,0 +1,108 @@
+/* origin_lookups.c - Messages about the origins of streams. */
+#include "origin_lookups.h"
+
+#include "exchange.h"
+
+/* ---- Internal functions ----------------------------------------------- */
+
+// Chooses other members for a request's record, without those that are silent.
+static size_t
+choose_holders(const ps_gateway_t *gateway, uint64_t request,
+               const ps_name_t **holders, size_t max)
+{
+    GPtrArray *names = g_ptr_array_new();
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->members);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_daemon_info_t *member = value;
+        if (!PsName_IsEqual(&member->name, &gateway->self.name) &&
+            !PsSharing_IsSilent(&gateway->sharing, &member->name)) {
+            g_ptr_array_add(names, &member->name);
+        }
+    }
+    size_t n = PsStreamOrigins_ChooseHolders(request, names, holders, max);
+    g_ptr_array_unref(names);
+    return n;
+}
+
+static void
+send_origin(ps_gateway_t *gateway, const ps_name_t *to, uint64_t request,
+            uint64_t version)
+{
+    Ps__StreamOrigin origin = PS__STREAM_ORIGIN__INIT;
+    origin.request = request;
+    origin.version = version;
+    Ps__Frame frame = PS__FRAME__INIT;
+    frame.body_case = PS__FRAME__BODY_STREAM_ORIGIN;
+    frame.stream_origin = &origin;
+    PsPeers_Send(&gateway->sharing.peers, to, &frame);
+}
+
+// Passes an origin to the exchange that waits for it. One that is not known is
+// passed on too.
+static void
+handle_origin(ps_gateway_t *gateway, const ps_name_t *from,
+              const Ps__StreamOrigin *origin, int64_t now_ms)
+{
+    if (origin->version != 0) {
+        PsStreamOrigins_Add(&gateway->stream_origins, origin->request,
+                            origin->version, now_ms);
+    }
+    GList *l = gateway->exchanges.head;
+    while (l) {
+        // An exchange that ends may end others, whose slots it frees.
+        bool has_changed = PsExchange_HandleOrigin(
+            l->data, origin->request, origin->version, from, now_ms);
+        l = has_changed ? gateway->exchanges.head : l->next;
+    }
+}
+
+/* ---- Public functions ------------------------------------------------- */
+
+void
+PsOriginLookups_Record(ps_gateway_t *gateway, const ps_name_t *request_id,
+                       uint64_t version, int64_t now_ms)
+{
+    uint64_t request = PsStreamOrigins_HashId(request_id);
+    PsStreamOrigins_Add(&gateway->stream_origins, request, version, now_ms);
+    const ps_name_t *holders[PS_ORIGIN_HOLDERS];
+    size_t n = choose_holders(gateway, request, holders, PS_ORIGIN_HOLDERS);
+    for (size_t i = 0; i < n; i++) {
+        send_origin(gateway, holders[i], request, version);
+    }
+}
+
+int
+PsOriginLookups_Ask(ps_gateway_t *gateway, uint64_t request)
+{
+    const ps_name_t *holders[PS_ORIGIN_ASKED];
+    size_t n = choose_holders(gateway, request, holders, PS_ORIGIN_ASKED);
+    for (size_t i = 0; i < n; i++) {
+        Ps__OriginLookup lookup = PS__ORIGIN_LOOKUP__INIT;
+        lookup.request = request;
+        Ps__Frame frame = PS__FRAME__INIT;
+        frame.body_case = PS__FRAME__BODY_ORIGIN_LOOKUP;
+        frame.origin_lookup = &lookup;
+        PsPeers_Send(&gateway->sharing.peers, holders[i], &frame);
+    }
+    return (int)n;
+}
+
+bool
+PsOriginLookups_HandleFrame(ps_gateway_t *gateway, const ps_name_t *from,
+                            const Ps__Frame *frame, int64_t now_ms)
+{
+    if (frame->body_case == PS__FRAME__BODY_ORIGIN_LOOKUP) {
+        uint64_t request = frame->origin_lookup->request;
+        send_origin(
+            gateway, from, request,
+            PsStreamOrigins_Find(&gateway->stream_origins, request, now_ms));
+        return true;
+    }
+    if (frame->body_case == PS__FRAME__BODY_STREAM_ORIGIN) {
+        handle_origin(gateway, from, frame->stream_origin, now_ms);
+        return true;
+    }
+    return false;
+}
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1357,7 +1357,97 @@
   assert(message->base.descriptor == &ps__share_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ps__frame__field_descriptors[16] =
+void   ps__stream_origin__init
+                     (Ps__StreamOrigin         *message)
+{
+  static const Ps__StreamOrigin init_value = PS__STREAM_ORIGIN__INIT;
+  *message = init_value;
+}
+size_t ps__stream_origin__get_packed_size
+                     (const Ps__StreamOrigin *message)
+{
+  assert(message->base.descriptor == &ps__stream_origin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__stream_origin__pack
+                     (const Ps__StreamOrigin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__stream_origin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__stream_origin__pack_to_buffer
+                     (const Ps__StreamOrigin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__stream_origin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__StreamOrigin *
+       ps__stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__StreamOrigin *)
+     protobuf_c_message_unpack (&ps__stream_origin__descriptor,
+                                allocator, len, data);
+}
+void   ps__stream_origin__free_unpacked
+                     (Ps__StreamOrigin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__stream_origin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ps__origin_lookup__init
+                     (Ps__OriginLookup         *message)
+{
+  static const Ps__OriginLookup init_value = PS__ORIGIN_LOOKUP__INIT;
+  *message = init_value;
+}
+size_t ps__origin_lookup__get_packed_size
+                     (const Ps__OriginLookup *message)
+{
+  assert(message->base.descriptor == &ps__origin_lookup__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__origin_lookup__pack
+                     (const Ps__OriginLookup *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__origin_lookup__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__origin_lookup__pack_to_buffer
+                     (const Ps__OriginLookup *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__origin_lookup__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__OriginLookup *
+       ps__origin_lookup__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__OriginLookup *)
+     protobuf_c_message_unpack (&ps__origin_lookup__descriptor,
+                                allocator, len, data);
+}
+void   ps__origin_lookup__free_unpacked
+                     (Ps__OriginLookup *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__origin_lookup__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor ps__frame__field_descriptors[18] =
 {
   {
     "protocol",
@@ -1551,6 +1641,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_origin",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__Frame, body_case),
+    offsetof(Ps__Frame, stream_origin),
+    &ps__stream_origin__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin_lookup",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__Frame, body_case),
+    offsetof(Ps__Frame, origin_lookup),
+    &ps__origin_lookup__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
@@ -1562,18 +1676,20 @@
   6,   /* field[6] = done_ack */
   2,   /* field[2] = heartbeat */
   1,   /* field[1] = hello */
+  17,   /* field[17] = origin_lookup */
   12,   /* field[12] = progress */
   0,   /* field[0] = protocol */
   9,   /* field[9] = recover_answer */
   8,   /* field[8] = recover_ask */
   15,   /* field[15] = share_grant */
   14,   /* field[14] = share_report */
+  16,   /* field[16] = stream_origin */
   7,   /* field[7] = withdraw */
 };
 static const ProtobufCIntRange ps__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor ps__frame__descriptor =
 {
@@ -1583,7 +1699,7 @@
   "Ps__Frame",
   "ps",
   sizeof(Ps__Frame),
-  16,
+  18,
   ps__frame__field_descriptors,
   ps__frame__field_indices_by_name,
   1,  ps__frame__number_ranges,
@@ -4183,3 +4299,92 @@
   (ProtobufCMessageInit) ps__share_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ps__stream_origin__field_descriptors[2] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__StreamOrigin, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__StreamOrigin, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__stream_origin__field_indices_by_name[] = {
+  0,   /* field[0] = request */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange ps__stream_origin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ps__stream_origin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.StreamOrigin",
+  "StreamOrigin",
+  "Ps__StreamOrigin",
+  "ps",
+  sizeof(Ps__StreamOrigin),
+  2,
+  ps__stream_origin__field_descriptors,
+  ps__stream_origin__field_indices_by_name,
+  1,  ps__stream_origin__number_ranges,
+  (ProtobufCMessageInit) ps__stream_origin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__origin_lookup__field_descriptors[1] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__OriginLookup, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__origin_lookup__field_indices_by_name[] = {
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange ps__origin_lookup__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ps__origin_lookup__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.OriginLookup",
+  "OriginLookup",
+  "Ps__OriginLookup",
+  "ps",
+  sizeof(Ps__OriginLookup),
+  1,
+  ps__origin_lookup__field_descriptors,
+  ps__origin_lookup__field_indices_by_name,
+  1,  ps__origin_lookup__number_ranges,
+  (ProtobufCMessageInit) ps__origin_lookup__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -45,6 +45,8 @@
 typedef struct Ps__ServerNews Ps__ServerNews;
 typedef struct Ps__MemberNews Ps__MemberNews;
 typedef struct Ps__ShareGrant Ps__ShareGrant;
+typedef struct Ps__StreamOrigin Ps__StreamOrigin;
+typedef struct Ps__OriginLookup Ps__OriginLookup;
 
 
 /* --- enums --- */
@@ -75,7 +77,9 @@
   PS__FRAME__BODY_PROGRESS = 13,
   PS__FRAME__BODY_CANCEL = 14,
   PS__FRAME__BODY_SHARE_REPORT = 15,
-  PS__FRAME__BODY_SHARE_GRANT = 16
+  PS__FRAME__BODY_SHARE_GRANT = 16,
+  PS__FRAME__BODY_STREAM_ORIGIN = 17,
+  PS__FRAME__BODY_ORIGIN_LOOKUP = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PS__FRAME__BODY__CASE)
 } Ps__Frame__BodyCase;
 
@@ -103,6 +107,8 @@
     Ps__Cancel *cancel;
     Ps__ShareReport *share_report;
     Ps__ShareGrant *share_grant;
+    Ps__StreamOrigin *stream_origin;
+    Ps__OriginLookup *origin_lookup;
   };
 };
 #define PS__FRAME__INIT \
@@ -799,6 +805,43 @@
     , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * Which version of its service's software began a stream: told when it began, and in
+ * answer to a lookup. In gateway mode only, as the next one.
+ */
+struct  Ps__StreamOrigin
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the id of the request
+   */
+  uint64_t request;
+  /*
+   * hash of service and version; 0: not known
+   */
+  uint64_t version;
+};
+#define PS__STREAM_ORIGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__stream_origin__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Asks for the version that began a stream.
+ */
+struct  Ps__OriginLookup
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the id of the request
+   */
+  uint64_t request;
+};
+#define PS__ORIGIN_LOOKUP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__origin_lookup__descriptor) \
+    , 0 }
+
+
 /* Ps__Frame methods */
 void   ps__frame__init
                      (Ps__Frame         *message);
@@ -1369,6 +1412,44 @@
 void   ps__share_grant__free_unpacked
                      (Ps__ShareGrant *message,
                       ProtobufCAllocator *allocator);
+/* Ps__StreamOrigin methods */
+void   ps__stream_origin__init
+                     (Ps__StreamOrigin         *message);
+size_t ps__stream_origin__get_packed_size
+                     (const Ps__StreamOrigin   *message);
+size_t ps__stream_origin__pack
+                     (const Ps__StreamOrigin   *message,
+                      uint8_t             *out);
+size_t ps__stream_origin__pack_to_buffer
+                     (const Ps__StreamOrigin   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__StreamOrigin *
+       ps__stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__stream_origin__free_unpacked
+                     (Ps__StreamOrigin *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__OriginLookup methods */
+void   ps__origin_lookup__init
+                     (Ps__OriginLookup         *message);
+size_t ps__origin_lookup__get_packed_size
+                     (const Ps__OriginLookup   *message);
+size_t ps__origin_lookup__pack
+                     (const Ps__OriginLookup   *message,
+                      uint8_t             *out);
+size_t ps__origin_lookup__pack_to_buffer
+                     (const Ps__OriginLookup   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__OriginLookup *
+       ps__origin_lookup__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__origin_lookup__free_unpacked
+                     (Ps__OriginLookup *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Ps__Frame_Closure)
@@ -1461,6 +1542,12 @@
 typedef void (*Ps__ShareGrant_Closure)
                  (const Ps__ShareGrant *message,
                   void *closure_data);
+typedef void (*Ps__StreamOrigin_Closure)
+                 (const Ps__StreamOrigin *message,
+                  void *closure_data);
+typedef void (*Ps__OriginLookup_Closure)
+                 (const Ps__OriginLookup *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1498,6 +1585,8 @@
 extern const ProtobufCMessageDescriptor ps__server_news__descriptor;
 extern const ProtobufCMessageDescriptor ps__member_news__descriptor;
 extern const ProtobufCMessageDescriptor ps__share_grant__descriptor;
+extern const ProtobufCMessageDescriptor ps__stream_origin__descriptor;
+extern const ProtobufCMessageDescriptor ps__origin_lookup__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -597,6 +597,18 @@
     return ahead * RATE_DECAY_MS / MAX(rate->starts, RATE_MIN);
 }
 
+bool
+PsScheduler_HasVersion(const ps_scheduler_t *scheduler, uint64_t version)
+{
+    for (guint i = 0; i < scheduler->backends->len; i++) {
+        const ps_backend_t *backend = scheduler->backends->pdata[i];
+        if (backend->version == version && !backend->registration.is_leaving) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 PsScheduler_Submit(ps_scheduler_t *scheduler, ps_task_t *task, int64_t now_ms)
 {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -173,6 +173,12 @@
 void PsScheduler_RemoveBackend(ps_scheduler_t *scheduler,
                                ps_backend_t *backend);
 
+/**
+ * PsScheduler_HasVersion() - Tells whether a server of this version takes new
+ * work.
+ */
+bool PsScheduler_HasVersion(const ps_scheduler_t *scheduler, uint64_t version);
+
 /**
  * PsScheduler_Submit() - Starts, queues or refuses a task.
  */
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -8,6 +8,7 @@
 #include "clock.h"
 #include "events_log.h"
 #include "gateway.h"
+#include "origin_lookups.h"
 
 // Interval between reports. It grows with the number of daemons, to bound the
 // allocator's load.
@@ -483,6 +484,9 @@
 {
     ps_sharing_t *sharing = peers->user;
     int64_t now_ms = PsClock_Now();
+    if (PsOriginLookups_HandleFrame(sharing->gateway, from, frame, now_ms)) {
+        return;
+    }
     if (frame->body_case == PS__FRAME__BODY_SHARE_REPORT) {
         PsAllocatorRounds_HandleReport(sharing, from, frame->share_report,
                                        now_ms);
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -17,7 +17,7 @@
 #include "outliers.h"
 #include "quota.h"
 #include "recent_members.h"
-#include "recent_set.h"
+#include "recent_map.h"
 #include "retry_budget.h"
 }
 
@@ -1104,28 +1104,33 @@
     EXPECT_NE(take(81, kStart), 0u);
 }
 
-TEST(RecentSet, KeepsHashesForItsTimeInBoundedMemory)
+TEST(RecentMap, KeepsHashesForItsTimeInBoundedMemory)
 {
-    ps_recent_set_t set;
+    ps_recent_map_t map;
     const int64_t kKept = 60000;
-    PsRecentSet_Init(&set, kKept);
+    PsRecentMap_Init(&map, kKept);
     int64_t now = kStart;
-    PsRecentSet_Add(&set, 1, now);
-    EXPECT_TRUE(PsRecentSet_Contains(&set, 1, now + kKept));
-    EXPECT_FALSE(PsRecentSet_Contains(&set, 2, now));
-    PsRecentSet_Add(&set, 2, now + kKept);
-    EXPECT_TRUE(PsRecentSet_Contains(&set, 2, now + 2 * kKept));
-    EXPECT_FALSE(PsRecentSet_Contains(&set, 1, now + 4 * kKept));
-    EXPECT_FALSE(PsRecentSet_Contains(&set, 2, now + 4 * kKept));
+    PsRecentMap_Put(&map, 1, 1 + 5, now);
+    EXPECT_TRUE(PsRecentMap_Get(&map, 1, nullptr, now + kKept));
+    EXPECT_FALSE(PsRecentMap_Get(&map, 2, nullptr, now));
+    uint64_t value = 0;
+    EXPECT_TRUE(PsRecentMap_Get(&map, 1, &value, now));
+    EXPECT_EQ(value, 6u);
+    EXPECT_FALSE(PsRecentMap_HasOther(&map, 1, now));
+    EXPECT_TRUE(PsRecentMap_HasOther(&map, 2, now));
+    PsRecentMap_Put(&map, 2, 2 + 5, now + kKept);
+    EXPECT_TRUE(PsRecentMap_Get(&map, 2, nullptr, now + 2 * kKept));
+    EXPECT_FALSE(PsRecentMap_Get(&map, 1, nullptr, now + 4 * kKept));
+    EXPECT_FALSE(PsRecentMap_Get(&map, 2, nullptr, now + 4 * kKept));
     now += 5 * kKept;
-    for (uint64_t i = 0; i < 5 * PS_RECENT_SET_GENERATION_MAX; i++) {
-        PsRecentSet_Add(&set, i, now);
-        ASSERT_TRUE(PsRecentSet_Contains(&set, i, now));
-        ASSERT_LE(g_hash_table_size(set.newer) + g_hash_table_size(set.older),
-                  2u * PS_RECENT_SET_GENERATION_MAX);
+    for (uint64_t i = 0; i < 5 * PS_RECENT_MAP_GENERATION_MAX; i++) {
+        PsRecentMap_Put(&map, i, i + 5, now);
+        ASSERT_TRUE(PsRecentMap_Get(&map, i, nullptr, now));
+        ASSERT_LE(g_hash_table_size(map.newer) + g_hash_table_size(map.older),
+                  2u * PS_RECENT_MAP_GENERATION_MAX);
     }
-    EXPECT_FALSE(PsRecentSet_Contains(&set, 1, now));
-    PsRecentSet_Finish(&set);
+    EXPECT_FALSE(PsRecentMap_Get(&map, 1, nullptr, now));
+    PsRecentMap_Finish(&map);
 }
 
 // A loss of many servers leaves many suspects for half an hour.
