--- a/Makefile
+++ b/Makefile
@@ -35,14 +35,14 @@
 	mkdir -p $@
 
 $(BUILD)/%.o: src/%.c | $(BUILD)
-	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
+	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/platform/%.o: platform/%.c | $(BUILD)
 	@mkdir -p $(BUILD)/platform
-	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
+	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/standin_%.o: tests/standins/%.c | $(BUILD)
-	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
+	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/pearstaird: $(BUILD)/pearstaird.o $(DAEMON_OBJS) $(KERNEL_OBJS)
 	$(CC) $^ $(LIBS) -o $@
@@ -97,7 +97,7 @@
 
 $(BUILD)/bench/%.o: bench/%.c | $(BUILD)
 	@mkdir -p $(BUILD)/bench
-	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
+	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/pearstair-bench: $(BENCH_OBJS) $(KERNEL_OBJS)
 	$(CC) $^ $(LIBS) -o $@
@@ -116,7 +116,7 @@
 
 $(BUILD)/tests/%.o: tests/%.cpp | $(BUILD)
 	@mkdir -p $(BUILD)/tests
-	$(CXX) $(CXXSTD) -Wall -Wextra -Werror $(CPPFLAGS) $(CXXFLAGS) -MMD \
+	$(CXX) $(CXXSTD) -Wall -Wextra -Werror $(CPPFLAGS) $(CXXFLAGS) -MMD -MP \
 	    -c $< -o $@
 
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(KERNEL_OBJS)
