--- a/soak/caller.c
+++ b/soak/caller.c
@@ -12,11 +12,15 @@
  * whole: status 200 and the whole answer of this request
  * short: status 200 and a regular end, but events are missing or out of order
  * crossed: status 200 with a body that is not this request's
+ * mixed: a stream with events of two versions of the servers' software
  * torn: the response was broken off, which the caller can detect
  * none: no response
  * refused: a complete response with another status than 200
- * KIND is once, safe, stream, or crash: one content that ends each backend
- * server that runs it, which SEED chooses, is sent again and again.
+ * KIND is once, safe, stream, take-up, or crash: one content that ends each
+ * backend server that runs it, which SEED chooses, is sent again and again. A
+ * stream that breaks off after an event is taken up at another address, once.
+ * With SOAK_PARTS in the environment, streams have parts of a prompt, and
+ * those of KIND part one that ends each server that begins to write on it.
  */
 #include <curl/curl.h>
 #include <glib.h>
@@ -35,6 +39,7 @@
 #define STREAM_EVENTS 15          /* events requested of each stream */
 #define MEAN_PAUSE_MS 30          /* between requests of a thread */
 #define CRASH_ONE_IN 100 /* one of so many requests is a crashing one */
+#define PART_ONE_IN 50   /* one of so many has the crashing part */
 
 /* ---- Types ------------------------------------------------------------ */
 
@@ -43,6 +48,13 @@
     long status;
 } answer_t;
 
+// The part of a stream that a caller has.
+typedef struct stream {
+    char request_id[64]; // of the request that brought the first event
+    char version[16];    // of the servers that wrote it; empty: no event yet
+    int n_events;
+} stream_t;
+
 typedef struct caller {
     unsigned int seed;
     int index; /* of the thread; part of its requests' ids */
@@ -60,7 +72,8 @@
 static const char *const kinds[] = {"once", "safe", "stream"};
 static const char *crash_path; /* of the crashing content, a kind */
 static char *crash_body;
-static FILE *results; /* OUT; guarded by results_lock */
+static bool has_parts; /* SOAK_PARTS */
+static FILE *results;  /* OUT; guarded by results_lock */
 static char **directories;
 static int n_directories;
 static pthread_mutex_t results_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -120,31 +133,45 @@
     g_string_free(body, TRUE);
 }
 
-// Compares the body of a response with status 200 to the expected one; returns
-// a verdict.
+// Adds the whole events of a response to what the caller has of the stream;
+// returns a verdict on them.
 static const char *
-check_body(const char *kind, const char *id, const char *body)
+add_events(stream_t *stream, const char *id, const char *body)
 {
-    if (strcmp(kind, "stream") != 0) {
-        char *expected = g_strdup_printf("ok %s", id);
-        bool is_expected = strcmp(body, expected) == 0;
-        g_free(expected);
-        return is_expected ? "whole" : "crossed";
-    }
-    int n_events = 0;
-    for (const char *position = body; (position = strstr(position, "data: "));
-         position++) {
+    const char *position = body;
+    for (; (position = strstr(position, "data: ")); position++) {
         char event_id[64];
+        char version[16];
         int number;
-        if (sscanf(position, "data: %63s %d", event_id, &number) != 2 ||
+        if (!strstr(position, "\n\n")) {
+            break;
+        }
+        if (sscanf(position, "data: %63s %d %15s", event_id, &number,
+                   version) != 3 ||
             strcmp(event_id, id) != 0) {
             return "crossed";
         }
-        if (number != ++n_events) {
+        if (number != stream->n_events + 1) {
             return "short";
         }
+        if (stream->n_events++ == 0) {
+            g_strlcpy(stream->request_id, id, sizeof stream->request_id);
+            g_strlcpy(stream->version, version, sizeof stream->version);
+        }
+        if (strcmp(stream->version, version) != 0) {
+            return "mixed";
+        }
     }
-    return n_events == STREAM_EVENTS ? "whole" : "short";
+    return stream->n_events == STREAM_EVENTS ? "whole" : "short";
+}
+
+static const char *
+check_plain(const char *id, const char *body)
+{
+    char *expected = g_strdup_printf("ok %s", id);
+    bool is_expected = strcmp(body, expected) == 0;
+    g_free(expected);
+    return is_expected ? "whole" : "crossed";
 }
 
 static void
@@ -171,10 +198,29 @@
     return caller->sends++ == 0 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
+// Makes the headers of a request; one for a stream takes it up after the
+// events that the caller has.
 static struct curl_slist *
-make_headers(const char *id, const char *key)
+make_headers(const char *id, const char *kind, const char *key,
+             const stream_t *stream)
 {
     struct curl_slist *headers = NULL;
+    char *parts =
+        has_parts
+            ? g_strdup_printf("Prompt-Prefix: 5a11:10,%s%x:10",
+                              strcmp(kind, "part") == 0 ? "dead7:10," : "",
+                              g_str_hash(id) | 0x10000000)
+            : g_strdup("Prompt-Prefix;");
+    headers = curl_slist_append(headers, parts);
+    g_free(parts);
+    if (stream->n_events > 0) {
+        char *resumes = g_strdup_printf("Resumes: %s", stream->request_id);
+        char *after = g_strdup_printf("Last-Event-Id: %d", stream->n_events);
+        headers = curl_slist_append(headers, resumes);
+        headers = curl_slist_append(headers, after);
+        g_free(resumes);
+        g_free(after);
+    }
     // The backend servers of the tests send one event for 5 output tokens.
     char *lines[] = {g_strdup_printf("Request-Id: %s", id),
                      g_strdup_printf("Authorization: Bearer %s", key),
@@ -189,22 +235,23 @@
     return headers;
 }
 
-// Sends a request of a random kind and key to a random daemon, and writes its
-// result.
+// Sends a request to a random daemon and writes its result.
+// @stream: what the caller has of the stream, if it is one
 static void
-send_request(caller_t *caller, const char *id)
+send_request(caller_t *caller, const char *id, const char *kind,
+             const char *key, stream_t *stream)
 {
-    bool is_crashing = rand_r(&caller->seed) % CRASH_ONE_IN == 0;
-    const char *kind =
-        is_crashing ? "crash" : kinds[rand_r(&caller->seed) % 3];
-    const char *key = rand_r(&caller->seed) % 4 == 0 ? "key-2" : "key-1";
     const char *address =
         caller->addresses[rand_r(&caller->seed) % caller->n_addresses];
-    key = is_crashing ? "key-1" : key;
+    bool is_crashing = strcmp(kind, "crash") == 0;
+    bool is_stream = strcmp(kind, "stream") == 0 ||
+                     strcmp(kind, "take-up") == 0 || strcmp(kind, "part") == 0;
     char *url = g_strdup_printf("http://%s/%s/a", address,
-                                is_crashing ? crash_path : kind);
+                                is_crashing ? crash_path
+                                : is_stream ? "stream"
+                                            : kind);
     GString *body = g_string_new(NULL);
-    struct curl_slist *headers = make_headers(id, key);
+    struct curl_slist *headers = make_headers(id, kind, key, stream);
     CURL *easy = caller->easy;
     curl_easy_reset(easy);
     curl_easy_setopt(easy, CURLOPT_URL, url);
@@ -227,11 +274,17 @@
     CURLcode code = curl_easy_perform(easy);
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    const char *verdict = code == CURLE_OK && status == 200
-                              ? check_body(kind, id, body->str)
-                          : code == CURLE_OK ? "refused"
-                          : status > 0       ? "torn"
-                                             : "none";
+    const char *verdict = code == CURLE_OK ? "refused"
+                          : status > 0     ? "torn"
+                                           : "none";
+    const char *found = "";
+    if (status == 200) {
+        found = is_stream ? add_events(stream, id, body->str)
+                          : check_plain(id, body->str);
+    }
+    if ((code == CURLE_OK && status == 200) || strcmp(found, "mixed") == 0) {
+        verdict = found;
+    }
     write_result(id, kind, key, sent_ms, code == CURLE_OK ? status : 0,
                  verdict);
     curl_slist_free_all(headers);
@@ -239,6 +292,30 @@
     g_free(url);
 }
 
+// Sends a request of a random kind and key, and takes up a stream that breaks
+// off.
+static void
+send_any_request(caller_t *caller, const char *id)
+{
+    const char *kind = kinds[rand_r(&caller->seed) % 3];
+    const char *key = rand_r(&caller->seed) % 4 == 0 ? "key-2" : "key-1";
+    bool is_crashing = rand_r(&caller->seed) % CRASH_ONE_IN == 0;
+    bool has_crashing_part =
+        has_parts && rand_r(&caller->seed) % PART_ONE_IN == 0;
+    if (is_crashing || has_crashing_part) {
+        kind = is_crashing ? "crash" : "part";
+        key = "key-1";
+    }
+    stream_t stream = {.n_events = 0};
+    send_request(caller, id, kind, key, &stream);
+    if (strcmp(kind, "stream") == 0 && stream.n_events > 0 &&
+        stream.n_events < STREAM_EVENTS) {
+        char *second = g_strdup_printf("%s-up", id);
+        send_request(caller, second, "take-up", key, &stream);
+        g_free(second);
+    }
+}
+
 static void *
 run_caller(void *user)
 {
@@ -251,7 +328,7 @@
         if (caller->n_addresses > 0) {
             char *id = g_strdup_printf("c%d-%d-%lld", caller->index, i,
                                        (long long)now_ms());
-            send_request(caller, id);
+            send_any_request(caller, id);
             g_free(id);
         }
         g_usleep((gulong)(rand_r(&caller->seed) % (2 * MEAN_PAUSE_MS)) * 1000);
@@ -279,6 +356,7 @@
     }
     curl_global_init(CURL_GLOBAL_ALL);
     signal(SIGTERM, on_term);
+    has_parts = getenv("SOAK_PARTS") != NULL;
     end_ms = now_ms() + atoi(argv[1]) * 1000;
     crash_path = kinds[atoi(argv[3]) % 3];
     // A stream's server ends within the stream, after as many events.
