Resume a stream that ends with its connection before its first event

Seen: a stream without length or chunks whose connection closed before the first event was relayed as complete and empty.

Cause: the end of such a response can't be told from a broken connection, and only a stream that ended within an event counted as broken off. Change: one without any event does too, unless its caller takes it up after an event; it is resumed like others, and a crash that ends so counts for its marks.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -595,11 +595,17 @@
                        now_ms);
 }
 
-// Tells whether a stream ended within an event.
+// Tells whether a stream ended within an event, or with its connection before
+// the first event.
 static bool
-has_partial_event(const ps_exchange_t *exchange)
+was_broken_off(const ps_exchange_t *exchange)
 {
-    return is_stream_response(exchange) && exchange->body.len > 0;
+    bool has_no_event =
+        exchange->n_events == 0 && PsName_IsEmpty(&exchange->last_event_id);
+    return is_stream_response(exchange) &&
+           (exchange->body.len > 0 ||
+            (has_no_event &&
+             PsTransfer_EndsWithConnection(&exchange->transfer)));
 }
 
 // Tells whether the whole response to this request was received.
@@ -607,7 +613,7 @@
 is_complete(const ps_exchange_t *exchange, ps_transfer_result_t result)
 {
     return result == PS_TRANSFER_COMPLETE && exchange->has_response_head &&
-           exchange->reply == PS_REPLY_ANSWER && !has_partial_event(exchange);
+           exchange->reply == PS_REPLY_ANSWER && !was_broken_off(exchange);
 }
 
 // Tells whether the connection was lost while the backend server may have run
@@ -621,7 +627,7 @@
         return false;
     }
     return result == PS_TRANSFER_INCOMPLETE ||
-           (result == PS_TRANSFER_COMPLETE && has_partial_event(exchange));
+           (result == PS_TRANSFER_COMPLETE && was_broken_off(exchange));
 }
 
 static ps_task_result_t
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -409,6 +409,13 @@
     return false;
 }
 
+bool
+PsTransfer_EndsWithConnection(const ps_transfer_t *transfer)
+{
+    return !PsTransfer_GetHeader(transfer, "Content-Length").data &&
+           !PsTransfer_GetHeader(transfer, "Transfer-Encoding").data;
+}
+
 ps_str_t
 PsTransfer_GetHeader(const ps_transfer_t *transfer, const char *name)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -143,6 +143,12 @@
 void PsTransfer_StartRequest(ps_http_client_t *client, ps_transfer_t *transfer,
                              const ps_transfer_request_t *request);
 
+/**
+ * PsTransfer_EndsWithConnection() - Tells whether the response has neither a
+ * length nor chunks, so that its end can't be told from a closed connection.
+ */
+bool PsTransfer_EndsWithConnection(const ps_transfer_t *transfer);
+
 /**
  * PsTransfer_GetHeader() - Returns a header of the response.
  * @name: compared without regard to case
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -10,23 +10,28 @@
  * it. An event names the request, its own number, and VERSION (of the
  * software, v1 if not given). Writes a line to LOG for each request that
  * arrives: the request's id, the time in ms since 1970, the server's name, the
- * service, "ran" or "rejected", and its Deadline-Ms, 0 without one. POST
- * /switch sets faults: leaving (announced in the registration), reject (all
- * requests), and in percent of requests errors: status 500; a stream's path
- * gets a plain answer, of which the same percentage has status 500 cut: the
- * connection is closed before the answer or within a stream mute: a plain
- * answer is 2 s late, then with the same probability 2 s more, and so on; a
- * stream sends no event and breaks off after SILENCE_MS foreign: the answer
- * has another request's id. The switch limit sets the text of the header
- * Server-Limit of all answers; with the text "none" they have no such header.
+ * service, "ran" or "rejected", and its Deadline-Ms, 0 without one.
+ * POST /switch sets faults: leaving (announced in the registration), reject
+ * (all requests), and in percent of requests
+ * errors: status 500; a stream's path gets a plain answer, of which the same
+ *     percentage has status 500
+ * cut: the connection is closed before the answer or within a stream
+ * mute: a plain answer is 2 s late, then with the same probability 2 s more,
+ *     and so on; a stream sends no event and breaks off after SILENCE_MS
+ * foreign: the answer has another request's id
+ * unframed: the answer has neither a length nor chunks, and ends with its
+ *     connection, also where a stream is cut
+ * empty: a stream without chunks ends before its first event.
+ * The switch limit sets the text of the header Server-Limit of all answers;
+ * with the text "none" they have no such header.
  * A request whose body begins with "CRASH N", or without a body the last part
  * of whose path is CRASH-N, ends the process with status 1: within a stream
  * after N events, and in place of a plain answer or a stream's head if N is 0.
  * STOP stops the process (SIGSTOP) instead, so that its connections stay open
  * and silent. The faults above don't strike such a request.
  * A stream's request with a part in Prompt-Prefix, not the last one, whose ID
- * is "dead" and more digits ends the process when its first event is due. GET
- * /counts: runs by request id, rejected and running requests.
+ * is "dead" and more digits ends the process when its first event is due.
+ * GET /counts: runs by request id, rejected and running requests.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -56,6 +61,7 @@
     int crash_event;  /* the process fails before this event; 0: it does not */
     bool is_stopping; /* it fails by stopping, not by ending */
     bool is_silent;
+    bool is_unframed;  /* it ends with its connection */
     size_t bytes_sent; /* of the next event */
 } stream_t;
 
@@ -78,6 +84,8 @@
 static int64_t cut_percent;
 static int64_t silent_percent;
 static int64_t wrong_id_percent;
+static int64_t unframed_percent;
+static int64_t empty_percent;
 static char limit_text[64]; /* of Server-Limit; empty: no such header */
 
 // Decides at random whether to inject a fault: true in this percentage of
@@ -206,7 +214,8 @@
                        stream->next_event, stream->id, stream->next_event,
                        server_version);
     if (stream->next_event == stream->cut_event && stream->bytes_sent > 0) {
-        return MHD_CONTENT_READER_END_WITH_ERROR;
+        return stream->is_unframed ? MHD_CONTENT_READER_END_OF_STREAM
+                                   : MHD_CONTENT_READER_END_WITH_ERROR;
     }
     if (stream->bytes_sent == 0) {
         Standin_SleepMs(EVENT_INTERVAL_MS);
@@ -257,6 +266,13 @@
     }
     struct MHD_Response *response = MHD_create_response_from_callback(
         MHD_SIZE_UNKNOWN, 1024, read_stream, stream, free_stream);
+    bool is_empty = should_inject(empty_percent);
+    stream->is_unframed = is_empty || should_inject(unframed_percent);
+    stream->last_event = is_empty ? 0 : stream->last_event;
+    if (stream->is_unframed) {
+        MHD_set_response_options(response, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
+                                 MHD_RO_END);
+    }
     char *stamp = g_strdup_printf("%s.%s", server_name, id);
     MHD_add_response_header(response, "Content-Type", "text/event-stream");
     MHD_add_response_header(response, "Request-Id",
@@ -403,6 +419,10 @@
             Standin_GetQueryNumber(request, "mute", silent_percent);
         wrong_id_percent =
             Standin_GetQueryNumber(request, "foreign", wrong_id_percent);
+        unframed_percent =
+            Standin_GetQueryNumber(request, "unframed", unframed_percent);
+        empty_percent =
+            Standin_GetQueryNumber(request, "empty", empty_percent);
         return Standin_SendText(request, 200, "{}", NULL);
     }
     if (strcmp(request->path, "/counts") == 0) {
