Send nothing to servers that say in their responses that they leave

Seen: a server with 'Server-Leaving: 1' in all its answers, whose registration says ready, went on getting requests (DRAIN).

Cause: nothing read the header. Change: any response of the server, also a refusal or the head of a stream, marks that start of it as leaving at once, without the store. Later registrations of the same start don't end it. Reports tell the allocator, whose news tell the other daemons. Queued and granted requests go elsewhere, since servers are chosen when requests are sent; streams there go on.

New: BackendRegistry.ServerThatSaidItLeavesDoesSoUntilItsNextStart.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -62,12 +62,18 @@
         PsGateway_FindDispatcher(sharing->gateway, service);
     for (size_t i = 0; dispatcher && i < use->n_server_limits; i++) {
         const Ps__ServerLimit *message = use->server_limits[i];
-        if (PsSharing_MergeServerLimit(&dispatcher->scheduler, message,
-                                       &reporter->name,
-                                       now_ms - REPORT_DELAY_MAX_MS, now_ms)) {
+        const ps_backend_t *backend = PsSharing_MergeServerLimit(
+            &dispatcher->scheduler, message, &reporter->name,
+            now_ms - REPORT_DELAY_MAX_MS, now_ms);
+        if (backend) {
             PsAllocator_SetStarts(&sharing->allocator, reporter,
                                   message->server, message->starts, now_ms);
         }
+        if (backend && message->said_leaving) {
+            PsGateway_MarkServerLeaving(sharing->gateway,
+                                        &backend->registration,
+                                        reporter->name.data, now_ms);
+        }
     }
 }
 
--- a/src/backend.c
+++ b/src/backend.c
@@ -81,7 +81,10 @@
 PsBackend_Update(ps_backend_t *backend, const ps_registration_t *registration,
                  int64_t now_ms)
 {
+    bool has_said_leaving = backend->registration.has_said_leaving;
     backend->registration = *registration;
+    backend->registration.has_said_leaving |= has_said_leaving;
+    backend->registration.is_leaving |= backend->registration.has_said_leaving;
     backend->version = PsRegistration_HashVersion(registration);
     backend->cold_until_ms = now_ms + registration->cold_left_ms;
 }
--- a/src/backend.h
+++ b/src/backend.h
@@ -24,12 +24,14 @@
                            has restarted with an empty cache */
     ps_name_t service;
     ps_name_t address;
-    ps_name_t domain;     /* failure domain */
-    ps_name_t version;    /* of its software; has no order */
-    int slots;            /* requests that it can run at once */
-    bool is_leaving;      /* takes no new work */
-    int64_t cold_left_ms; /* it runs slowly for this long after the
-                             registration is read */
+    ps_name_t domain;      /* failure domain */
+    ps_name_t version;     /* of its software; has no order */
+    int slots;             /* requests that it can run at once */
+    bool is_leaving;       /* takes no new work */
+    bool has_said_leaving; /* it has said so in a response: it leaves until it
+                              starts again, whatever it registers */
+    int64_t cold_left_ms;  /* it runs slowly for this long after the
+                              registration is read */
 } ps_registration_t;
 
 /**
--- a/src/changes.c
+++ b/src/changes.c
@@ -56,6 +56,7 @@
     message->version = (char *)(uintptr_t)change->registration.version.data;
     message->slots = (uint32_t)change->registration.slots;
     message->leaving = change->registration.is_leaving;
+    message->said_leaving = change->registration.has_said_leaving;
     message->cold_left_ms = change->registration.cold_left_ms;
     message->gone = change->header.is_removed;
     return message;
@@ -172,6 +173,7 @@
                                .version = PsName_FromC(message->version),
                                .slots = (int)message->slots,
                                .is_leaving = message->leaving,
+                               .has_said_leaving = message->said_leaving,
                                .cold_left_ms = message->cold_left_ms};
 }
 
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -75,6 +75,7 @@
  *                       passed on, and those for @outbound
  * @classify: reads the headers of the response to request @request_id
  * @read_limit: reads the requests a second that the response's server takes
+ * @says_leaving: tells whether the response's server says that it leaves
  * @is_header_relayed: tells whether a response's header goes to the caller
  * @request_id_header: name of the header in which responses repeat the
  *                     request's id
@@ -91,6 +92,7 @@
                            const ps_name_t *request_id);
     ps_limit_reading_t (*read_limit)(const ps_transfer_t *transfer,
                                      double *rate);
+    bool (*says_leaving)(const ps_transfer_t *transfer);
     bool (*is_header_relayed)(ps_str_t header);
     const char *request_id_header;
 } ps_dialect_t;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -483,12 +483,18 @@
 on_headers(ps_transfer_t *transfer)
 {
     ps_exchange_t *exchange = transfer->user;
+    int64_t now_ms = PsClock_Now();
     exchange->has_response_head = true;
     exchange->reply = exchange->gateway->dialect->classify(
         transfer, &exchange->inbound.request_id);
     if (exchange->reply == PS_REPLY_ANSWER ||
         exchange->reply == PS_REPLY_NOT_RUN) {
         take_limit(exchange);
+        if (exchange->gateway->dialect->says_leaving(transfer)) {
+            PsGateway_MarkServerLeaving(exchange->gateway,
+                                        &exchange->task.backend->registration,
+                                        "this daemon", now_ms);
+        }
     }
     if (exchange->reply == PS_REPLY_MISMATCH) {
         transfer->is_aborted = true;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -879,6 +879,25 @@
                  (json_int_t)(now_ms - notice->answered_ms));
 }
 
+void
+PsGateway_MarkServerLeaving(ps_gateway_t *gateway,
+                            const ps_registration_t *server, const char *from,
+                            int64_t now_ms)
+{
+    const ps_backend_t *known =
+        PsBackendRegistry_Find(&gateway->backend_registry, &server->name);
+    if (!known || known->registration.started_ms != server->started_ms ||
+        known->registration.has_said_leaving) {
+        return;
+    }
+    ps_registration_t leaving = known->registration;
+    leaving.has_said_leaving = true;
+    PsEvents_Add("server.said_leaving", "{s:s,s:s,s:s}", "name",
+                 leaving.name.data, "service", leaving.service.data, "from",
+                 from);
+    PsBackendRegistry_Set(&gateway->backend_registry, &leaving, now_ms);
+}
+
 static void
 add_server_hash(const ps_backend_t *backend, void *sum)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -251,6 +251,16 @@
 void PsGateway_LogServerLimit(const ps_backend_t *backend, const char *from,
                               int64_t now_ms);
 
+/**
+ * PsGateway_MarkServerLeaving() - Sends a server no new requests until it has
+ * started again, as it has said in a response that it leaves.
+ * @server: the start of it that said so
+ * @from: where it was learned: this daemon, or a peer that reported it
+ */
+void PsGateway_MarkServerLeaving(ps_gateway_t *gateway,
+                                 const ps_registration_t *server,
+                                 const char *from, int64_t now_ms);
+
 /**
  * PsGateway_HashServers() - Hashes names, start times and states of the known
  * backend servers.
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -3254,7 +3254,7 @@
   (ProtobufCMessageInit) ps__server_outcomes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__server_limit__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ps__server_limit__field_descriptors[8] =
 {
   {
     "server",
@@ -3340,12 +3340,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "said_leaving",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerLimit, said_leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__server_limit__field_indices_by_name[] = {
   4,   /* field[4] = answered_age_ms */
   3,   /* field[3] = asked_age_ms */
   6,   /* field[6] = has_notice */
   2,   /* field[2] = rate */
+  7,   /* field[7] = said_leaving */
   0,   /* field[0] = server */
   1,   /* field[1] = started_ms */
   5,   /* field[5] = starts */
@@ -3353,7 +3366,7 @@
 static const ProtobufCIntRange ps__server_limit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ps__server_limit__descriptor =
 {
@@ -3363,7 +3376,7 @@
   "Ps__ServerLimit",
   "ps",
   sizeof(Ps__ServerLimit),
-  7,
+  8,
   ps__server_limit__field_descriptors,
   ps__server_limit__field_indices_by_name,
   1,  ps__server_limit__number_ranges,
@@ -3833,7 +3846,7 @@
   (ProtobufCMessageInit) ps__team_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__server_news__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ps__server_news__field_descriptors[11] =
 {
   {
     "name",
@@ -3955,6 +3968,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "said_leaving",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerNews, said_leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__server_news__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -3963,6 +3988,7 @@
   8,   /* field[8] = gone */
   6,   /* field[6] = leaving */
   0,   /* field[0] = name */
+  10,   /* field[10] = said_leaving */
   2,   /* field[2] = service */
   5,   /* field[5] = slots */
   1,   /* field[1] = started_ms */
@@ -3971,7 +3997,7 @@
 static const ProtobufCIntRange ps__server_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ps__server_news__descriptor =
 {
@@ -3981,7 +4007,7 @@
   "Ps__ServerNews",
   "ps",
   sizeof(Ps__ServerNews),
-  10,
+  11,
   ps__server_news__field_descriptors,
   ps__server_news__field_indices_by_name,
   1,  ps__server_news__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -535,10 +535,14 @@
    * rate and ages are set
    */
   protobuf_c_boolean has_notice;
+  /*
+   * report: it has said so in a response
+   */
+  protobuf_c_boolean said_leaving;
 };
 #define PS__SERVER_LIMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__server_limit__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ps__ServiceUse
@@ -709,10 +713,14 @@
    * of its software
    */
   char *version;
+  /*
+   * it has said in a response that it leaves
+   */
+  protobuf_c_boolean said_leaving;
 };
 #define PS__SERVER_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__server_news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -178,21 +178,23 @@
     backend->unreported_outcomes = (ps_outcomes_t){0};
 }
 
-// Adds what this daemon knows of a server's limit from the server itself, and
-// what it has sent there, to the next report.
+// Adds what this daemon knows from a server itself, its limit and that it
+// leaves, and what it has sent there, to the next report.
 static void
 add_server_limit(Ps__ServiceUse *use, ps_backend_t *backend, uint64_t round,
                  int64_t now_ms)
 {
     ps_server_limit_t *limit = &backend->limit;
     PsServerLimit_NoteReport(limit, round);
-    if (!PsServerLimit_IsTold(limit, now_ms)) {
+    bool has_said_leaving = backend->registration.has_said_leaving;
+    if (!PsServerLimit_IsTold(limit, now_ms) && !has_said_leaving) {
         return;
     }
     Ps__ServerLimit *message = g_new(Ps__ServerLimit, 1);
     ps__server_limit__init(message);
     PsSharing_SetLimitNotice(message, backend, &limit->own, now_ms);
     message->starts = limit->starts;
+    message->said_leaving = has_said_leaving;
     use->server_limits[use->n_server_limits++] = message;
 }
 
--- a/tests/run_one.sh
+++ b/tests/run_one.sh
@@ -12,7 +12,8 @@
 gw_common_request | gw_crashing_no_body | gw_faults | gw_unframed | gw_server_limit | gw_paused | gw_retry_*) GW_RUNNERS=6 ;;
 gw_crashing_content | gw_silent_crash) GW_RUNNERS=8 ;; # one request can reach four engines
 gw_stream_versions*) GW_RUNNERS=12 GW_DAEMONS=4 ;;
-gw_server_limit_faults) GW_RUNNERS=6 GW_DAEMONS=4 ;;
+gw_server_limit_faults | gw_server_pause) GW_RUNNERS=6 GW_DAEMONS=4 ;;
+gw_server_leaving) GW_RUNNERS=6 GW_DAEMONS=4 GW_REVOKE_MS=60000 ;; # keys stay valid while the store is down
 gw_crashing_part_faults) GW_RUNNERS=12 GW_DAEMONS=4 GW_HEARTBEAT_MS=2000 ;;
 gw_leaving) GW_SLOTS=32 ;; # enough slots when streams take longer on a slow VM
 esac
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -23,15 +23,17 @@
  *     connection, also where a stream is cut
  * empty: a stream without chunks ends before its first event.
  * The switch limit sets the text of the header Server-Limit of all answers;
- * with the text "none" they have no such header.
- * A request whose body begins with "CRASH N", or without a body the last part
- * of whose path is CRASH-N, ends the process with status 1: within a stream
- * after N events, and in place of a plain answer or a stream's head if N is 0.
- * STOP stops the process (SIGSTOP) instead, so that its connections stay open
- * and silent. The faults above don't strike such a request.
- * A stream's request with a part in Prompt-Prefix, not the last one, whose ID
- * is "dead" and more digits ends the process when its first event is due.
- * GET /counts: runs by request id, rejected and running requests.
+ * with the text "none" they have no such header. says_leaving=1 adds the
+ * header Server-Leaving to all answers, retry_after the header Retry-After
+ * with this text to those of requests that are rejected. A request whose body
+ * begins with "CRASH N", or without a body the last part of whose path is
+ * CRASH-N, ends the process with status 1: within a stream after N events, and
+ * in place of a plain answer or a stream's head if N is 0. STOP stops the
+ * process (SIGSTOP) instead, so that its connections stay open and silent. The
+ * faults above don't strike such a request. A stream's request with a part in
+ * Prompt-Prefix, not the last one, whose ID is "dead" and more digits ends the
+ * process when its first event is due. GET /counts: runs by request id,
+ * rejected and running requests.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -86,7 +88,9 @@
 static int64_t wrong_id_percent;
 static int64_t unframed_percent;
 static int64_t empty_percent;
-static char limit_text[64]; /* of Server-Limit; empty: no such header */
+static char limit_text[64];       /* of Server-Limit; empty: no such header */
+static char retry_after_text[64]; /* of Retry-After, likewise */
+static int64_t says_leaving;
 
 // Decides at random whether to inject a fault: true in this percentage of
 // calls.
@@ -281,6 +285,9 @@
     if (*limit_text) {
         MHD_add_response_header(response, "Server-Limit", limit_text);
     }
+    if (says_leaving) {
+        MHD_add_response_header(response, "Server-Leaving", "1");
+    }
     g_free(stamp);
     enum MHD_Result result =
         MHD_queue_response(request->connection, 200, response);
@@ -288,6 +295,22 @@
     return result;
 }
 
+// Adds names and values of what the server says of itself in all answers after
+// the first n; returns their new number.
+static size_t
+add_own_headers(const char **headers, size_t n)
+{
+    if (*limit_text) {
+        headers[n++] = "Server-Limit";
+        headers[n++] = limit_text;
+    }
+    if (says_leaving) {
+        headers[n++] = "Server-Leaving";
+        headers[n++] = "1";
+    }
+    return n;
+}
+
 static enum MHD_Result
 send_plain(standin_request_t *request, const char *id)
 {
@@ -300,13 +323,10 @@
     pthread_mutex_unlock(&lock);
     char *stamp = g_strdup_printf("%s.%s", server_name, id);
     char *text = g_strdup_printf("ok %s", id);
-    const char *headers[] = {"Request-Id",
-                             should_inject(wrong_id_percent) ? "another" : id,
-                             "Response-Stamp",
-                             stamp,
-                             *limit_text ? "Server-Limit" : NULL,
-                             limit_text,
-                             NULL};
+    const char *headers[16] = {
+        "Request-Id", should_inject(wrong_id_percent) ? "another" : id,
+        "Response-Stamp", stamp};
+    add_own_headers(headers, 4);
     enum MHD_Result result = MHD_NO;
     if (!should_inject(cut_percent)) {
         result = Standin_SendText(
@@ -335,15 +355,13 @@
     pthread_mutex_lock(&lock);
     n_rejected++;
     pthread_mutex_unlock(&lock);
-    const char *headers[] = {"Request-Id",
-                             id,
-                             "Not-Run",
-                             "1",
-                             "Instance",
-                             server_name,
-                             *limit_text ? "Server-Limit" : NULL,
-                             limit_text,
-                             NULL};
+    const char *headers[16] = {"Request-Id", id,         "Not-Run",
+                               "1",          "Instance", server_name};
+    size_t n = add_own_headers(headers, 6);
+    if (status == 503 && *retry_after_text) {
+        headers[n++] = "Retry-After";
+        headers[n] = retry_after_text;
+    }
     return Standin_SendText(request, status, "", headers);
 }
 
@@ -410,6 +428,14 @@
             bool is_none = strcmp(limit, "none") == 0;
             g_strlcpy(limit_text, is_none ? "" : limit, sizeof limit_text);
         }
+        const char *pause = Standin_GetQueryText(request, "retry_after");
+        if (pause) {
+            bool is_none = strcmp(pause, "none") == 0;
+            g_strlcpy(retry_after_text, is_none ? "" : pause,
+                      sizeof retry_after_text);
+        }
+        says_leaving =
+            Standin_GetQueryNumber(request, "says_leaving", says_leaving);
         is_leaving = Standin_GetQueryNumber(request, "leaving", is_leaving);
         rejects_all = Standin_GetQueryNumber(request, "reject", rejects_all);
         error_percent =
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -195,6 +195,22 @@
         << "the grace period is over";
 }
 
+// A server that has said in a response that it leaves does so until it starts
+// again, whatever it registers meanwhile.
+TEST(BackendRegistry, ServerThatSaidItLeavesDoesSoUntilItsNextStart)
+{
+    RegistryRecorder recorder;
+    recorder.Set(MakeRegistration("a", 4, 1), kStart);
+    ps_registration_t said = MakeRegistration("a", 4, 1);
+    said.has_said_leaving = true;
+    recorder.Set(said, kStart + 10);
+    EXPECT_TRUE(recorder.listed["a"]->registration.is_leaving);
+    recorder.Set(MakeRegistration("a", 4, 1), kStart + 20);
+    EXPECT_TRUE(recorder.listed["a"]->registration.is_leaving);
+    recorder.Set(MakeRegistration("a", 4, 2), kStart + 30);
+    EXPECT_FALSE(recorder.listed["a"]->registration.is_leaving);
+}
+
 // A restarted server has lost its cache, although its name is the same.
 TEST(BackendRegistry, RestartedServerIsANewOneWithAnEmptyCache)
 {
