Send nothing to servers in the pauses that they ask for

Seen: servers that turned requests away with 503 and Retry-After went on getting requests (BUDGET): 53 arrivals in 2.4 s at each of two servers when all three of a service asked for 3 s.

Cause: the header was not read; only the ejection of outliers, a third of a service at most, kept requests away. Change: a 503 with a decimal number of seconds pauses its server here until then, an hour at most. It doesn't count as a failure. While all servers of a service are paused, requests that can't wait so long are refused at once, and Retry-After counts from the end of the first pause. Odd values are ignored, with one log line. Other daemons aren't told: the pause is what the server asks of one.

New: Scheduler.ServersGetNothingInTheirPauses, DialectFleet.PausesAreAskedForByRefusalsOnly.

--- a/src/backend.h
+++ b/src/backend.h
@@ -49,6 +49,9 @@
     int running;
     ps_server_limit_t limit;  /* the rate that it takes from all daemons */
     bool has_malformed_limit; /* its last one was; it has been logged */
+    int64_t paused_until_ms;  /* it has asked for no requests until then */
+    bool has_malformed_pause; /* the last one it asked for; it has been logged
+                               */
     double pending_prefill_tokens; /* prefill of requests sent there that have
                                       no event yet */
     /* speeds */
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -56,13 +56,13 @@
 } ps_reply_t;
 
 /**
- * enum ps_limit_reading - Whether a response names a limit of its server.
+ * enum ps_header_reading - Whether a response has a header with a number.
  */
-typedef enum ps_limit_reading {
-    PS_LIMIT_ABSENT,
-    PS_LIMIT_NAMED,
-    PS_LIMIT_MALFORMED
-} ps_limit_reading_t;
+typedef enum ps_header_reading {
+    PS_HEADER_ABSENT,
+    PS_HEADER_NAMED,
+    PS_HEADER_MALFORMED /* no decimal number, or several headers */
+} ps_header_reading_t;
 
 /**
  * struct ps_dialect - Interface of a dialect.
@@ -75,6 +75,8 @@
  *                       passed on, and those for @outbound
  * @classify: reads the headers of the response to request @request_id
  * @read_limit: reads the requests a second that the response's server takes
+ * @read_pause: reads for how many seconds the response's server, which turned
+ * the request away, wants no others
  * @says_leaving: tells whether the response's server says that it leaves
  * @is_header_relayed: tells whether a response's header goes to the caller
  * @request_id_header: name of the header in which responses repeat the
@@ -90,8 +92,10 @@
                                 ps_transfer_t *transfer);
     ps_reply_t (*classify)(const ps_transfer_t *transfer,
                            const ps_name_t *request_id);
-    ps_limit_reading_t (*read_limit)(const ps_transfer_t *transfer,
-                                     double *rate);
+    ps_header_reading_t (*read_limit)(const ps_transfer_t *transfer,
+                                      double *rate);
+    ps_header_reading_t (*read_pause)(const ps_transfer_t *transfer,
+                                      double *seconds);
     bool (*says_leaving)(const ps_transfer_t *transfer);
     bool (*is_header_relayed)(ps_str_t header);
     const char *request_id_header;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -1,6 +1,7 @@
 /* exchange.c - Admission, sending, relaying and retries of one request. */
 #include "exchange.h"
 
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -46,6 +47,9 @@
 // stream.
 #define ORIGIN_WAIT_MAX_MS 300
 
+// Longest pause that a server may ask for.
+#define SERVER_PAUSE_MAX_MS (60 * 60 * 1000.0)
+
 // Retry-After values, by reason.
 #define RETRY_OTHER_DAEMON_MS 20 /* another daemon can serve it at once */
 #define RETRY_REJECTED_MS 300   /* servers that reject are full for a moment */
@@ -455,19 +459,19 @@
     int64_t now_ms = PsClock_Now();
     double rate = PS_SERVER_RATE_NONE;
     switch (exchange->gateway->dialect->read_limit(transfer, &rate)) {
-    case PS_LIMIT_MALFORMED:
+    case PS_HEADER_MALFORMED:
         if (!backend->has_malformed_limit) {
             backend->has_malformed_limit = true;
             PsEvents_Add("server.limit_malformed", "{s:s,s:s}", "name", name,
                          "id", exchange->inbound.request_id.data);
         }
         return;
-    case PS_LIMIT_ABSENT:
+    case PS_HEADER_ABSENT:
         if (exchange->reply != PS_REPLY_ANSWER || transfer->status >= 300) {
             return;
         }
         break;
-    case PS_LIMIT_NAMED:
+    case PS_HEADER_NAMED:
         break;
     }
     backend->has_malformed_limit = false;
@@ -479,6 +483,32 @@
     }
 }
 
+// Takes the pause that the server asks for in a response that turns the
+// request away.
+static void
+take_pause(ps_exchange_t *exchange, int64_t now_ms)
+{
+    ps_backend_t *backend = exchange->task.backend;
+    const char *name = backend->registration.name.data;
+    double seconds = 0;
+    ps_header_reading_t reading =
+        exchange->gateway->dialect->read_pause(&exchange->transfer, &seconds);
+    if (reading == PS_HEADER_MALFORMED && !backend->has_malformed_pause) {
+        PsEvents_Add("server.pause_malformed", "{s:s,s:s}", "name", name, "id",
+                     exchange->inbound.request_id.data);
+    }
+    if (reading != PS_HEADER_ABSENT) {
+        backend->has_malformed_pause = reading == PS_HEADER_MALFORMED;
+    }
+    if (reading == PS_HEADER_NAMED && seconds > 0) {
+        double pause_ms = MIN(seconds * 1000.0, SERVER_PAUSE_MAX_MS);
+        backend->paused_until_ms = now_ms + (int64_t)ceil(pause_ms);
+        PsEvents_Add("server.pause", "{s:s,s:s,s:I}", "name", name, "id",
+                     exchange->inbound.request_id.data, "ms",
+                     (json_int_t)pause_ms);
+    }
+}
+
 static void
 on_headers(ps_transfer_t *transfer)
 {
@@ -490,6 +520,7 @@
     if (exchange->reply == PS_REPLY_ANSWER ||
         exchange->reply == PS_REPLY_NOT_RUN) {
         take_limit(exchange);
+        take_pause(exchange, now_ms);
         if (exchange->gateway->dialect->says_leaving(transfer)) {
             PsGateway_MarkServerLeaving(exchange->gateway,
                                         &exchange->task.backend->registration,
@@ -643,7 +674,9 @@
         return PS_TASK_UNREACHABLE;
     }
     if (exchange->has_response_head && exchange->reply == PS_REPLY_NOT_RUN) {
-        return PS_TASK_REJECTED;
+        bool is_paused =
+            exchange->task.backend->paused_until_ms > PsClock_Now();
+        return is_paused ? PS_TASK_PAUSED : PS_TASK_REJECTED;
     }
     if (exchange->has_response_head &&
         exchange->reply == PS_REPLY_WRONG_SERVER) {
@@ -698,6 +731,7 @@
     case PS_TASK_UNREACHABLE:
         return "server not reached";
     case PS_TASK_REJECTED:
+    case PS_TASK_PAUSED:
         return "server rejected it";
     case PS_TASK_WRONG_SERVER:
         return "another server answered";
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -120,7 +120,7 @@
 record_result(ps_scheduler_t *scheduler, ps_backend_t *backend,
               ps_task_result_t result, int64_t now_ms)
 {
-    if (result == PS_TASK_CANCELLED) {
+    if (result == PS_TASK_CANCELLED || result == PS_TASK_PAUSED) {
         return;
     }
     if (result == PS_TASK_SUCCEEDED) {
@@ -171,7 +171,8 @@
 has_free_slot(const ps_backend_t *backend, int64_t now_ms)
 {
     if (!backend->is_listed || backend->registration.is_leaving ||
-        now_ms < backend->ejected_until_ms) {
+        now_ms < backend->ejected_until_ms ||
+        now_ms < backend->paused_until_ms) {
         return false;
     }
     if (!PsServerLimit_MayStart(&backend->limit, now_ms)) {
@@ -368,13 +369,28 @@
     return MAX(rate, is_any_limited ? RATE_MIN / RATE_DECAY_MS : 0.5 / run_ms);
 }
 
-// Returns a Retry-After in milliseconds: RETRY_AFTER_MIN_MS plus twice the
-// time that the queue takes to drain, varied at random by up to a quarter so
-// that callers do not retry all at once.
+// Returns for how long all servers that take new work have asked for a pause.
 static int64_t
-get_retry_after(ps_scheduler_t *scheduler)
+get_pause_left(const ps_scheduler_t *scheduler, int64_t now_ms)
+{
+    int64_t left_ms = INT64_MAX;
+    for (guint i = 0; i < scheduler->backends->len; i++) {
+        const ps_backend_t *backend = scheduler->backends->pdata[i];
+        if (!backend->registration.is_leaving) {
+            left_ms = MIN(left_ms, MAX(backend->paused_until_ms - now_ms, 0));
+        }
+    }
+    return left_ms == INT64_MAX ? 0 : left_ms;
+}
+
+// Returns a Retry-After in milliseconds: RETRY_AFTER_MIN_MS, or until a server
+// ends its pause, plus twice the time that the queue takes to drain, varied at
+// random by up to a quarter so that callers do not retry all at once.
+static int64_t
+get_retry_after(ps_scheduler_t *scheduler, int64_t now_ms)
 {
     double wait = 2.0 * scheduler->waiting.length / get_start_rate(scheduler);
+    wait += (double)get_pause_left(scheduler, now_ms);
     // Linear congruential generator; its upper 24 bits are used.
     scheduler->random_state = scheduler->random_state * 1664525U + 1013904223U;
     double spread = 0.75 + 0.5 * (scheduler->random_state >> 8) / 16777216.0;
@@ -383,28 +399,29 @@
 }
 
 static void
-refuse_task(ps_scheduler_t *scheduler, ps_task_t *task, const char *reason)
+refuse_task(ps_scheduler_t *scheduler, ps_task_t *task, const char *reason,
+            int64_t now_ms)
 {
     if (task->is_waiting) {
         g_queue_unlink(&scheduler->waiting, &task->link);
         task->is_waiting = false;
     }
-    scheduler->events->refuse(scheduler, task, get_retry_after(scheduler),
-                              reason);
+    scheduler->events->refuse(scheduler, task,
+                              get_retry_after(scheduler, now_ms), reason);
 }
 
 // Refuses all waiting tasks of lower tiers than @tier. Called before a new
 // task of that tier is refused, so that it is not refused while one of a lower
 // tier waits.
 static void
-refuse_lower_tiers(ps_scheduler_t *scheduler, int tier)
+refuse_lower_tiers(ps_scheduler_t *scheduler, int tier, int64_t now_ms)
 {
     GList *next;
     for (GList *l = scheduler->waiting.head; l; l = next) {
         next = l->next;
         ps_task_t *task = l->data;
         if (task->tier > tier) {
-            refuse_task(scheduler, task, "gave way to a higher tier");
+            refuse_task(scheduler, task, "gave way to a higher tier", now_ms);
         }
     }
 }
@@ -432,8 +449,8 @@
     if (!would_be_too_late(scheduler, task, now_ms)) {
         return false;
     }
-    refuse_lower_tiers(scheduler, task->tier);
-    refuse_task(scheduler, task, "would wait past its objective");
+    refuse_lower_tiers(scheduler, task->tier, now_ms);
+    refuse_task(scheduler, task, "would wait past its objective", now_ms);
     return true;
 }
 
@@ -447,12 +464,13 @@
         next = l->next;
         ps_task_t *task = l->data;
         if (now_ms >= task->wait_deadline_ms) {
-            refuse_task(scheduler, task, "waited too long");
+            refuse_task(scheduler, task, "waited too long", now_ms);
         }
         else if (!task->was_found_late && is_late(scheduler, task, now_ms)) {
             task->was_found_late = true;
             if (would_be_too_late(scheduler, task, now_ms)) {
-                refuse_task(scheduler, task, "too late for its objective");
+                refuse_task(scheduler, task, "too late for its objective",
+                            now_ms);
             }
         }
     }
@@ -621,7 +639,12 @@
         }
     }
     if (scheduler->backends->len == 0) {
-        refuse_task(scheduler, task, "no backend server is known");
+        refuse_task(scheduler, task, "no backend server is known", now_ms);
+        return;
+    }
+    if (now_ms + get_pause_left(scheduler, now_ms) > task->wait_deadline_ms) {
+        refuse_task(scheduler, task, "all servers have asked for a pause",
+                    now_ms);
         return;
     }
     if (!refuse_if_too_late(scheduler, task, now_ms)) {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -25,9 +25,10 @@
  * enum ps_task_result - How a request ended at a backend server.
  */
 typedef enum ps_task_result {
-    PS_TASK_SUCCEEDED,    /* complete answer that shows no server fault */
-    PS_TASK_FAILED,       /* server error, or a broken or unrelated answer */
-    PS_TASK_REJECTED,     /* the server has not run it */
+    PS_TASK_SUCCEEDED, /* complete answer that shows no server fault */
+    PS_TASK_FAILED,    /* server error, or a broken or unrelated answer */
+    PS_TASK_REJECTED,  /* the server has not run it */
+    PS_TASK_PAUSED,    /* the same, and it asks for a pause; it is not sick */
     PS_TASK_UNREACHABLE,  /* no connection to the server */
     PS_TASK_WRONG_SERVER, /* another server answers at its address */
     PS_TASK_CANCELLED     /* ended by this daemon; no sign of a fault */
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -552,6 +552,38 @@
     EXPECT_EQ(harness.refused, std::vector<ps_task_t *>{&tasks[4]});
 }
 
+// A server that has asked for a pause gets nothing until its end and isn't
+// ejected. While all have, tasks that can't wait so long are refused, and told
+// when it ends.
+TEST(Scheduler, ServersGetNothingInTheirPauses)
+{
+    SchedulerHarness harness(2, 2);
+    std::vector<ps_task_t> tasks(5);
+    for (ps_task_t &task : tasks) {
+        task = harness.MakeTask(0, 4000);
+    }
+    harness.Submit(&tasks[0]);
+    ps_backend_t *first = tasks[0].backend;
+    first->paused_until_ms = harness.now + 3000;
+    harness.End(&tasks[0], PS_TASK_PAUSED);
+    EXPECT_EQ(first->ejected_until_ms, 0);
+    harness.Submit(&tasks[1]);
+    ps_backend_t *second = tasks[1].backend;
+    ASSERT_TRUE(second && second != first);
+    second->paused_until_ms = harness.now + 3000;
+    harness.End(&tasks[1], PS_TASK_PAUSED);
+    harness.Submit(&tasks[3]);
+    ASSERT_EQ(harness.refused, std::vector<ps_task_t *>{&tasks[3]});
+    EXPECT_GE(harness.retry_after[0], 2000);
+    harness.now += 2000;
+    tasks[4] = harness.MakeTask(0, 4000);
+    harness.Submit(&tasks[4]);
+    EXPECT_FALSE(tasks[4].backend);
+    harness.now += 1000;
+    PsScheduler_Run(&harness.scheduler, harness.now);
+    EXPECT_TRUE(tasks[4].backend);
+}
+
 // A task moves away from a silent server only if another server has a free
 // slot; otherwise it might wait and be refused, although the silent server may
 // only be slow.
--- a/tests/test_server_limits.cpp
+++ b/tests/test_server_limits.cpp
@@ -1,6 +1,6 @@
-// test_server_limits.cpp - Tests the limits that backend servers name, in virtual
-// time: notices and their order, turns without an allocator, its permits, and the
-// reading of the header.
+// test_server_limits.cpp - Tests the limits that backend servers name, in
+// virtual time: notices and their order, turns without an allocator, its
+// permits, and the reading of the header.
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -103,8 +103,8 @@
 
 /* ---- Turns and permits ------------------------------------------------ */
 
-// A server whose limit is zero or tiny is still asked now and then, by a daemon
-// that knows the others only.
+// A server whose limit is zero or tiny is still asked now and then, by a
+// daemon that knows the others only.
 TEST(ServerLimit, ServerThatTakesNothingIsAskedNowAndThen)
 {
     ps_server_limit_t limit = {};
@@ -124,8 +124,8 @@
     EXPECT_LE(sent, 5);
 }
 
-// Without an allocator, daemons that all lost it at the same time use the limit
-// nearly whole and don't exceed it, and saved turns are lost.
+// Without an allocator, daemons that all lost it at the same time use the
+// limit nearly whole and don't exceed it, and saved turns are lost.
 RC_GTEST_PROP(ServerLimit, TurnsOfAllDaemonsAddUpToTheRate, ())
 {
     const int n = *rc::gen::inRange(1, 40);
@@ -258,8 +258,7 @@
     {
         std::vector<Message> due;
         for (size_t i = 0; i < messages.size();) {
-            bool is_paused =
-                now < daemons[messages[i].daemon].paused_until;
+            bool is_paused = now < daemons[messages[i].daemon].paused_until;
             if (messages[i].due <= now && !is_paused) {
                 due.push_back(messages[i]);
                 messages.erase(messages.begin() + i);
@@ -409,40 +408,76 @@
 {
     struct Case {
         const char *headers;
-        ps_limit_reading_t reading;
+        ps_header_reading_t reading;
         double rate;
     };
     const Case cases[] = {
-        {"", PS_LIMIT_ABSENT, 0},
-        {"Server-Limit: 3.6\r\n", PS_LIMIT_NAMED, 3.6},
-        {"server-limit:12\r\n", PS_LIMIT_NAMED, 12},
-        {"Server-Limit: 0\r\n", PS_LIMIT_NAMED, 0},
-        {"Server-Limit: 0.001\r\n", PS_LIMIT_NAMED, 0.001},
-        {"Server-Limit: -1\r\n", PS_LIMIT_MALFORMED, 0},
-        {"Server-Limit: inf\r\n", PS_LIMIT_MALFORMED, 0},
-        {"Server-Limit: nan\r\n", PS_LIMIT_MALFORMED, 0},
-        {"Server-Limit: 1e99\r\n", PS_LIMIT_MALFORMED, 0},
-        {"Server-Limit: 0x10\r\n", PS_LIMIT_MALFORMED, 0},
-        {"Server-Limit: 3, 4\r\n", PS_LIMIT_MALFORMED, 0},
-        {"Server-Limit: 1.2.3\r\n", PS_LIMIT_MALFORMED, 0},
-        {"Server-Limit: .\r\n", PS_LIMIT_MALFORMED, 0},
-        {"Server-Limit: \r\n", PS_LIMIT_MALFORMED, 0},
-        {"Server-Limit: 9999999999999999\r\n", PS_LIMIT_MALFORMED, 0},
-        {"Server-Limit: 3\r\nServer-Limit: 3\r\n", PS_LIMIT_MALFORMED, 0},
+        {"", PS_HEADER_ABSENT, 0},
+        {"Server-Limit: 3.6\r\n", PS_HEADER_NAMED, 3.6},
+        {"server-limit:12\r\n", PS_HEADER_NAMED, 12},
+        {"Server-Limit: 0\r\n", PS_HEADER_NAMED, 0},
+        {"Server-Limit: 0.001\r\n", PS_HEADER_NAMED, 0.001},
+        {"Server-Limit: -1\r\n", PS_HEADER_MALFORMED, 0},
+        {"Server-Limit: inf\r\n", PS_HEADER_MALFORMED, 0},
+        {"Server-Limit: nan\r\n", PS_HEADER_MALFORMED, 0},
+        {"Server-Limit: 1e99\r\n", PS_HEADER_MALFORMED, 0},
+        {"Server-Limit: 0x10\r\n", PS_HEADER_MALFORMED, 0},
+        {"Server-Limit: 3, 4\r\n", PS_HEADER_MALFORMED, 0},
+        {"Server-Limit: 1.2.3\r\n", PS_HEADER_MALFORMED, 0},
+        {"Server-Limit: .\r\n", PS_HEADER_MALFORMED, 0},
+        {"Server-Limit: \r\n", PS_HEADER_MALFORMED, 0},
+        {"Server-Limit: 9999999999999999\r\n", PS_HEADER_MALFORMED, 0},
+        {"Server-Limit: 3\r\nServer-Limit: 3\r\n", PS_HEADER_MALFORMED, 0},
     };
     for (const Case &c : cases) {
         SCOPED_TRACE(c.headers);
         ps_transfer_t transfer;
         ps_transfer_events_t events = {};
         PsTransfer_Init(&transfer, &events, nullptr);
-        PsBuf_Append(&transfer.response_headers, c.headers,
-                     strlen(c.headers));
+        PsBuf_Append(&transfer.response_headers, c.headers, strlen(c.headers));
         double rate = 0;
         EXPECT_EQ(PsDialectFleet_Get()->read_limit(&transfer, &rate),
                   c.reading);
-        if (c.reading == PS_LIMIT_NAMED) {
+        if (c.reading == PS_HEADER_NAMED) {
             EXPECT_EQ(rate, c.rate);
         }
         PsTransfer_Finish(&transfer);
     }
 }
+
+TEST(DialectFleet, PausesAreAskedForByRefusalsOnly)
+{
+    struct Case {
+        long status;
+        const char *headers;
+        ps_header_reading_t reading;
+        double seconds;
+    };
+    const Case cases[] = {
+        {503, "", PS_HEADER_ABSENT, 0},
+        {503, "Retry-After: 3\r\n", PS_HEADER_NAMED, 3},
+        {503, "retry-after: 0.25\r\n", PS_HEADER_NAMED, 0.25},
+        {429, "Retry-After: 3\r\n", PS_HEADER_ABSENT, 0},
+        {200, "Retry-After: 3\r\n", PS_HEADER_ABSENT, 0},
+        {503, "Retry-After: -3\r\n", PS_HEADER_MALFORMED, 0},
+        {503, "Retry-After: inf\r\n", PS_HEADER_MALFORMED, 0},
+        {503, "Retry-After: Fri, 04 Dec 2026 12:00:00 GMT\r\n",
+         PS_HEADER_MALFORMED, 0},
+        {503, "Retry-After: 3\r\nRetry-After: 4\r\n", PS_HEADER_MALFORMED, 0},
+    };
+    for (const Case &c : cases) {
+        SCOPED_TRACE(c.headers);
+        ps_transfer_t transfer;
+        ps_transfer_events_t events = {};
+        PsTransfer_Init(&transfer, &events, nullptr);
+        transfer.status = c.status;
+        PsBuf_Append(&transfer.response_headers, c.headers, strlen(c.headers));
+        double seconds = 0;
+        EXPECT_EQ(PsDialectFleet_Get()->read_pause(&transfer, &seconds),
+                  c.reading);
+        if (c.reading == PS_HEADER_NAMED) {
+            EXPECT_EQ(seconds, c.seconds);
+        }
+        PsTransfer_Finish(&transfer);
+    }
+}
