List a server again that older news of the allocator has removed

Cause, from the trace: all servers had registered again with their starts and the daemon had listed them; then the allocator's older news of their removal reached it. The store's client knew their revisions and reported them no more, and news of an addition is ignored after one of a removal of the same start. Change: such a removal makes the client forget the server, so that the next list reports it if it is registered; a list that is on its way at that moment is not used but requested anew.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -975,6 +975,8 @@
     if (is_removed && is_same_start) {
         PsBackendRegistry_Remove(&gateway->backend_registry,
                                  &registration->name, now_ms);
+        gateway->store_ops->forget_server(gateway->store_ops,
+                                          &registration->name);
     }
     else if (!is_removed && is_same_start && registration->is_leaving &&
              !known->registration.is_leaving) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -90,6 +90,8 @@
  * struct ps_store_ops - Operations of the store's client.
  * @remove_member: removes a dead daemon's registration
  * @save_state: starts a write of the allocator's state; false if it can't yet
+ * @forget_server: has the next list report a server that another daemon has
+ *                 reported as removed, if it is registered
  * @read_now: lists the given kinds of objects as soon as possible
  * @set_poll_rate: sets how often the store is polled
  */
@@ -98,6 +100,8 @@
                           const ps_daemon_info_t *member);
     bool (*save_state)(const struct ps_store_ops *ops,
                        const ps_stored_state_t *state);
+    void (*forget_server)(const struct ps_store_ops *ops,
+                          const ps_name_t *name);
     void (*read_now)(const struct ps_store_ops *ops, bool config, bool servers,
                      bool members);
     void (*set_poll_rate)(const struct ps_store_ops *ops, ps_poll_rate_t rate);
--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -167,13 +167,65 @@
 // A list that the store made before a watch reported a new server, and that
 // arrives after that, doesn't take the server back: it would not be reported
 // again, as its revision is known.
+// Another daemon's older news removes a server while a list is on its way that
+// has it, and the server is registered: a list that is requested later reports
+// it, the one on its way doesn't.
+TEST(Store, ServerThatNewsRemovedIsReportedByALaterList)
+{
+    RawServer server;
+    ps_store_t store;
+    const ps_name_t name = ToName("r1");
+    int n_lists = 0;
+    server.respond = [&](const std::string &request) {
+        bool is_list = request.find("/objects/servers") != std::string::npos &&
+                       request.find("watch=") == std::string::npos;
+        if (!is_list) {
+            return MakeResponse("200 OK",
+                                R"({"items":[],"events":[],"currentRev":10})");
+        }
+        if (++n_lists == 2) {
+            PsStore_ForgetServer(&store, &name);
+        }
+        return MakeResponse("200 OK", R"({"items":[)" +
+                                          MakeServerObject("r1", 5) +
+                                          R"(],"currentRev":10})");
+    };
+    static ps_store_events_t events = {};
+    events.catalog_confirmed = [](void *, int64_t) {};
+    events.server_changed = [](void *user, const ps_registration_t *changed) {
+        ((ServerReports *)user)->changed.push_back(changed->name.data);
+    };
+    events.server_removed = [](void *, const ps_name_t *) {};
+    events.servers_listed = [](void *user, GHashTable *names) {
+        ((ServerReports *)user)->listed.push_back(g_hash_table_size(names));
+    };
+    events.members_listed = [](void *, GHashTable *) {};
+    events.state_read = [](void *, const ps_stored_state_t *, int64_t) {};
+    events.unavailable = [](void *, const char *) {};
+    events.available = [](void *) {};
+    ps_http_client_t client;
+    PsHttpClient_Init(&client, GetLoop());
+    ServerReports reports;
+    ps_name_t address = ToName(server.address);
+    PsStore_Init(&store, &client, GetLoop(), &address, &events, &reports);
+    RunUntil([&] { return n_lists == 2; });
+    PsStore_ReadNow(&store, false, true, false);
+    RunUntil([&] { return reports.changed.size() == 2; });
+    EXPECT_GE(n_lists, 3);
+    EXPECT_EQ(reports.listed.size() + 1, (size_t)n_lists)
+        << "the list that was on its way is not used";
+    PsStore_Finish(&store);
+    PsHttpClient_Finish(&client);
+}
+
 TEST(Store, ListOlderThanAWatchTakesNoServerBack)
 {
     RawServer server;
     bool is_told = false;
     server.respond = [&](const std::string &request) {
         std::string items = MakeServerObject("r1", 5);
-        bool is_servers = request.find("/objects/servers") != std::string::npos;
+        bool is_servers =
+            request.find("/objects/servers") != std::string::npos;
         if (!is_servers) {
             return MakeResponse("200 OK",
                                 R"({"items":[],"events":[],"currentRev":10})");
@@ -286,8 +338,8 @@
     PsHttpClient_Finish(&client);
 }
 
-// What must not be resent is sent once also on a connection that is used again,
-// and its sending is reported once.
+// What must not be resent is sent once also on a connection that is used
+// again, and its sending is reported once.
 TEST(HttpClient, RequestThatMustNotBeResentIsSentOnceOnAReusedConnection)
 {
     struct Outcome : TransferOutcome {
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -273,6 +273,7 @@
             [](const ps_store_ops_t *, const ps_stored_state_t *) {
                 return true;
             },
+            [](const ps_store_ops_t *, const ps_name_t *) {},
             [](const ps_store_ops_t *, bool, bool, bool) {},
             [](const ps_store_ops_t *, ps_poll_rate_t) {}};
         signal(SIGPIPE, SIG_IGN);
