--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -21,7 +21,8 @@
  * foreign: the answer has another request's id
  * unframed: the answer has neither a length nor chunks, and ends with its
  *     connection, also where a stream is cut
- * empty: a stream without chunks ends before its first event.
+ * empty: a stream without chunks ends before its first event
+ * endless: a stream's first event has no end.
  * The switch limit sets the text of the header Server-Limit of all answers;
  * with the text "none" they have no such header. says_leaving=1 adds the
  * header Server-Leaving to all answers, retry_after the header Retry-After
@@ -64,6 +65,7 @@
     bool is_stopping; /* it fails by stopping, not by ending */
     bool is_silent;
     bool is_unframed;  /* it ends with its connection */
+    bool is_endless;   /* its first event has no end */
     size_t bytes_sent; /* of the next event */
 } stream_t;
 
@@ -88,6 +90,7 @@
 static int64_t wrong_id_percent;
 static int64_t unframed_percent;
 static int64_t empty_percent;
+static int64_t endless_percent;
 static char limit_text[64];       /* of Server-Limit; empty: no such header */
 static char retry_after_text[64]; /* of Retry-After, likewise */
 static int64_t says_leaving;
@@ -207,6 +210,10 @@
         Standin_SleepMs(SILENCE_MS);
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
+    if (stream->is_endless) {
+        memset(out, 'x', max);
+        return (ssize_t)max;
+    }
     if (stream->next_event == stream->crash_event) {
         fail_process(stream->is_stopping);
     }
@@ -270,6 +277,7 @@
     }
     struct MHD_Response *response = MHD_create_response_from_callback(
         MHD_SIZE_UNKNOWN, 1024, read_stream, stream, free_stream);
+    stream->is_endless = !crash && should_inject(endless_percent);
     bool is_empty = should_inject(empty_percent);
     stream->is_unframed = is_empty || should_inject(unframed_percent);
     stream->last_event = is_empty ? 0 : stream->last_event;
@@ -449,6 +457,8 @@
             Standin_GetQueryNumber(request, "unframed", unframed_percent);
         empty_percent =
             Standin_GetQueryNumber(request, "empty", empty_percent);
+        endless_percent =
+            Standin_GetQueryNumber(request, "endless", endless_percent);
         return Standin_SendText(request, 200, "{}", NULL);
     }
     if (strcmp(request->path, "/counts") == 0) {
