Read what servers say of themselves in one place

Limits, pauses and leaving were read by three functions among the exchange's; they stand in server_notices.c, and the exchange hands it each response of the right server.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
-    allocator_rounds changes mark_crashes server_checks origin_lookups
+    allocator_rounds changes mark_crashes server_checks origin_lookups \
+    server_notices
 PLATFORM := endpoints codec dialect_fleet run_gateway store
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -1,13 +1,13 @@
 /* exchange.c - Admission, sending, relaying and retries of one request. */
 #include "exchange.h"
 
-#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
 #include "clock.h"
 #include "events_log.h"
 #include "origin_lookups.h"
+#include "server_notices.h"
 
 // Longest time that the request for a stream, or the retry of any request,
 // waits for a backend server. Callers disconnect from a stream that has been
@@ -47,9 +47,6 @@
 // stream.
 #define ORIGIN_WAIT_MAX_MS 300
 
-// Longest pause that a server may ask for.
-#define SERVER_PAUSE_MAX_MS (60 * 60 * 1000.0)
-
 // Retry-After values, by reason.
 #define RETRY_OTHER_DAEMON_MS 20 /* another daemon can serve it at once */
 #define RETRY_REJECTED_MS 300   /* servers that reject are full for a moment */
@@ -448,67 +445,6 @@
            exchange->reply == PS_REPLY_ANSWER;
 }
 
-// Takes the limit that the server names in a response. Only a response to a
-// request that it has run shows, without one, that it names none.
-static void
-take_limit(ps_exchange_t *exchange)
-{
-    const ps_transfer_t *transfer = &exchange->transfer;
-    ps_backend_t *backend = exchange->task.backend;
-    const char *name = backend->registration.name.data;
-    int64_t now_ms = PsClock_Now();
-    double rate = PS_SERVER_RATE_NONE;
-    switch (exchange->gateway->dialect->read_limit(transfer, &rate)) {
-    case PS_HEADER_MALFORMED:
-        if (!backend->has_malformed_limit) {
-            backend->has_malformed_limit = true;
-            PsEvents_Add("server.limit_malformed", "{s:s,s:s}", "name", name,
-                         "id", exchange->inbound.request_id.data);
-        }
-        return;
-    case PS_HEADER_ABSENT:
-        if (exchange->reply != PS_REPLY_ANSWER || transfer->status >= 300) {
-            return;
-        }
-        break;
-    case PS_HEADER_NAMED:
-        break;
-    }
-    backend->has_malformed_limit = false;
-    ps_limit_notice_t notice = {.rate = rate,
-                                .asked_ms = exchange->task.started_ms,
-                                .answered_ms = now_ms};
-    if (PsServerLimit_AddNotice(&backend->limit, &notice, now_ms)) {
-        PsGateway_LogServerLimit(backend, "this daemon", now_ms);
-    }
-}
-
-// Takes the pause that the server asks for in a response that turns the
-// request away.
-static void
-take_pause(ps_exchange_t *exchange, int64_t now_ms)
-{
-    ps_backend_t *backend = exchange->task.backend;
-    const char *name = backend->registration.name.data;
-    double seconds = 0;
-    ps_header_reading_t reading =
-        exchange->gateway->dialect->read_pause(&exchange->transfer, &seconds);
-    if (reading == PS_HEADER_MALFORMED && !backend->has_malformed_pause) {
-        PsEvents_Add("server.pause_malformed", "{s:s,s:s}", "name", name, "id",
-                     exchange->inbound.request_id.data);
-    }
-    if (reading != PS_HEADER_ABSENT) {
-        backend->has_malformed_pause = reading == PS_HEADER_MALFORMED;
-    }
-    if (reading == PS_HEADER_NAMED && seconds > 0) {
-        double pause_ms = MIN(seconds * 1000.0, SERVER_PAUSE_MAX_MS);
-        backend->paused_until_ms = now_ms + (int64_t)ceil(pause_ms);
-        PsEvents_Add("server.pause", "{s:s,s:s,s:I}", "name", name, "id",
-                     exchange->inbound.request_id.data, "ms",
-                     (json_int_t)pause_ms);
-    }
-}
-
 static void
 on_headers(ps_transfer_t *transfer)
 {
@@ -519,13 +455,10 @@
         transfer, &exchange->inbound.request_id);
     if (exchange->reply == PS_REPLY_ANSWER ||
         exchange->reply == PS_REPLY_NOT_RUN) {
-        take_limit(exchange);
-        take_pause(exchange, now_ms);
-        if (exchange->gateway->dialect->says_leaving(transfer)) {
-            PsGateway_MarkServerLeaving(exchange->gateway,
-                                        &exchange->task.backend->registration,
-                                        "this daemon", now_ms);
-        }
+        PsServerNotices_Take(exchange->gateway, exchange->task.backend,
+                             transfer, exchange->reply,
+                             &exchange->inbound.request_id,
+                             exchange->task.started_ms, now_ms);
     }
     if (exchange->reply == PS_REPLY_MISMATCH) {
         transfer->is_aborted = true;
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -88,6 +88,19 @@
     rig_wait_until 5 curl -sf "http://$(gw_runner "$1")/counts"
 }
 
+# gw_change_versions VERSION N... - replaces these backend servers by others with this
+# version of the software, under new names, and waits until the daemons use them
+gw_change_versions() {
+    local n version=$1
+    shift
+    for n in "$@"; do
+        rig_kill "r$n" KILL
+        GW_SERVER_VERSION[$n]=$version
+        gw_start_runner "$n" "r$n-$version"
+    done
+    sleep 2.5
+}
+
 gw_is_ready() { curl -sf "http://$(gw_ready "$1")/pearstair/ready"; }
 gw_addresses() { curl -s "http://$(gw_directory "$1")/pearstair/resolve?name=a.example&region=r&zone=z$1" | jq -r '.addresses[]' | sort; }
 gw_lists_all_daemons() { [ "$(gw_addresses "$1" | wc -l)" = "$GW_DAEMONS" ]; }
--- a/tests/runs/gw_stream_versions.sh
+++ b/tests/runs/gw_stream_versions.sh
@@ -1,12 +1,7 @@
 # Servers of two versions serve side by side; what they write doesn't fit together.
 # Streams that break off go on at the version that began them, within one answer, and
 # where their callers take them up at the next daemon.
-for n in 7 9 11; do
-    rig_kill "r$n" KILL
-    GW_SERVER_VERSION[$n]=v2
-    gw_start_runner "$n" "r$n-v2"
-done
-sleep 2.5 # until the daemons use them, and no others
+gw_change_versions v2 7 9 11
 
 # print_versions - reads lines with the versions that one stream's events came from in
 # the second field, and its end in the last one
--- a/tests/runs/gw_stream_versions_faults.sh
+++ b/tests/runs/gw_stream_versions_faults.sh
@@ -1,12 +1,7 @@
 # As gw_stream_versions, where the daemon that began the streams is killed, also while
 # another one is paused: the streams go on at their version. When all daemons are killed
 # at once nobody knows the versions: the streams don't go on at another one.
-for n in 7 9 11; do
-    rig_kill "r$n" KILL
-    GW_SERVER_VERSION[$n]=v2
-    gw_start_runner "$n" "r$n-v2"
-done
-sleep 2.5 # until the daemons use them, and no others
+gw_change_versions v2 7 9 11
 gw_wait_for_slack
 
 # begin PREFIX - begins 20 streams at d1, which their callers take up at the next
--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -162,21 +162,58 @@
     std::vector<size_t> listed; // number of names in each list
 };
 
+// A store's client at a server that the test makes.
+struct StoreHarness {
+    RawServer server;
+    ps_http_client_t client;
+    ps_store_t store;
+    ServerReports reports;
+    size_t n_removed = 0;
+
+    void
+    Start()
+    {
+        static ps_store_events_t events = {};
+        events.catalog_confirmed = [](void *, int64_t) {};
+        events.server_changed = [](void *user,
+                                   const ps_registration_t *changed) {
+            ((StoreHarness *)user)
+                ->reports.changed.push_back(changed->name.data);
+        };
+        events.server_removed = [](void *user, const ps_name_t *) {
+            ((StoreHarness *)user)->n_removed++;
+        };
+        events.servers_listed = [](void *user, GHashTable *names) {
+            ((StoreHarness *)user)
+                ->reports.listed.push_back(g_hash_table_size(names));
+        };
+        events.members_listed = [](void *, GHashTable *) {};
+        events.state_read = [](void *, const ps_stored_state_t *, int64_t) {};
+        events.unavailable = [](void *, const char *) {};
+        events.available = [](void *) {};
+        PsHttpClient_Init(&client, GetLoop());
+        ps_name_t address = ToName(server.address);
+        PsStore_Init(&store, &client, GetLoop(), &address, &events, this);
+    }
+    void
+    Stop()
+    {
+        PsStore_Finish(&store);
+        PsHttpClient_Finish(&client);
+    }
+};
+
 } // namespace
 
-// A list that the store made before a watch reported a new server, and that
-// arrives after that, doesn't take the server back: it would not be reported
-// again, as its revision is known.
 // Another daemon's older news removes a server while a list is on its way that
 // has it, and the server is registered: a list that is requested later reports
 // it, the one on its way doesn't.
 TEST(Store, ServerThatNewsRemovedIsReportedByALaterList)
 {
-    RawServer server;
-    ps_store_t store;
+    StoreHarness harness;
     const ps_name_t name = ToName("r1");
     int n_lists = 0;
-    server.respond = [&](const std::string &request) {
+    harness.server.respond = [&](const std::string &request) {
         bool is_list = request.find("/objects/servers") != std::string::npos &&
                        request.find("watch=") == std::string::npos;
         if (!is_list) {
@@ -184,45 +221,30 @@
                                 R"({"items":[],"events":[],"currentRev":10})");
         }
         if (++n_lists == 2) {
-            PsStore_ForgetServer(&store, &name);
+            PsStore_ForgetServer(&harness.store, &name);
         }
         return MakeResponse("200 OK", R"({"items":[)" +
                                           MakeServerObject("r1", 5) +
                                           R"(],"currentRev":10})");
     };
-    static ps_store_events_t events = {};
-    events.catalog_confirmed = [](void *, int64_t) {};
-    events.server_changed = [](void *user, const ps_registration_t *changed) {
-        ((ServerReports *)user)->changed.push_back(changed->name.data);
-    };
-    events.server_removed = [](void *, const ps_name_t *) {};
-    events.servers_listed = [](void *user, GHashTable *names) {
-        ((ServerReports *)user)->listed.push_back(g_hash_table_size(names));
-    };
-    events.members_listed = [](void *, GHashTable *) {};
-    events.state_read = [](void *, const ps_stored_state_t *, int64_t) {};
-    events.unavailable = [](void *, const char *) {};
-    events.available = [](void *) {};
-    ps_http_client_t client;
-    PsHttpClient_Init(&client, GetLoop());
-    ServerReports reports;
-    ps_name_t address = ToName(server.address);
-    PsStore_Init(&store, &client, GetLoop(), &address, &events, &reports);
+    harness.Start();
     RunUntil([&] { return n_lists == 2; });
-    PsStore_ReadNow(&store, false, true, false);
-    RunUntil([&] { return reports.changed.size() == 2; });
+    PsStore_ReadNow(&harness.store, false, true, false);
+    RunUntil([&] { return harness.reports.changed.size() == 2; });
     EXPECT_GE(n_lists, 3);
-    EXPECT_EQ(reports.listed.size() + 1, (size_t)n_lists)
+    EXPECT_EQ(harness.reports.listed.size() + 1, (size_t)n_lists)
         << "the list that was on its way is not used";
-    PsStore_Finish(&store);
-    PsHttpClient_Finish(&client);
+    harness.Stop();
 }
 
+// A list that the store made before a watch reported a new server, and that
+// arrives after that, doesn't take the server back: it would not be reported
+// again, as its revision is known.
 TEST(Store, ListOlderThanAWatchTakesNoServerBack)
 {
-    RawServer server;
+    StoreHarness harness;
     bool is_told = false;
-    server.respond = [&](const std::string &request) {
+    harness.server.respond = [&](const std::string &request) {
         std::string items = MakeServerObject("r1", 5);
         bool is_servers =
             request.find("/objects/servers") != std::string::npos;
@@ -240,34 +262,15 @@
                                 MakeServerObject("r2", 11) +
                                 R"(}],"currentRev":11})");
     };
-    static ps_store_events_t events = {};
-    events.catalog_confirmed = [](void *, int64_t) {};
-    events.server_changed = [](void *user, const ps_registration_t *changed) {
-        ((ServerReports *)user)->changed.push_back(changed->name.data);
-    };
-    events.server_removed = [](void *, const ps_name_t *) {
-        ADD_FAILURE() << "removed";
-    };
-    events.servers_listed = [](void *user, GHashTable *names) {
-        ((ServerReports *)user)->listed.push_back(g_hash_table_size(names));
-    };
-    events.members_listed = [](void *, GHashTable *) {};
-    events.state_read = [](void *, const ps_stored_state_t *, int64_t) {};
-    events.unavailable = [](void *, const char *) {};
-    events.available = [](void *) {};
-    ps_http_client_t client;
-    PsHttpClient_Init(&client, GetLoop());
-    ServerReports reports;
-    ps_store_t store;
-    ps_name_t address = ToName(server.address);
-    PsStore_Init(&store, &client, GetLoop(), &address, &events, &reports);
+    harness.Start();
+    ServerReports &reports = harness.reports;
     RunUntil([&] { return reports.changed.size() == 2; });
     size_t before = reports.listed.size();
     RunUntil([&] { return reports.listed.size() > before; });
     EXPECT_TRUE(is_told);
     EXPECT_EQ(reports.listed.back(), 2u) << "r2 is missing in the list";
-    PsStore_Finish(&store);
-    PsHttpClient_Finish(&client);
+    EXPECT_EQ(harness.n_removed, 0u);
+    harness.Stop();
 }
 
 namespace {
