Ask for a stream's origin again where no member is known yet

Seen, by reading: a daemon that has just started knows no members for some tens of milliseconds, asked nobody, and refused streams that callers took up there, which is when they come. A daemon that is alone doesn't wait.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -906,9 +906,10 @@
 // Submits a request that takes up a stream, or refuses it if it isn't known
 // which version began the stream.
 // @from: who knows the version; NULL: nobody
+// @is_answered: all that were asked have answered
 static void
 resume_stream(ps_exchange_t *exchange, uint64_t version, const char *from,
-              int64_t now_ms)
+              bool is_answered, int64_t now_ms)
 {
     exchange->origin_request = 0;
     exchange->task.version =
@@ -925,7 +926,8 @@
                  "ms", (json_int_t)(now_ms - exchange->arrived_ms));
     if (exchange->task.version == 0) {
         exchange->gateway->stats.unknown_origins++;
-        refuse_request(exchange, 503, 0,
+        // Another daemon may know it if not all that were asked have answered.
+        refuse_request(exchange, 503, is_answered ? 0 : RETRY_OTHER_DAEMON_MS,
                        "not known which version began the stream");
         return;
     }
@@ -940,21 +942,23 @@
     ps_gateway_t *gateway = exchange->gateway;
     gateway->stats.taken_up_streams++;
     if (PsName_IsEmpty(&exchange->inbound.resumed_id)) {
-        resume_stream(exchange, 0, NULL, now_ms);
+        resume_stream(exchange, 0, NULL, true, now_ms);
         return;
     }
     uint64_t request = PsStreamOrigins_HashId(&exchange->inbound.resumed_id);
     uint64_t version =
         PsStreamOrigins_Find(&gateway->stream_origins, request, now_ms);
     if (version != 0) {
-        resume_stream(exchange, version, "this daemon", now_ms);
+        resume_stream(exchange, version, "this daemon", true, now_ms);
         return;
     }
-    exchange->origins_asked = PsOriginLookups_Ask(gateway, request);
-    if (exchange->origins_asked == 0) {
-        resume_stream(exchange, 0, NULL, now_ms);
+    bool is_alone = gateway->has_listed_members &&
+                    g_hash_table_size(gateway->members) <= 1;
+    if (is_alone) {
+        resume_stream(exchange, 0, NULL, true, now_ms);
         return;
     }
+    exchange->origins_asked = PsOriginLookups_Ask(gateway, request);
     exchange->origin_request = request;
     exchange->origin_due_ms =
         MIN(now_ms + ORIGIN_WAIT_MAX_MS, exchange->deadline_ms);
@@ -1097,9 +1101,13 @@
 PsExchange_Run(ps_exchange_t *exchange, int64_t now_ms)
 {
     if (exchange->origin_request != 0 && now_ms >= exchange->origin_due_ms) {
-        resume_stream(exchange, 0, NULL, now_ms);
+        resume_stream(exchange, 0, NULL, false, now_ms);
         return true;
     }
+    if (exchange->origin_request != 0 && exchange->origins_asked == 0) {
+        exchange->origins_asked =
+            PsOriginLookups_Ask(exchange->gateway, exchange->origin_request);
+    }
     if (!exchange->dispatcher) {
         return false;
     }
@@ -1123,6 +1131,7 @@
     if (version == 0 && exchange->origins_asked > 0) {
         return false;
     }
-    resume_stream(exchange, version, version != 0 ? from->data : NULL, now_ms);
+    resume_stream(exchange, version, version != 0 ? from->data : NULL, true,
+                  now_ms);
     return true;
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -43,7 +43,8 @@
     uint64_t origin_request; /* hash of the id of the request whose stream it
                                 takes up, while others are asked for its
                                 version; 0: they are not */
-    int origins_asked;       /* members that have not answered yet */
+    int origins_asked;       /* members that have not answered yet; 0: none
+                                could be asked yet */
     int64_t origin_due_ms;   /* no answer is waited for later */
     GList link;
 } ps_exchange_t;
