Don't take the only known version for a stream's where a daemon is cut off

Seen, by reading: a daemon that is cut off from the store and from all others knows one version for as long as it likes, and took it for the origin of a stream that began at a newer one. Streams of routes that can't be resumed have no records.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -47,6 +47,10 @@
 // stream.
 #define ORIGIN_WAIT_MAX_MS 300
 
+// Age up to which the configuration's confirmation shows that this daemon
+// hears of new servers: from the store or the allocator.
+#define HEARD_LATELY_MS 1500
+
 // Retry-After values, by reason.
 #define RETRY_OTHER_DAEMON_MS 20 /* another daemon can serve it at once */
 #define RETRY_REJECTED_MS 300   /* servers that reject are full for a moment */
@@ -413,9 +417,11 @@
         parse_event_id(event, &exchange->last_event_id);
         exchange->task.version = exchange->task.backend->version;
         if (exchange->n_events++ == 0) {
-            PsOriginLookups_Record(exchange->gateway,
-                                   &exchange->inbound.request_id,
-                                   exchange->task.version, now_ms);
+            if (may_retry(exchange)) {
+                PsOriginLookups_Record(exchange->gateway,
+                                       &exchange->inbound.request_id,
+                                       exchange->task.version, now_ms);
+            }
             PsHistogram_Add(&exchange->gateway->stats.first_event_latency,
                             (double)(now_ms - exchange->arrived_ms));
         }
@@ -889,12 +895,16 @@
 /* ---- Streams that callers take up ------------------------------------- */
 
 // Returns the version that must have begun a stream whose origin nobody knows,
-// because the route's service has had no other; 0: it may be any.
+// because the route's service has had no other; 0: it may be any. A daemon
+// that is cut off doesn't know whether there are others.
+// @is_answered: other daemons were reached
 static uint64_t
-find_only_version(const ps_exchange_t *exchange, int64_t now_ms)
+find_only_version(const ps_exchange_t *exchange, bool is_answered,
+                  int64_t now_ms)
 {
     const ps_route_t *route = exchange->route;
-    if (route->n_targets != 1) {
+    int64_t age_ms = now_ms - exchange->gateway->catalog_confirmed_ms;
+    if (route->n_targets != 1 || (!is_answered && age_ms > HEARD_LATELY_MS)) {
         return 0;
     }
     return PsGateway_FindOnlyVersion(
@@ -913,7 +923,7 @@
 {
     exchange->origin_request = 0;
     exchange->task.version =
-        from ? version : find_only_version(exchange, now_ms);
+        from ? version : find_only_version(exchange, is_answered, now_ms);
     ps_name_t hash =
         PsName_Format("%016llx", (unsigned long long)exchange->task.version);
     PsEvents_Add("stream.origin", "{s:s,s:s,s:s,s:s,s:I}", "id",
