--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -554,6 +554,7 @@
     written.crashes[1].mark = 0x123456789abcdef;
     written.crashes[1].id = UINT64_MAX - 1;
     written.crashes[1].at_ms = 90000;
+    memset(&read, 0xff, sizeof read);
     json_t *object = PsCodec_EncodeState("spent", &written, 101000);
     int64_t age_ms = -1;
     PsCodec_DecodeState(json_object_get(object, "spec"), &read, &age_ms,
@@ -570,6 +571,9 @@
         EXPECT_NEAR((double)read.crashes[i].at_ms,
                     (double)written.crashes[i].at_ms + 400000, 1000);
         EXPECT_FALSE(read.crashes[i].is_own);
+        unsigned char is_trial; // as a bool, 0xff may look like false
+        memcpy(&is_trial, &read.crashes[i].is_trial, 1);
+        EXPECT_EQ(is_trial, 0);
     }
 }
 
