Keep ports of runs below the ephemeral range; name the stream that is taken up

With the new runs ports reached 35,920, in the ephemeral range: owner_killed, platform_down and wrong_answers failed (all pass alone); ports are used again after 30 runs now, of which four run at a time.

gw_path failed also alone: it takes a stream up without naming the request that began it, a few seconds after the start of everything, when a daemon can't know that no other version served before. The users' callers name it ('Resumes'), so the run does now: the stream of one daemon is taken up at another, and the expected events are the same.

--- a/tests/check.sh
+++ b/tests/check.sh
@@ -43,14 +43,14 @@
 done
 
 if [ -z "${CHECK_NO_RUNS:-}" ]; then
-    port=10000
     names=()
     for script in tests/runs/*.sh; do
         name=$(basename "$script" .sh)
         [ "$name" = lib ] && continue
+        # Ports are used again after 30 runs, to stay below the ephemeral range.
+        port=$((10000 + ${#names[@]} % 30 * 620))
         names+=("$name")
         timeout 240 tests/run_one.sh "$name" "$port" > "$work/$name.out" 2> "$work/$name.err" &
-        port=$((port + 620)) # all stay below the ephemeral port range
         [ "$(jobs -rp | wc -l)" -lt 4 ] || wait -n
     done
     wait
--- a/tests/runs/gw_path.sh
+++ b/tests/runs/gw_path.sh
@@ -6,7 +6,7 @@
 GW_KEY= gw_send_request 3 /open/a id-3
 gw_send_stream 1 id-4 30
 curl -sN -m 10 -X POST -d x -H 'Host: a.example' -H 'Request-Id: id-5' -H 'Authorization: Bearer key-1' \
-    -H 'Token-Counts: 9,30' -H 'Last-Event-Id: 4' "http://$(gw_caller 2)/stream/1" | grep '^id'
+    -H 'Token-Counts: 9,30' -H 'Resumes: id-4' -H 'Last-Event-Id: 4' "http://$(gw_caller 2)/stream/1" | grep '^id'
 echo "== refused"
 gw_send_request 1 /nowhere/a id-6
 GW_HOST=other.example gw_send_request 1 /safe/a id-7
