--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -1,16 +1,18 @@
 /*
  * proxy.c - TCP proxy that injects network faults.
  *
- * Usage: soak-proxy LISTEN TARGET CONTROL, each an IP:PORT. Forwards
- * connections to LISTEN on to TARGET. Each connection to CONTROL sends one
- * command:
+ * Usage: soak-proxy LISTEN TARGET CONTROL [LISTEN TARGET]..., each an IP:PORT.
+ * Forwards connections to each LISTEN on to the TARGET after it. Each
+ * connection to CONTROL sends one command, which holds for all of them:
  * delay MS: bytes are held for up to this many milliseconds; those that arrive
  *     while others are held are forwarded together with them
  * drop PERCENT: this percentage of new connections is reset
  * reset: all open connections are reset, once
  * silence up|down|both: bytes towards the target (up), towards the caller
  *     (down) or both are no longer read; connections stay open
- * clear: ends delay, drop and silence.
+ * refuse: new connections are refused
+ * hang: new connections do not open; their first packets are dropped
+ * clear: ends delay, drop, silence, refuse and hang.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -28,6 +30,8 @@
 
 #define CHUNK_BYTES (16 * 1024) /* most bytes read at a time */
 #define BACKLOG 512
+#define LISTENERS_MAX 64
+#define FILLERS 2 /* connections that fill the queue of a listener */
 
 /* ---- Types ------------------------------------------------------------ */
 
@@ -51,10 +55,20 @@
     GList queue_link;  /* in links */
 } link_t;
 
+// An address at which connections are accepted.
+typedef struct listener {
+    struct sockaddr_in address;
+    struct sockaddr_in target;
+    int fd; /* -1: new connections are refused */
+    ev_io io;
+    int fillers[FILLERS]; /* while new connections hang; -1: none */
+} listener_t;
+
 /* ---- Globals ---------------------------------------------------------- */
 
 static struct ev_loop *loop;
-static struct sockaddr_in target_address;
+static listener_t listeners[LISTENERS_MAX];
+static int n_listeners;
 static GQueue links;
 static int delay_ms;            /* before bytes are forwarded */
 static int drop_percent;        /* of new connections, which are reset */
@@ -216,9 +230,10 @@
         close(fd);
         return;
     }
+    const listener_t *listener = io->data;
     int target_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    connect(target_fd, (struct sockaddr *)&target_address,
-            sizeof target_address);
+    connect(target_fd, (const struct sockaddr *)&listener->target,
+            sizeof listener->target);
     link_t *link = g_new0(link_t, 1);
     link->queue_link.data = link;
     g_queue_push_tail_link(&links, &link->queue_link);
@@ -226,6 +241,62 @@
     init_endpoint(&link->target, link, &link->caller, target_fd);
 }
 
+static int
+open_listener(const struct sockaddr_in *address)
+{
+    int one = 1;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (bind(fd, (const struct sockaddr *)address, sizeof *address) < 0 ||
+        listen(fd, BACKLOG) < 0) {
+        fprintf(stderr, "soak-proxy: cannot listen: %s\n", strerror(errno));
+        exit(1);
+    }
+    return fd;
+}
+
+static void
+start_accepting(listener_t *listener)
+{
+    listener->fd = open_listener(&listener->address);
+    ev_io_init(&listener->io, on_accept, listener->fd, EV_READ);
+    listener->io.data = listener;
+    ev_io_start(loop, &listener->io);
+}
+
+static void
+stop_accepting(listener_t *listener)
+{
+    ev_io_stop(loop, &listener->io);
+    for (int i = 0; i < FILLERS; i++) {
+        if (listener->fillers[i] >= 0) {
+            close(listener->fillers[i]);
+        }
+        listener->fillers[i] = -1;
+    }
+    if (listener->fd >= 0) {
+        close(listener->fd);
+    }
+    listener->fd = -1;
+}
+
+// Fills the queue of connections that wait to be accepted. The kernel drops
+// the first packets of others then, so that they do not open.
+static void
+hang_connects(listener_t *listener)
+{
+    if (listener->fd < 0) {
+        start_accepting(listener);
+    }
+    ev_io_stop(loop, &listener->io);
+    listen(listener->fd, 0);
+    for (int i = 0; i < FILLERS; i++) {
+        listener->fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        connect(listener->fillers[i], (struct sockaddr *)&listener->address,
+                sizeof listener->address);
+    }
+}
+
 static void
 resume_reads(void)
 {
@@ -253,7 +324,21 @@
             close_link(links.head->data, true);
         }
     }
+    else if (strncmp(line, "refuse", 6) == 0) {
+        for (int i = 0; i < n_listeners; i++) {
+            stop_accepting(&listeners[i]);
+        }
+    }
+    else if (strncmp(line, "hang", 4) == 0) {
+        for (int i = 0; i < n_listeners; i++) {
+            hang_connects(&listeners[i]);
+        }
+    }
     else if (strncmp(line, "clear", 5) == 0) {
+        for (int i = 0; i < n_listeners; i++) {
+            stop_accepting(&listeners[i]);
+            start_accepting(&listeners[i]);
+        }
         delay_ms = 0;
         drop_percent = 0;
         is_caller_silenced = false;
@@ -275,41 +360,32 @@
     close(fd);
 }
 
-static int
-listen_on(const char *address, ev_io *io,
-          void (*on_event)(struct ev_loop *, ev_io *, int))
-{
-    struct sockaddr_in in = parse_address(address);
-    int one = 1;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    if (bind(fd, (struct sockaddr *)&in, sizeof in) < 0 ||
-        listen(fd, BACKLOG) < 0) {
-        fprintf(stderr, "soak-proxy: cannot listen on %s\n", address);
-        exit(1);
-    }
-    ev_io_init(io, on_event, fd, EV_READ);
-    ev_io_start(loop, io);
-    return fd;
-}
-
 /* ---- Program ---------------------------------------------------------- */
 
 int
 main(int argc, char **argv)
 {
-    if (argc != 4) {
-        fprintf(stderr, "usage: soak-proxy LISTEN TARGET CONTROL\n");
+    if (argc < 4 || argc % 2 != 0 || argc / 2 - 1 > LISTENERS_MAX) {
+        fprintf(stderr, "usage: soak-proxy LISTEN TARGET CONTROL "
+                        "[LISTEN TARGET]...\n");
         return 2;
     }
     signal(SIGPIPE, SIG_IGN);
     loop = ev_default_loop(EVFLAG_AUTO);
-    target_address = parse_address(argv[2]);
     g_queue_init(&links);
-    ev_io accept_io;
+    for (int i = 1; i < argc; i += i == 1 ? 3 : 2) {
+        listener_t *listener = &listeners[n_listeners++];
+        *listener = (listener_t){.address = parse_address(argv[i]),
+                                 .target = parse_address(argv[i + 1]),
+                                 .fd = -1};
+        memset(listener->fillers, -1, sizeof listener->fillers);
+        start_accepting(listener);
+    }
+    struct sockaddr_in control_address = parse_address(argv[3]);
     ev_io control_io;
-    listen_on(argv[1], &accept_io, on_accept);
-    listen_on(argv[3], &control_io, on_control);
+    ev_io_init(&control_io, on_control, open_listener(&control_address),
+               EV_READ);
+    ev_io_start(loop, &control_io);
     ev_run(loop, 0);
     return 0;
 }
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -3,7 +3,8 @@
 #
 # GW_DAEMONS, GW_RUNNERS, GW_SLOTS (of each backend server) and RIG_PORT can be
 # set beforehand; so can GW_STORE, GW_REVOKE_MS and GW_GRACE_S, settings of the
-# daemons, and GW_VERSION, the first version of the configuration.
+# daemons, and GW_VERSION, the first version of the configuration. With GW_LINKS
+# set, each daemon reaches the backend servers through a proxy of its own.
 
 GW_DAEMONS=${GW_DAEMONS:-3}
 GW_RUNNERS=${GW_RUNNERS:-3}
@@ -13,11 +14,61 @@
 
 gw_store() { echo "127.0.0.1:$((RIG_PORT + 500))"; }
 gw_runner() { echo "127.0.0.1:$((RIG_PORT + 500 + $1))"; }
+gw_link_ip() { echo "127.0.1.$1"; }
 gw_caller() { echo "127.0.0.$1:$RIG_PORT"; }
 gw_ready() { echo "127.0.0.$1:$((RIG_PORT + 3))"; }
 gw_directory() { echo "127.0.0.$1:$((RIG_PORT + 4))"; }
 gw_metrics() { echo "127.0.0.$1:$((RIG_PORT + 1))"; }
 
+# gw_daemon_store N - prints where daemon N reads the store: with GW_LINKS, a view
+# of it that shows the backend servers at the daemon's proxy
+gw_daemon_store() {
+    if [ -n "${GW_LINKS:-}" ]; then
+        echo "$(gw_link_ip "$1"):$((RIG_PORT + 500))"
+    else
+        echo "${GW_STORE:-$(gw_store)}"
+    fi
+}
+
+# gw_start_link N - starts daemon N's proxy
+gw_start_link() {
+    local i control pairs=()
+    control=$(gw_link_ip "$1"):$((RIG_PORT + 599))
+    for i in $(seq "$GW_RUNNERS"); do
+        pairs+=("$(gw_link_ip "$1"):$((RIG_PORT + 500 + i))" "$(gw_runner "$i")")
+        [ "$i" != 1 ] || pairs+=("$control")
+    done
+    rig_start_process "l$1" "$RIG_BUILD/soak-proxy" "${pairs[@]}"
+}
+
+# gw_set_link N COMMAND... - has daemon N's proxy do these, one after another
+gw_set_link() {
+    local command link
+    link=$(gw_link_ip "$1")
+    shift
+    for command in "$@"; do
+        exec 9<> "/dev/tcp/$link/$((RIG_PORT + 599))" && echo "$command" >&9
+        read -r -t 1 -u 9
+        exec 9>&-
+    done
+}
+
+# gw_cut_off HOW N... - cuts these daemons off from all backend servers: reset
+# (connections are reset, new ones refused), hang (they fall silent, new ones don't
+# open) or new (open ones live on, new ones are refused); "clear" ends it
+gw_cut_off() {
+    local n how=$1
+    shift
+    for n in "$@"; do
+        case $how in
+        reset) gw_set_link "$n" refuse reset ;;
+        hang) gw_set_link "$n" hang "silence both" ;;
+        new) gw_set_link "$n" refuse ;;
+        *) gw_set_link "$n" "$how" ;;
+        esac
+    done
+}
+
 gw_write_settings() {
     cat > "$RIG_DIR/d$1.ini" <<END
 [daemon]
@@ -33,7 +84,7 @@
 [admin]
 token = unused-in-gateway-mode
 [platform]
-address = ${GW_STORE:-$(gw_store)}
+address = $(gw_daemon_store "$1")
 [gateway]
 revoke_ms = ${GW_REVOKE_MS:-5000}
 grace_s = ${GW_GRACE_S:-4}
@@ -225,6 +276,41 @@
     wait "${senders[@]}"
 }
 
+# gw_try_load SECONDS KIND DAEMON... - sends requests of this kind (safe, once or
+# stream) for so long, one after another to each of these daemons, each tried once.
+# Adds a line for each to the file tries: time of its sending, daemon, kind, served or
+# the answer
+gw_try_load() {
+    local i k answer sent kind=$2 senders=() end=$(($(date +%s%3N) + $1 * 1000))
+    shift 2
+    for k in "$@"; do
+        (i=0; while sent=$(date +%s%3N) && [ "$sent" -lt "$end" ]; do
+            i=$((i + 1))
+            if [ "$kind" = stream ]; then
+                answer=$(gw_send_stream "$k" "$kind-$BASHPID-$i" 5)
+            else
+                answer=$(gw_send_request "$k" "/$kind/1" "$kind-$BASHPID-$i")
+            fi
+            case $answer in "200 ok" | "200 whole") answer=served ;; esac
+            echo "$sent d$k $kind $answer"
+        done) >> "$RIG_DIR/tries" &
+        senders+=($!)
+    done
+    wait "${senders[@]}"
+}
+
+# gw_judge_tries FROM CUT - judges the tries since FROM (ms): the daemons named in CUT,
+# separated by blanks, are served at least two thirds as often as the others (the users
+# allow some failures more); prints the verdict, and the figures to standard error
+gw_judge_tries() {
+    awk -v from="$1" -v cut=" $2 " '$1 >= from {
+            is_cut = index(cut, " " $2 " ") > 0; n[is_cut]++; ok[is_cut] += $4 == "served" }
+        END {
+            printf "cut %d of %d, others %d of %d\n", ok[1], n[1], ok[0], n[0] > "/dev/stderr"
+            bad = !n[1] || !n[0] || ok[1] / n[1] < 2 / 3 * ok[0] / n[0]
+            print bad ? "cut daemons are served worse" : ok[0] < .9 * n[0] ? "the others are served worse" : "served" }' "$RIG_DIR/tries"
+}
+
 # gw_wait_for_slack - waits until all daemons use the slack of their retry
 # budgets: a window after their start
 gw_has_slack() { curl -s "http://$(gw_metrics "$1")/" | awk '/^pearstair_retries_allowed/ { n++; low += $2 < 10 } END { exit !(n == 2 && low == 0) }'; }
@@ -249,7 +335,14 @@
 
 # gw_start - starts everything and waits until all daemons serve
 gw_start() {
-    rig_start_process store "$RIG_BUILD/standin-store" "$(gw_store)"
+    local i views=()
+    if [ -n "${GW_LINKS:-}" ]; then
+        for i in $(seq "$GW_DAEMONS"); do
+            views+=("$(gw_link_ip "$i")")
+            gw_start_link "$i"
+        done
+    fi
+    rig_start_process store "$RIG_BUILD/standin-store" "$(gw_store)" "${views[@]}"
     rig_wait_until 5 curl -sf "http://$(gw_store)/counts"
     gw_print_config "${GW_VERSION:-5}" | curl -sf -X POST -d @- "http://$(gw_store)/pearstair/objects/config" > /dev/null
     for i in $(seq "$GW_RUNNERS"); do gw_start_runner "$i"; done
--- a/tests/standins/common.c
+++ b/tests/standins/common.c
@@ -56,7 +56,7 @@
 }
 
 void
-Standin_RunServer(const char *address, standin_handler_t handler)
+Standin_Listen(const char *address, standin_handler_t handler)
 {
     char host[64] = {0};
     const char *port_separator = strrchr(address, ':');
@@ -65,12 +65,6 @@
                              .sin_port =
                                  htons((uint16_t)atoi(port_separator + 1))};
     inet_pton(AF_INET, host, &in.sin_addr);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, NULL);
-    signal(SIGPIPE, SIG_IGN);
     struct MHD_Daemon *daemon = MHD_start_daemon(
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0,
         NULL, NULL, on_request_data, (void *)handler, MHD_OPTION_SOCK_ADDR,
@@ -82,6 +76,18 @@
         fprintf(stderr, "cannot listen on %s\n", address);
         exit(1);
     }
+}
+
+void
+Standin_RunServer(const char *address, standin_handler_t handler)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, NULL);
+    signal(SIGPIPE, SIG_IGN);
+    Standin_Listen(address, handler);
     int signal_number;
     sigwait(&signals, &signal_number);
     _exit(0);
--- a/tests/standins/common.h
+++ b/tests/standins/common.h
@@ -30,6 +30,12 @@
  * without a response. */
 typedef enum MHD_Result (*standin_handler_t)(standin_request_t *request);
 
+/**
+ * Standin_Listen() - Starts to serve on threads of its own.
+ * @address: IP:PORT; if it can't be bound, the process exits with status 1
+ */
+void Standin_Listen(const char *address, standin_handler_t handler);
+
 /**
  * Standin_RunServer() - Serves until SIGTERM or SIGINT, then ends the process.
  * @address: IP:PORT; if it can't be bound, the process exits with status 1
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -1,29 +1,33 @@
 /*
  * store.c - Stand-in for the fleet platform's object store.
  *
- * Usage: standin-store IP:PORT
- * Under /pearstair/objects/KIND: GET lists the objects (those with a name
- * after afterRev), GET with watch and waitMs waits for changes after the
- * revision watch, POST adds an object; GET, PUT and DELETE of /NAME.
- * Objects of kind "servers" that are not written for REGISTRATION_TTL_MS, or
- * for what the switch registration_ttl_ms says, are removed.
- * POST /switch sets faults: down (status 503), slow_ms (delay of each
- * request), hang (requests wait; watches end with status 503), lose (the next
- * writes are carried out but not answered) and compact (past changes are
- * forgotten, so that watches get status 410).
- * With copy, it keeps a copy of all objects and of the revision; with restore
- * it goes back to that copy, as a store does that is restored from a backup:
- * what was written since is gone, revisions are given out again, watches from
- * later ones get status 410, and the header Store-Era of all responses rises
- * by one.
+ * Usage: standin-store IP:PORT [VIEW_IP]...
+ * On each VIEW_IP, at the same port, it shows other addresses of servers:
+ * their IP is VIEW_IP in place of IP. A test listens there and forwards, so
+ * that it can cut off the daemons that read the store there. Under
+ * /pearstair/objects/KIND: GET lists the objects (those with a name after
+ * afterRev), GET with watch and waitMs waits for changes after the revision
+ * watch, POST adds an object; GET, PUT and DELETE of /NAME. Objects of kind
+ * "servers" that are not written for REGISTRATION_TTL_MS, or for what the
+ * switch registration_ttl_ms says, are removed. POST /switch sets faults: down
+ * (status 503), slow_ms (delay of each request), hang (requests wait; watches
+ * end with status 503), lose (the next writes are carried out but not
+ * answered) and compact (past changes are forgotten, so that watches get
+ * status 410). With copy, it keeps a copy of all objects and of the revision;
+ * with restore it goes back to that copy, as a store does that is restored
+ * from a backup: what was written since is gone, revisions are given out
+ * again, watches from later ones get status 410, and the header Store-Era of
+ * all responses rises by one.
  *
  * GET /counts: requests so far and the current revision.
  */
+#include <arpa/inet.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "common.h"
 
@@ -54,6 +58,7 @@
 static int64_t era = 1;       /* value of the header Store-Era */
 static GTree *copied_objects; /* like @objects; NULL: no copy was made */
 static int64_t copied_revision;
+static char own_ip[64];
 
 static GTree *
 new_object_tree(void)
@@ -172,10 +177,37 @@
     g_tree_remove(objects, key);
 }
 
+// Returns the IP address at which a request has arrived.
+static char *
+get_local_ip(const standin_request_t *request)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct sockaddr_in local = {0};
+    socklen_t len = sizeof local;
+    getsockname(info->connect_fd, (struct sockaddr *)&local, &len);
+    char text[INET_ADDRSTRLEN] = "";
+    inet_ntop(AF_INET, &local.sin_addr, text, sizeof text);
+    return g_strdup(text);
+}
+
 static enum MHD_Result
 send_object(standin_request_t *request, unsigned status, const json_t *object)
 {
-    return Standin_SendJson(request, status, json_dumps(object, JSON_COMPACT));
+    char *dump = json_dumps(object, JSON_COMPACT);
+    char *local_ip = get_local_ip(request);
+    char *own = g_strdup_printf("\"address\":\"%s:", own_ip);
+    char *shown = g_strdup_printf("\"address\":\"%s:", local_ip);
+    GString *text = g_string_new(dump);
+    g_string_replace(text, own, shown, 0);
+    free(dump);
+    g_free(local_ip);
+    g_free(own);
+    g_free(shown);
+    enum MHD_Result result =
+        Standin_SendText(request, status, text->str, NULL);
+    g_string_free(text, TRUE);
+    return result;
 }
 
 // Adds an object (@is_new) or sets its spec. A write of the same spec makes no
@@ -435,10 +467,13 @@
 int
 main(int argc, char **argv)
 {
-    if (argc != 2) {
-        fprintf(stderr, "usage: standin-store IP:PORT\n");
+    if (argc < 2) {
+        fprintf(stderr, "usage: standin-store IP:PORT [VIEW_IP]...\n");
         return 2;
     }
+    const char *port = strrchr(argv[1], ':');
+    g_strlcpy(own_ip, argv[1],
+              MIN(sizeof own_ip, (size_t)(port - argv[1]) + 1));
     objects = new_object_tree();
     set_era(era);
     write_times =
@@ -446,6 +481,11 @@
     g_queue_init(&changes);
     pthread_t thread;
     pthread_create(&thread, NULL, run_expiry, NULL);
+    for (int i = 2; i < argc; i++) {
+        char *view = g_strconcat(argv[i], port, NULL);
+        Standin_Listen(view, handle_request);
+        g_free(view);
+    }
     Standin_RunServer(argv[1], handle_request);
     return 0;
 }
