--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,12 @@
     place_baseline ids ledger owner members entry clock catalog quota \
     retry_budget backend even_shares backend_registry scheduler allocator \
     outliers histogram crash_reports abandoned_runs recent_map recent_members \
-    rate_bucket server_limit stream_origins
+    rate_bucket server_limit stream_origins server_reach forwarders
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
     allocator_rounds changes mark_crashes server_checks origin_lookups \
-    server_notices
+    server_notices reach_checks server_path forward_server
 PLATFORM := endpoints codec dialect_fleet run_gateway store
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
@@ -110,7 +110,7 @@
 
 TESTS := test_tables test_pool test_ledger test_contract test_simulation \
     test_gateway test_limits test_mutations test_server_limits test_marks \
-    test_origins
+    test_origins test_reach
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
@@ -139,6 +139,10 @@
     $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
+$(BUILD)/test_reach: $(BUILD)/tests/test_reach.o $(DAEMON_OBJS) \
+    $(KERNEL_OBJS)
+	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
+
 $(BUILD)/test_simulation: $(BUILD)/tests/test_simulation.o \
     $(BUILD)/tests/simulation.o $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -66,6 +66,7 @@
     uint64_t round;      /* of its last report */
     int64_t age_ms;      /* since its start, as its last report says */
     bool is_leaving;
+    bool is_cut_off;      /* it reaches no server of some service */
     GHashTable *services; /* name to ps_service_use_t */
     GHashTable *teams;    /* name to ps_team_use_t */
     GHashTable *starts;   /* hash of a server with a limit to the requests that
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -28,6 +28,8 @@
 /* The fields that are the same in all grants of a round. */
 typedef struct round_data {
     GPtrArray *silent;          /* names of members that do not report */
+    GPtrArray *cut_off;         /* names of members that reach no server of
+                                   some service */
     Ps__ContentCrash **crashes; /* of banned contents */
     size_t n_crashes;
     uint64_t cleared[PS_MARKS_CLEARED_MAX];
@@ -127,6 +129,7 @@
                                from, now_ms);
     PsMarkCrashes_Merge(crashes, report->crashes, report->n_crashes, from,
                         now_ms);
+    reporter->is_cut_off = report->cut_off;
     if (report->leaving) {
         reporter->is_leaving = true;
     }
@@ -277,6 +280,8 @@
     add_team_grants(&sharing->allocator, &grant, reporter);
     grant.silent = (char **)round->silent->pdata;
     grant.n_silent = round->silent->len;
+    grant.cut_off = (char **)round->cut_off->pdata;
+    grant.n_cut_off = round->cut_off->len;
     grant.crashes = round->crashes;
     grant.n_crashes = round->n_crashes;
     grant.cleared = round->cleared;
@@ -357,6 +362,23 @@
     return silent;
 }
 
+static GPtrArray *
+list_cut_off(const ps_sharing_t *sharing, int64_t now_ms)
+{
+    GPtrArray *cut_off = g_ptr_array_new();
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, sharing->allocator.reporters);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_reporter_t *reporter = value;
+        if (reporter->is_cut_off &&
+            now_ms - reporter->reported_ms <= PS_REPORT_MAX_AGE_MS) {
+            g_ptr_array_add(cut_off, reporter->name.data);
+        }
+    }
+    return cut_off;
+}
+
 // Saves in the store how much teams have spent of their quotas, and the
 // crashes of contents.
 static void
@@ -400,6 +422,7 @@
     save_state(sharing, now_ms);
     round_data_t round = {
         .silent = list_silent(sharing, now_ms),
+        .cut_off = list_cut_off(sharing, now_ms),
         .servers_hash = PsGateway_HashServers(sharing->gateway),
         .members_hash = PsGateway_HashMembers(sharing->gateway)};
     round.crashes = PsMarkCrashes_MakeMessages(
@@ -415,4 +438,5 @@
     }
     PsMarkCrashes_FreeMessages(round.crashes, round.n_crashes);
     g_ptr_array_unref(round.silent);
+    g_ptr_array_unref(round.cut_off);
 }
--- a/src/backend.h
+++ b/src/backend.h
@@ -12,6 +12,7 @@
 
 #include "outliers.h"
 #include "server_limit.h"
+#include "server_reach.h"
 #include "speed.h"
 #include "str.h"
 
@@ -65,9 +66,10 @@
     double failures; /* failures only, with exponential decay */
     ps_outcomes_t unreported_outcomes; /* not yet reported to the allocator */
     int64_t ejected_until_ms;          /* gets no work until then */
-    int64_t ejected_for_ms; /* length of the last ejection; 0: none since the
-                               server was last readmitted */
-    bool is_on_trial;       /* one request at a time until one succeeds */
+    int64_t ejected_for_ms;  /* length of the last ejection; 0: none since the
+                                server was last readmitted */
+    ps_server_reach_t reach; /* whether its connections open */
+    bool is_on_trial;        /* one request at a time until one succeeds */
 } ps_backend_t;
 
 /**
--- a/src/changes.c
+++ b/src/changes.c
@@ -72,6 +72,8 @@
     message->caller_address =
         (char *)(uintptr_t)change->info.caller_address.data;
     message->peer_address = (char *)(uintptr_t)change->info.peer_address.data;
+    message->forward_address =
+        (char *)(uintptr_t)change->info.forward_address.data;
     message->incarnation = change->info.incarnation;
     message->cpu_share = change->info.cpu_share;
     message->gone = change->header.is_removed;
@@ -185,6 +187,7 @@
         .domain = PsName_FromC(message->domain),
         .caller_address = PsName_FromC(message->caller_address),
         .peer_address = PsName_FromC(message->peer_address),
+        .forward_address = PsName_FromC(message->forward_address),
         .incarnation = message->incarnation,
         .cpu_share = message->cpu_share};
 }
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -13,6 +13,19 @@
 #include "marks.h"
 #include "scheduler.h"
 
+// Between daemons: the server to which a request is to be carried, its start
+// and the daemon that asks for it. A dialect never passes one of a caller on.
+#define PS_FORWARD_HEADER "Pearstair-Forward"
+
+// In the answers to these: whose answer it is. A dialect relays none.
+#define PS_FORWARD_RESULT_HEADER "Pearstair-Forward-Result"
+#define PS_FORWARD_ANSWERED "answered" /* the server's answer */
+#define PS_FORWARD_ANSWERED_UNFRAMED                                          \
+    "answered, unframed" /* the same; it ends with the server's connection */
+#define PS_FORWARD_REFUSED "refused"     /* nothing was sent */
+#define PS_FORWARD_UNREACHED "unreached" /* the same: no connection opened */
+#define PS_FORWARD_LOST "lost" /* it was sent, and no answer came back */
+
 /**
  * struct ps_inbound_request - What the headers of a caller's request say.
  */
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -66,6 +66,7 @@
 close_transfer(ps_exchange_t *exchange)
 {
     PsTransfer_Finish(&exchange->transfer);
+    PsServerPath_Close(&exchange->path);
     exchange->is_transferring = false;
 }
 
@@ -258,15 +259,14 @@
 static void on_data(ps_transfer_t *transfer, const char *data, size_t len);
 static void on_done(ps_transfer_t *transfer, ps_transfer_result_t result);
 
+// Starts the transfer to the task's server over the path that is open.
 static void
-send_request(ps_exchange_t *exchange, int64_t now_ms)
+start_transfer(ps_exchange_t *exchange, int64_t now_ms)
 {
     static const ps_transfer_events_t events = {on_sending, on_headers,
                                                 on_data, on_done};
     const ps_backend_t *backend = exchange->task.backend;
     exchange->has_response_head = false;
-    exchange->sends++;
-    exchange->gateway->stats.sends++;
     PsBuf_Clear(&exchange->body);
     PsTransfer_Init(&exchange->transfer, &events, exchange);
     exchange->is_transferring = true;
@@ -279,20 +279,49 @@
     }
     exchange->gateway->dialect->add_request_headers(
         exchange->request, &outbound, &exchange->transfer);
-    ps_name_t url =
-        PsName_Format("http://%s/", backend->registration.address.data);
     ps_transfer_request_t request = {
         .method = exchange->request->method.data,
-        .url = url.data,
         .target = exchange->request->path.data,
         .body = PsBuf_View(&exchange->request->body),
         .timeout_ms = 0,
         .must_not_resend = true,
         .idle_max_s = may_retry(exchange) ? IDLE_MAX_RETRYABLE_S : IDLE_MAX_S};
+    exchange->path.ops->prepare(&exchange->path, &exchange->transfer,
+                                &request);
     PsTransfer_StartRequest(&exchange->gateway->http_client,
                             &exchange->transfer, &request);
 }
 
+static void
+send_request(ps_exchange_t *exchange, int64_t now_ms)
+{
+    exchange->sends++;
+    exchange->gateway->stats.sends++;
+    PsServerPath_Open(&exchange->path, exchange->gateway,
+                      exchange->task.backend, now_ms);
+    start_transfer(exchange, now_ms);
+}
+
+// Takes the next path to the same server, after one over which nothing was
+// sent to it. Returns false if there is none, or no time for it.
+static bool
+take_next_path(ps_exchange_t *exchange, int64_t now_ms)
+{
+    if (now_ms + DEADLINE_MARGIN_MS >= exchange->deadline_ms ||
+        !PsServerPath_OpenNext(&exchange->path, now_ms)) {
+        return false;
+    }
+    PsEvents_Add("request.forward", "{s:s,s:s,s:s,s:I}", "id",
+                 exchange->inbound.request_id.data, "server",
+                 exchange->task.backend->registration.name.data, "by",
+                 exchange->path.forwarder->name.data, "ms",
+                 (json_int_t)(now_ms - exchange->arrived_ms));
+    PsTransfer_Finish(&exchange->transfer);
+    PsScheduler_RestartTask(&exchange->task, now_ms);
+    start_transfer(exchange, now_ms);
+    return true;
+}
+
 static void
 on_start(ps_scheduler_t *scheduler, ps_task_t *task)
 {
@@ -465,6 +494,9 @@
 {
     ps_exchange_t *exchange = transfer->user;
     int64_t now_ms = PsClock_Now();
+    if (!exchange->path.ops->is_server_head(transfer)) {
+        return;
+    }
     exchange->has_response_head = true;
     exchange->reply = exchange->gateway->dialect->classify(
         transfer, &exchange->inbound.request_id);
@@ -590,7 +622,7 @@
     return is_stream_response(exchange) &&
            (exchange->body.len > 0 ||
             (has_no_event &&
-             PsTransfer_EndsWithConnection(&exchange->transfer)));
+             exchange->path.ops->ends_with_connection(&exchange->transfer)));
 }
 
 // Tells whether the whole response to this request was received.
@@ -657,8 +689,13 @@
     const ps_registration_t *server = &exchange->task.backend->registration;
     exchange->gateway->stats.lost_connections++;
     ps_lost_run_t run = get_lost_run(exchange);
-    if (PsMarkCrashes_AddLost(crashes, &run, now_ms)) {
-        PsServerChecks_Add(&exchange->gateway->server_checks, server, now_ms);
+    run.is_unconfirmed = exchange->task.backend->reach.is_checking;
+    if (exchange->path.forwarder) {
+        // The other daemon may have been lost in place of the server.
+        PsMarkCrashes_AddAbandoned(crashes, &run, now_ms);
+    }
+    else {
+        PsMarkCrashes_AddLost(crashes, &run, now_ms);
     }
     ps_name_t content = PsMark_Format(get_content(exchange));
     ps_name_t parts = PsMark_FormatParts(exchange->marks);
@@ -693,6 +730,11 @@
 {
     ps_exchange_t *exchange = transfer->user;
     int64_t now_ms = PsClock_Now();
+    result =
+        exchange->path.ops->finish(&exchange->path, transfer, result, now_ms);
+    if (result == PS_TRANSFER_NOT_SENT && take_next_path(exchange, now_ms)) {
+        return;
+    }
     ps_task_result_t task_result = get_task_result(exchange, result);
     if (task_result != PS_TASK_SUCCEEDED) {
         log_failure(exchange, task_result);
@@ -1082,7 +1124,6 @@
 {
     ps_scheduler_t *scheduler = &exchange->dispatcher->scheduler;
     if (!may_retry(exchange) ||
-        !PsScheduler_IsSilent(scheduler, &exchange->task, now_ms) ||
         !PsScheduler_CanMoveTask(scheduler, &exchange->task, now_ms) ||
         !take_retry(exchange, PS_TASK_CANCELLED, now_ms)) {
         return false;
@@ -1133,8 +1174,13 @@
         end_timed_out(exchange, now_ms);
         return true;
     }
-    return exchange->is_transferring &&
-           move_from_silent_server(exchange, now_ms);
+    if (!exchange->is_transferring ||
+        !PsScheduler_IsSilent(&exchange->dispatcher->scheduler,
+                              &exchange->task, now_ms)) {
+        return false;
+    }
+    exchange->path.ops->handle_silence(&exchange->path, now_ms);
+    return move_from_silent_server(exchange, now_ms);
 }
 
 bool
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -9,6 +9,7 @@
 #define PS_EXCHANGE_H
 
 #include "gateway.h"
+#include "server_path.h"
 
 /**
  * struct ps_exchange - One request in progress.
@@ -29,6 +30,7 @@
     int64_t deadline_ms; /* the response is due by then */
     double quota_units;  /* charged to the team */
     ps_transfer_t transfer;
+    ps_server_path_t path;   /* of @transfer to the server */
     bool is_transferring;    /* @transfer is in use */
     bool may_have_run;       /* a server may have run an earlier attempt */
     int sends;               /* attempts so far */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -216,6 +216,8 @@
     member->joined_ms = PsClock_Now();
     g_hash_table_insert(gateway->members, &member->name, member);
     divide_among_daemons(gateway);
+    PsForwarders_Set(&gateway->forwarders, &member->name,
+                     &member->forward_address);
     PsSharing_HandleMemberChange(&gateway->sharing, member);
 }
 
@@ -231,6 +233,7 @@
                             !gateway->is_applying_change, PsClock_Now());
         PsAllocator_RemoveReporter(&gateway->sharing.allocator, name);
         PsRecentMembers_AddLeft(&gateway->recent_members, name, PsClock_Now());
+        PsForwarders_Remove(&gateway->forwarders, name);
         g_hash_table_remove(gateway->members, name);
         divide_among_daemons(gateway);
         PsSharing_HandleMemberChange(&gateway->sharing, &gateway->self);
@@ -339,6 +342,8 @@
     PsEvents_Add("server.unlisted", "{s:s,s:s,s:s}", "name",
                  backend->registration.name.data, "service",
                  backend->registration.service.data, "reason", reason);
+    PsMarkCrashes_Settle(&gateway->mark_crashes, &backend->registration,
+                         !backend->registration.is_leaving, PsClock_Now());
     if (!backend->registration.is_leaving) {
         PsMarkCrashes_HandleServerEnd(&gateway->mark_crashes,
                                       &backend->registration, PsClock_Now());
@@ -354,14 +359,6 @@
                              PsSharing_HashServer(backend));
 }
 
-static void
-on_server_ended(void *user, const ps_registration_t *server)
-{
-    ps_gateway_t *gateway = user;
-    PsMarkCrashes_HandleServerEnd(&gateway->mark_crashes, server,
-                                  PsClock_Now());
-}
-
 // Calls a function for each backend server of all services.
 static void
 for_each_backend(const ps_gateway_t *gateway,
@@ -445,6 +442,12 @@
     *(int *)count += PsServerLimit_IsLimited(&backend->limit) ? 1 : 0;
 }
 
+static void
+count_lost(const ps_backend_t *backend, void *count)
+{
+    *(int *)count += backend->reach.lost_ms > 0 ? 1 : 0;
+}
+
 static void
 on_metrics(ps_http_server_t *server, ps_http_request_t *request)
 {
@@ -484,6 +487,14 @@
     int n_limited = 0;
     for_each_backend(gateway, count_limited, &n_limited);
     print_metric(&out, "pearstair_servers_limited", n_limited);
+    int n_lost = 0;
+    for_each_backend(gateway, count_lost, &n_lost);
+    print_metric(&out, "pearstair_servers_lost", n_lost);
+    print_metric(&out, "pearstair_forwarded_total", (double)stats->forwarded);
+    print_metric(&out, "pearstair_carried_total",
+                 (double)gateway->forward_server.carried);
+    print_metric(&out, "pearstair_carried_refused_total",
+                 (double)gateway->forward_server.refused);
     print_retry_budgets(gateway, &out);
     PsHistogram_Print(&stats->wait_latency, "pearstair_wait_milliseconds",
                       &out);
@@ -589,7 +600,8 @@
     int64_t now_ms = PsClock_Now();
     check_pause(gateway, now_ms);
     PsBackendRegistry_RemoveMissing(&gateway->backend_registry, now_ms);
-    PsServerChecks_Run(&gateway->server_checks, now_ms);
+    PsReachChecks_Run(&gateway->reach_checks, now_ms);
+    PsForwardServer_Run(&gateway->forward_server);
     PsSharing_Run(&gateway->sharing, now_ms);
     update_poll_rate(gateway, now_ms);
     run_dispatchers(gateway, now_ms);
@@ -623,6 +635,9 @@
         status = PsHttpServer_Init(&gateway->metrics_server, &metrics_events,
                                    gateway, loop, &settings->admin_address, 0);
     }
+    if (status == PS_OK) {
+        status = PsForwardServer_Init(&gateway->forward_server, gateway);
+    }
     return status;
 }
 
@@ -643,23 +658,25 @@
                            gateway);
     PsMarkCrashes_Init(&gateway->mark_crashes);
     PsStreamOrigins_Init(&gateway->stream_origins);
-    PsServerChecks_Init(&gateway->server_checks, &gateway->http_client,
-                        on_server_ended, gateway);
+    PsReachChecks_Init(&gateway->reach_checks, gateway);
     gateway->dispatchers = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
     gateway->quotas =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
     gateway->members =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, NULL, g_free);
-    gateway->self =
-        (ps_daemon_info_t){.name = settings->name,
-                           .domain = settings->domain,
-                           .caller_address = settings->caller_address,
-                           .peer_address = settings->peer_address,
-                           .incarnation = (uint64_t)g_get_real_time(),
-                           .cpu_share = settings->gateway.cpu_share};
+    gateway->self = (ps_daemon_info_t){
+        .name = settings->name,
+        .domain = settings->domain,
+        .caller_address = settings->caller_address,
+        .peer_address = settings->peer_address,
+        .forward_address = settings->gateway.forward_address,
+        .incarnation = (uint64_t)g_get_real_time(),
+        .cpu_share = settings->gateway.cpu_share};
     ps_daemon_info_t *self = g_memdup2(&gateway->self, sizeof gateway->self);
     g_hash_table_insert(gateway->members, &self->name, self);
     PsRecentMembers_Init(&gateway->recent_members);
+    PsForwarders_Init(&gateway->forwarders,
+                      (uint32_t)gateway->self.incarnation);
     g_queue_init(&gateway->exchanges);
     ev_timer_init(&gateway->tick, on_tick, TICK_S, TICK_S);
     gateway->tick.data = gateway;
@@ -682,7 +699,8 @@
     PsSharing_Finish(&gateway->sharing);
     PsCatalog_Unref(gateway->catalog);
     PsChanges_Finish(&gateway->changes);
-    PsServerChecks_Finish(&gateway->server_checks);
+    PsForwardServer_Finish(&gateway->forward_server);
+    PsReachChecks_Finish(&gateway->reach_checks);
     PsMarkCrashes_Finish(&gateway->mark_crashes);
     PsStreamOrigins_Finish(&gateway->stream_origins);
     PsRecentMembers_Finish(&gateway->recent_members);
@@ -718,6 +736,7 @@
     gateway->is_shutting_down = true;
     gateway->shutdown_started_ms = PsClock_Now();
     PsHttpServer_DisableKeepAlive(&gateway->caller_server);
+    PsHttpServer_DisableKeepAlive(&gateway->forward_server.server);
     PsEvents_Add("daemon.leave", "{s:i}", "in_progress",
                  (int)gateway->exchanges.length);
 }
@@ -733,6 +752,7 @@
     return passed_ms >= grace_ms - GRACE_MARGIN_MS ||
            (passed_ms >= grace_ms * SHUTDOWN_MIN_SHARE &&
             gateway->exchanges.length == 0 &&
+            PsForwardServer_IsIdle(&gateway->forward_server) &&
             PsHttpServer_GetRequestCount(&gateway->caller_server) == 0);
 }
 
@@ -766,9 +786,25 @@
     }
 }
 
-int
-PsGateway_ListAddresses(const ps_gateway_t *gateway, const char *domain,
-                        const ps_name_t **addresses, int max)
+static bool
+is_available(const ps_gateway_t *gateway, const ps_daemon_info_t *member,
+             bool with_cut_off)
+{
+    if (PsName_IsEqual(&member->name, &gateway->self.name)) {
+        return PsGateway_IsReady(gateway) &&
+               (with_cut_off ||
+                !PsReachChecks_IsCutOff(&gateway->reach_checks));
+    }
+    return !PsSharing_IsSilent(&gateway->sharing, &member->name) &&
+           (with_cut_off ||
+            !PsSharing_IsCutOff(&gateway->sharing, &member->name));
+}
+
+// Lists addresses, with or without those of daemons that reach servers only by
+// way of others.
+static int
+list_addresses(const ps_gateway_t *gateway, const char *domain,
+               bool with_cut_off, const ps_name_t **addresses, int max)
 {
     int n = 0;
     for (int pass = 0; pass < 2; pass++) {
@@ -777,12 +813,7 @@
         g_hash_table_iter_init(&iter, gateway->members);
         while (g_hash_table_iter_next(&iter, NULL, &value)) {
             const ps_daemon_info_t *member = value;
-            bool is_self = PsName_IsEqual(&member->name, &gateway->self.name);
-            bool is_available =
-                is_self
-                    ? PsGateway_IsReady(gateway)
-                    : !PsSharing_IsSilent(&gateway->sharing, &member->name);
-            if (is_available) {
+            if (is_available(gateway, member, with_cut_off)) {
                 add_address(member, domain, pass == 0, addresses, &n, max);
             }
         }
@@ -790,6 +821,14 @@
     return n;
 }
 
+int
+PsGateway_ListAddresses(const ps_gateway_t *gateway, const char *domain,
+                        const ps_name_t **addresses, int max)
+{
+    int n = list_addresses(gateway, domain, false, addresses, max);
+    return n > 0 ? n : list_addresses(gateway, domain, true, addresses, max);
+}
+
 ps_dispatcher_t *
 PsGateway_FindDispatcher(const ps_gateway_t *gateway, const ps_name_t *service)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -16,14 +16,16 @@
 #include "changes.h"
 #include "mark_crashes.h"
 #include "dialect.h"
+#include "forward_server.h"
+#include "forwarders.h"
 #include "histogram.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "quota.h"
+#include "reach_checks.h"
 #include "recent_members.h"
 #include "retry_budget.h"
 #include "scheduler.h"
-#include "server_checks.h"
 #include "settings.h"
 #include "sharing.h"
 #include "store_events.h"
@@ -52,6 +54,7 @@
     uint64_t failed;             /* sent, but no usable response came back */
     uint64_t caller_disconnects; /* before their response was complete */
     uint64_t sends;              /* attempts, first ones and retries */
+    uint64_t forwarded;          /* attempts by way of another daemon */
     uint64_t retries;
     uint64_t refused_retries;    /* over the retry budget */
     uint64_t lost_connections;   /* before the end of a response */
@@ -125,7 +128,9 @@
     GHashTable *dispatchers; /* service name to ps_dispatcher_t */
     GHashTable *quotas;      /* team name to ps_quota_t */
     ps_mark_crashes_t mark_crashes;
-    ps_server_checks_t server_checks;
+    ps_reach_checks_t reach_checks;
+    ps_forwarders_t forwarders;         /* daemons that can carry requests */
+    ps_forward_server_t forward_server; /* carries those of others */
     ps_stream_origins_t stream_origins;
     ps_daemon_info_t self;
     GHashTable *members; /* name to ps_daemon_info_t, this daemon included */
@@ -205,6 +210,7 @@
 /**
  * PsGateway_ListAddresses() - Lists the addresses for callers of the daemons
  * that are available: this one if it is ready, others if they are not silent.
+ * Those that are cut off from a service's servers are left out unless all are.
  * @domain: failure domain whose daemons come first; may be NULL
  * @addresses: receives at most @max pointers, valid until members change
  *
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -355,6 +355,7 @@
     transfer->sends = 0;
     transfer->is_aborted = false;
     transfer->is_refused = false;
+    transfer->is_paused = false;
     transfer->must_not_resend = request->must_not_resend;
     set_callbacks(easy, client, transfer);
     curl_easy_setopt(easy, CURLOPT_URL, request->url);
@@ -364,7 +365,10 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     request->connect_timeout_ms > 0
+                         ? (long)request->connect_timeout_ms
+                         : CONNECT_TIMEOUT_MS);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->request_headers);
     bool needs_new = request->has_own_connection || request->connects_only;
@@ -432,6 +436,14 @@
     return (ps_str_t){NULL, 0};
 }
 
+void
+PsTransfer_SetPaused(ps_transfer_t *transfer, bool is_paused)
+{
+    transfer->is_paused = is_paused;
+    curl_easy_pause(transfer->easy,
+                    is_paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+}
+
 void
 PsTransfer_Cancel(ps_http_client_t *client, ps_transfer_t *transfer)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -61,6 +61,7 @@
     bool must_not_resend;      /* copied from the ps_transfer_request_t */
     bool is_aborted;           /* set by a callback to close the connection */
     bool is_refused;           /* no process listens at the address */
+    bool is_paused;            /* no more of the response is read */
     ps_buf_t body;             /* of the response, when events->data is NULL */
     ps_name_t content_type;    /* Content-Type of the response */
     ps_name_t request_id;      /* X-Request-Id of the response, or empty */
@@ -75,6 +76,7 @@
  * @target: request target sent in place of the URL's path; NULL: the path
  * @body: copied; empty: none
  * @timeout_ms: for the whole transfer; 0: none
+ * @connect_timeout_ms: to open a connection; 0: the client's default
  * @has_own_connection: uses a new connection and closes it afterwards
  * @must_not_resend: sent at most once, also when a reused connection turns out
  *                   to be closed; the transfer is then incomplete
@@ -88,6 +90,7 @@
     const char *target;
     ps_str_t body;
     int64_t timeout_ms;
+    int64_t connect_timeout_ms;
     bool has_own_connection;
     bool must_not_resend;
     bool connects_only;
@@ -169,6 +172,13 @@
 bool PsTransfer_NextHeader(const ps_transfer_t *transfer, size_t *position,
                            ps_str_t *name, ps_str_t *value);
 
+/**
+ * PsTransfer_SetPaused() - Stops reading the response, or goes on.
+ *
+ * May be called from the data callback. Going on may call it.
+ */
+void PsTransfer_SetPaused(ps_transfer_t *transfer, bool is_paused);
+
 /**
  * PsTransfer_Cancel() - Stops a transfer without calling its done callback.
  *
--- a/src/mark_crashes.c
+++ b/src/mark_crashes.c
@@ -113,7 +113,8 @@
                 int64_t now_ms)
 {
     if (!is_sound(crashes, crash->mark, crash->at_ms, now_ms) &&
-        count_crash(crashes, crash, "this daemon", now_ms)) {
+        count_crash(crashes, crash, "this daemon", now_ms) &&
+        !crash->is_unconfirmed) {
         PsCrashReports_Add(&crashes->to_allocator, crash);
     }
 }
@@ -179,7 +180,8 @@
     ps_crash_t crash = {.mark = content,
                         .id = get_crash_id(run->server),
                         .at_ms = now_ms,
-                        .is_own = true};
+                        .is_own = true,
+                        .is_unconfirmed = run->is_unconfirmed};
     count_own_crash(crashes, &crash, now_ms);
     if (run->has_just_begun) {
         add_suspected_parts(crashes, run, now_ms);
@@ -187,6 +189,31 @@
     return run->has_just_begun && run->marks->len > 1;
 }
 
+void
+PsMarkCrashes_Settle(ps_mark_crashes_t *crashes,
+                     const ps_registration_t *server, bool is_crash,
+                     int64_t now_ms)
+{
+    GArray *settled = g_array_new(FALSE, FALSE, sizeof(ps_crash_t));
+    PsSuspects_Settle(&crashes->suspects, get_crash_id(server), is_crash,
+                      settled);
+    for (guint i = 0; i < settled->len; i++) {
+        const ps_crash_t *crash = &g_array_index(settled, ps_crash_t, i);
+        crashes->has_unsaved_crash = true;
+        if (is_crash) {
+            PsCrashReports_Add(&crashes->to_allocator, crash);
+            continue;
+        }
+        PsAbandonedRuns_Add(&crashes->abandoned_runs, crash->mark, crash->id,
+                            crash->is_trial, now_ms);
+        ps_name_t hash = PsMark_Format(crash->mark);
+        PsEvents_Add("content.not_crashed", "{s:s,s:s,s:s}", "content",
+                     hash.data, "kind", PsMark_GetKind(crash->mark), "server",
+                     server->name.data);
+    }
+    g_array_unref(settled);
+}
+
 void
 PsMarkCrashes_AddCompleted(ps_mark_crashes_t *crashes, const GArray *marks,
                            int64_t now_ms)
--- a/src/mark_crashes.h
+++ b/src/mark_crashes.h
@@ -62,6 +62,8 @@
                             a part may be the cause */
     bool is_trial;       /* PsMarkCrashes_StartTrial() let it through */
     const ps_registration_t *server; /* each start of it counts once */
+    bool is_unconfirmed; /* PsMarkCrashes_Settle() tells whether the server
+                            has failed */
 } ps_lost_run_t;
 
 /**
@@ -88,6 +90,18 @@
 bool PsMarkCrashes_AddLost(ps_mark_crashes_t *crashes,
                            const ps_lost_run_t *run, int64_t now_ms);
 
+/**
+ * PsMarkCrashes_Settle() - Confirms or withdraws the unconfirmed crashes of a
+ * start of a server.
+ * @is_crash: the server has failed; false: this daemon may have been cut off
+ *
+ * Until then they count at this daemon only. A request whose crash is
+ * withdrawn still counts if the server turns out to have ended.
+ */
+void PsMarkCrashes_Settle(ps_mark_crashes_t *crashes,
+                          const ps_registration_t *server, bool is_crash,
+                          int64_t now_ms);
+
 /**
  * PsMarkCrashes_AddCompleted() - Notes the marks of a request that ran to its
  * end. The shared ones are cleared.
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1447,7 +1447,97 @@
   assert(message->base.descriptor == &ps__origin_lookup__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ps__frame__field_descriptors[18] =
+void   ps__reach_lookup__init
+                     (Ps__ReachLookup         *message)
+{
+  static const Ps__ReachLookup init_value = PS__REACH_LOOKUP__INIT;
+  *message = init_value;
+}
+size_t ps__reach_lookup__get_packed_size
+                     (const Ps__ReachLookup *message)
+{
+  assert(message->base.descriptor == &ps__reach_lookup__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__reach_lookup__pack
+                     (const Ps__ReachLookup *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__reach_lookup__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__reach_lookup__pack_to_buffer
+                     (const Ps__ReachLookup *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__reach_lookup__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ReachLookup *
+       ps__reach_lookup__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ReachLookup *)
+     protobuf_c_message_unpack (&ps__reach_lookup__descriptor,
+                                allocator, len, data);
+}
+void   ps__reach_lookup__free_unpacked
+                     (Ps__ReachLookup *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__reach_lookup__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ps__reach_answer__init
+                     (Ps__ReachAnswer         *message)
+{
+  static const Ps__ReachAnswer init_value = PS__REACH_ANSWER__INIT;
+  *message = init_value;
+}
+size_t ps__reach_answer__get_packed_size
+                     (const Ps__ReachAnswer *message)
+{
+  assert(message->base.descriptor == &ps__reach_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__reach_answer__pack
+                     (const Ps__ReachAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__reach_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__reach_answer__pack_to_buffer
+                     (const Ps__ReachAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__reach_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ReachAnswer *
+       ps__reach_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ReachAnswer *)
+     protobuf_c_message_unpack (&ps__reach_answer__descriptor,
+                                allocator, len, data);
+}
+void   ps__reach_answer__free_unpacked
+                     (Ps__ReachAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__reach_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor ps__frame__field_descriptors[20] =
 {
   {
     "protocol",
@@ -1665,6 +1755,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reach_lookup",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__Frame, body_case),
+    offsetof(Ps__Frame, reach_lookup),
+    &ps__reach_lookup__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reach_answer",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__Frame, body_case),
+    offsetof(Ps__Frame, reach_answer),
+    &ps__reach_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
@@ -1679,6 +1793,8 @@
   17,   /* field[17] = origin_lookup */
   12,   /* field[12] = progress */
   0,   /* field[0] = protocol */
+  19,   /* field[19] = reach_answer */
+  18,   /* field[18] = reach_lookup */
   9,   /* field[9] = recover_answer */
   8,   /* field[8] = recover_ask */
   15,   /* field[15] = share_grant */
@@ -1689,7 +1805,7 @@
 static const ProtobufCIntRange ps__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor ps__frame__descriptor =
 {
@@ -1699,7 +1815,7 @@
   "Ps__Frame",
   "ps",
   sizeof(Ps__Frame),
-  18,
+  20,
   ps__frame__field_descriptors,
   ps__frame__field_indices_by_name,
   1,  ps__frame__number_ranges,
@@ -3627,7 +3743,7 @@
   (ProtobufCMessageInit) ps__content_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ps__share_report__field_descriptors[8] =
 {
   {
     "round",
@@ -3713,11 +3829,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cut_off",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareReport, cut_off),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_report__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
   6,   /* field[6] = cleared */
   5,   /* field[5] = crashes */
+  7,   /* field[7] = cut_off */
   3,   /* field[3] = leaving */
   0,   /* field[0] = round */
   1,   /* field[1] = services */
@@ -3727,7 +3856,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ps__share_report__descriptor =
 {
@@ -3737,7 +3866,7 @@
   "Ps__ShareReport",
   "ps",
   sizeof(Ps__ShareReport),
-  7,
+  8,
   ps__share_report__field_descriptors,
   ps__share_report__field_indices_by_name,
   2,  ps__share_report__number_ranges,
@@ -4027,7 +4156,7 @@
   (ProtobufCMessageInit) ps__server_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__member_news__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ps__member_news__field_descriptors[8] =
 {
   {
     "name",
@@ -4113,11 +4242,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "forward_address",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__MemberNews, forward_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__member_news__field_indices_by_name[] = {
   2,   /* field[2] = caller_address */
   5,   /* field[5] = cpu_share */
   1,   /* field[1] = domain */
+  7,   /* field[7] = forward_address */
   6,   /* field[6] = gone */
   4,   /* field[4] = incarnation */
   0,   /* field[0] = name */
@@ -4126,7 +4268,7 @@
 static const ProtobufCIntRange ps__member_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ps__member_news__descriptor =
 {
@@ -4136,14 +4278,14 @@
   "Ps__MemberNews",
   "ps",
   sizeof(Ps__MemberNews),
-  7,
+  8,
   ps__member_news__field_descriptors,
   ps__member_news__field_indices_by_name,
   1,  ps__member_news__number_ranges,
   (ProtobufCMessageInit) ps__member_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[13] =
+static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[14] =
 {
   {
     "round",
@@ -4301,12 +4443,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cut_off",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Ps__ShareGrant, n_cut_off),
+    offsetof(Ps__ShareGrant, cut_off),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_grant__field_indices_by_name[] = {
   12,   /* field[12] = cleared */
   5,   /* field[5] = config_age_ms */
   4,   /* field[4] = config_version */
   11,   /* field[11] = crashes */
+  13,   /* field[13] = cut_off */
   10,   /* field[10] = leaving */
   9,   /* field[9] = member_news */
   7,   /* field[7] = members_hash */
@@ -4321,7 +4476,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor ps__share_grant__descriptor =
 {
@@ -4331,7 +4486,7 @@
   "Ps__ShareGrant",
   "ps",
   sizeof(Ps__ShareGrant),
-  13,
+  14,
   ps__share_grant__field_descriptors,
   ps__share_grant__field_indices_by_name,
   2,  ps__share_grant__number_ranges,
@@ -4427,3 +4582,144 @@
   (ProtobufCMessageInit) ps__origin_lookup__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ps__reach_lookup__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ReachLookup, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ReachLookup, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lost_age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ReachLookup, lost_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__reach_lookup__field_indices_by_name[] = {
+  2,   /* field[2] = lost_age_ms */
+  0,   /* field[0] = server */
+  1,   /* field[1] = started_ms */
+};
+static const ProtobufCIntRange ps__reach_lookup__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ps__reach_lookup__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ReachLookup",
+  "ReachLookup",
+  "Ps__ReachLookup",
+  "ps",
+  sizeof(Ps__ReachLookup),
+  3,
+  ps__reach_lookup__field_descriptors,
+  ps__reach_lookup__field_indices_by_name,
+  1,  ps__reach_lookup__number_ranges,
+  (ProtobufCMessageInit) ps__reach_lookup__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__reach_answer__field_descriptors[4] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ReachAnswer, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ReachAnswer, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reached",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ReachAnswer, reached),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unsure",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ReachAnswer, unsure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__reach_answer__field_indices_by_name[] = {
+  2,   /* field[2] = reached */
+  0,   /* field[0] = server */
+  1,   /* field[1] = started_ms */
+  3,   /* field[3] = unsure */
+};
+static const ProtobufCIntRange ps__reach_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ps__reach_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ReachAnswer",
+  "ReachAnswer",
+  "Ps__ReachAnswer",
+  "ps",
+  sizeof(Ps__ReachAnswer),
+  4,
+  ps__reach_answer__field_descriptors,
+  ps__reach_answer__field_indices_by_name,
+  1,  ps__reach_answer__number_ranges,
+  (ProtobufCMessageInit) ps__reach_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -47,6 +47,8 @@
 typedef struct Ps__ShareGrant Ps__ShareGrant;
 typedef struct Ps__StreamOrigin Ps__StreamOrigin;
 typedef struct Ps__OriginLookup Ps__OriginLookup;
+typedef struct Ps__ReachLookup Ps__ReachLookup;
+typedef struct Ps__ReachAnswer Ps__ReachAnswer;
 
 
 /* --- enums --- */
@@ -79,7 +81,9 @@
   PS__FRAME__BODY_SHARE_REPORT = 15,
   PS__FRAME__BODY_SHARE_GRANT = 16,
   PS__FRAME__BODY_STREAM_ORIGIN = 17,
-  PS__FRAME__BODY_ORIGIN_LOOKUP = 18
+  PS__FRAME__BODY_ORIGIN_LOOKUP = 18,
+  PS__FRAME__BODY_REACH_LOOKUP = 19,
+  PS__FRAME__BODY_REACH_ANSWER = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PS__FRAME__BODY__CASE)
 } Ps__Frame__BodyCase;
 
@@ -109,6 +113,8 @@
     Ps__ShareGrant *share_grant;
     Ps__StreamOrigin *stream_origin;
     Ps__OriginLookup *origin_lookup;
+    Ps__ReachLookup *reach_lookup;
+    Ps__ReachAnswer *reach_answer;
   };
 };
 #define PS__FRAME__INIT \
@@ -646,10 +652,14 @@
    */
   size_t n_cleared;
   uint64_t *cleared;
+  /*
+   * it reaches no server of a service that others reach
+   */
+  protobuf_c_boolean cut_off;
 };
 #define PS__SHARE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_report__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -746,10 +756,14 @@
    * removed
    */
   protobuf_c_boolean gone;
+  /*
+   * where it takes requests of other daemons; or empty
+   */
+  char *forward_address;
 };
 #define PS__MEMBER_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__member_news__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -811,10 +825,15 @@
    */
   size_t n_cleared;
   uint64_t *cleared;
+  /*
+   * daemons that have said so in their reports
+   */
+  size_t n_cut_off;
+  char **cut_off;
 };
 #define PS__SHARE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_grant__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -854,6 +873,49 @@
     , 0 }
 
 
+/*
+ * Asks whether the receiver reaches a backend server that the sender has lost.
+ */
+struct  Ps__ReachLookup
+{
+  ProtobufCMessage base;
+  char *server;
+  /*
+   * Unix time of its start
+   */
+  int64_t started_ms;
+  /*
+   * since the sender lost its connections
+   */
+  uint32_t lost_age_ms;
+};
+#define PS__REACH_LOOKUP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__reach_lookup__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Ps__ReachAnswer
+{
+  ProtobufCMessage base;
+  char *server;
+  /*
+   * Unix time of its start
+   */
+  int64_t started_ms;
+  /*
+   * it has answered there since
+   */
+  protobuf_c_boolean reached;
+  /*
+   * the sender reaches no other server either, or doesn't know it
+   */
+  protobuf_c_boolean unsure;
+};
+#define PS__REACH_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__reach_answer__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 /* Ps__Frame methods */
 void   ps__frame__init
                      (Ps__Frame         *message);
@@ -1462,6 +1524,44 @@
 void   ps__origin_lookup__free_unpacked
                      (Ps__OriginLookup *message,
                       ProtobufCAllocator *allocator);
+/* Ps__ReachLookup methods */
+void   ps__reach_lookup__init
+                     (Ps__ReachLookup         *message);
+size_t ps__reach_lookup__get_packed_size
+                     (const Ps__ReachLookup   *message);
+size_t ps__reach_lookup__pack
+                     (const Ps__ReachLookup   *message,
+                      uint8_t             *out);
+size_t ps__reach_lookup__pack_to_buffer
+                     (const Ps__ReachLookup   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ReachLookup *
+       ps__reach_lookup__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__reach_lookup__free_unpacked
+                     (Ps__ReachLookup *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__ReachAnswer methods */
+void   ps__reach_answer__init
+                     (Ps__ReachAnswer         *message);
+size_t ps__reach_answer__get_packed_size
+                     (const Ps__ReachAnswer   *message);
+size_t ps__reach_answer__pack
+                     (const Ps__ReachAnswer   *message,
+                      uint8_t             *out);
+size_t ps__reach_answer__pack_to_buffer
+                     (const Ps__ReachAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ReachAnswer *
+       ps__reach_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__reach_answer__free_unpacked
+                     (Ps__ReachAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Ps__Frame_Closure)
@@ -1560,6 +1660,12 @@
 typedef void (*Ps__OriginLookup_Closure)
                  (const Ps__OriginLookup *message,
                   void *closure_data);
+typedef void (*Ps__ReachLookup_Closure)
+                 (const Ps__ReachLookup *message,
+                  void *closure_data);
+typedef void (*Ps__ReachAnswer_Closure)
+                 (const Ps__ReachAnswer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1599,6 +1705,8 @@
 extern const ProtobufCMessageDescriptor ps__share_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__stream_origin__descriptor;
 extern const ProtobufCMessageDescriptor ps__origin_lookup__descriptor;
+extern const ProtobufCMessageDescriptor ps__reach_lookup__descriptor;
+extern const ProtobufCMessageDescriptor ps__reach_answer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -690,6 +690,13 @@
     task->last_event_ms = now_ms;
 }
 
+void
+PsScheduler_RestartTask(ps_task_t *task, int64_t now_ms)
+{
+    task->started_ms = now_ms;
+    task->last_event_ms = now_ms;
+}
+
 bool
 PsScheduler_IsSilent(const ps_scheduler_t *scheduler, const ps_task_t *task,
                      int64_t now_ms)
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -199,6 +199,12 @@
 void PsScheduler_HandleEvent(ps_scheduler_t *scheduler, ps_task_t *task,
                              double tokens, int64_t now_ms);
 
+/**
+ * PsScheduler_RestartTask() - Counts a task's time at its server from now on,
+ * as nothing was sent there before.
+ */
+void PsScheduler_RestartTask(ps_task_t *task, int64_t now_ms);
+
 /**
  * PsScheduler_IsSilent() - Tells whether a started task has had no event for
  * several times the usual wait.
--- a/src/server_checks.c
+++ b/src/server_checks.c
@@ -1,9 +1,9 @@
-/* server_checks.c - Connections opened to see whether servers still run. */
+/* server_checks.c - Connections opened to see whether servers accept them. */
 #include "server_checks.h"
 
 #include "events_log.h"
 
-#define CONNECT_TIMEOUT_MS 500 /* without an answer, a check shows nothing */
+#define CONNECT_TIMEOUT_MS 500
 
 /* ---- Types ------------------------------------------------------------ */
 
@@ -22,16 +22,24 @@
 on_done(ps_transfer_t *transfer, ps_transfer_result_t result)
 {
     server_check_t *check = transfer->user;
+    ps_server_checks_t *checks = check->checks;
+    ps_check_result_t shown = PS_CHECK_NO_ANSWER;
+    if (result == PS_TRANSFER_COMPLETE) {
+        shown = PS_CHECK_CONNECTED;
+    }
+    else if (transfer->is_refused) {
+        shown = PS_CHECK_REFUSED;
+    }
     PsEvents_Add("server.checked", "{s:s,s:b,s:b}", "name",
                  check->server.name.data, "connected",
-                 (int)(result == PS_TRANSFER_COMPLETE), "ended",
-                 (int)transfer->is_refused);
-    if (transfer->is_refused) {
-        check->checks->ended(check->checks->user, &check->server);
-    }
-    g_queue_unlink(&check->checks->checks, &check->link);
+                 (int)(shown == PS_CHECK_CONNECTED), "refused",
+                 (int)(shown == PS_CHECK_REFUSED));
+    ps_registration_t server = check->server;
+    g_queue_unlink(&checks->checks, &check->link);
+    checks->n_running--;
     PsTransfer_Finish(transfer);
     g_free(check);
+    checks->events->checked(checks->user, &server, shown);
 }
 
 static void
@@ -44,6 +52,7 @@
                                      .timeout_ms = CONNECT_TIMEOUT_MS,
                                      .connects_only = true};
     check->is_running = true;
+    check->checks->n_running++;
     PsTransfer_Init(&check->transfer, &events, check);
     PsTransfer_StartRequest(check->checks->http_client, &check->transfer,
                             &request);
@@ -60,12 +69,12 @@
 /* ---- Public functions ------------------------------------------------- */
 
 void
-PsServerChecks_Init(ps_server_checks_t *checks, ps_http_client_t *http_client,
-                    void (*ended)(void *user, const ps_registration_t *server),
-                    void *user)
+PsServerChecks_Init(ps_server_checks_t *checks,
+                    const ps_server_checks_events_t *events, void *user,
+                    ps_http_client_t *http_client)
 {
     *checks = (ps_server_checks_t){
-        .http_client = http_client, .ended = ended, .user = user};
+        .events = events, .user = user, .http_client = http_client};
     g_queue_init(&checks->checks);
 }
 
@@ -83,33 +92,44 @@
     }
 }
 
-void
+bool
 PsServerChecks_Add(ps_server_checks_t *checks, const ps_registration_t *server,
-                   int64_t now_ms)
+                   int64_t delay_ms, int64_t now_ms)
 {
     for (GList *l = checks->checks.head; l; l = l->next) {
         if (is_waiting_for(l->data, server)) {
-            return;
+            return true;
         }
     }
     if (checks->checks.length >= PS_SERVER_CHECKS_MAX) {
-        return;
+        return false;
     }
     server_check_t *check = g_new0(server_check_t, 1);
     check->checks = checks;
     check->server = *server;
-    check->due_ms = now_ms + PS_SERVER_CHECK_DELAY_MS;
+    check->due_ms = now_ms + delay_ms;
     check->link.data = check;
     g_queue_push_tail_link(&checks->checks, &check->link);
+    return true;
 }
 
 void
 PsServerChecks_Run(ps_server_checks_t *checks, int64_t now_ms)
 {
-    for (GList *l = checks->checks.head; l; l = l->next) {
+    GList *next;
+    for (GList *l = checks->checks.head;
+         l && checks->n_running < PS_SERVER_CHECKS_RUNNING_MAX; l = next) {
+        next = l->next;
         server_check_t *check = l->data;
-        if (!check->is_running && now_ms >= check->due_ms) {
+        if (check->is_running || now_ms < check->due_ms) {
+            continue;
+        }
+        if (checks->events->is_needed(checks->user, &check->server)) {
             start_check(check);
         }
+        else {
+            g_queue_unlink(&checks->checks, &check->link);
+            g_free(check);
+        }
     }
 }
--- a/src/settings.c
+++ b/src/settings.c
@@ -72,6 +72,8 @@
      "0.0.0.0:1", 0, 0},
     {"listen", "directory", SETTING_ADDRESS, FIELD(gateway.directory_address),
      "0.0.0.0:1", 0, 0},
+    {"listen", "forward", SETTING_ADDRESS, FIELD(gateway.forward_address), "",
+     0, 0},
     {"gateway", "revoke_ms", SETTING_REAL, FIELD(gateway.revoke_ms), "5000",
      100, 3600000},
     {"gateway", "grace_s", SETTING_REAL, FIELD(gateway.grace_s), "8", 0, 3600},
@@ -256,7 +258,11 @@
     }
     g_strstrip(value);
     void *field = (char *)settings + setting->offset;
-    const char *allowed = parse_value(setting, value, field);
+    const char *allowed = NULL;
+    // An empty default leaves the field as it is.
+    if (*value || !setting->default_value || *setting->default_value) {
+        allowed = parse_value(setting, value, field);
+    }
     ps_status_t status = PS_OK;
     if (allowed) {
         status =
--- a/src/settings.h
+++ b/src/settings.h
@@ -18,6 +18,8 @@
 typedef struct ps_gateway_settings {
     ps_name_t ready_address;     /* [listen] ready */
     ps_name_t directory_address; /* [listen] directory */
+    ps_name_t forward_address;   /* [listen] forward, where requests of other
+                                    daemons are taken; empty: none are */
     double revoke_ms;            /* [gateway] revoke_ms, longest time that a
                                     removed API key is still accepted */
     double grace_s;         /* [gateway] grace_s, longest graceful shutdown */
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -164,8 +164,17 @@
 static void
 add_outcomes(Ps__ServiceUse *use, ps_backend_t *backend)
 {
-    const ps_outcomes_t *unreported = &backend->unreported_outcomes;
+    ps_outcomes_t *unreported = &backend->unreported_outcomes;
+    // While it isn't known whose failures they are, they are not reported.
+    ps_outcomes_t held = {0};
+    if (backend->reach.is_checking) {
+        held = *unreported;
+        held.good = 0;
+        unreported->failed = 0;
+        unreported->absent = 0;
+    }
     if (unreported->good + unreported->failed + unreported->absent == 0) {
+        *unreported = held;
         return;
     }
     Ps__ServerOutcomes *outcomes = g_new(Ps__ServerOutcomes, 1);
@@ -175,7 +184,7 @@
     outcomes->failed = unreported->failed;
     outcomes->absent = unreported->absent;
     use->outcomes[use->n_outcomes++] = outcomes;
-    backend->unreported_outcomes = (ps_outcomes_t){0};
+    *unreported = held;
 }
 
 // Adds what this daemon knows from a server itself, its limit and that it
@@ -294,6 +303,7 @@
     report.round = ++sharing->round;
     sharing->sent_ms[sharing->round % PS_SHARING_ROUNDS_KEPT] = now_ms;
     report.leaving = gateway->is_shutting_down;
+    report.cut_off = PsReachChecks_IsCutOff(&gateway->reach_checks);
     report.age_ms = (uint64_t)MAX(now_ms - gateway->started_ms, 0);
     report.services =
         g_new0(Ps__ServiceUse *, g_hash_table_size(gateway->dispatchers) + 1);
@@ -418,6 +428,16 @@
     }
 }
 
+static void
+set_names(GHashTable *names, char *const *texts, size_t n)
+{
+    g_hash_table_remove_all(names);
+    for (size_t i = 0; i < n; i++) {
+        ps_name_t name = PsName_FromC(texts[i]);
+        g_hash_table_add(names, g_memdup2(&name, sizeof name));
+    }
+}
+
 // Applies a grant: changes of registrations, quota grants, silent members,
 // crashes of banned contents and slot limits. A grant that answers a report
 // that is no longer remembered is ignored.
@@ -463,12 +483,8 @@
             spending->total_at_report[grant->round % PS_SHARING_ROUNDS_KEPT];
         spending->granted_ms = now_ms;
     }
-    g_hash_table_remove_all(sharing->silent_members);
-    for (size_t i = 0; i < grant->n_silent; i++) {
-        ps_name_t name = PsName_FromC(grant->silent[i]);
-        g_hash_table_add(sharing->silent_members,
-                         g_memdup2(&name, sizeof name));
-    }
+    set_names(sharing->silent_members, grant->silent, grant->n_silent);
+    set_names(sharing->cut_off_members, grant->cut_off, grant->n_cut_off);
     ps_mark_crashes_t *crashes = &sharing->gateway->mark_crashes;
     PsMarkCrashes_MergeCleared(crashes, grant->cleared, grant->n_cleared,
                                &sharing->allocator_name, now_ms);
@@ -486,7 +502,9 @@
 {
     ps_sharing_t *sharing = peers->user;
     int64_t now_ms = PsClock_Now();
-    if (PsOriginLookups_HandleFrame(sharing->gateway, from, frame, now_ms)) {
+    if (PsOriginLookups_HandleFrame(sharing->gateway, from, frame, now_ms) ||
+        PsReachChecks_HandleFrame(&sharing->gateway->reach_checks, from, frame,
+                                  now_ms)) {
         return;
     }
     if (frame->body_case == PS__FRAME__BODY_SHARE_REPORT) {
@@ -528,6 +546,7 @@
     }
     sharing->uses_even_shares = true;
     g_hash_table_remove_all(sharing->silent_members);
+    g_hash_table_remove_all(sharing->cut_off_members);
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, sharing->gateway->dispatchers);
@@ -572,6 +591,8 @@
     PsAllocator_Init(&sharing->allocator);
     sharing->avoided =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
+    sharing->cut_off_members =
+        g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, NULL);
     sharing->silent_members =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, NULL);
     sharing->spending =
@@ -587,6 +608,7 @@
     PsPeers_Finish(&sharing->peers);
     PsAllocator_Finish(&sharing->allocator);
     g_hash_table_destroy(sharing->avoided);
+    g_hash_table_destroy(sharing->cut_off_members);
     g_hash_table_destroy(sharing->silent_members);
     g_hash_table_destroy(sharing->spending);
 }
@@ -635,6 +657,12 @@
     return g_hash_table_contains(sharing->silent_members, member);
 }
 
+bool
+PsSharing_IsCutOff(const ps_sharing_t *sharing, const ps_name_t *member)
+{
+    return g_hash_table_contains(sharing->cut_off_members, member);
+}
+
 bool
 PsSharing_ChargeQuota(ps_sharing_t *sharing, const ps_name_t *team,
                       double units, int64_t now_ms)
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -53,9 +53,11 @@
     int64_t next_state_save_ms; /* the state is not saved before */
     bool is_stored_usage_empty; /* the usage in the store names no team */
     GHashTable *avoided; /* name to the time until which it is not chosen */
-    GHashTable *silent_members; /* names of members that do not report */
-    GHashTable *spending;       /* team to ps_spending_t */
-    bool uses_even_shares;      /* no fresh grant */
+    GHashTable *cut_off_members; /* names of members that reach no server of
+                                    some service */
+    GHashTable *silent_members;  /* names of members that do not report */
+    GHashTable *spending;        /* team to ps_spending_t */
+    bool uses_even_shares;       /* no fresh grant */
     uint64_t grants_received;
 } ps_sharing_t;
 
@@ -119,6 +121,12 @@
  */
 bool PsSharing_IsSilent(const ps_sharing_t *sharing, const ps_name_t *member);
 
+/**
+ * PsSharing_IsCutOff() - Tells whether the allocator's last grant names a
+ * member as one that reaches no server of some service.
+ */
+bool PsSharing_IsCutOff(const ps_sharing_t *sharing, const ps_name_t *member);
+
 /**
  * PsSharing_ChargeQuota() - Charges units to a team's quota if the grant
  * allows it or, without a fresh grant, this daemon's even share.
--- a/src/store_events.h
+++ b/src/store_events.h
@@ -20,6 +20,7 @@
     ps_name_t domain;          /* failure domain */
     ps_name_t caller_address;  /* where callers connect */
     ps_name_t peer_address;    /* where other daemons connect */
+    ps_name_t forward_address; /* where it takes their requests; or empty */
     uint64_t incarnation;      /* start time, Unix microseconds */
     double cpu_share;          /* processor share, in cores */
     uint64_t revision;         /* of its object in the store; 0: not known */
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -112,6 +112,9 @@
         bool is_banned = has_too_many_crashes(suspects, suspect);
         for (int i = 0; i < suspect->n_crashes; i++) {
             const ps_crash_t *crash = &suspect->crashes[i];
+            if (crash->is_unconfirmed) {
+                continue;
+            }
             if (is_banned || ((crash->is_own || with_reported) &&
                               crash->at_ms >= since_ms)) {
                 listed_crash_t listed = {*crash, is_banned};
@@ -194,6 +197,7 @@
         bool is_new_trial = crash->is_trial && !known->is_trial;
         ps_crash_t *kept = &suspect->crashes[known - suspect->crashes];
         kept->is_own |= crash->is_own;
+        kept->is_unconfirmed &= crash->is_unconfirmed;
         kept->is_trial |= crash->is_trial;
         return is_new_trial;
     }
@@ -213,6 +217,40 @@
     return true;
 }
 
+// Settles a mark's crash, if it is unconfirmed; returns whether the mark has
+// no crash left.
+static bool
+settle_crash(suspect_t *suspect, uint64_t id, bool is_crash, GArray *settled)
+{
+    for (int i = 0; i < suspect->n_crashes; i++) {
+        ps_crash_t *crash = &suspect->crashes[i];
+        if (crash->id != id || !crash->is_unconfirmed) {
+            continue;
+        }
+        crash->is_unconfirmed = false;
+        g_array_append_val(settled, *crash);
+        if (!is_crash) {
+            *crash = suspect->crashes[--suspect->n_crashes];
+        }
+        break;
+    }
+    return suspect->n_crashes == 0;
+}
+
+void
+PsSuspects_Settle(ps_suspects_t *suspects, uint64_t id, bool is_crash,
+                  GArray *settled)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, suspects->by_hash);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        if (settle_crash(value, id, is_crash, settled)) {
+            g_hash_table_iter_remove(&each);
+        }
+    }
+}
+
 void
 PsSuspects_Remove(ps_suspects_t *suspects, uint64_t hash)
 {
--- a/src/suspects.h
+++ b/src/suspects.h
@@ -23,10 +23,12 @@
  * struct ps_crash - A server's crash with a mark in flight.
  */
 typedef struct ps_crash {
-    uint64_t mark; /* 0: none */
-    uint64_t id;   /* of the crash, the same for all who saw it */
-    int64_t at_ms; /* when it was seen */
-    bool is_own;   /* seen here, not reported by another daemon */
+    uint64_t mark;       /* 0: none */
+    uint64_t id;         /* of the crash, the same for all who saw it */
+    int64_t at_ms;       /* when it was seen */
+    bool is_own;         /* seen here, not reported by another daemon */
+    bool is_unconfirmed; /* the connection may have been lost for another
+                            reason than a crash; not reported */
     bool is_trial; /* of a request that was sent to find out whether this mark
                       is the cause */
 } ps_crash_t;
@@ -62,6 +64,16 @@
  */
 bool PsSuspects_AddCrash(ps_suspects_t *suspects, const ps_crash_t *crash);
 
+/**
+ * PsSuspects_Settle() - Confirms or removes the unconfirmed crashes of a
+ * server.
+ * @id: of the crash
+ * @is_crash: confirms them; false: removes them
+ * @settled: of ps_crash_t; those that were unconfirmed are added to it
+ */
+void PsSuspects_Settle(ps_suspects_t *suspects, uint64_t id, bool is_crash,
+                       GArray *settled);
+
 /**
  * PsSuspects_Remove() - Removes a mark that has run to its end.
  */
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -81,6 +81,7 @@
 directory = $(gw_directory "$1")
 peer = 127.0.0.$1:$((RIG_PORT + 2))
 admin = $(gw_metrics "$1")
+${GW_NO_FORWARD:+#}forward = 127.0.0.$1:$((RIG_PORT + 5))
 [admin]
 token = unused-in-gateway-mode
 [platform]
--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -275,41 +275,56 @@
 
 namespace {
 
+bool
+IsNeeded(void *user, const ps_registration_t *server)
+{
+    (void)user;
+    return !PsName_IsEqualC(&server->name, "answered since");
+}
+
 void
-AddName(void *user, const ps_registration_t *server)
+AddResult(void *user, const ps_registration_t *server, ps_check_result_t shown)
 {
-    ((std::vector<std::string> *)user)->push_back(server->name.data);
+    const char *const results[] = {"connected", "refused", "no answer"};
+    ((std::set<std::string> *)user)
+        ->insert(server->name.data + std::string(": ") + results[shown]);
 }
 
 } // namespace
 
-// Only a server whose process has ended refuses connections: one that cuts or
-// ignores them still runs.
-TEST(ServerChecks, RefusedConnectionShowsTheEndOfAServer)
+// A server whose process has ended refuses connections; one that cuts or
+// ignores them still runs. A check that is not needed any more opens none.
+TEST(ServerChecks, CheckTellsRefusedConnectionsFromOpenOnes)
 {
     ps_http_client_t client;
     PsHttpClient_Init(&client, GetLoop());
-    std::vector<std::string> ended;
+    std::set<std::string> seen;
+    const ps_server_checks_events_t events = {IsNeeded, AddResult};
     ps_server_checks_t checks;
-    PsServerChecks_Init(&checks, &client, AddName, &ended);
+    PsServerChecks_Init(&checks, &events, &seen, &client);
     RawServer running;
-    ps_registration_t servers[2] = {};
+    ps_registration_t servers[3] = {};
     servers[0].name = ToName("running");
     servers[0].address = ToName(running.address);
     servers[1].name = ToName("ended");
     servers[1].address = ToName("127.0.0.1:1");
-    for (int i = 0; i < 4; i++) { // each is checked once
-        PsServerChecks_Add(&checks, &servers[i % 2], 1000);
+    servers[2].name = ToName("answered since");
+    servers[2].address = ToName(running.address);
+    for (int i = 0; i < 6; i++) { // each is checked once
+        EXPECT_TRUE(PsServerChecks_Add(&checks, &servers[i % 3],
+                                       PS_SERVER_CHECK_DELAY_MS, 1000));
     }
-    EXPECT_EQ(checks.checks.length, 2u);
+    EXPECT_EQ(checks.checks.length, 3u);
     PsServerChecks_Run(&checks, 1000 + PS_SERVER_CHECK_DELAY_MS - 1);
     EXPECT_EQ(client.connects, 0u);
     PsServerChecks_Run(&checks, 1000 + PS_SERVER_CHECK_DELAY_MS);
     RunUntil([&] { return checks.checks.length == 0; });
-    EXPECT_EQ(ended, std::vector<std::string>{"ended"});
+    EXPECT_EQ(seen,
+              (std::set<std::string>{"running: connected", "ended: refused"}));
+    EXPECT_EQ(client.connects, 2u);
     EXPECT_EQ(running.requests, 0) << "sent a request";
-    PsServerChecks_Add(&checks, &servers[0], 2000);
-    PsServerChecks_Run(&checks, 2000 + PS_SERVER_CHECK_DELAY_MS);
+    PsServerChecks_Add(&checks, &servers[0], 0, 2000);
+    PsServerChecks_Run(&checks, 2000);
     PsServerChecks_Finish(&checks); // while a check is in progress
     PsHttpClient_Finish(&client);
 }
--- a/tests/test_marks.cpp
+++ b/tests/test_marks.cpp
@@ -51,7 +51,7 @@
 AddLost(ps_mark_crashes_t *crashes, const GArray *marks, bool has_just_begun,
         bool is_trial, const ps_registration_t &server, int64_t now)
 {
-    ps_lost_run_t run = {marks, has_just_begun, is_trial, &server};
+    ps_lost_run_t run = {marks, has_just_begun, is_trial, &server, false};
     PsMarkCrashes_AddLost(crashes, &run, now);
 }
 
