Go on to another daemon when the first doesn't reach the server either

A daemon that was asked to carry a request and is cut off itself was avoided for a second for all servers, and its failure to connect counted as evidence that the server is down, so that a cut daemon went back to its own connections. Such an answer shows nothing of the server: the attempt takes the next daemon, one that it has not tried.

--- a/src/forward_server.c
+++ b/src/forward_server.c
@@ -241,7 +241,7 @@
                "the server takes no requests");
     }
     else if (backend->reach.lost_ms > 0) {
-        refuse(forwarding, request, PS_FORWARD_REFUSED,
+        refuse(forwarding, request, PS_FORWARD_UNREACHED,
                "this daemon doesn't reach the server either");
     }
     else {
--- a/src/reach_checks.c
+++ b/src/reach_checks.c
@@ -278,7 +278,7 @@
         lookup->is_unreached |= !answer->reached && !answer->unsure;
         if (backend && answer->reached) {
             g_array_remove_index_fast(reach->lookups, i);
-            PsReachChecks_HandlePeerAnswer(reach, backend, true, now_ms);
+            PsReachChecks_HandlePeerReach(reach, backend, now_ms);
         }
         else if (lookup->n_asked == 0) {
             end_lookup(reach, i, now_ms);
@@ -554,12 +554,12 @@
 }
 
 void
-PsReachChecks_HandlePeerAnswer(ps_reach_checks_t *reach, ps_backend_t *backend,
-                               bool is_reached, int64_t now_ms)
+PsReachChecks_HandlePeerReach(ps_reach_checks_t *reach, ps_backend_t *backend,
+                              int64_t now_ms)
 {
     bool is_cut =
-        PsServerReach_HandlePeerAnswer(&backend->reach, is_reached, now_ms);
-    if (is_reached && backend->reach.is_checking) {
+        PsServerReach_HandlePeerAnswer(&backend->reach, true, now_ms);
+    if (backend->reach.is_checking) {
         settle(reach, backend, false, false, now_ms);
     }
     if (is_cut) {
--- a/src/reach_checks.h
+++ b/src/reach_checks.h
@@ -61,12 +61,10 @@
                                 ps_backend_t *backend, int64_t now_ms);
 
 /**
- * PsReachChecks_HandlePeerAnswer() - A daemon that was to carry a request has
- * reached the server, or has not.
+ * PsReachChecks_HandlePeerReach() - Another daemon has reached the server.
  */
-void PsReachChecks_HandlePeerAnswer(ps_reach_checks_t *reach,
-                                    ps_backend_t *backend, bool is_reached,
-                                    int64_t now_ms);
+void PsReachChecks_HandlePeerReach(ps_reach_checks_t *reach,
+                                   ps_backend_t *backend, int64_t now_ms);
 
 /**
  * PsReachChecks_HandleFrame() - Handles a question or an answer of another
--- a/src/server_path.c
+++ b/src/server_path.c
@@ -9,8 +9,6 @@
 // instead, and to another daemon.
 #define CONNECT_TIMEOUT_MS 400
 
-#define FORWARDERS_MAX 3 /* tried for one attempt */
-
 /* ---- Connections of this daemon --------------------------------------- */
 
 static void
@@ -109,11 +107,12 @@
 {
     ps_reach_checks_t *reach = &path->gateway->reach_checks;
     if (is_forwarded_head(transfer)) {
-        PsReachChecks_HandlePeerAnswer(reach, path->backend, true, now_ms);
+        PsReachChecks_HandlePeerReach(reach, path->backend, now_ms);
         return result;
     }
+    // The other daemon may be cut off too, so this shows nothing of the
+    // server.
     if (has_result(transfer, PS_FORWARD_UNREACHED)) {
-        PsReachChecks_HandlePeerAnswer(reach, path->backend, false, now_ms);
         return PS_TRANSFER_NOT_SENT;
     }
     if (has_result(transfer, PS_FORWARD_REFUSED)) {
@@ -138,11 +137,16 @@
 
 /* ---- Choice ----------------------------------------------------------- */
 
+// Tells whether a daemon is cut off, or was tried for this attempt.
 static bool
-is_cut_off(void *user, const ps_name_t *daemon)
+is_last_choice(void *user, const ps_name_t *daemon)
 {
-    const ps_gateway_t *gateway = user;
-    return PsSharing_IsCutOff(&gateway->sharing, daemon);
+    const ps_server_path_t *path = user;
+    bool is_last = PsSharing_IsCutOff(&path->gateway->sharing, daemon);
+    for (int i = 0; i < path->n_tried; i++) {
+        is_last |= PsName_IsEqual(&path->tried[i], daemon);
+    }
+    return is_last;
 }
 
 // Returns whether another daemon was found.
@@ -151,9 +155,9 @@
 {
     ps_gateway_t *gateway = path->gateway;
     ps_forwarder_t *forwarder = NULL;
-    if (path->n_forwarders < FORWARDERS_MAX) {
-        forwarder = PsForwarders_Choose(&gateway->forwarders, is_cut_off,
-                                        gateway, now_ms);
+    if (path->n_tried < PS_PATH_FORWARDERS_MAX) {
+        forwarder = PsForwarders_Choose(&gateway->forwarders, is_last_choice,
+                                        path, now_ms);
     }
     if (!forwarder) {
         return false;
@@ -161,7 +165,7 @@
     PsForwarders_AddRequest(forwarder);
     path->ops = &other_daemon;
     path->forwarder = forwarder;
-    path->n_forwarders++;
+    path->tried[path->n_tried++] = forwarder->name;
     gateway->stats.forwarded++;
     return true;
 }
--- a/src/server_path.h
+++ b/src/server_path.h
@@ -12,6 +12,8 @@
 #include "forwarders.h"
 #include "http_client.h"
 
+#define PS_PATH_FORWARDERS_MAX 3 /* daemons tried for one attempt */
+
 struct ps_gateway;
 struct ps_server_path;
 
@@ -48,7 +50,8 @@
     struct ps_gateway *gateway;
     ps_backend_t *backend;
     ps_forwarder_t *forwarder; /* that carries it; NULL: none does */
-    int n_forwarders;          /* tried */
+    ps_name_t tried[PS_PATH_FORWARDERS_MAX]; /* daemons, this one included */
+    int n_tried;
     ps_name_t url;
 } ps_server_path_t;
 
