Count crashes at servers whose requests other daemons carry

A content that ends servers, sent to a daemon that is cut off, was counted there only when the registrations of the ended servers ran out, which may be 6 s later; the users' rule allows 3 s. The daemon that carries the request sees the connection lost but doesn't know the content, and the one that knows it can't check the server itself.

A request lost on the way makes it unknown whether others reach the server; it is checked, and others are asked, whose answer says now whether the server refused their connection. If it has ended, what was in flight counts.

--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -4646,7 +4646,7 @@
   (ProtobufCMessageInit) ps__reach_lookup__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__reach_answer__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ps__reach_answer__field_descriptors[5] =
 {
   {
     "server",
@@ -4696,9 +4696,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ReachAnswer, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__reach_answer__field_indices_by_name[] = {
   2,   /* field[2] = reached */
+  4,   /* field[4] = refused */
   0,   /* field[0] = server */
   1,   /* field[1] = started_ms */
   3,   /* field[3] = unsure */
@@ -4706,7 +4719,7 @@
 static const ProtobufCIntRange ps__reach_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ps__reach_answer__descriptor =
 {
@@ -4716,7 +4729,7 @@
   "Ps__ReachAnswer",
   "ps",
   sizeof(Ps__ReachAnswer),
-  4,
+  5,
   ps__reach_answer__field_descriptors,
   ps__reach_answer__field_indices_by_name,
   1,  ps__reach_answer__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -906,6 +906,10 @@
    * it has answered there since
    */
   protobuf_c_boolean reached;
+  /*
+   * no process listens there, as its check shows
+   */
+  protobuf_c_boolean refused;
   /*
    * the sender reaches no other server either, or doesn't know it
    */
@@ -913,7 +917,7 @@
 };
 #define PS__REACH_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__reach_answer__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /* Ps__Frame methods */
--- a/src/reach_checks.c
+++ b/src/reach_checks.c
@@ -24,7 +24,7 @@
     int64_t started_ms;
     int n_asked;       // that have not answered
     bool is_unreached; // a daemon that reaches others does not reach it
-    bool is_refused;   // by the check of this daemon
+    bool is_refused;   // by a check: no process listens there
     int64_t due_ms;
 } lookup_t;
 
@@ -34,7 +34,8 @@
     ps_registration_t other; // another server, checked too
     bool is_other_reached;
     bool is_server_lost; // its check has failed
-    int64_t since_ms;    // the asking daemon lost the server
+    bool is_server_refused;
+    int64_t since_ms; // the asking daemon lost the server
 } question_t;
 
 /* ---- Finding servers -------------------------------------------------- */
@@ -276,6 +277,7 @@
             find_start(reach->gateway, &server, answer->started_ms);
         lookup->n_asked--;
         lookup->is_unreached |= !answer->reached && !answer->unsure;
+        lookup->is_refused |= answer->refused && !answer->unsure;
         if (backend && answer->reached) {
             g_array_remove_index_fast(reach->lookups, i);
             PsReachChecks_HandlePeerReach(reach, backend, now_ms);
@@ -297,6 +299,7 @@
     message.server = (char *)(uintptr_t)question->server.name.data;
     message.started_ms = question->server.started_ms;
     message.reached = is_reached;
+    message.refused = question->is_server_refused;
     message.unsure = is_unsure;
     Ps__Frame frame = PS__FRAME__INIT;
     frame.body_case = PS__FRAME__BODY_REACH_ANSWER;
@@ -373,6 +376,7 @@
         }
         bool is_open = result == PS_CHECK_CONNECTED;
         question->is_server_lost |= is_server && !is_open;
+        question->is_server_refused |= is_server && result == PS_CHECK_REFUSED;
         question->is_other_reached |= is_other && is_open;
         bool is_other_lost = is_other && !is_open;
         if ((is_server && is_open) ||
@@ -567,6 +571,14 @@
     }
 }
 
+void
+PsReachChecks_HandlePeerLost(ps_reach_checks_t *reach, ps_backend_t *backend,
+                             int64_t now_ms)
+{
+    PsServerReach_HandlePeerLost(&backend->reach);
+    PsReachChecks_HandleLost(reach, backend, now_ms);
+}
+
 bool
 PsReachChecks_HandleFrame(ps_reach_checks_t *reach, const ps_name_t *from,
                           const Ps__Frame *frame, int64_t now_ms)
--- a/src/reach_checks.h
+++ b/src/reach_checks.h
@@ -66,6 +66,13 @@
 void PsReachChecks_HandlePeerReach(ps_reach_checks_t *reach,
                                    ps_backend_t *backend, int64_t now_ms);
 
+/**
+ * PsReachChecks_HandlePeerLost() - A request was lost at the server or at the
+ * daemon that carried it: has the server checked, and others asked.
+ */
+void PsReachChecks_HandlePeerLost(ps_reach_checks_t *reach,
+                                  ps_backend_t *backend, int64_t now_ms);
+
 /**
  * PsReachChecks_HandleFrame() - Handles a question or an answer of another
  * daemon.
--- a/src/server_path.c
+++ b/src/server_path.c
@@ -106,7 +106,8 @@
                ps_transfer_result_t result, int64_t now_ms)
 {
     ps_reach_checks_t *reach = &path->gateway->reach_checks;
-    if (is_forwarded_head(transfer)) {
+    if (is_forwarded_head(transfer) &&
+        (result == PS_TRANSFER_COMPLETE || transfer->is_aborted)) {
         PsReachChecks_HandlePeerReach(reach, path->backend, now_ms);
         return result;
     }
@@ -122,7 +123,11 @@
     if (!has_result(transfer, PS_FORWARD_LOST)) {
         PsForwarders_Avoid(path->forwarder, now_ms);
     }
-    return result == PS_TRANSFER_NOT_SENT ? result : PS_TRANSFER_INCOMPLETE;
+    if (result != PS_TRANSFER_NOT_SENT) {
+        PsReachChecks_HandlePeerLost(reach, path->backend, now_ms);
+        return PS_TRANSFER_INCOMPLETE;
+    }
+    return result;
 }
 
 static void
--- a/src/server_reach.c
+++ b/src/server_reach.c
@@ -37,6 +37,12 @@
     return !was_cut_off && PsServerReach_IsCutOff(reach);
 }
 
+void
+PsServerReach_HandlePeerLost(ps_server_reach_t *reach)
+{
+    reach->peers_ms = 0;
+}
+
 bool
 PsServerReach_IsCutOff(const ps_server_reach_t *reach)
 {
--- a/src/server_reach.h
+++ b/src/server_reach.h
@@ -60,6 +60,13 @@
 bool PsServerReach_HandlePeerAnswer(ps_server_reach_t *reach, bool is_reached,
                                     int64_t now_ms);
 
+/**
+ * PsServerReach_HandlePeerLost() - Another daemon that carried a request has
+ * lost it: the server has failed, or that daemon. Until others are asked it
+ * isn't known whether they reach the server.
+ */
+void PsServerReach_HandlePeerLost(ps_server_reach_t *reach);
+
 /**
  * PsServerReach_IsCutOff() - Tells whether other daemons reach the server and
  * this one doesn't.
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -3,8 +3,8 @@
 #
 # GW_DAEMONS, GW_RUNNERS, GW_SLOTS (of each backend server) and RIG_PORT can be
 # set beforehand; so can GW_STORE, GW_REVOKE_MS and GW_GRACE_S, settings of the
-# daemons, and GW_VERSION, the first version of the configuration. With GW_LINKS
-# set, each daemon reaches the backend servers through a proxy of its own.
+# daemons, and GW_VERSION, the first version of the configuration. The
+# daemons that GW_LINKS lists each reach the backend servers through a proxy of their own.
 
 GW_DAEMONS=${GW_DAEMONS:-3}
 GW_RUNNERS=${GW_RUNNERS:-3}
@@ -20,10 +20,10 @@
 gw_directory() { echo "127.0.0.$1:$((RIG_PORT + 4))"; }
 gw_metrics() { echo "127.0.0.$1:$((RIG_PORT + 1))"; }
 
-# gw_daemon_store N - prints where daemon N reads the store: with GW_LINKS, a view
-# of it that shows the backend servers at the daemon's proxy
+# gw_daemon_store N - prints where daemon N reads the store: if it has a proxy, a view
+# of the store that shows the backend servers there
 gw_daemon_store() {
-    if [ -n "${GW_LINKS:-}" ]; then
+    if [[ " ${GW_LINKS:-} " == *" $1 "* ]]; then
         echo "$(gw_link_ip "$1"):$((RIG_PORT + 500))"
     else
         echo "${GW_STORE:-$(gw_store)}"
@@ -337,12 +337,10 @@
 # gw_start - starts everything and waits until all daemons serve
 gw_start() {
     local i views=()
-    if [ -n "${GW_LINKS:-}" ]; then
-        for i in $(seq "$GW_DAEMONS"); do
-            views+=("$(gw_link_ip "$i")")
-            gw_start_link "$i"
-        done
-    fi
+    for i in ${GW_LINKS:-}; do
+        views+=("$(gw_link_ip "$i")")
+        gw_start_link "$i"
+    done
     rig_start_process store "$RIG_BUILD/standin-store" "$(gw_store)" "${views[@]}"
     rig_wait_until 5 curl -sf "http://$(gw_store)/counts"
     gw_print_config "${GW_VERSION:-5}" | curl -sf -X POST -d @- "http://$(gw_store)/pearstair/objects/config" > /dev/null
--- a/tests/run_one.sh
+++ b/tests/run_one.sh
@@ -15,7 +15,8 @@
 gw_server_limit_faults | gw_server_pause) GW_RUNNERS=6 GW_DAEMONS=4 ;;
 gw_server_leaving) GW_RUNNERS=6 GW_DAEMONS=4 GW_REVOKE_MS=60000 ;; # keys stay valid while the store is down
 gw_crashing_part_faults) GW_RUNNERS=12 GW_DAEMONS=4 GW_HEARTBEAT_MS=2000 ;;
-gw_cut_off*) GW_LINKS=1 GW_DAEMONS=6 GW_RUNNERS=6 ;;
+gw_cut_off) GW_LINKS="1 2 3 4 5 6" GW_DAEMONS=6 GW_RUNNERS=6 ;;
+gw_cut_off_faults) GW_LINKS="1 2 3" GW_DAEMONS=6 GW_RUNNERS=12 GW_HEARTBEAT_MS=2000 ;; # registrations last 6 s
 gw_leaving) GW_SLOTS=32 ;; # enough slots when streams take longer on a slow VM
 esac
 source tests/rig.sh
