--- a/src/dialect.h
+++ b/src/dialect.h
@@ -23,7 +23,7 @@
 #define PS_FORWARD_ANSWERED_UNFRAMED                                          \
     "answered, unframed" /* the same; it ends with the server's connection */
 #define PS_FORWARD_REFUSED "refused"     /* nothing was sent */
-#define PS_FORWARD_UNREACHED "unreached" /* the same: not reached from there */
+#define PS_FORWARD_UNREACHED "unreached" /* the same: no connection opens */
 #define PS_FORWARD_LOST "lost" /* it was sent, and no answer came back */
 
 /**
