--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -30,15 +30,20 @@
     fi
 }
 
-# gw_start_link N - starts daemon N's proxy
+# gw_start_link N [TARGET...] - starts daemon N's proxy to these addresses; to all
+# backend servers if none are given
 gw_start_link() {
-    local i control pairs=()
-    control=$(gw_link_ip "$1"):$((RIG_PORT + 599))
-    for i in $(seq "$GW_RUNNERS"); do
-        pairs+=("$(gw_link_ip "$1"):$((RIG_PORT + 500 + i))" "$(gw_runner "$i")")
-        [ "$i" != 1 ] || pairs+=("$control")
+    local i control n=$1 pairs=()
+    shift
+    if [ $# = 0 ]; then
+        for i in $(seq "$GW_RUNNERS"); do set -- "$@" "$(gw_runner "$i")"; done
+    fi
+    control=$(gw_link_ip "$n"):$((RIG_PORT + 599))
+    for i in "$@"; do
+        pairs+=("$(gw_link_ip "$n"):${i##*:}" "$i")
+        [ ${#pairs[@]} != 2 ] || pairs+=("$control")
     done
-    rig_start_process "l$1" "$RIG_BUILD/soak-proxy" "${pairs[@]}"
+    rig_start_process "l$n" "$RIG_BUILD/soak-proxy" "${pairs[@]}"
 }
 
 # gw_set_link N COMMAND... - has daemon N's proxy do these, one after another
