Go on using a daemon to which one server has closed

A daemon that may send nothing to a server, as that has asked it for a pause or leaves, turned carried requests away as one that is overloaded does, and was avoided for a second for all servers. It is passed over for this attempt only.

--- a/src/forward_server.c
+++ b/src/forward_server.c
@@ -237,8 +237,8 @@
     else if (backend->registration.is_leaving ||
              backend->registration.has_said_leaving ||
              now_ms < backend->paused_until_ms) {
-        refuse(forwarding, request, PS_FORWARD_REFUSED,
-               "the server takes no requests");
+        refuse(forwarding, request, PS_FORWARD_UNREACHED,
+               "the server takes no requests from here");
     }
     else if (backend->reach.lost_ms > 0) {
         refuse(forwarding, request, PS_FORWARD_UNREACHED,
