--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
 PROGRAMS := $(BUILD)/pearstaird $(BUILD)/pearstairctl $(BUILD)/pearstair-load
 STANDINS := $(BUILD)/standin-platform $(BUILD)/standin-engine \
-    $(BUILD)/standin-service $(BUILD)/standin-store $(BUILD)/standin-runner
+    $(BUILD)/standin-service $(BUILD)/standin-store $(BUILD)/standin-runner \
+    $(BUILD)/standin-callers
 
 all: $(PROGRAMS) $(STANDINS)
 
@@ -61,6 +62,10 @@
     $(BUILD)/str.o
 	$(CC) $^ $(LIBS) -lpthread -o $@
 
+$(BUILD)/standin-callers: $(BUILD)/standin_callers.o $(BUILD)/http_client.o \
+    $(BUILD)/str.o
+	$(CC) $^ $(LIBS) -o $@
+
 # Builds only the daemon, in target/; called by deploy/system.toml.
 deploy-build:
 	$(MAKE) -s BUILD=target target/pearstaird
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -23,18 +23,23 @@
  *     connection, also where a stream is cut
  * empty: a stream without chunks ends before its first event
  * endless: a stream's first event has no end.
- * The switch limit sets the text of the header Server-Limit of all answers;
- * with the text "none" they have no such header. says_leaving=1 adds the
- * header Server-Leaving to all answers, retry_after the header Retry-After
- * with this text to those of requests that are rejected. A request whose body
- * begins with "CRASH N", or without a body the last part of whose path is
- * CRASH-N, ends the process with status 1: within a stream after N events, and
- * in place of a plain answer or a stream's head if N is 0. STOP stops the
- * process (SIGSTOP) instead, so that its connections stay open and silent. The
- * faults above don't strike such a request. A stream's request with a part in
- * Prompt-Prefix, not the last one, whose ID is "dead" and more digits ends the
- * process when its first event is due. GET /counts: runs by request id,
- * rejected and running requests.
+ * The switch brittle=N adds the header Server-Brittle to all answers: when it
+ * rejects more than N requests within a second, the process falls over: it
+ * ends, and logs its name with "fell". queue sets how many requests may wait
+ * beside those that run, work_ms how long a plain answer takes.
+ * RUNNER_BRITTLE, RUNNER_QUEUE and RUNNER_WORK_MS in the environment set these
+ * from the start. The switch limit sets the text of the header Server-Limit of
+ * all answers; with the text "none" they have no such header. says_leaving=1
+ * adds the header Server-Leaving to all answers, retry_after the header
+ * Retry-After with this text to those of requests that are rejected. A request
+ * whose body begins with "CRASH N", or without a body the last part of whose
+ * path is CRASH-N, ends the process with status 1: within a stream after N
+ * events, and in place of a plain answer or a stream's head if N is 0. STOP
+ * stops the process (SIGSTOP) instead, so that its connections stay open and
+ * silent. The faults above don't strike such a request. A stream's request
+ * with a part in Prompt-Prefix, not the last one, whose ID is "dead" and more
+ * digits ends the process when its first event is due. GET /counts: runs by
+ * request id, rejected and running requests.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -94,6 +99,13 @@
 static char limit_text[64];       /* of Server-Limit; empty: no such header */
 static char retry_after_text[64]; /* of Retry-After, likewise */
 static int64_t says_leaving;
+static int64_t brittle_limit = -1; /* of Server-Brittle; -1: not brittle */
+static int64_t queue_max;
+static int64_t work_ms = PLAIN_ANSWER_MS;
+static pthread_cond_t slot_freed = PTHREAD_COND_INITIALIZER;
+static int n_working;                 /* plain requests that run */
+static int64_t recent_rejections[64]; /* times in ms, in a ring */
+static int next_rejection;
 
 // Decides at random whether to inject a fault: true in this percentage of
 // calls.
@@ -316,13 +328,29 @@
         headers[n++] = "Server-Leaving";
         headers[n++] = "1";
     }
+    if (brittle_limit >= 0) {
+        static char text[32];
+        g_snprintf(text, sizeof text, "%lld", (long long)brittle_limit);
+        headers[n++] = "Server-Brittle";
+        headers[n++] = text;
+    }
     return n;
 }
 
 static enum MHD_Result
 send_plain(standin_request_t *request, const char *id)
 {
-    Standin_SleepMs(PLAIN_ANSWER_MS);
+    pthread_mutex_lock(&lock);
+    while (n_working >= slots) {
+        pthread_cond_wait(&slot_freed, &lock);
+    }
+    n_working++;
+    pthread_mutex_unlock(&lock);
+    Standin_SleepMs((double)work_ms);
+    pthread_mutex_lock(&lock);
+    n_working--;
+    pthread_cond_signal(&slot_freed);
+    pthread_mutex_unlock(&lock);
     while (should_inject(silent_percent)) {
         Standin_SleepMs(2000);
     }
@@ -356,12 +384,39 @@
     }
 }
 
+// Ends the process if it has rejected too many requests within a second.
+static void
+fall_over_if_brittle(void)
+{
+    int64_t now_ms = Standin_GetTimeMs();
+    if (brittle_limit < 0 ||
+        brittle_limit >= (int64_t)G_N_ELEMENTS(recent_rejections)) {
+        return;
+    }
+    int n = (int)G_N_ELEMENTS(recent_rejections);
+    recent_rejections[next_rejection] = now_ms;
+    int64_t before =
+        recent_rejections[(next_rejection + n - (int)brittle_limit) % n];
+    next_rejection = (next_rejection + 1) % n;
+    if (before > 0 && now_ms - before < 1000) {
+        if (arrival_log) {
+            fprintf(arrival_log, "- %lld %s %s fell 0\n",
+                    (long long)(g_get_real_time() / 1000), server_name,
+                    service);
+        }
+        _exit(3);
+    }
+}
+
 // Rejects a request that has not run; the answer says so.
 static enum MHD_Result
 reject_request(standin_request_t *request, const char *id, unsigned status)
 {
     pthread_mutex_lock(&lock);
     n_rejected++;
+    if (status == 503) {
+        fall_over_if_brittle();
+    }
     pthread_mutex_unlock(&lock);
     const char *headers[16] = {"Request-Id", id,         "Not-Run",
                                "1",          "Instance", server_name};
@@ -386,7 +441,7 @@
         return reject_request(request, id, 421);
     }
     pthread_mutex_lock(&lock);
-    bool is_full = rejects_all || n_running >= slots;
+    bool is_full = rejects_all || n_running >= slots + queue_max;
     if (!is_full) {
         n_running++;
         int n = GPOINTER_TO_INT(g_hash_table_lookup(runs_by_id, id));
@@ -444,6 +499,10 @@
         }
         says_leaving =
             Standin_GetQueryNumber(request, "says_leaving", says_leaving);
+        brittle_limit =
+            Standin_GetQueryNumber(request, "brittle", brittle_limit);
+        queue_max = Standin_GetQueryNumber(request, "queue", queue_max);
+        work_ms = Standin_GetQueryNumber(request, "work_ms", work_ms);
         is_leaving = Standin_GetQueryNumber(request, "leaving", is_leaving);
         rejects_all = Standin_GetQueryNumber(request, "reject", rejects_all);
         error_percent =
@@ -467,6 +526,13 @@
     return handle_work(request);
 }
 
+static int64_t
+get_number_of(const char *variable, int64_t fallback)
+{
+    const char *text = getenv(variable);
+    return text ? strtoll(text, NULL, 10) : fallback;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -487,6 +553,9 @@
     server_name = argv[3];
     service = argv[4];
     slots = atoi(argv[5]);
+    brittle_limit = get_number_of("RUNNER_BRITTLE", brittle_limit);
+    queue_max = get_number_of("RUNNER_QUEUE", queue_max);
+    work_ms = get_number_of("RUNNER_WORK_MS", work_ms);
     started_ms = g_get_real_time() / 1000;
     srand((unsigned)started_ms);
     runs_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
