Send brittle servers no more than they run at once

Servers that say Server-Brittle fall over when they turn away more requests within a second than they name. Under 1.2 times the load that they bear all of them fell again and again and served nearly nobody.

Cause: plain servers are sent twice their slots, or a request more than the even share, to keep their queues filled; what they have no room for is rejected. A daemon that has stood still sends what has piled up on grants that the allocator has given to others since.

While one server of a service says that it is brittle, grants and even shares add up to the slots, and grants older than 0.4 s count as even shares.

--- a/src/allocator.h
+++ b/src/allocator.h
@@ -42,6 +42,7 @@
                         has any */
     GArray *waiting; /* ps_waiting_count_t: waiting requests of each rank */
     GArray *limits;  /* ps_slot_count_t, set by PsAllocator_DivideSlots() */
+    bool is_brittle; /* a server has told the daemon that it is brittle */
 } ps_service_use_t;
 
 /**
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -18,6 +18,10 @@
 // queues as many requests as it runs.
 #define PLAIN_SLOTS_FACTOR 2
 
+// Age up to which a daemon's word that servers are brittle holds, should its
+// reports stop.
+#define BRITTLE_REPORT_MAX_AGE_MS 3000
+
 // Shortest time between two writes of the allocator's state to the store.
 #define SAVE_INTERVAL_MS 500
 
@@ -92,6 +96,7 @@
         const Ps__ServiceUse *use_message = report->services[i];
         ps_name_t service = PsName_FromC(use_message->service);
         ps_service_use_t *use = PsReporter_GetServiceUse(reporter, &service);
+        use->is_brittle = use_message->brittle;
         for (size_t k = 0; k < use_message->n_running; k++) {
             ps_slot_count_t count = {use_message->running[k]->server,
                                      (int)use_message->running[k]->count};
@@ -135,12 +140,34 @@
     }
 }
 
+// Tells whether a server of a service has told any daemon that it is brittle.
+static bool
+is_any_told_brittle(const ps_sharing_t *sharing, const ps_name_t *service,
+                    int64_t now_ms)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, sharing->allocator.reporters);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_reporter_t *reporter = value;
+        const ps_service_use_t *use =
+            g_hash_table_lookup(reporter->services, service);
+        if (use && use->is_brittle &&
+            now_ms - reporter->reported_ms <= BRITTLE_REPORT_MAX_AGE_MS) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 divide_service(ps_sharing_t *sharing, const ps_dispatcher_t *dispatcher,
                int64_t now_ms)
 {
     const GPtrArray *backends = dispatcher->scheduler.backends;
     ps_slot_count_t *slots = g_new0(ps_slot_count_t, backends->len + 1);
+    bool may_queue = !dispatcher->scheduler.is_engine &&
+                     !is_any_told_brittle(sharing, &dispatcher->name, now_ms);
     int n = 0;
     for (guint i = 0; i < backends->len; i++) {
         const ps_backend_t *backend = backends->pdata[i];
@@ -153,10 +180,8 @@
             now_ms);
         if (!backend->registration.is_leaving) {
             slots[n].server = server;
-            slots[n++].count =
-                dispatcher->scheduler.is_engine
-                    ? backend->registration.slots
-                    : backend->registration.slots * PLAIN_SLOTS_FACTOR;
+            slots[n++].count = backend->registration.slots *
+                               (may_queue ? PLAIN_SLOTS_FACTOR : 1);
         }
     }
     int members = (int)g_hash_table_size(sharing->gateway->members);
@@ -226,6 +251,7 @@
             PsGateway_FindDispatcher(sharing->gateway, key);
         if (dispatcher) {
             add_limits_to_grant(service, dispatcher, value, is_own, now_ms);
+            service->brittle = is_any_told_brittle(sharing, key, now_ms);
         }
         grant->services[grant->n_services++] = service;
     }
--- a/src/backend.h
+++ b/src/backend.h
@@ -47,10 +47,15 @@
     int ref_count;         /* of the registry and the tasks that run there */
     /* work of this daemon */
     int slot_limit; /* requests that this daemon may run there */
+    int even_share; /* those of its slots that belong to this daemon without
+                       grants */
     int running;
     ps_server_limit_t limit;  /* the rate that it takes from all daemons */
     bool has_malformed_limit; /* its last one was; it has been logged */
     int64_t paused_until_ms;  /* it has asked for no requests until then */
+    bool is_brittle; /* it has said that it falls over when it has to reject
+                        too many requests */
+    bool has_malformed_brittle; /* likewise */
     bool has_malformed_pause; /* the last one it asked for; it has been logged
                                */
     double pending_prefill_tokens; /* prefill of requests sent there that have
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -90,6 +90,8 @@
  * @read_limit: reads the requests a second that the response's server takes
  * @read_pause: reads for how many seconds the response's server, which turned
  * the request away, wants no others
+ * @read_brittle: reads how many requests a second the response's server can
+ * reject without falling over
  * @says_leaving: tells whether the response's server says that it leaves
  * @is_header_relayed: tells whether a response's header goes to the caller
  * @request_id_header: name of the header in which responses repeat the
@@ -109,6 +111,8 @@
                                       double *rate);
     ps_header_reading_t (*read_pause)(const ps_transfer_t *transfer,
                                       double *seconds);
+    ps_header_reading_t (*read_brittle)(const ps_transfer_t *transfer,
+                                        double *rejections);
     bool (*says_leaving)(const ps_transfer_t *transfer);
     bool (*is_header_relayed)(ps_str_t header);
     const char *request_id_header;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -3499,7 +3499,7 @@
   (ProtobufCMessageInit) ps__server_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[6] =
 {
   {
     "service",
@@ -3561,8 +3561,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "brittle",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServiceUse, brittle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_use__field_indices_by_name[] = {
+  5,   /* field[5] = brittle */
   3,   /* field[3] = outcomes */
   1,   /* field[1] = running */
   4,   /* field[4] = server_limits */
@@ -3572,7 +3585,7 @@
 static const ProtobufCIntRange ps__service_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ps__service_use__descriptor =
 {
@@ -3582,7 +3595,7 @@
   "Ps__ServiceUse",
   "ps",
   sizeof(Ps__ServiceUse),
-  5,
+  6,
   ps__service_use__field_descriptors,
   ps__service_use__field_indices_by_name,
   1,  ps__service_use__number_ranges,
@@ -3873,7 +3886,7 @@
   (ProtobufCMessageInit) ps__share_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[4] =
 {
   {
     "service",
@@ -3911,8 +3924,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "brittle",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServiceGrant, brittle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_grant__field_indices_by_name[] = {
+  3,   /* field[3] = brittle */
   1,   /* field[1] = limits */
   2,   /* field[2] = server_limits */
   0,   /* field[0] = service */
@@ -3920,7 +3946,7 @@
 static const ProtobufCIntRange ps__service_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ps__service_grant__descriptor =
 {
@@ -3930,7 +3956,7 @@
   "Ps__ServiceGrant",
   "ps",
   sizeof(Ps__ServiceGrant),
-  3,
+  4,
   ps__service_grant__field_descriptors,
   ps__service_grant__field_indices_by_name,
   1,  ps__service_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -569,10 +569,14 @@
    */
   size_t n_server_limits;
   Ps__ServerLimit **server_limits;
+  /*
+   * a server of it has told the sender that it falls over when it
+   */
+  protobuf_c_boolean brittle;
 };
 #define PS__SERVICE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Ps__TeamUse
@@ -679,10 +683,14 @@
    */
   size_t n_server_limits;
   Ps__ServerLimit **server_limits;
+  /*
+   * a server of it has told any daemon so
+   */
+  protobuf_c_boolean brittle;
 };
 #define PS__SERVICE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0 }
 
 
 struct  Ps__TeamGrant
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -34,6 +34,9 @@
 #define SILENT_MIN_MS 500.0  /* prefill of another request takes less */
 #define SILENT_MAX_MS 1100.0 /* callers disconnect after 2 s */
 
+// Time for which the allocator's word that a service is brittle holds.
+#define BRITTLE_TOLD_MS 1000
+
 #define EVENT_TOKENS_MAX 10.0 /* most output tokens in one event */
 #define COLD_FACTOR 2.0       /* a server that has just started is slower */
 
@@ -51,7 +54,8 @@
     return strcmp(a->registration.name.data, b->registration.name.data);
 }
 
-// Computes even shares, unless the allocator has granted slot limits. Leaving
+// Computes even shares, and uses them unless the allocator has granted slot
+// limits. Leaving
 // servers count until they are removed, so that daemons that do not know yet
 // that a server is leaving compute the same shares. Plain servers, which queue
 // requests themselves, get one request more than the share, and at least two.
@@ -59,9 +63,6 @@
 set_even_shares(ps_scheduler_t *scheduler)
 {
     guint n = scheduler->backends->len;
-    if (scheduler->has_granted_limits) {
-        return;
-    }
     g_ptr_array_sort(scheduler->backends, compare_names);
     int *slots = g_new0(int, n + 1);
     int *shares = g_new0(int, n + 1);
@@ -73,6 +74,10 @@
                         scheduler->daemon_index, shares);
     for (guint i = 0; i < n; i++) {
         ps_backend_t *backend = scheduler->backends->pdata[i];
+        backend->even_share = shares[i];
+        if (scheduler->has_granted_limits) {
+            continue;
+        }
         backend->slot_limit = shares[i];
         if (!scheduler->is_engine) {
             backend->slot_limit = MAX(backend->slot_limit + 1, 2);
@@ -167,8 +172,24 @@
     return false;
 }
 
+// Returns how many requests this daemon may run at a server. A brittle one
+// gets no more than its slots from all daemons: without fresh grants, this
+// daemon's share of them.
+static int
+get_slot_limit(const ps_scheduler_t *scheduler, const ps_backend_t *backend,
+               int64_t now_ms)
+{
+    bool has_grants =
+        scheduler->has_granted_limits && now_ms < scheduler->granted_until_ms;
+    if (!has_grants && PsScheduler_IsBrittle(scheduler, now_ms)) {
+        return MIN(backend->slot_limit, backend->even_share);
+    }
+    return backend->slot_limit;
+}
+
 static bool
-has_free_slot(const ps_backend_t *backend, int64_t now_ms)
+has_free_slot(const ps_scheduler_t *scheduler, const ps_backend_t *backend,
+              int64_t now_ms)
 {
     if (!backend->is_listed || backend->registration.is_leaving ||
         now_ms < backend->ejected_until_ms ||
@@ -178,9 +199,8 @@
     if (!PsServerLimit_MayStart(&backend->limit, now_ms)) {
         return false;
     }
-    int limit = backend->is_on_trial ? MIN(backend->slot_limit, 1)
-                                     : backend->slot_limit;
-    return backend->running < limit;
+    int limit = get_slot_limit(scheduler, backend, now_ms);
+    return backend->running < (backend->is_on_trial ? MIN(limit, 1) : limit);
 }
 
 // Returns the prompt tokens beyond the longest prefix that the server has
@@ -244,8 +264,8 @@
     double lowest = INFINITY;
     for (guint i = 0; i < scheduler->backends->len; i++) {
         ps_backend_t *backend = scheduler->backends->pdata[i];
-        if (!has_free_slot(backend, now_ms) || was_tried(task, backend) ||
-            !has_version(task, backend)) {
+        if (!has_free_slot(scheduler, backend, now_ms) ||
+            was_tried(task, backend) || !has_version(task, backend)) {
             continue;
         }
         double cost = predict_cost(backend, task, now_ms);
@@ -501,7 +521,7 @@
 has_any_free_slot(const ps_scheduler_t *scheduler, int64_t now_ms)
 {
     for (guint i = 0; i < scheduler->backends->len; i++) {
-        if (has_free_slot(scheduler->backends->pdata[i], now_ms)) {
+        if (has_free_slot(scheduler, scheduler->backends->pdata[i], now_ms)) {
             return true;
         }
     }
@@ -568,6 +588,7 @@
 PsScheduler_RemoveBackend(ps_scheduler_t *scheduler, ps_backend_t *backend)
 {
     g_ptr_array_remove(scheduler->backends, backend);
+    PsScheduler_UpdateBrittle(scheduler);
     set_even_shares(scheduler);
 }
 
@@ -690,6 +711,24 @@
     task->last_event_ms = now_ms;
 }
 
+void
+PsScheduler_UpdateBrittle(ps_scheduler_t *scheduler)
+{
+    scheduler->has_brittle_server = false;
+    for (guint i = 0; i < scheduler->backends->len; i++) {
+        const ps_backend_t *backend = scheduler->backends->pdata[i];
+        scheduler->has_brittle_server |= backend->is_brittle;
+    }
+}
+
+bool
+PsScheduler_IsBrittle(const ps_scheduler_t *scheduler, int64_t now_ms)
+{
+    bool is_told = scheduler->brittle_told_ms > 0 &&
+                   now_ms - scheduler->brittle_told_ms < BRITTLE_TOLD_MS;
+    return scheduler->has_brittle_server || is_told;
+}
+
 void
 PsScheduler_RestartTask(ps_task_t *task, int64_t now_ms)
 {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -120,10 +120,14 @@
     double mean_run_ms;         /* moving average of times at a server */
     double mean_first_event_ms; /* moving average of times to first event */
     uint32_t random_state;
-    int64_t paused_until_ms; /* end of this daemon's last pause, in which it
-                                read no events; 0: none */
-    bool has_granted_limits; /* slot limits come from the allocator; false:
-                                from even shares */
+    bool has_brittle_server;  /* one has told this daemon so */
+    int64_t brittle_told_ms;  /* when the allocator last said that there is
+                                 one; 0: never */
+    int64_t granted_until_ms; /* granted slot limits are too old then */
+    int64_t paused_until_ms;  /* end of this daemon's last pause, in which it
+                                 read no events; 0: none */
+    bool has_granted_limits;  /* slot limits come from the allocator; false:
+                                 from even shares */
     bool is_running; /* PsScheduler_Run() is active; stops it from re-entry */
 } ps_scheduler_t;
 
@@ -199,6 +203,23 @@
 void PsScheduler_HandleEvent(ps_scheduler_t *scheduler, ps_task_t *task,
                              double tokens, int64_t now_ms);
 
+/**
+ * PsScheduler_UpdateBrittle() - To be called when a server has told this
+ * daemon that it is brittle, or isn't any more.
+ */
+void PsScheduler_UpdateBrittle(ps_scheduler_t *scheduler);
+
+/**
+ * PsScheduler_IsBrittle() - Tells whether a server of the service falls over
+ * when it has to reject too many requests.
+ *
+ * None of its servers is sent more than it runs at once then: all of them are
+ * likely to be so, one that has just started too. Load pattern: daemons stand
+ * still, start anew or lose the allocator under more load than the servers
+ * bear, and the requests of a server that falls go to the others.
+ */
+bool PsScheduler_IsBrittle(const ps_scheduler_t *scheduler, int64_t now_ms);
+
 /**
  * PsScheduler_RestartTask() - Counts a task's time at its server from now on,
  * as nothing was sent there before.
--- a/src/server_notices.c
+++ b/src/server_notices.c
@@ -53,6 +53,27 @@
                  (json_int_t)pause_ms);
 }
 
+// Takes whether the server is brittle. Only a response to a request that it
+// has run shows, without the header, that it isn't any more.
+static void
+take_brittle(ps_gateway_t *gateway, ps_backend_t *backend,
+             ps_header_reading_t reading, double rejections, bool has_run)
+{
+    bool is_brittle = reading == PS_HEADER_NAMED;
+    if (is_brittle == backend->is_brittle || (!is_brittle && !has_run)) {
+        return;
+    }
+    backend->is_brittle = is_brittle;
+    backend->has_malformed_brittle = false;
+    PsEvents_Add("server.brittle", "{s:s,s:s,s:b,s:f}", "name",
+                 backend->registration.name.data, "service",
+                 backend->registration.service.data, "brittle",
+                 (int)is_brittle, "rejections", rejections);
+    PsScheduler_UpdateBrittle(
+        &PsGateway_GetDispatcher(gateway, &backend->registration.service)
+             ->scheduler);
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 void
@@ -62,6 +83,7 @@
                      int64_t now_ms)
 {
     const ps_dialect_t *dialect = gateway->dialect;
+    bool has_run = reply == PS_REPLY_ANSWER && transfer->status < 300;
     double rate = 0;
     ps_header_reading_t reading = dialect->read_limit(transfer, &rate);
     if (reading == PS_HEADER_MALFORMED) {
@@ -69,7 +91,6 @@
                       backend, request_id);
     }
     else {
-        bool has_run = reply == PS_REPLY_ANSWER && transfer->status < 300;
         take_limit(backend, reading, rate, has_run, asked_ms, now_ms);
     }
     double seconds = 0;
@@ -81,6 +102,15 @@
     else if (reading == PS_HEADER_NAMED) {
         take_pause(backend, seconds, request_id, now_ms);
     }
+    double rejections = 0;
+    reading = dialect->read_brittle(transfer, &rejections);
+    if (reading == PS_HEADER_MALFORMED) {
+        log_malformed("server.brittle_malformed",
+                      &backend->has_malformed_brittle, backend, request_id);
+    }
+    else {
+        take_brittle(gateway, backend, reading, rejections, has_run);
+    }
     if (dialect->says_leaving(transfer)) {
         PsGateway_MarkServerLeaving(gateway, &backend->registration,
                                     "this daemon", now_ms);
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -216,6 +216,7 @@
     Ps__ServiceUse *use = g_new(Ps__ServiceUse, 1);
     ps__service_use__init(use);
     use->service = (char *)(uintptr_t)dispatcher->name.data;
+    use->brittle = dispatcher->scheduler.has_brittle_server;
     const GPtrArray *backends = dispatcher->scheduler.backends;
     use->running = g_new0(Ps__ServerCount *, backends->len + 1);
     use->outcomes = g_new0(Ps__ServerOutcomes *, backends->len + 1);
@@ -381,6 +382,10 @@
     }
     apply_server_limits(sharing, dispatcher, grant, round, now_ms);
     dispatcher->scheduler.has_granted_limits = true;
+    dispatcher->scheduler.granted_until_ms = now_ms + GRANT_TTL_MS;
+    if (grant->brittle) {
+        dispatcher->scheduler.brittle_told_ms = now_ms;
+    }
     PsScheduler_Run(&dispatcher->scheduler, now_ms);
 }
 
--- a/tests/runs/gw_brittle.sh
+++ b/tests/runs/gw_brittle.sh
@@ -38,7 +38,7 @@
     done
 }
 
-touch "$RIG_DIR/crashing"
+touch "$RIG_DIR/crashing" "$RIG_DIR/returned"
 gw_return_servers 3000 2 4 6 8 10 &
 try_load "160/s" 160 6
 try_load "160/s, daemons stand still in turn" 160 10 pause_in_turn
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -584,6 +584,75 @@
     EXPECT_TRUE(tasks[4].backend);
 }
 
+// Callers press on three daemons without grants. All together send plain
+// servers more than they run at once, to keep their queues filled, but not
+// brittle ones, which fall over when they have to reject too many.
+TEST(Scheduler, BrittleServersGetNoMoreThanTheyRunAtOnce)
+{
+    for (bool is_brittle : {false, true}) {
+        const int n_servers = 2, slots = 8, n_daemons = 3;
+        std::map<std::string, int> running;
+        std::vector<std::unique_ptr<SchedulerHarness>> daemons;
+        std::vector<ps_task_t> tasks(n_daemons * 30);
+        for (int i = 0; i < n_daemons; i++) {
+            daemons.push_back(
+                std::make_unique<SchedulerHarness>(n_servers, slots, false));
+            SchedulerHarness &daemon = *daemons.back();
+            PsScheduler_SetDaemons(&daemon.scheduler, n_daemons, i);
+            // One server has told so: the other may just have started.
+            daemon.backends[0]->is_brittle = is_brittle;
+            PsScheduler_UpdateBrittle(&daemon.scheduler);
+            for (int k = 0; k < 30; k++) {
+                ps_task_t &task = tasks[(size_t)(i * 30 + k)];
+                task = daemon.MakeTask(0);
+                task.is_generation = false;
+                daemon.Submit(&task);
+            }
+            for (const ps_backend_t *backend : daemon.backends) {
+                running[backend->registration.name.data] += backend->running;
+            }
+        }
+        for (const auto &each : running) {
+            EXPECT_EQ(each.second > slots, !is_brittle) << each.first;
+            EXPECT_GE(each.second, slots) << each.first;
+        }
+    }
+}
+
+// A daemon stands still. Meanwhile the allocator has given its slots to others;
+// what callers sent is read when it wakes, before the next grant.
+TEST(Scheduler, OldGrantsAreNotUsedAtBrittleServers)
+{
+    SchedulerHarness daemon(1, 8, false);
+    PsScheduler_SetDaemons(&daemon.scheduler, 4, 0);
+    daemon.backends[0]->is_brittle = true;
+    PsScheduler_UpdateBrittle(&daemon.scheduler);
+    daemon.scheduler.has_granted_limits = true;
+    daemon.scheduler.granted_until_ms = daemon.now + 400;
+    daemon.backends[0]->slot_limit = 7;
+    std::vector<ps_task_t> tasks(20);
+    auto submit = [&](size_t from, size_t to) {
+        for (size_t i = from; i < to; i++) {
+            tasks[i] = daemon.MakeTask(0);
+            daemon.Submit(&tasks[i]);
+        }
+    };
+    submit(0, 10);
+    EXPECT_EQ(daemon.backends[0]->running, 7);
+    for (size_t i = 0; i < 7; i++) {
+        daemon.End(&tasks[i]);
+    }
+    while (!daemon.running.empty()) {
+        daemon.End(daemon.running.begin()->first);
+    }
+    daemon.now += 700;
+    submit(10, 20);
+    EXPECT_EQ(daemon.backends[0]->running, 2);
+    daemon.scheduler.granted_until_ms = daemon.now + 400;
+    PsScheduler_Run(&daemon.scheduler, daemon.now);
+    EXPECT_EQ(daemon.backends[0]->running, 7);
+}
+
 // A task moves away from a silent server only if another server has a free
 // slot; otherwise it might wait and be refused, although the silent server may
 // only be slow.
--- a/tests/test_server_limits.cpp
+++ b/tests/test_server_limits.cpp
@@ -445,6 +445,41 @@
     }
 }
 
+TEST(DialectFleet, ServersSayInAnyAnswerThatTheyAreBrittle)
+{
+    struct Case {
+        long status;
+        const char *headers;
+        ps_header_reading_t reading;
+        double rejections;
+    };
+    const Case cases[] = {
+        {200, "", PS_HEADER_ABSENT, 0},
+        {200, "Server-Brittle: 3\r\n", PS_HEADER_NAMED, 3},
+        {503, "server-brittle: 0\r\n", PS_HEADER_NAMED, 0},
+        {500, "Server-Brittle: 12\r\n", PS_HEADER_NAMED, 12},
+        {200, "Server-Brittle: -1\r\n", PS_HEADER_MALFORMED, 0},
+        {200, "Server-Brittle: yes\r\n", PS_HEADER_MALFORMED, 0},
+        {200, "Server-Brittle: 3\r\nServer-Brittle: 4\r\n",
+         PS_HEADER_MALFORMED, 0},
+    };
+    for (const Case &c : cases) {
+        SCOPED_TRACE(c.headers);
+        ps_transfer_t transfer;
+        ps_transfer_events_t events = {};
+        PsTransfer_Init(&transfer, &events, nullptr);
+        transfer.status = c.status;
+        PsBuf_Append(&transfer.response_headers, c.headers, strlen(c.headers));
+        double rejections = 0;
+        EXPECT_EQ(PsDialectFleet_Get()->read_brittle(&transfer, &rejections),
+                  c.reading);
+        if (c.reading == PS_HEADER_NAMED) {
+            EXPECT_EQ(rejections, c.rejections);
+        }
+        PsTransfer_Finish(&transfer);
+    }
+}
+
 TEST(DialectFleet, PausesAreAskedForByRefusalsOnly)
 {
     struct Case {
