Build objects again whose dependency files are missing

Each object depends on its dependency file and on the Makefile now. Checked: with exchange.d and platform/codec.d removed these two objects are built again; with all removed and a header touched, 88; a fresh clone builds.

--- a/Makefile
+++ b/Makefile
@@ -36,14 +36,14 @@
 $(BUILD):
 	mkdir -p $@
 
-$(BUILD)/%.o: src/%.c | $(BUILD)
+$(BUILD)/%.o: src/%.c $(BUILD)/%.d Makefile | $(BUILD)
 	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
-$(BUILD)/platform/%.o: platform/%.c | $(BUILD)
+$(BUILD)/platform/%.o: platform/%.c $(BUILD)/platform/%.d Makefile | $(BUILD)
 	@mkdir -p $(BUILD)/platform
 	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
-$(BUILD)/standin_%.o: tests/standins/%.c | $(BUILD)
+$(BUILD)/standin_%.o: tests/standins/%.c $(BUILD)/standin_%.d Makefile | $(BUILD)
 	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/pearstaird: $(BUILD)/pearstaird.o $(DAEMON_OBJS) $(KERNEL_OBJS)
@@ -101,7 +101,7 @@
 BENCH := bench engine workload
 BENCH_OBJS := $(BENCH:%=$(BUILD)/bench/%.o)
 
-$(BUILD)/bench/%.o: bench/%.c | $(BUILD)
+$(BUILD)/bench/%.o: bench/%.c $(BUILD)/bench/%.d Makefile | $(BUILD)
 	@mkdir -p $(BUILD)/bench
 	$(CC) $(CSTD) $(WARN) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
@@ -120,7 +120,7 @@
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
 
-$(BUILD)/tests/%.o: tests/%.cpp | $(BUILD)
+$(BUILD)/tests/%.o: tests/%.cpp $(BUILD)/tests/%.d Makefile | $(BUILD)
 	@mkdir -p $(BUILD)/tests
 	$(CXX) $(CXXSTD) -Wall -Wextra -Werror $(CPPFLAGS) $(CXXFLAGS) -MMD -MP \
 	    -c $< -o $@
@@ -180,5 +180,11 @@
 
 .PHONY: all deploy-build packages demo rig bench check soak sanitize \
     test-programs soak-run lint clean proto
--include $(wildcard $(BUILD)/*.d $(BUILD)/platform/*.d $(BUILD)/tests/*.d \
-    $(BUILD)/bench/*.d)
+
+# An object whose dependency file is missing is built again.
+DEPS := $(KERNEL_OBJS:.o=.d) $(DAEMON_OBJS:.o=.d) $(BENCH_OBJS:.o=.d) \
+    $(BUILD)/pearstaird.d $(BUILD)/pearstairctl.d $(BUILD)/load_generator.d \
+    $(patsubst tests/standins/%.c,$(BUILD)/standin_%.d,$(wildcard tests/standins/*.c)) \
+    $(TESTS:%=$(BUILD)/tests/%.d) $(BUILD)/tests/simulation.d
+$(DEPS): ;
+-include $(wildcard $(DEPS))
