Move the parsing of event streams out of exchange.c

exchange.c had grown by the paths of requests; finding ends and ids of events needs nothing of an exchange. No change of behaviour; a table test for both functions, which process runs alone had checked.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "clock.h"
+#include "event_stream.h"
 #include "events_log.h"
 #include "origin_lookups.h"
 #include "server_notices.h"
@@ -374,47 +375,6 @@
 
 /* ---- Events of a stream ----------------------------------------------- */
 
-// Returns the index after the blank line that ends the event at @from; 0: the
-// event is incomplete.
-static size_t
-find_event_end(ps_str_t data, size_t from)
-{
-    for (size_t i = from; i + 1 < data.len; i++) {
-        if (data.data[i] != '\n') {
-            continue;
-        }
-        if (data.data[i + 1] == '\n') {
-            return i + 2;
-        }
-        if (i + 2 < data.len && data.data[i + 1] == '\r' &&
-            data.data[i + 2] == '\n') {
-            return i + 3;
-        }
-    }
-    return 0;
-}
-
-// Sets the id from the event's last id line; keeps it if there is none.
-static void
-parse_event_id(ps_str_t event, ps_name_t *id)
-{
-    const char *line = event.data;
-    const char *end = event.data + event.len;
-    while (line < end) {
-        const char *stop = memchr(line, '\n', (size_t)(end - line));
-        stop = stop ? stop : end;
-        if (stop - line > 3 && memcmp(line, "id:", 3) == 0) {
-            const char *value = line + 3;
-            const char *value_end = stop;
-            value += *value == ' ' ? 1 : 0;
-            value_end -= value_end > value && value_end[-1] == '\r' ? 1 : 0;
-            *id =
-                PsName_FromStr((ps_str_t){value, (size_t)(value_end - value)});
-        }
-        line = stop + 1;
-    }
-}
-
 // Returns for how long a server has been sending events of a stream, in
 // milliseconds.
 static int64_t
@@ -450,9 +410,9 @@
     ps_str_t data = PsBuf_View(&exchange->body);
     size_t relayed = 0;
     size_t end;
-    while ((end = find_event_end(data, relayed)) > 0) {
+    while ((end = PsEventStream_FindEnd(data, relayed)) > 0) {
         ps_str_t event = {data.data + relayed, end - relayed};
-        parse_event_id(event, &exchange->last_event_id);
+        PsEventStream_ParseId(event, &exchange->last_event_id);
         exchange->task.version = exchange->task.backend->version;
         if (exchange->n_events++ == 0) {
             if (may_retry(exchange)) {
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -10,6 +10,7 @@
 extern "C" {
 #include "backend_registry.h"
 #include "catalog.h"
+#include "event_stream.h"
 #include "histogram.h"
 #include "scheduler.h"
 }
@@ -229,6 +230,35 @@
                                                       "removed a", "new a"}));
 }
 
+/* ---- Events of a stream ----------------------------------------------- */
+
+TEST(EventStream, EventsEndWithABlankLineAndKeepTheLastId)
+{
+    struct Case {
+        const char *bytes;
+        size_t end; // 0: incomplete
+        const char *id;
+    };
+    const Case cases[] = {
+        {"", 0, ""},
+        {"id: 1\ndata: a\n", 0, ""},
+        {"id: 1\ndata: a\n\n", 15, "1"},
+        {"id:12\ndata: a\n\nid: 2\n", 15, "12"},
+        {"data: a\r\nid: 3\r\n\r\n", 18, "3"},
+        {"data: id: 4\n\n", 13, ""},
+        {"id: 5\nid: 6\n\n", 13, "6"},
+    };
+    for (const Case &c : cases) {
+        SCOPED_TRACE(c.bytes);
+        ps_str_t bytes = PsStr_FromC(c.bytes);
+        size_t end = PsEventStream_FindEnd(bytes, 0);
+        EXPECT_EQ(end, c.end);
+        ps_name_t id = ToName("");
+        PsEventStream_ParseId(ps_str_t{bytes.data, end}, &id);
+        EXPECT_STREQ(id.data, c.id);
+    }
+}
+
 /* ---- Scheduler -------------------------------------------------------- */
 
 namespace {
