Report no failures while only other daemons may reach a server

A daemon that doesn't reach a server, and doesn't know yet whether others do, could report a failed attempt to the allocator, which counts it against the server. Such reports wait as those of servers in doubt do.

--- a/src/reach_checks.c
+++ b/src/reach_checks.c
@@ -109,7 +109,7 @@
 }
 
 static void
-check_if_in_use(void *user, ps_backend_t *backend)
+check_unless_lost(void *user, ps_backend_t *backend)
 {
     ps_reach_checks_t *reach = user;
     if (backend->reach.lost_ms == 0) {
@@ -125,7 +125,7 @@
     log_reach(backend, "other daemons", now_ms);
     PsBackend_Readmit(backend);
     backend->ejected_until_ms = 0;
-    for_each_server(reach->gateway, check_if_in_use, reach);
+    for_each_server(reach->gateway, check_unless_lost, reach);
 }
 
 static void
@@ -349,9 +349,10 @@
     question.server = backend->registration;
     other_search_t search = {&backend->registration, NULL};
     for_each_server(reach->gateway, find_other, &search);
-    if (search.found) {
+    if (search.found &&
+        PsServerChecks_Add(&reach->checks, &search.found->registration, 0,
+                           now_ms)) {
         question.other = search.found->registration;
-        PsServerChecks_Add(&reach->checks, &question.other, 0, now_ms);
     }
     if (PsServerChecks_Add(&reach->checks, &question.server, 0, now_ms)) {
         g_array_append_val(reach->questions, question);
--- a/src/server_path.c
+++ b/src/server_path.c
@@ -111,9 +111,10 @@
         PsReachChecks_HandlePeerReach(reach, path->backend, now_ms);
         return result;
     }
-    // The other daemon may be cut off too, so this shows nothing of the
-    // server.
+    // The other daemon may be cut off too, so this shows nothing of the server
+    // yet.
     if (has_result(transfer, PS_FORWARD_UNREACHED)) {
+        PsReachChecks_HandleSilence(reach, path->backend, now_ms);
         return PS_TRANSFER_NOT_SENT;
     }
     if (has_result(transfer, PS_FORWARD_REFUSED)) {
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -162,12 +162,13 @@
 
 // Moves a server's outcomes since the last report into the next report.
 static void
-add_outcomes(Ps__ServiceUse *use, ps_backend_t *backend)
+add_outcomes(Ps__ServiceUse *use, ps_backend_t *backend, int64_t now_ms)
 {
     ps_outcomes_t *unreported = &backend->unreported_outcomes;
     // While it isn't known whose failures they are, they are not reported.
     ps_outcomes_t held = {0};
-    if (backend->reach.is_checking) {
+    if (backend->reach.is_checking ||
+        PsServerReach_UsesPeers(&backend->reach, now_ms)) {
         held = *unreported;
         held.good = 0;
         unreported->failed = 0;
@@ -223,7 +224,7 @@
     use->server_limits = g_new0(Ps__ServerLimit *, backends->len + 1);
     for (guint i = 0; i < backends->len; i++) {
         ps_backend_t *backend = backends->pdata[i];
-        add_outcomes(use, backend);
+        add_outcomes(use, backend, now_ms);
         add_server_limit(use, backend, round, now_ms);
         if (backend->running > 0) {
             Ps__ServerCount *count = g_new(Ps__ServerCount, 1);
