Keep the logs of process runs that failed

gw_endless failed once and its output was lost. The runner of tests copies the logs of a failed run into failed/NAME of the build folder.

--- a/tests/check.sh
+++ b/tests/check.sh
@@ -4,7 +4,8 @@
 #
 # CHECK_CASES sets the number of cases of each property, CHECK_SEED their seed,
 # CHECK_NO_RUNS leaves out process and soak runs. Failures of tests named in
-# KNOWN-RED.txt ("test: NAME" lines) are printed and not counted.
+# KNOWN-RED.txt ("test: NAME" lines) are printed and not counted. The logs of a failed
+# process run are kept in failed/NAME of the build folder.
 set -u
 cd "$(dirname "$0")/.."
 cases=${CHECK_CASES:-300}
@@ -50,7 +51,8 @@
         # Ports are used again after 30 runs, to stay below the ephemeral range.
         port=$((10000 + ${#names[@]} % 30 * 620))
         names+=("$name")
-        timeout 240 tests/run_one.sh "$name" "$port" > "$work/$name.out" 2> "$work/$name.err" &
+        mkdir "$work/rig-$name"
+        TMPDIR="$work/rig-$name" RIG_KEEP=1 timeout 240 tests/run_one.sh "$name" "$port" > "$work/$name.out" 2> "$work/$name.err" &
         [ "$(jobs -rp | wc -l)" -lt 4 ] || wait -n
     done
     wait
@@ -60,6 +62,10 @@
         else
             count "runs/$name" 0
             cat "$work/$name.diff" "$work/$name.err"
+            kept="${RIG_BUILD:-build}/failed/$name"
+            rm -rf "$kept" && mkdir -p "$kept"
+            cp -r "$work/rig-$name"/* "$work/$name.out" "$work/$name.err" "$kept"
+            echo "logs: $kept"
         fi
     done
 fi
