Use one copy of what the paths of requests and reach share

Relaying a response's headers, walking over all servers, and listing the other members stood twice each; three tables of headers with numbers shared their check. Whether a service is brittle is found once a round, not for each daemon's grant.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -161,13 +161,15 @@
 }
 
 static void
-divide_service(ps_sharing_t *sharing, const ps_dispatcher_t *dispatcher,
+divide_service(ps_sharing_t *sharing, ps_dispatcher_t *dispatcher,
                int64_t now_ms)
 {
     const GPtrArray *backends = dispatcher->scheduler.backends;
     ps_slot_count_t *slots = g_new0(ps_slot_count_t, backends->len + 1);
-    bool may_queue = !dispatcher->scheduler.is_engine &&
-                     !is_any_told_brittle(sharing, &dispatcher->name, now_ms);
+    dispatcher->is_brittle =
+        is_any_told_brittle(sharing, &dispatcher->name, now_ms);
+    bool may_queue =
+        !dispatcher->scheduler.is_engine && !dispatcher->is_brittle;
     int n = 0;
     for (guint i = 0; i < backends->len; i++) {
         const ps_backend_t *backend = backends->pdata[i];
@@ -251,7 +253,7 @@
             PsGateway_FindDispatcher(sharing->gateway, key);
         if (dispatcher) {
             add_limits_to_grant(service, dispatcher, value, is_own, now_ms);
-            service->brittle = is_any_told_brittle(sharing, key, now_ms);
+            service->brittle = dispatcher->is_brittle;
         }
         grant->services[grant->n_services++] = service;
     }
@@ -440,8 +442,7 @@
     gpointer value;
     g_hash_table_iter_init(&each, sharing->gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const ps_dispatcher_t *dispatcher = value;
-        divide_service(sharing, dispatcher, now_ms);
+        divide_service(sharing, value, now_ms);
     }
     int n_daemons = PsGateway_CountQuotaDaemons(sharing->gateway, now_ms);
     PsAllocator_DivideQuotas(&sharing->allocator, n_daemons, now_ms);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -8,6 +8,7 @@
 #include "event_stream.h"
 #include "events_log.h"
 #include "origin_lookups.h"
+#include "response_headers.h"
 #include "server_notices.h"
 
 // Longest time that the request for a stream, or the retry of any request,
@@ -182,19 +183,8 @@
 copy_headers(ps_exchange_t *exchange, unsigned int status, bool is_stream)
 {
     PsHttpRequest_PrepareResponse(exchange->request, status, NULL, is_stream);
-    size_t position = 0;
-    ps_str_t name;
-    ps_str_t value;
-    while (
-        PsTransfer_NextHeader(&exchange->transfer, &position, &name, &value)) {
-        if (exchange->gateway->dialect->is_header_relayed(name)) {
-            char *header = g_strndup(name.data, name.len);
-            char *text = g_strndup(value.data, value.len);
-            PsHttpRequest_AddResponseHeader(exchange->request, header, text);
-            g_free(header);
-            g_free(text);
-        }
-    }
+    PsResponseHeaders_Relay(exchange->gateway->dialect, &exchange->transfer,
+                            exchange->request);
 }
 
 /* ---- Sending ---------------------------------------------------------- */
--- a/src/forward_server.c
+++ b/src/forward_server.c
@@ -7,6 +7,7 @@
 #include "clock.h"
 #include "events_log.h"
 #include "gateway.h"
+#include "response_headers.h"
 #include "server_notices.h"
 
 // Longest time to open a connection to the server, since the caller waits.
@@ -80,20 +81,8 @@
 static void
 copy_response_headers(const forward_t *forward)
 {
-    const ps_dialect_t *dialect = forward->forwarding->gateway->dialect;
-    size_t position = 0;
-    ps_str_t name;
-    ps_str_t value;
-    while (
-        PsTransfer_NextHeader(&forward->transfer, &position, &name, &value)) {
-        if (dialect->is_header_relayed(name)) {
-            char *header = g_strndup(name.data, name.len);
-            char *text = g_strndup(value.data, value.len);
-            PsHttpRequest_AddResponseHeader(forward->request, header, text);
-            g_free(header);
-            g_free(text);
-        }
-    }
+    PsResponseHeaders_Relay(forward->forwarding->gateway->dialect,
+                            &forward->transfer, forward->request);
     PsHttpRequest_AddResponseHeader(
         forward->request, PS_FORWARD_RESULT_HEADER,
         PsTransfer_EndsWithConnection(&forward->transfer)
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -359,24 +359,6 @@
                              PsSharing_HashServer(backend));
 }
 
-// Calls a function for each backend server of all services.
-static void
-for_each_backend(const ps_gateway_t *gateway,
-                 void (*visit)(const ps_backend_t *backend, void *user),
-                 void *user)
-{
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, gateway->dispatchers);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const GPtrArray *backends =
-            ((ps_dispatcher_t *)value)->scheduler.backends;
-        for (guint i = 0; i < backends->len; i++) {
-            visit(backends->pdata[i], user);
-        }
-    }
-}
-
 /* ---- Callers ---------------------------------------------------------- */
 
 static void
@@ -437,13 +419,13 @@
 }
 
 static void
-count_limited(const ps_backend_t *backend, void *count)
+count_limited(void *count, ps_backend_t *backend)
 {
     *(int *)count += PsServerLimit_IsLimited(&backend->limit) ? 1 : 0;
 }
 
 static void
-count_lost(const ps_backend_t *backend, void *count)
+count_lost(void *count, ps_backend_t *backend)
 {
     *(int *)count += backend->reach.lost_ms > 0 ? 1 : 0;
 }
@@ -485,10 +467,10 @@
     print_metric(&out, "pearstair_members",
                  g_hash_table_size(gateway->members));
     int n_limited = 0;
-    for_each_backend(gateway, count_limited, &n_limited);
+    PsGateway_ForEachBackend(gateway, count_limited, &n_limited);
     print_metric(&out, "pearstair_servers_limited", n_limited);
     int n_lost = 0;
-    for_each_backend(gateway, count_lost, &n_lost);
+    PsGateway_ForEachBackend(gateway, count_lost, &n_lost);
     print_metric(&out, "pearstair_servers_lost", n_lost);
     print_metric(&out, "pearstair_forwarded_total", (double)stats->forwarded);
     print_metric(&out, "pearstair_carried_total",
@@ -853,6 +835,40 @@
     return dispatcher;
 }
 
+void
+PsGateway_ForEachBackend(const ps_gateway_t *gateway,
+                         void (*visit)(void *user, ps_backend_t *backend),
+                         void *user)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->dispatchers);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const GPtrArray *backends =
+            ((ps_dispatcher_t *)value)->scheduler.backends;
+        for (guint i = 0; i < backends->len; i++) {
+            visit(user, backends->pdata[i]);
+        }
+    }
+}
+
+GPtrArray *
+PsGateway_ListOthers(const ps_gateway_t *gateway)
+{
+    GPtrArray *names = g_ptr_array_new();
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->members);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_daemon_info_t *member = value;
+        if (!PsName_IsEqual(&member->name, &gateway->self.name) &&
+            !PsSharing_IsSilent(&gateway->sharing, &member->name)) {
+            g_ptr_array_add(names, &member->name);
+        }
+    }
+    return names;
+}
+
 uint64_t
 PsGateway_FindOnlyVersion(const ps_gateway_t *gateway,
                           ps_dispatcher_t *dispatcher, int64_t now_ms)
@@ -938,7 +954,7 @@
 }
 
 static void
-add_server_hash(const ps_backend_t *backend, void *sum)
+add_server_hash(void *sum, ps_backend_t *backend)
 {
     uint64_t seed = (uint64_t)backend->registration.started_ms * 2 +
                     (backend->registration.is_leaving ? 1 : 0);
@@ -950,7 +966,7 @@
 PsGateway_HashServers(const ps_gateway_t *gateway)
 {
     uint64_t sum = 0;
-    for_each_backend(gateway, add_server_hash, &sum);
+    PsGateway_ForEachBackend(gateway, add_server_hash, &sum);
     return sum;
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -40,6 +40,7 @@
     ps_name_t name;
     ps_scheduler_t scheduler;
     ps_retry_budget_t retry_budget;
+    bool is_brittle; /* as the allocator: a server has told any daemon so */
     int tokens_per_event; /* output tokens in an event of a stream */
     ps_recent_map_t removed_versions; /* of servers removed lately */
 } ps_dispatcher_t;
@@ -233,6 +234,24 @@
 ps_dispatcher_t *PsGateway_GetDispatcher(ps_gateway_t *gateway,
                                          const ps_name_t *service);
 
+/**
+ * PsGateway_ForEachBackend() - Calls a function for each backend server of all
+ * services.
+ * @visit: must not add or remove servers; called with @user
+ */
+void PsGateway_ForEachBackend(const ps_gateway_t *gateway,
+                              void (*visit)(void *user, ps_backend_t *backend),
+                              void *user);
+
+/**
+ * PsGateway_ListOthers() - Lists the names of the other members that are not
+ * silent.
+ *
+ * Return: array of ps_name_t pointers, valid until members change; to be
+ * released with g_ptr_array_unref().
+ */
+GPtrArray *PsGateway_ListOthers(const ps_gateway_t *gateway);
+
 /**
  * PsGateway_FindOnlyVersion() - Returns the version of a service's servers if
  * no other one has served within PS_STREAM_ORIGIN_MS; 0: others may have.
--- a/src/origin_lookups.c
+++ b/src/origin_lookups.c
@@ -10,17 +10,7 @@
 choose_holders(const ps_gateway_t *gateway, uint64_t request,
                const ps_name_t **holders, size_t max)
 {
-    GPtrArray *names = g_ptr_array_new();
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, gateway->members);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        ps_daemon_info_t *member = value;
-        if (!PsName_IsEqual(&member->name, &gateway->self.name) &&
-            !PsSharing_IsSilent(&gateway->sharing, &member->name)) {
-            g_ptr_array_add(names, &member->name);
-        }
-    }
+    GPtrArray *names = PsGateway_ListOthers(gateway);
     size_t n = PsStreamOrigins_ChooseHolders(request, names, holders, max);
     g_ptr_array_unref(names);
     return n;
--- a/src/reach_checks.c
+++ b/src/reach_checks.c
@@ -57,23 +57,6 @@
     return find_start(gateway, &server->name, server->started_ms);
 }
 
-// Calls a function for each server of all services.
-static void
-for_each_server(ps_gateway_t *gateway,
-                void (*visit)(void *user, ps_backend_t *backend), void *user)
-{
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, gateway->dispatchers);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const GPtrArray *backends =
-            ((ps_dispatcher_t *)value)->scheduler.backends;
-        for (guint i = 0; i < backends->len; i++) {
-            visit(user, backends->pdata[i]);
-        }
-    }
-}
-
 /* ---- Results ---------------------------------------------------------- */
 
 static void
@@ -125,7 +108,7 @@
     log_reach(backend, "other daemons", now_ms);
     PsBackend_Readmit(backend);
     backend->ejected_until_ms = 0;
-    for_each_server(reach->gateway, check_unless_lost, reach);
+    PsGateway_ForEachBackend(reach->gateway, check_unless_lost, reach);
 }
 
 static void
@@ -145,7 +128,7 @@
     if (PsServerReach_HandleAnswer(&backend->reach, now_ms)) {
         log_reach(backend, "own connections", now_ms);
         if (was_cut_off) {
-            for_each_server(reach->gateway, check_if_lost, reach);
+            PsGateway_ForEachBackend(reach->gateway, check_if_lost, reach);
         }
     }
 }
@@ -206,25 +189,16 @@
 static size_t
 choose_members(ps_reach_checks_t *reach, const ps_name_t **names, size_t max)
 {
-    ps_gateway_t *gateway = reach->gateway;
+    const ps_sharing_t *sharing = &reach->gateway->sharing;
+    GPtrArray *others = PsGateway_ListOthers(reach->gateway);
     GPtrArray *all = g_ptr_array_new();
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, gateway->members);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        ps_daemon_info_t *member = value;
-        if (!PsName_IsEqual(&member->name, &gateway->self.name) &&
-            !PsSharing_IsSilent(&gateway->sharing, &member->name)) {
-            bool is_last =
-                PsSharing_IsCutOff(&gateway->sharing, &member->name);
-            g_ptr_array_insert(all, is_last ? -1 : 0, &member->name);
-        }
-    }
     guint n_first = 0;
-    while (n_first < all->len &&
-           !PsSharing_IsCutOff(&gateway->sharing, all->pdata[n_first])) {
-        n_first++;
+    for (guint i = 0; i < others->len; i++) {
+        bool is_last = PsSharing_IsCutOff(sharing, others->pdata[i]);
+        g_ptr_array_insert(all, is_last ? -1 : 0, others->pdata[i]);
+        n_first += is_last ? 0 : 1;
     }
+    g_ptr_array_unref(others);
     size_t n = MIN(max, all->len);
     for (size_t i = 0; i < n; i++) {
         // Begins with another one each time, among those that come first.
@@ -348,7 +322,7 @@
     }
     question.server = backend->registration;
     other_search_t search = {&backend->registration, NULL};
-    for_each_server(reach->gateway, find_other, &search);
+    PsGateway_ForEachBackend(reach->gateway, find_other, &search);
     if (search.found &&
         PsServerChecks_Add(&reach->checks, &search.found->registration, 0,
                            now_ms)) {
@@ -473,7 +447,7 @@
 check_return(ps_reach_checks_t *reach, int64_t now_ms)
 {
     return_search_t search = {NULL};
-    for_each_server(reach->gateway, find_lost, &search);
+    PsGateway_ForEachBackend(reach->gateway, find_lost, &search);
     if (search.found && now_ms - search.found->reach.checked_ms >=
                             PS_REACH_CHECK_INTERVAL_MS) {
         search.found->reach.checked_ms = now_ms;
--- a/tests/test_server_limits.cpp
+++ b/tests/test_server_limits.cpp
@@ -404,115 +404,87 @@
 
 /* ---- The header ------------------------------------------------------- */
 
-TEST(DialectFleet, LimitsAreDecimalNumbersThatStandOnce)
+namespace {
+
+// A response whose header names a number, or not.
+struct NumberCase {
+    long status;
+    const char *headers;
+    ps_header_reading_t reading;
+    double number;
+};
+
+using ReadNumber = ps_header_reading_t (*)(const ps_transfer_t *, double *);
+
+void
+ExpectNumbers(ReadNumber read, const std::vector<NumberCase> &cases)
 {
-    struct Case {
-        const char *headers;
-        ps_header_reading_t reading;
-        double rate;
-    };
-    const Case cases[] = {
-        {"", PS_HEADER_ABSENT, 0},
-        {"Server-Limit: 3.6\r\n", PS_HEADER_NAMED, 3.6},
-        {"server-limit:12\r\n", PS_HEADER_NAMED, 12},
-        {"Server-Limit: 0\r\n", PS_HEADER_NAMED, 0},
-        {"Server-Limit: 0.001\r\n", PS_HEADER_NAMED, 0.001},
-        {"Server-Limit: -1\r\n", PS_HEADER_MALFORMED, 0},
-        {"Server-Limit: inf\r\n", PS_HEADER_MALFORMED, 0},
-        {"Server-Limit: nan\r\n", PS_HEADER_MALFORMED, 0},
-        {"Server-Limit: 1e99\r\n", PS_HEADER_MALFORMED, 0},
-        {"Server-Limit: 0x10\r\n", PS_HEADER_MALFORMED, 0},
-        {"Server-Limit: 3, 4\r\n", PS_HEADER_MALFORMED, 0},
-        {"Server-Limit: 1.2.3\r\n", PS_HEADER_MALFORMED, 0},
-        {"Server-Limit: .\r\n", PS_HEADER_MALFORMED, 0},
-        {"Server-Limit: \r\n", PS_HEADER_MALFORMED, 0},
-        {"Server-Limit: 9999999999999999\r\n", PS_HEADER_MALFORMED, 0},
-        {"Server-Limit: 3\r\nServer-Limit: 3\r\n", PS_HEADER_MALFORMED, 0},
-    };
-    for (const Case &c : cases) {
+    for (const NumberCase &c : cases) {
         SCOPED_TRACE(c.headers);
         ps_transfer_t transfer;
         ps_transfer_events_t events = {};
         PsTransfer_Init(&transfer, &events, nullptr);
+        transfer.status = c.status;
         PsBuf_Append(&transfer.response_headers, c.headers, strlen(c.headers));
-        double rate = 0;
-        EXPECT_EQ(PsDialectFleet_Get()->read_limit(&transfer, &rate),
-                  c.reading);
+        double number = 0;
+        EXPECT_EQ(read(&transfer, &number), c.reading);
         if (c.reading == PS_HEADER_NAMED) {
-            EXPECT_EQ(rate, c.rate);
+            EXPECT_EQ(number, c.number);
         }
         PsTransfer_Finish(&transfer);
     }
 }
 
+} // namespace
+
+TEST(DialectFleet, LimitsAreDecimalNumbersThatStandOnce)
+{
+    ExpectNumbers(
+        PsDialectFleet_Get()->read_limit,
+        {{200, "", PS_HEADER_ABSENT, 0},
+         {200, "Server-Limit: 3.6\r\n", PS_HEADER_NAMED, 3.6},
+         {200, "server-limit:12\r\n", PS_HEADER_NAMED, 12},
+         {200, "Server-Limit: 0\r\n", PS_HEADER_NAMED, 0},
+         {200, "Server-Limit: 0.001\r\n", PS_HEADER_NAMED, 0.001},
+         {200, "Server-Limit: -1\r\n", PS_HEADER_MALFORMED, 0},
+         {200, "Server-Limit: inf\r\n", PS_HEADER_MALFORMED, 0},
+         {200, "Server-Limit: nan\r\n", PS_HEADER_MALFORMED, 0},
+         {200, "Server-Limit: 1e99\r\n", PS_HEADER_MALFORMED, 0},
+         {200, "Server-Limit: 0x10\r\n", PS_HEADER_MALFORMED, 0},
+         {200, "Server-Limit: 3, 4\r\n", PS_HEADER_MALFORMED, 0},
+         {200, "Server-Limit: 1.2.3\r\n", PS_HEADER_MALFORMED, 0},
+         {200, "Server-Limit: .\r\n", PS_HEADER_MALFORMED, 0},
+         {200, "Server-Limit: \r\n", PS_HEADER_MALFORMED, 0},
+         {200, "Server-Limit: 9999999999999999\r\n", PS_HEADER_MALFORMED, 0},
+         {200, "Server-Limit: 3\r\nServer-Limit: 3\r\n", PS_HEADER_MALFORMED,
+          0}});
+}
+
 TEST(DialectFleet, ServersSayInAnyAnswerThatTheyAreBrittle)
 {
-    struct Case {
-        long status;
-        const char *headers;
-        ps_header_reading_t reading;
-        double rejections;
-    };
-    const Case cases[] = {
-        {200, "", PS_HEADER_ABSENT, 0},
-        {200, "Server-Brittle: 3\r\n", PS_HEADER_NAMED, 3},
-        {503, "server-brittle: 0\r\n", PS_HEADER_NAMED, 0},
-        {500, "Server-Brittle: 12\r\n", PS_HEADER_NAMED, 12},
-        {200, "Server-Brittle: -1\r\n", PS_HEADER_MALFORMED, 0},
-        {200, "Server-Brittle: yes\r\n", PS_HEADER_MALFORMED, 0},
-        {200, "Server-Brittle: 3\r\nServer-Brittle: 4\r\n",
-         PS_HEADER_MALFORMED, 0},
-    };
-    for (const Case &c : cases) {
-        SCOPED_TRACE(c.headers);
-        ps_transfer_t transfer;
-        ps_transfer_events_t events = {};
-        PsTransfer_Init(&transfer, &events, nullptr);
-        transfer.status = c.status;
-        PsBuf_Append(&transfer.response_headers, c.headers, strlen(c.headers));
-        double rejections = 0;
-        EXPECT_EQ(PsDialectFleet_Get()->read_brittle(&transfer, &rejections),
-                  c.reading);
-        if (c.reading == PS_HEADER_NAMED) {
-            EXPECT_EQ(rejections, c.rejections);
-        }
-        PsTransfer_Finish(&transfer);
-    }
+    ExpectNumbers(PsDialectFleet_Get()->read_brittle,
+                  {{200, "", PS_HEADER_ABSENT, 0},
+                   {200, "Server-Brittle: 3\r\n", PS_HEADER_NAMED, 3},
+                   {503, "server-brittle: 0\r\n", PS_HEADER_NAMED, 0},
+                   {500, "Server-Brittle: 12\r\n", PS_HEADER_NAMED, 12},
+                   {200, "Server-Brittle: -1\r\n", PS_HEADER_MALFORMED, 0},
+                   {200, "Server-Brittle: yes\r\n", PS_HEADER_MALFORMED, 0},
+                   {200, "Server-Brittle: 3\r\nServer-Brittle: 4\r\n",
+                    PS_HEADER_MALFORMED, 0}});
 }
 
 TEST(DialectFleet, PausesAreAskedForByRefusalsOnly)
 {
-    struct Case {
-        long status;
-        const char *headers;
-        ps_header_reading_t reading;
-        double seconds;
-    };
-    const Case cases[] = {
-        {503, "", PS_HEADER_ABSENT, 0},
-        {503, "Retry-After: 3\r\n", PS_HEADER_NAMED, 3},
-        {503, "retry-after: 0.25\r\n", PS_HEADER_NAMED, 0.25},
-        {429, "Retry-After: 3\r\n", PS_HEADER_ABSENT, 0},
-        {200, "Retry-After: 3\r\n", PS_HEADER_ABSENT, 0},
-        {503, "Retry-After: -3\r\n", PS_HEADER_MALFORMED, 0},
-        {503, "Retry-After: inf\r\n", PS_HEADER_MALFORMED, 0},
-        {503, "Retry-After: Fri, 04 Dec 2026 12:00:00 GMT\r\n",
-         PS_HEADER_MALFORMED, 0},
-        {503, "Retry-After: 3\r\nRetry-After: 4\r\n", PS_HEADER_MALFORMED, 0},
-    };
-    for (const Case &c : cases) {
-        SCOPED_TRACE(c.headers);
-        ps_transfer_t transfer;
-        ps_transfer_events_t events = {};
-        PsTransfer_Init(&transfer, &events, nullptr);
-        transfer.status = c.status;
-        PsBuf_Append(&transfer.response_headers, c.headers, strlen(c.headers));
-        double seconds = 0;
-        EXPECT_EQ(PsDialectFleet_Get()->read_pause(&transfer, &seconds),
-                  c.reading);
-        if (c.reading == PS_HEADER_NAMED) {
-            EXPECT_EQ(seconds, c.seconds);
-        }
-        PsTransfer_Finish(&transfer);
-    }
+    ExpectNumbers(PsDialectFleet_Get()->read_pause,
+                  {{503, "", PS_HEADER_ABSENT, 0},
+                   {503, "Retry-After: 3\r\n", PS_HEADER_NAMED, 3},
+                   {503, "retry-after: 0.25\r\n", PS_HEADER_NAMED, 0.25},
+                   {429, "Retry-After: 3\r\n", PS_HEADER_ABSENT, 0},
+                   {200, "Retry-After: 3\r\n", PS_HEADER_ABSENT, 0},
+                   {503, "Retry-After: -3\r\n", PS_HEADER_MALFORMED, 0},
+                   {503, "Retry-After: inf\r\n", PS_HEADER_MALFORMED, 0},
+                   {503, "Retry-After: Fri, 04 Dec 2026 12:00:00 GMT\r\n",
+                    PS_HEADER_MALFORMED, 0},
+                   {503, "Retry-After: 3\r\nRetry-After: 4\r\n",
+                    PS_HEADER_MALFORMED, 0}});
 }
