Leave the forward address out of the check of mixed builds

Old builds refuse settings that they don't know, so the daemons of tests/mixed_builds.sh run without it.

--- a/tests/mixed_builds.sh
+++ b/tests/mixed_builds.sh
@@ -144,6 +144,7 @@
 run_gateway_mode() {
     source tests/rig.sh
     source tests/gateway_rig.sh
+    GW_NO_FORWARD=1 # builds before this setting refuse it
     gw_start_daemon() {
         gw_write_settings "$1"
         start_daemon "$1"
