Keep registrations for three heartbeats in all process runs

gw_crashing_part and gw_crashing_part_faults were to run with registrations that last 6 s, but only two other runs set that at the stand-in of the store. Theirs lapsed 1.8 s after each heartbeat of 2 s: servers left the lists and came back all the time, and the end of one was known too early. The rig sets the time from the heartbeat now, for every run.

--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -348,6 +348,8 @@
     done
     rig_start_process store "$RIG_BUILD/standin-store" "$(gw_store)" "${views[@]}"
     rig_wait_until 5 curl -sf "http://$(gw_store)/counts"
+    # Registrations last three heartbeats.
+    [ -z "${GW_HEARTBEAT_MS:-}" ] || gw_set_switches "$(gw_store)" "registration_ttl_ms=$((3 * GW_HEARTBEAT_MS))"
     gw_print_config "${GW_VERSION:-5}" | curl -sf -X POST -d @- "http://$(gw_store)/pearstair/objects/config" > /dev/null
     for i in $(seq "$GW_RUNNERS"); do gw_start_runner "$i"; done
     for i in $(seq "$GW_DAEMONS"); do gw_start_daemon "$i"; done
--- a/tests/runs/gw_crash_before_end_known.sh
+++ b/tests/runs/gw_crash_before_end_known.sh
@@ -3,8 +3,6 @@
 # names after 3 s, before their old registrations are removed. At most three servers
 # are reached later than 3 s after the third has ended. Requests of the same path
 # with a body are served.
-gw_set_switches "$(gw_store)" registration_ttl_ms=6000
-
 touch "$RIG_DIR/crashing"
 gw_return_servers 3000 2 4 6 8 10 12 &
 returning=$!
--- a/tests/runs/gw_cut_off_faults.sh
+++ b/tests/runs/gw_cut_off_faults.sh
@@ -7,7 +7,6 @@
 uses_own_connections() { [ "$(print_lost "$1")" = 0 ]; }
 has_lost_all() { [ "$(print_lost "$1")" = "$GW_RUNNERS" ]; }
 
-gw_set_switches "$(gw_store)" "registration_ttl_ms=6000"
 sleep 2.5
 
 # Streams with a part in common run at all engines when the connections are reset.
