Check servers whose streams without chunks break off

A stream that has neither a length nor chunks ends like a whole one when its server's process ends, so the path of the attempt took it for an answer.

The exchange, which knows where events end, tells the path that an answer was broken off. Both kinds of path then have the server checked: over a connection of this daemon, or by asking others where another one carried the request, which isn't avoided for it.

PsMarkCrashes_AddLost() returned what nobody used; it returns nothing now.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -580,7 +580,7 @@
 is_complete(const ps_exchange_t *exchange, ps_transfer_result_t result)
 {
     return result == PS_TRANSFER_COMPLETE && exchange->has_response_head &&
-           exchange->reply == PS_REPLY_ANSWER && !was_broken_off(exchange);
+           exchange->reply == PS_REPLY_ANSWER;
 }
 
 // Tells whether the connection was lost while the backend server may have run
@@ -589,12 +589,10 @@
 static bool
 was_cut_by_server(const ps_exchange_t *exchange, ps_transfer_result_t result)
 {
-    if (exchange->transfer.is_aborted ||
-        (exchange->has_response_head && exchange->reply != PS_REPLY_ANSWER)) {
-        return false;
-    }
-    return result == PS_TRANSFER_INCOMPLETE ||
-           (result == PS_TRANSFER_COMPLETE && was_broken_off(exchange));
+    return result == PS_TRANSFER_INCOMPLETE &&
+           !exchange->transfer.is_aborted &&
+           (!exchange->has_response_head ||
+            exchange->reply == PS_REPLY_ANSWER);
 }
 
 static ps_task_result_t
@@ -680,8 +678,10 @@
 {
     ps_exchange_t *exchange = transfer->user;
     int64_t now_ms = PsClock_Now();
-    result =
-        exchange->path.ops->finish(&exchange->path, transfer, result, now_ms);
+    bool is_broken_off =
+        result == PS_TRANSFER_COMPLETE && was_broken_off(exchange);
+    result = exchange->path.ops->finish(&exchange->path, transfer, result,
+                                        is_broken_off, now_ms);
     if (result == PS_TRANSFER_NOT_SENT && take_next_path(exchange, now_ms)) {
         return;
     }
--- a/src/mark_crashes.c
+++ b/src/mark_crashes.c
@@ -168,14 +168,14 @@
     PsSuspects_Finish(&crashes->suspects);
 }
 
-bool
+void
 PsMarkCrashes_AddLost(ps_mark_crashes_t *crashes, const ps_lost_run_t *run,
                       int64_t now_ms)
 {
     uint64_t content = g_array_index(run->marks, uint64_t, 0);
     if (PsMark_IsShared(content)) {
         PsMarkCrashes_AddAbandoned(crashes, run, now_ms);
-        return true;
+        return;
     }
     ps_crash_t crash = {.mark = content,
                         .id = get_crash_id(run->server),
@@ -186,7 +186,6 @@
     if (run->has_just_begun) {
         add_suspected_parts(crashes, run, now_ms);
     }
-    return run->has_just_begun && run->marks->len > 1;
 }
 
 void
--- a/src/mark_crashes.h
+++ b/src/mark_crashes.h
@@ -84,10 +84,8 @@
  *
  * A mark that ran to its end here lately is ignored. A shared mark counts when
  * the server turns out to have ended.
- *
- * Return: whether some count only once the server is known to have ended.
  */
-bool PsMarkCrashes_AddLost(ps_mark_crashes_t *crashes,
+void PsMarkCrashes_AddLost(ps_mark_crashes_t *crashes,
                            const ps_lost_run_t *run, int64_t now_ms);
 
 /**
--- a/src/server_path.c
+++ b/src/server_path.c
@@ -26,15 +26,17 @@
 
 static ps_transfer_result_t
 finish_own(ps_server_path_t *path, ps_transfer_t *transfer,
-           ps_transfer_result_t result, int64_t now_ms)
+           ps_transfer_result_t result, bool is_broken_off, int64_t now_ms)
 {
     ps_reach_checks_t *reach = &path->gateway->reach_checks;
     if (result == PS_TRANSFER_NOT_SENT) {
         PsReachChecks_HandleUnopened(reach, path->backend,
                                      transfer->is_refused, now_ms);
     }
-    else if (result == PS_TRANSFER_INCOMPLETE && !transfer->is_aborted) {
+    else if (is_broken_off ||
+             (result == PS_TRANSFER_INCOMPLETE && !transfer->is_aborted)) {
         PsReachChecks_HandleLost(reach, path->backend, now_ms);
+        return PS_TRANSFER_INCOMPLETE;
     }
     else {
         PsReachChecks_HandleAnswer(reach, path->backend, now_ms);
@@ -103,9 +105,13 @@
 
 static ps_transfer_result_t
 finish_forward(ps_server_path_t *path, ps_transfer_t *transfer,
-               ps_transfer_result_t result, int64_t now_ms)
+               ps_transfer_result_t result, bool is_broken_off, int64_t now_ms)
 {
     ps_reach_checks_t *reach = &path->gateway->reach_checks;
+    if (is_broken_off) {
+        PsReachChecks_HandlePeerLost(reach, path->backend, now_ms);
+        return PS_TRANSFER_INCOMPLETE;
+    }
     if (is_forwarded_head(transfer) &&
         (result == PS_TRANSFER_COMPLETE || transfer->is_aborted)) {
         PsReachChecks_HandlePeerReach(reach, path->backend, now_ms);
--- a/src/server_path.h
+++ b/src/server_path.h
@@ -21,7 +21,8 @@
  * struct ps_server_path_ops - One kind of path.
  * @name: for logs
  * @prepare: sets where a transfer goes, and adds its headers
- * @finish: learns from the end of a transfer; returns how it ended for the
+ * @finish: learns from the end of a transfer, and whether the server broke off
+ *          an answer whose transfer is complete; returns how it ended for the
  *          server
  * @is_server_head: tells whether a response's headers are the server's
  * @ends_with_connection: tells whether the server's response had neither a
@@ -35,7 +36,7 @@
     ps_transfer_result_t (*finish)(struct ps_server_path *path,
                                    ps_transfer_t *transfer,
                                    ps_transfer_result_t result,
-                                   int64_t now_ms);
+                                   bool is_broken_off, int64_t now_ms);
     bool (*is_server_head)(const ps_transfer_t *transfer);
     bool (*ends_with_connection)(const ps_transfer_t *transfer);
     void (*handle_silence)(struct ps_server_path *path, int64_t now_ms);
--- a/tests/run_one.sh
+++ b/tests/run_one.sh
@@ -16,12 +16,13 @@
 gw_server_pause_paths) GW_LINKS="1 2 3 4 5 6" GW_RUNNERS=6 GW_DAEMONS=6 ;;
 gw_server_leaving) GW_RUNNERS=6 GW_DAEMONS=4 GW_REVOKE_MS=60000 ;; # keys stay valid while the store is down
 gw_crashing_part_faults) GW_RUNNERS=12 GW_DAEMONS=4 GW_HEARTBEAT_MS=2000 ;;
+gw_unframed_crash) GW_LINKS=1 GW_RUNNERS=8 GW_HEARTBEAT_MS=2000 RUNNER_UNFRAMED=100 ;; # registrations last 6 s
 gw_cut_off) GW_LINKS="1 2 3 4 5 6" GW_DAEMONS=6 GW_RUNNERS=6 ;;
 gw_cut_off_faults) GW_LINKS="1 2 3" GW_DAEMONS=6 GW_RUNNERS=12 GW_HEARTBEAT_MS=2000 ;; # registrations last 6 s
 gw_brittle) GW_DAEMONS=6 GW_RUNNERS=10 RUNNER_BRITTLE=3 RUNNER_QUEUE=2 RUNNER_WORK_MS=200 ;;
 gw_leaving) GW_SLOTS=32 ;; # enough slots when streams take longer on a slow VM
 esac
-[ -z "${RUNNER_BRITTLE:-}" ] || export RUNNER_BRITTLE RUNNER_QUEUE RUNNER_WORK_MS
+for name in "${!RUNNER_@}"; do export "${name?}"; done
 source tests/rig.sh
 if [[ $1 == gw_* ]]; then
     source tests/gateway_rig.sh
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -27,19 +27,19 @@
  * rejects more than N requests within a second, the process falls over: it
  * ends, and logs its name with "fell". queue sets how many requests may wait
  * beside those that run, work_ms how long a plain answer takes.
- * RUNNER_BRITTLE, RUNNER_QUEUE and RUNNER_WORK_MS in the environment set these
- * from the start. The switch limit sets the text of the header Server-Limit of
- * all answers; with the text "none" they have no such header. says_leaving=1
- * adds the header Server-Leaving to all answers, retry_after the header
- * Retry-After with this text to those of requests that are rejected. A request
- * whose body begins with "CRASH N", or without a body the last part of whose
- * path is CRASH-N, ends the process with status 1: within a stream after N
- * events, and in place of a plain answer or a stream's head if N is 0. STOP
- * stops the process (SIGSTOP) instead, so that its connections stay open and
- * silent. The faults above don't strike such a request. A stream's request
- * with a part in Prompt-Prefix, not the last one, whose ID is "dead" and more
- * digits ends the process when its first event is due. GET /counts: runs by
- * request id, rejected and running requests.
+ * RUNNER_BRITTLE, RUNNER_QUEUE, RUNNER_WORK_MS and RUNNER_UNFRAMED in the
+ * environment set these from the start. The switch limit sets the text of the
+ * header Server-Limit of all answers; with the text "none" they have no such
+ * header. says_leaving=1 adds the header Server-Leaving to all answers,
+ * retry_after the header Retry-After with this text to those of requests that
+ * are rejected. A request whose body begins with "CRASH N", or without a body
+ * the last part of whose path is CRASH-N, ends the process with status 1:
+ * within a stream after N events, and in place of a plain answer or a stream's
+ * head if N is 0. STOP stops the process (SIGSTOP) instead, so that its
+ * connections stay open and silent. The faults above don't strike such a
+ * request. A stream's request with a part in Prompt-Prefix, not the last one,
+ * whose ID is "dead" and more digits ends the process when its first event is
+ * due. GET /counts: runs by request id, rejected and running requests.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -556,6 +556,7 @@
     brittle_limit = get_number_of("RUNNER_BRITTLE", brittle_limit);
     queue_max = get_number_of("RUNNER_QUEUE", queue_max);
     work_ms = get_number_of("RUNNER_WORK_MS", work_ms);
+    unframed_percent = get_number_of("RUNNER_UNFRAMED", unframed_percent);
     started_ms = g_get_real_time() / 1000;
     srand((unsigned)started_ms);
     runs_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
