Give each request of the process runs' loads an id of its own

The ids of its requests were the process id of the shell that sent each one, and a number. A run starts some 30,000 processes beside other runs, and process ids begin anew after 32,768, so that two loads of the kind "once" could use one id for two requests, both of which rightly ran once.

Ids name the start of the load, the daemon and a number.

--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -270,12 +270,13 @@
 # gw_load SECONDS PREFIX DAEMON... - sends requests of service s for so long, one
 # after another to each of these daemons; the answers go to answers-PREFIX
 gw_load() {
-    local i k senders=() end=$((SECONDS + $1)) prefix=$2
+    local i k senders=() started_ms end=$((SECONDS + $1)) prefix=$2
+    started_ms=$(date +%s%3N)
     shift 2
     for k in "$@"; do
         (i=0; while [ "$SECONDS" -lt "$end" ]; do
             i=$((i + 1))
-            gw_send_request "$k" /safe/1 "$prefix-$BASHPID-$i"
+            gw_send_request "$k" /safe/1 "$prefix-$started_ms-$BASHPID-$i"
         done) >> "$RIG_DIR/answers-$prefix" &
         senders+=($!)
     done
@@ -285,17 +286,20 @@
 # gw_try_load SECONDS KIND DAEMON... - sends requests of this kind (safe, once or
 # stream) for so long, one after another to each of these daemons, each tried once.
 # Adds a line for each to the file tries: time of its sending, daemon, kind, served or
-# the answer
+# the answer. Request ids name the load's start and the daemon: processes are started so
+# fast that their ids come again within a run.
 gw_try_load() {
-    local i k answer sent kind=$2 senders=() end=$(($(date +%s%3N) + $1 * 1000))
+    local i k id answer sent started_ms kind=$2 senders=() end=$(($(date +%s%3N) + $1 * 1000))
+    started_ms=$(date +%s%3N)
     shift 2
     for k in "$@"; do
         (i=0; while sent=$(date +%s%3N) && [ "$sent" -lt "$end" ]; do
             i=$((i + 1))
+            id=$kind-$started_ms-$k-$i
             if [ "$kind" = stream ]; then
-                answer=$(gw_send_stream "$k" "$kind-$BASHPID-$i" 5)
+                answer=$(gw_send_stream "$k" "$id" 5)
             else
-                answer=$(gw_send_request "$k" "/$kind/1" "$kind-$BASHPID-$i")
+                answer=$(gw_send_request "$k" "/$kind/1" "$id")
             fi
             case $answer in "200 ok" | "200 whole") answer=served ;; esac
             echo "$sent d$k $kind $answer"
--- a/tests/runs/gw_cut_off.sh
+++ b/tests/runs/gw_cut_off.sh
@@ -19,4 +19,7 @@
 try_cut hang safe 1 2
 try_cut hang stream 1 2 3 4
 try_cut new once 5 6
-awk '$5 == "ran" && $1 ~ /^once/ && runs[$1]++ { n++ } END { print n + 0, "ran twice" }' "$RIG_DIR/arrivals"
+awk '$5 == "ran" && $1 ~ /^once/ {
+        if ($1 in first) { n++; print first[$1] ", " $0 > "/dev/stderr" }
+        first[$1] = $0 }
+    END { print n + 0, "ran twice" }' "$RIG_DIR/arrivals"
