--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -32,14 +32,15 @@
  * header Server-Limit of all answers; with the text "none" they have no such
  * header. says_leaving=1 adds the header Server-Leaving to all answers,
  * retry_after the header Retry-After with this text to those of requests that
- * are rejected. A request whose body begins with "CRASH N", or without a body
- * the last part of whose path is CRASH-N, ends the process with status 1:
- * within a stream after N events, and in place of a plain answer or a stream's
- * head if N is 0. STOP stops the process (SIGSTOP) instead, so that its
- * connections stay open and silent. The faults above don't strike such a
- * request. A stream's request with a part in Prompt-Prefix, not the last one,
- * whose ID is "dead" and more digits ends the process when its first event is
- * due. GET /counts: runs by request id, rejected and running requests.
+ * are rejected, later_retry_after another text after the first of them. A
+ * request whose body begins with "CRASH N", or without a body the last part of
+ * whose path is CRASH-N, ends the process with status 1: within a stream after
+ * N events, and in place of a plain answer or a stream's head if N is 0. STOP
+ * stops the process (SIGSTOP) instead, so that its connections stay open and
+ * silent. The faults above don't strike such a request. A stream's request
+ * with a part in Prompt-Prefix, not the last one, whose ID is "dead" and more
+ * digits ends the process when its first event is due. GET /counts: runs by
+ * request id, rejected and running requests.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -98,6 +99,7 @@
 static int64_t endless_percent;
 static char limit_text[64];       /* of Server-Limit; empty: no such header */
 static char retry_after_text[64]; /* of Retry-After, likewise */
+static char next_pause_text[64]; /* of the next Retry-After; empty: that one */
 static int64_t says_leaving;
 static int64_t brittle_limit = -1; /* of Server-Brittle; -1: not brittle */
 static int64_t queue_max;
@@ -421,9 +423,17 @@
     const char *headers[16] = {"Request-Id", id,         "Not-Run",
                                "1",          "Instance", server_name};
     size_t n = add_own_headers(headers, 6);
-    if (status == 503 && *retry_after_text) {
+    char pause[sizeof retry_after_text];
+    pthread_mutex_lock(&lock);
+    g_strlcpy(pause, retry_after_text, sizeof pause);
+    if (*next_pause_text) {
+        g_strlcpy(retry_after_text, next_pause_text, sizeof retry_after_text);
+        *next_pause_text = '\0';
+    }
+    pthread_mutex_unlock(&lock);
+    if (status == 503 && *pause) {
         headers[n++] = "Retry-After";
-        headers[n] = retry_after_text;
+        headers[n] = pause;
     }
     return Standin_SendText(request, status, "", headers);
 }
@@ -496,6 +506,10 @@
             bool is_none = strcmp(pause, "none") == 0;
             g_strlcpy(retry_after_text, is_none ? "" : pause,
                       sizeof retry_after_text);
+            const char *next =
+                Standin_GetQueryText(request, "later_retry_after");
+            g_strlcpy(next_pause_text, next ? next : "",
+                      sizeof next_pause_text);
         }
         says_leaving =
             Standin_GetQueryNumber(request, "says_leaving", says_leaving);
