Keep a server's pause when a later answer asks for a shorter one

Callers were not harmed, but servers that had asked a daemon for a pause got more requests from it than they bear: up to 15 in 2.4 s, of two.

Cause: take_pause() set the end of the pause from the last answer received. Requests that were in flight at the first rejection are turned away too, each with a pause of its own, and a shorter one replaced the longer one. Each answer binds for its own time, so the later end holds.

--- a/src/server_notices.c
+++ b/src/server_notices.c
@@ -41,13 +41,16 @@
     }
 }
 
+// Takes a pause. A shorter one, such as that of another request in flight,
+// doesn't end a longer one.
 static void
 take_pause(ps_backend_t *backend, double seconds, const ps_name_t *request_id,
            int64_t now_ms)
 {
     double pause_ms = MIN(seconds * 1000.0, PAUSE_MAX_MS);
+    int64_t until_ms = now_ms + (int64_t)ceil(pause_ms);
     backend->has_malformed_pause = false;
-    backend->paused_until_ms = now_ms + (int64_t)ceil(pause_ms);
+    backend->paused_until_ms = MAX(backend->paused_until_ms, until_ms);
     PsEvents_Add("server.pause", "{s:s,s:s,s:I}", "name",
                  backend->registration.name.data, "id", request_id->data, "ms",
                  (json_int_t)pause_ms);
