Keep what a server has said when its registration lapses

A server that loses the path to the store goes on running; its registration lapses and comes back. Daemons took it for a new server then, so the pause that it had asked for, its limit, its word that it is brittle, and its word that it leaves were gone, and it got requests again.

The registry remembers a server without a registration for a minute. If the same start registers again, at the same address, it is the same server; only its slots and the belief of its connections begin anew.

BackendRegistry.LapsedRegistrationEndsNothingThatTheServerHasSaid.

--- a/src/backend.c
+++ b/src/backend.c
@@ -62,6 +62,15 @@
     PsBackend_Unref(backend);
 }
 
+void
+PsBackend_Relist(ps_backend_t *backend)
+{
+    PsBackend_Ref(backend);
+    backend->is_listed = true;
+    backend->slot_limit = 0;
+    backend->reach = (ps_server_reach_t){0};
+}
+
 void
 PsBackend_Ref(ps_backend_t *backend)
 {
--- a/src/backend.h
+++ b/src/backend.h
@@ -99,6 +99,15 @@
  * reference of PsBackend_New(); the server is freed with its last reference.
  */
 void PsBackend_Unlist(ps_backend_t *backend);
+
+/**
+ * PsBackend_Relist() - Marks a server as in use again, which was unlisted and
+ * is still referenced; takes a reference.
+ *
+ * What it has said and how its work went is kept; whether its connections open
+ * is to be found out again.
+ */
+void PsBackend_Relist(ps_backend_t *backend);
 void PsBackend_Ref(ps_backend_t *backend);
 void PsBackend_Unref(ps_backend_t *backend);
 
--- a/src/backend_registry.c
+++ b/src/backend_registry.c
@@ -5,6 +5,10 @@
 // say that live servers register again within it.
 #define MISSING_GRACE_MS 2000
 
+// Time for which a server without a registration is remembered, should it go
+// on running and register again. Longer than the pauses that servers ask for.
+#define LAPSED_KEPT_MS (60 * 1000)
+
 /* ---- Types ------------------------------------------------------------ */
 
 typedef struct backend_record {
@@ -13,6 +17,13 @@
     bool is_missing; /* registration removed; kept in the grace period */
 } backend_record_t;
 
+// A server whose registration has lapsed; holds a reference.
+typedef struct lapsed_server {
+    ps_name_t name;
+    ps_backend_t *backend;
+    int64_t lapsed_ms;
+} lapsed_server_t;
+
 /* ---- Internal functions ----------------------------------------------- */
 
 static void
@@ -49,6 +60,67 @@
             (is_same_start && known->is_leaving && !registration->is_leaving));
 }
 
+// Tells whether a registration is of another start of a server, or has moved
+// it.
+static bool
+is_another_server(const ps_registration_t *known,
+                  const ps_registration_t *registration)
+{
+    return known->started_ms != registration->started_ms ||
+           !PsName_IsEqual(&known->service, &registration->service) ||
+           !PsName_IsEqual(&known->address, &registration->address);
+}
+
+/* ---- Lapsed registrations --------------------------------------------- */
+
+static void
+free_lapsed(gpointer data)
+{
+    lapsed_server_t *lapsed = data;
+    PsBackend_Unref(lapsed->backend);
+    g_free(lapsed);
+}
+
+static gboolean
+is_forgotten(gpointer key, gpointer value, gpointer data)
+{
+    (void)key;
+    int64_t now_ms = *(const int64_t *)data;
+    return now_ms - ((const lapsed_server_t *)value)->lapsed_ms >
+           LAPSED_KEPT_MS;
+}
+
+// Unlists a server that may go on running, and remembers it.
+static void
+unlist_lapsed(ps_backend_registry_t *registry, backend_record_t *record,
+              const char *reason, int64_t now_ms)
+{
+    g_hash_table_foreach_remove(registry->lapsed, is_forgotten, &now_ms);
+    lapsed_server_t *lapsed = g_new(lapsed_server_t, 1);
+    *lapsed = (lapsed_server_t){record->name, record->backend, now_ms};
+    PsBackend_Ref(lapsed->backend);
+    g_hash_table_replace(registry->lapsed, &lapsed->name, lapsed);
+    unlist(registry, record, reason);
+}
+
+// Returns the server that has registered again after its registration lapsed;
+// NULL: it isn't known, or is another start.
+static ps_backend_t *
+take_lapsed(ps_backend_registry_t *registry,
+            const ps_registration_t *registration)
+{
+    const lapsed_server_t *lapsed =
+        g_hash_table_lookup(registry->lapsed, &registration->name);
+    ps_backend_t *backend = NULL;
+    if (lapsed &&
+        !is_another_server(&lapsed->backend->registration, registration)) {
+        backend = lapsed->backend;
+        PsBackend_Relist(backend);
+    }
+    g_hash_table_remove(registry->lapsed, &registration->name);
+    return backend;
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 void
@@ -58,6 +130,8 @@
     *registry = (ps_backend_registry_t){.events = events, .user = user};
     registry->by_name =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, NULL, g_free);
+    registry->lapsed = g_hash_table_new_full(PsName_Hash, PsName_EqualKeys,
+                                             NULL, free_lapsed);
 }
 
 void
@@ -70,6 +144,7 @@
         PsBackend_Unlist(((backend_record_t *)value)->backend);
     }
     g_hash_table_destroy(registry->by_name);
+    g_hash_table_destroy(registry->lapsed);
 }
 
 void
@@ -81,12 +156,8 @@
     if (record && is_outdated(registry, record, registration, now_ms)) {
         return;
     }
-    if (record && (record->backend->registration.started_ms !=
-                       registration->started_ms ||
-                   !PsName_IsEqual(&record->backend->registration.service,
-                                   &registration->service) ||
-                   !PsName_IsEqual(&record->backend->registration.address,
-                                   &registration->address))) {
+    if (record &&
+        is_another_server(&record->backend->registration, registration)) {
         unlist(registry, record,
                "registered with another start time, service or address");
         g_hash_table_remove(registry->by_name, &registration->name);
@@ -96,7 +167,10 @@
     if (is_new) {
         record = g_new0(backend_record_t, 1);
         record->name = registration->name;
-        record->backend = PsBackend_New(registration, now_ms);
+        record->backend = take_lapsed(registry, registration);
+        if (!record->backend) {
+            record->backend = PsBackend_New(registration, now_ms);
+        }
         g_hash_table_insert(registry->by_name, &record->name, record);
     }
     record->is_missing = false;
@@ -125,7 +199,7 @@
         record->is_missing = true;
         return;
     }
-    unlist(registry, record, "no longer registered");
+    unlist_lapsed(registry, record, "no longer registered", now_ms);
     g_hash_table_remove(registry->by_name, name);
 }
 
@@ -180,8 +254,10 @@
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         backend_record_t *record = value;
         if (record->is_missing) {
-            unlist(registry, record,
-                   "did not register again after the store became available");
+            unlist_lapsed(
+                registry, record,
+                "did not register again after the store became available",
+                now_ms);
             g_hash_table_iter_remove(&each);
         }
     }
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -4,7 +4,9 @@
  * Follows the registrations in the store. A registration may expire while the
  * store is unavailable, although its server is alive. Such a server is kept
  * for a grace period after the store has become available, in which a live
- * server registers again. Does no I/O; all times are passed in.
+ * server registers again. Load pattern: registrations lapse and come back
+ * while their servers run, as they lose the path to the store for some
+ * seconds. Does no I/O; all times are passed in.
  */
 #ifndef PS_BACKEND_REGISTRY_H
 #define PS_BACKEND_REGISTRY_H
@@ -33,6 +35,7 @@
     const ps_backend_registry_events_t *events;
     void *user;
     GHashTable *by_name; /* name to backend_record_t */
+    GHashTable *lapsed;  /* name to servers that are no longer registered */
     bool is_store_unavailable;
     int64_t keep_missing_until_ms; /* end of the grace period */
     int64_t restored_until_ms; /* registrations may be older than those known
@@ -58,9 +61,10 @@
  * PsBackendRegistry_Set() - Adds a server or updates its registration.
  *
  * A server that registers with another start time, service or address is
- * removed and added as a new one. In the grace period after the store was
- * restored, a registration of an earlier start, or one that is not leaving any
- * more, is ignored.
+ * removed and added as a new one. One whose registration had lapsed is the
+ * same as before, with all that it has said. In the grace period after the
+ * store was restored, a registration of an earlier start, or one that is not
+ * leaving any more, is ignored.
  */
 void PsBackendRegistry_Set(ps_backend_registry_t *registry,
                            const ps_registration_t *registration,
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -581,6 +581,7 @@
         PsServerLimit_SetDaemons(&backend->limit, scheduler->n_turns,
                                  scheduler->daemon_index, 0);
     }
+    PsScheduler_UpdateBrittle(scheduler);
     set_even_shares(scheduler);
 }
 
--- a/tests/run_one.sh
+++ b/tests/run_one.sh
@@ -14,6 +14,7 @@
 gw_stream_versions*) GW_RUNNERS=12 GW_DAEMONS=4 ;;
 gw_server_limit_faults | gw_server_pause) GW_RUNNERS=6 GW_DAEMONS=4 ;;
 gw_server_pause_shorter) GW_LINKS=1 GW_RUNNERS=6 ;;
+gw_server_notices_lapse) GW_RUNNERS=6 ;;
 gw_server_pause_paths) GW_LINKS="1 2 3 4 5 6" GW_RUNNERS=6 GW_DAEMONS=6 ;;
 gw_server_leaving) GW_RUNNERS=6 GW_DAEMONS=4 GW_REVOKE_MS=60000 ;; # keys stay valid while the store is down
 gw_crashing_part_faults) GW_RUNNERS=12 GW_DAEMONS=4 GW_HEARTBEAT_MS=2000 ;;
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -212,6 +212,41 @@
     EXPECT_FALSE(recorder.listed["a"]->registration.is_leaving);
 }
 
+// Registrations lapse for seconds and come back while their servers run. What a
+// server has said holds for its start.
+TEST(BackendRegistry, LapsedRegistrationEndsNothingThatTheServerHasSaid)
+{
+    RegistryRecorder recorder;
+    recorder.Set(MakeRegistration("a", 4, 1), kStart);
+    recorder.listed["a"]->paused_until_ms = kStart + 3000;
+    recorder.listed["a"]->is_brittle = true;
+    recorder.listed["a"]->slot_limit = 4;
+    PsServerReach_HandleLost(&recorder.listed["a"]->reach, kStart);
+    recorder.Remove("a", kStart + 100);
+    recorder.Set(MakeRegistration("a", 4, 1), kStart + 500);
+    EXPECT_EQ(recorder.listed["a"]->paused_until_ms, kStart + 3000);
+    EXPECT_TRUE(recorder.listed["a"]->is_brittle);
+    EXPECT_TRUE(recorder.listed["a"]->is_listed);
+    EXPECT_EQ(recorder.listed["a"]->slot_limit, 0) << "until it is granted";
+    EXPECT_EQ(recorder.listed["a"]->reach.lost_ms, 0);
+
+    ps_registration_t said = MakeRegistration("a", 4, 1);
+    said.has_said_leaving = true;
+    recorder.Set(said, kStart + 600);
+    recorder.Remove("a", kStart + 700);
+    recorder.Set(MakeRegistration("a", 4, 1), kStart + 900);
+    EXPECT_TRUE(recorder.listed["a"]->registration.is_leaving);
+
+    recorder.Remove("a", kStart + 1000);
+    recorder.Set(MakeRegistration("a", 4, 2), kStart + 1100);
+    EXPECT_FALSE(recorder.listed["a"]->registration.is_leaving)
+        << "another start";
+    EXPECT_EQ(recorder.listed["a"]->paused_until_ms, 0);
+    EXPECT_EQ(recorder.log, (std::vector<std::string>{
+                                "new a", "removed a", "new a", "kept a",
+                                "removed a", "new a", "removed a", "new a"}));
+}
+
 // A restarted server has lost its cache, although its name is the same.
 TEST(BackendRegistry, RestartedServerIsANewOneWithAnEmptyCache)
 {
