Remove missing servers only by a list that was read after the grace period

Found while tracing falls of brittle servers: callers of one daemon were refused with "no backend server is known" for some 140 ms, two seconds after the store had come back; the servers of all services were gone from its lists.

Cause: a daemon reads the store as soon as it is back, when registrations have lapsed and servers have not yet registered again, and marks them as missing. Daemons that hear of servers from the allocator then read it every 12 s. The allocator has kept its servers all the while, so it has no news of them, and at the end of the grace period the daemon removed all that its old list lacked.

At the end of the grace period a daemon with missing servers reads the list; that list removes them. A server that a list names is not missing any more. The two tests that called PsBackendRegistry_RemoveMissing() demand the same removals by the next list, and that a read is asked for at that time.

BackendRegistry.NoServerIsRemovedByAListOfTheGracePeriod.

--- a/src/backend_registry.c
+++ b/src/backend_registry.c
@@ -5,6 +5,9 @@
 // say that live servers register again within it.
 #define MISSING_GRACE_MS 2000
 
+// Shortest time between reads of the servers for those that are missing.
+#define READ_INTERVAL_MS 200
+
 // Time for which a server without a registration is remembered, should it go
 // on running and register again. Longer than the pauses that servers ask for.
 #define LAPSED_KEPT_MS (60 * 1000)
@@ -209,8 +212,11 @@
 {
     GList *records = g_hash_table_get_values(registry->by_name);
     for (GList *l = records; l; l = l->next) {
-        const backend_record_t *record = l->data;
-        if (!g_hash_table_contains(names, &record->name)) {
+        backend_record_t *record = l->data;
+        if (g_hash_table_contains(names, &record->name)) {
+            record->is_missing = false;
+        }
+        else {
             ps_name_t name = record->name;
             PsBackendRegistry_Remove(registry, &name, now_ms);
         }
@@ -240,25 +246,22 @@
     registry->restored_until_ms = registry->keep_missing_until_ms;
 }
 
-void
-PsBackendRegistry_RemoveMissing(ps_backend_registry_t *registry,
-                                int64_t now_ms)
+bool
+PsBackendRegistry_MustRead(ps_backend_registry_t *registry, int64_t now_ms)
 {
     if (registry->is_store_unavailable ||
-        now_ms < registry->keep_missing_until_ms) {
-        return;
+        now_ms < registry->keep_missing_until_ms ||
+        now_ms < registry->next_read_ms) {
+        return false;
     }
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, registry->by_name);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
-        backend_record_t *record = value;
-        if (record->is_missing) {
-            unlist_lapsed(
-                registry, record,
-                "did not register again after the store became available",
-                now_ms);
-            g_hash_table_iter_remove(&each);
+        if (((const backend_record_t *)value)->is_missing) {
+            registry->next_read_ms = now_ms + READ_INTERVAL_MS;
+            return true;
         }
     }
+    return false;
 }
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -38,6 +38,7 @@
     GHashTable *lapsed;  /* name to servers that are no longer registered */
     bool is_store_unavailable;
     int64_t keep_missing_until_ms; /* end of the grace period */
+    int64_t next_read_ms;          /* earliest read for missing servers */
     int64_t restored_until_ms; /* registrations may be older than those known
                                   until then */
 } ps_backend_registry_t;
@@ -109,10 +110,13 @@
                                            int64_t now_ms);
 
 /**
- * PsBackendRegistry_RemoveMissing() - Removes the servers that are still
- * missing once the grace period is over.
+ * PsBackendRegistry_MustRead() - Tells whether all registrations have to be
+ * read: the grace period is over, and servers are still missing.
+ *
+ * They are removed only by a list that is read after it. A daemon that seldom
+ * reads the store would otherwise remove servers that have registered again.
  */
-void PsBackendRegistry_RemoveMissing(ps_backend_registry_t *registry,
-                                     int64_t now_ms);
+bool PsBackendRegistry_MustRead(ps_backend_registry_t *registry,
+                                int64_t now_ms);
 
 #endif
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -581,7 +581,9 @@
     ps_gateway_t *gateway = timer->data;
     int64_t now_ms = PsClock_Now();
     check_pause(gateway, now_ms);
-    PsBackendRegistry_RemoveMissing(&gateway->backend_registry, now_ms);
+    if (PsBackendRegistry_MustRead(&gateway->backend_registry, now_ms)) {
+        gateway->store_ops->read_now(gateway->store_ops, false, true, false);
+    }
     PsReachChecks_Run(&gateway->reach_checks, now_ms);
     PsForwardServer_Run(&gateway->forward_server);
     PsSharing_Run(&gateway->sharing, now_ms);
--- a/tests/run_one.sh
+++ b/tests/run_one.sh
@@ -12,7 +12,7 @@
 gw_common_request | gw_crashing_no_body | gw_faults | gw_server_limit | gw_paused | gw_retry_*) GW_RUNNERS=6 ;;
 gw_crashing_content | gw_silent_crash | gw_unframed | gw_endless) GW_RUNNERS=8 ;; # one request can reach four engines
 gw_stream_versions*) GW_RUNNERS=12 GW_DAEMONS=4 ;;
-gw_server_limit_faults | gw_server_pause) GW_RUNNERS=6 GW_DAEMONS=4 ;;
+gw_server_limit_faults | gw_server_pause | gw_store_back) GW_RUNNERS=6 GW_DAEMONS=4 ;;
 gw_server_pause_shorter) GW_LINKS=1 GW_RUNNERS=6 ;;
 gw_server_notices_lapse) GW_RUNNERS=6 ;;
 gw_server_pause_paths) GW_LINKS="1 2 3 4 5 6" GW_RUNNERS=6 GW_DAEMONS=6 ;;
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -136,6 +136,19 @@
         ps_name_t view = ToName(name);
         PsBackendRegistry_Remove(&registry, &view, now);
     }
+    // Lists the registrations of these servers only.
+    void
+    Retain(const std::vector<const char *> &servers, int64_t now)
+    {
+        GHashTable *names = g_hash_table_new_full(
+            PsName_Hash, PsName_EqualKeys, g_free, nullptr);
+        for (const char *server : servers) {
+            ps_name_t name = ToName(server);
+            g_hash_table_add(names, g_memdup2(&name, sizeof name));
+        }
+        PsBackendRegistry_RetainOnly(&registry, names, now);
+        g_hash_table_destroy(names);
+    }
 };
 
 } // namespace
@@ -159,17 +172,43 @@
     EXPECT_EQ(recorder.listed.count("a"), 1u);
     EXPECT_EQ(recorder.listed.count("c"), 0u) << "it was leaving before";
     recorder.Set(MakeRegistration("a", 4), kStart + 6000);
-    PsBackendRegistry_RemoveMissing(&recorder.registry, kStart + 6900);
+    EXPECT_FALSE(
+        PsBackendRegistry_MustRead(&recorder.registry, kStart + 6900));
+    recorder.Retain({"a"}, kStart + 6900);
     EXPECT_EQ(recorder.listed.count("b"), 1u);
-    PsBackendRegistry_RemoveMissing(&recorder.registry, kStart + 7100);
+    EXPECT_TRUE(PsBackendRegistry_MustRead(&recorder.registry, kStart + 7100));
+    recorder.Retain({"a"}, kStart + 7110);
     EXPECT_EQ(recorder.listed.count("b"), 0u)
         << "removed, as it is still missing after the grace period";
+    EXPECT_FALSE(
+        PsBackendRegistry_MustRead(&recorder.registry, kStart + 8000));
     EXPECT_EQ(recorder.listed.count("a"), 1u);
     recorder.Remove("a", kStart + 7200);
     EXPECT_TRUE(recorder.listed.empty())
         << "removed while the store is available";
 }
 
+// The list that a daemon read last is older than the registrations of servers that are
+// back since, if it hears of servers from the allocator and seldom reads the store.
+TEST(BackendRegistry, NoServerIsRemovedByAListOfTheGracePeriod)
+{
+    RegistryRecorder recorder;
+    recorder.Set(MakeRegistration("a", 4), kStart);
+    PsBackendRegistry_HandleStoreUnavailable(&recorder.registry);
+    PsBackendRegistry_HandleStoreAvailable(&recorder.registry, kStart + 5000);
+    recorder.Retain({}, kStart + 5010);
+    EXPECT_TRUE(PsBackendRegistry_MustRead(&recorder.registry, kStart + 7000));
+    EXPECT_FALSE(PsBackendRegistry_MustRead(&recorder.registry, kStart + 7100))
+        << "the read is in progress";
+    EXPECT_TRUE(PsBackendRegistry_MustRead(&recorder.registry, kStart + 7300))
+        << "it got no answer";
+    EXPECT_EQ(recorder.listed.count("a"), 1u);
+    recorder.Retain({"a"}, kStart + 7310);
+    EXPECT_FALSE(
+        PsBackendRegistry_MustRead(&recorder.registry, kStart + 8000));
+    EXPECT_EQ(recorder.log, std::vector<std::string>{"new a"});
+}
+
 // A restored store holds registrations that are older than what is known.
 TEST(BackendRegistry, RestoredStoreTakesBackNoStartAndNoLeaving)
 {
@@ -189,7 +228,8 @@
     recorder.Set(MakeRegistration("a", 4, 3), kStart + 300);
     EXPECT_FALSE(recorder.listed["a"]->registration.is_leaving)
         << "a later start";
-    PsBackendRegistry_RemoveMissing(&recorder.registry, kStart + 2200);
+    EXPECT_TRUE(PsBackendRegistry_MustRead(&recorder.registry, kStart + 2200));
+    recorder.Retain({"a", "b"}, kStart + 2200);
     EXPECT_EQ(recorder.listed.count("c"), 0u);
     recorder.Set(MakeRegistration("b", 4, 6), kStart + 2200);
     EXPECT_EQ(recorder.listed["b"]->registration.started_ms, 6)
