Count lost runs and rejections against the room at brittle servers

Brittle servers still fell when other trouble came beside the load: 3 to 8 falls in 8 s at 1.2 times the load (2.5 allowed) while daemons were cut off or servers crashed.

Traced, falls one by one: each server was full, and each rejection freed the slot that its request had been sent for, so that the daemon sent the next waiting request within a millisecond, four times in a row. Servers were full beyond the grants because a request whose connection was lost, or that was given up, still ran there while its slot was used again.

Scheduler.RejectionOfABrittleServerIsNotFollowedByAnother, LostRunsTakeSlotsOfBrittleServers.

--- a/src/backend.c
+++ b/src/backend.c
@@ -86,6 +86,13 @@
     }
 }
 
+int
+PsBackend_CountOccupied(const ps_backend_t *backend, int64_t now_ms)
+{
+    return backend->running +
+           PsServerRoom_CountAbandoned(&backend->room, now_ms);
+}
+
 void
 PsBackend_Update(ps_backend_t *backend, const ps_registration_t *registration,
                  int64_t now_ms)
--- a/src/backend.h
+++ b/src/backend.h
@@ -13,6 +13,7 @@
 #include "outliers.h"
 #include "server_limit.h"
 #include "server_reach.h"
+#include "server_room.h"
 #include "speed.h"
 #include "str.h"
 
@@ -56,6 +57,7 @@
     bool is_brittle; /* it has said that it falls over when it has to reject
                         too many requests */
     bool has_malformed_brittle; /* likewise */
+    ps_server_room_t room;      /* while its service is brittle */
     bool has_malformed_pause; /* the last one it asked for; it has been logged
                                */
     double pending_prefill_tokens; /* prefill of requests sent there that have
@@ -111,6 +113,13 @@
 void PsBackend_Ref(ps_backend_t *backend);
 void PsBackend_Unref(ps_backend_t *backend);
 
+/**
+ * PsBackend_CountOccupied() - Returns how many requests of this daemon take a
+ * slot there: those in progress, and at a brittle server those that it may
+ * still run.
+ */
+int PsBackend_CountOccupied(const ps_backend_t *backend, int64_t now_ms);
+
 /**
  * PsBackend_Update() - Sets a newer registration of the same start.
  */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -37,6 +37,10 @@
 // Time for which the allocator's word that a service is brittle holds.
 #define BRITTLE_TOLD_MS 1000
 
+// A request that was given up at a brittle server, or whose connection was
+// lost, is expected to run for this many times the usual time.
+#define ABANDONED_RUN_FACTOR 2.0
+
 #define EVENT_TOKENS_MAX 10.0 /* most output tokens in one event */
 #define COLD_FACTOR 2.0       /* a server that has just started is slower */
 
@@ -196,11 +200,13 @@
         now_ms < backend->paused_until_ms) {
         return false;
     }
-    if (!PsServerLimit_MayStart(&backend->limit, now_ms)) {
+    if (!PsServerLimit_MayStart(&backend->limit, now_ms) ||
+        PsServerRoom_IsFull(&backend->room, now_ms)) {
         return false;
     }
     int limit = get_slot_limit(scheduler, backend, now_ms);
-    return backend->running < (backend->is_on_trial ? MIN(limit, 1) : limit);
+    return PsBackend_CountOccupied(backend, now_ms) <
+           (backend->is_on_trial ? MIN(limit, 1) : limit);
 }
 
 // Returns the prompt tokens beyond the longest prefix that the server has
@@ -768,6 +774,21 @@
     return find_best_backend(scheduler, task, now_ms) != NULL;
 }
 
+// Notes what the end of a task shows of the room at a brittle server.
+static void
+note_room(const ps_scheduler_t *scheduler, const ps_task_t *task,
+          ps_task_result_t result, int64_t now_ms)
+{
+    ps_server_room_t *room = &task->backend->room;
+    if (result == PS_TASK_REJECTED || result == PS_TASK_PAUSED) {
+        PsServerRoom_HandleRejection(room, now_ms);
+    }
+    else if (result == PS_TASK_FAILED || result == PS_TASK_CANCELLED) {
+        double run_ms = scheduler->mean_run_ms * ABANDONED_RUN_FACTOR;
+        PsServerRoom_AddAbandoned(room, task->started_ms + (int64_t)run_ms);
+    }
+}
+
 // Ends a task at its server without starting waiting tasks in its slot.
 static void
 end_at_backend(ps_scheduler_t *scheduler, ps_task_t *task,
@@ -788,6 +809,9 @@
         scheduler->mean_run_ms = scheduler->mean_run_ms * RUN_TIME_DECAY +
                                  run_ms * (1.0 - RUN_TIME_DECAY);
     }
+    if (PsScheduler_IsBrittle(scheduler, now_ms)) {
+        note_room(scheduler, task, result, now_ms);
+    }
     backend->running--;
     task->backend = NULL;
     record_result(scheduler, backend, result, now_ms);
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -226,11 +226,12 @@
         ps_backend_t *backend = backends->pdata[i];
         add_outcomes(use, backend, now_ms);
         add_server_limit(use, backend, round, now_ms);
-        if (backend->running > 0) {
+        int n_occupied = PsBackend_CountOccupied(backend, now_ms);
+        if (n_occupied > 0) {
             Ps__ServerCount *count = g_new(Ps__ServerCount, 1);
             ps__server_count__init(count);
             count->server = PsSharing_HashServer(backend);
-            count->count = (uint32_t)backend->running;
+            count->count = (uint32_t)n_occupied;
             use->running[use->n_running++] = count;
         }
     }
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -321,6 +321,27 @@
             print bad ? "cut daemons are served worse" : ok[0] < .9 * n[0] ? "the others are served worse" : "served" }' "$RIG_DIR/tries"
 }
 
+# gw_try_brittle LABEL RATE SECONDS [COMMAND...] - sends brittle servers requests at this
+# rate, by way of all daemons, and meanwhile runs the command. Prints whether callers got
+# .8 of what the servers can run, 200 a second less GW_LOST in all, and whether few
+# servers fell
+gw_try_brittle() {
+    local label=$1 rate=$2 s=$3 since falls result callers
+    shift 3
+    since=$(date +%s%3N)
+    "$RIG_BUILD/standin-callers" "$rate" "$s" /once/1 "b-$since" $(for i in $(seq "$GW_DAEMONS"); do gw_caller "$i"; done) > "$RIG_DIR/result" &
+    callers=$!
+    [ $# = 0 ] || "$@"
+    wait $callers
+    result=$(cat "$RIG_DIR/result")
+    falls=$(awk -v since="$since" '$5 == "fell" && $2 >= since { n++ } END { print n + 0 }' "$RIG_DIR/arrivals")
+    echo "$label: $result, $falls falls, $(awk -v since="$since" '$5 == "rejected" && $2 >= since { n++ } END { print n + 0 }' "$RIG_DIR/arrivals") turned away" >&2
+    awk -v label="$label" -v rate="$rate" -v s="$s" -v lost="${GW_LOST:-0}" -v falls="$falls" '{
+        able = rate < 200 ? rate : 200
+        print label ": " ($4 >= .8 * (able * s - lost) ? "served" : "not served") ", " (falls <= 2.5 ? "few falls" : falls " falls") }' <<< "$result"
+    sleep 4
+}
+
 # gw_wait_for_slack - waits until all daemons use the slack of their retry
 # budgets: a window after their start
 gw_has_slack() { curl -s "http://$(gw_metrics "$1")/" | awk '/^pearstair_retries_allowed/ { n++; low += $2 < 10 } END { exit !(n == 2 && low == 0) }'; }
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -758,6 +758,61 @@
     EXPECT_EQ(daemon.backends[0]->running, 7);
 }
 
+// Brittle servers, each full: more than three rejections within a second end one.
+// Tasks wait, and each rejection frees the slot that it was sent for.
+TEST(Scheduler, RejectionOfABrittleServerIsNotFollowedByAnother)
+{
+    for (bool is_brittle : {false, true}) {
+        SchedulerHarness daemon(1, 8, false);
+        daemon.backends[0]->is_brittle = is_brittle;
+        PsScheduler_UpdateBrittle(&daemon.scheduler);
+        daemon.scheduler.has_granted_limits = true;
+        daemon.scheduler.granted_until_ms = daemon.now + 60000;
+        daemon.backends[0]->slot_limit = 1;
+        std::vector<ps_task_t> tasks(8);
+        for (ps_task_t &task : tasks) {
+            task = daemon.MakeTask(0, 4000, 4000);
+            daemon.Submit(&task);
+        }
+        while (!daemon.running.empty() && daemon.started.size() < 5) {
+            daemon.End(daemon.running.begin()->first, PS_TASK_REJECTED);
+        }
+        EXPECT_EQ(daemon.started.size(), is_brittle ? 1u : 4u);
+        daemon.now += 1000;
+        PsScheduler_Run(&daemon.scheduler, daemon.now);
+        EXPECT_EQ(daemon.started.size(), is_brittle ? 2u : 5u);
+    }
+}
+
+// Connections are lost while servers run their requests: these take slots until
+// they have ended.
+TEST(Scheduler, LostRunsTakeSlotsOfBrittleServers)
+{
+    for (bool is_brittle : {false, true}) {
+        SchedulerHarness daemon(1, 4, false);
+        daemon.backends[0]->is_brittle = is_brittle;
+        PsScheduler_UpdateBrittle(&daemon.scheduler);
+        daemon.scheduler.mean_run_ms = 200;
+        daemon.scheduler.has_granted_limits = true;
+        daemon.scheduler.granted_until_ms = daemon.now + 60000;
+        daemon.backends[0]->slot_limit = 4;
+        std::vector<ps_task_t> tasks(12);
+        for (ps_task_t &task : tasks) {
+            task = daemon.MakeTask(0, 4000, 4000);
+            daemon.Submit(&task);
+        }
+        daemon.now += 50;
+        for (size_t i = 0; i < 3; i++) {
+            daemon.End(&tasks[i], PS_TASK_FAILED);
+        }
+        EXPECT_EQ(daemon.backends[0]->running, is_brittle ? 1 : 4);
+        EXPECT_EQ(PsBackend_CountOccupied(daemon.backends[0], daemon.now), 4);
+        daemon.now += 500;
+        PsScheduler_Run(&daemon.scheduler, daemon.now);
+        EXPECT_EQ(daemon.backends[0]->running, 4);
+    }
+}
+
 // A task moves away from a silent server only if another server has a free
 // slot; otherwise it might wait and be refused, although the silent server may
 // only be slow.
