Don't use slots that were granted before a pause of the daemon

A daemon that has stood still reads grants that have waited at its socket, and took them for fresh: it sent brittle servers what the allocator had given to others meanwhile. Seen in the logs of gw_brittle: "daemon.paused" of 703 ms, and a grant of the time before it taken 1 ms later.

A grant that answers a report from before the pause is ignored. Until the first one after it, for 0.4 s at most, the daemon runs one request at a time at each brittle server: several daemons may wake at once, and servers let two wait.

Scheduler.WokenDaemonAwaitsAGrantForBrittleServers.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -41,6 +41,11 @@
 // lost, is expected to run for this many times the usual time.
 #define ABANDONED_RUN_FACTOR 2.0
 
+// Longest time after a pause of this daemon for which it runs one request at a
+// time at each brittle server until it is granted more. Even shares are used
+// after it, as without an allocator.
+#define GRANT_WAIT_MS 400
+
 #define EVENT_TOKENS_MAX 10.0 /* most output tokens in one event */
 #define COLD_FACTOR 2.0       /* a server that has just started is slower */
 
@@ -178,7 +183,8 @@
 
 // Returns how many requests this daemon may run at a server. A brittle one
 // gets no more than its slots from all daemons: without fresh grants, this
-// daemon's share of them.
+// daemon's share of them, or less if the allocator may have given that to
+// others in a pause of this daemon.
 static int
 get_slot_limit(const ps_scheduler_t *scheduler, const ps_backend_t *backend,
                int64_t now_ms)
@@ -186,7 +192,10 @@
     bool has_grants =
         scheduler->has_granted_limits && now_ms < scheduler->granted_until_ms;
     if (!has_grants && PsScheduler_IsBrittle(scheduler, now_ms)) {
-        return MIN(backend->slot_limit, backend->even_share);
+        bool is_awaited = scheduler->paused_until_ms > 0 &&
+                          now_ms - scheduler->paused_until_ms < GRANT_WAIT_MS;
+        int limit = MIN(backend->slot_limit, backend->even_share);
+        return is_awaited ? MIN(limit, 1) : limit;
     }
     return backend->slot_limit;
 }
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -447,7 +447,7 @@
 
 // Applies a grant: changes of registrations, quota grants, silent members,
 // crashes of banned contents and slot limits. A grant that answers a report
-// that is no longer remembered is ignored.
+// that is no longer remembered, or was sent before a pause, is ignored.
 static void
 handle_grant(ps_sharing_t *sharing, const Ps__ShareGrant *grant,
              int64_t now_ms)
@@ -456,6 +456,12 @@
     if (sharing->round - grant->round >= PS_SHARING_ROUNDS_KEPT) {
         return;
     }
+    // What was granted before or in a pause of this daemon may have been given
+    // to others since.
+    if (sharing->sent_ms[grant->round % PS_SHARING_ROUNDS_KEPT] <
+        sharing->woken_ms) {
+        return;
+    }
     if (sharing->uses_even_shares) {
         PsEvents_Add("sharing.granted", "{s:s}", "allocator",
                      sharing->allocator_name.data);
@@ -648,6 +654,7 @@
 PsSharing_HandlePause(ps_sharing_t *sharing, int64_t now_ms)
 {
     sharing->allocator_since_ms = now_ms;
+    sharing->woken_ms = now_ms;
 }
 
 void
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -44,6 +44,7 @@
     ps_name_t allocator_name; /* daemon that is reported to; may be this one */
     int64_t allocator_since_ms; /* when it was chosen, or this daemon's last
                                    pause if that was later */
+    int64_t woken_ms;           /* end of this daemon's last pause; 0: none */
     int64_t granted_ms;         /* time of the last grant; 0: never */
     int64_t reconnected_ms;     /* last reconnect to the allocator */
     uint64_t round;             /* number of the last report */
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -813,6 +813,26 @@
     }
 }
 
+// A daemon wakes from a pause. Its slots may belong to others now, so that it sends little
+// until it is granted some, or until it is clear that there is no grant.
+TEST(Scheduler, WokenDaemonAwaitsAGrantForBrittleServers)
+{
+    SchedulerHarness daemon(1, 8, false);
+    PsScheduler_SetDaemons(&daemon.scheduler, 4, 0);
+    daemon.backends[0]->is_brittle = true;
+    PsScheduler_UpdateBrittle(&daemon.scheduler);
+    daemon.scheduler.paused_until_ms = daemon.now;
+    std::vector<ps_task_t> tasks(4);
+    for (ps_task_t &task : tasks) {
+        task = daemon.MakeTask(0, 4000, 4000);
+        daemon.Submit(&task);
+    }
+    EXPECT_EQ(daemon.backends[0]->running, 1);
+    daemon.now += 400;
+    PsScheduler_Run(&daemon.scheduler, daemon.now);
+    EXPECT_EQ(daemon.backends[0]->running, 2) << "its even share";
+}
+
 // A task moves away from a silent server only if another server has a free
 // slot; otherwise it might wait and be refused, although the silent server may
 // only be slow.
