--- a/src/backend_registry.c
+++ b/src/backend_registry.c
@@ -9,7 +9,7 @@
 #define READ_INTERVAL_MS 200
 
 // Time for which a server without a registration is remembered, should it go
-// on running and register again. Longer than the pauses that servers ask for.
+// on running and register again.
 #define LAPSED_KEPT_MS (60 * 1000)
 
 /* ---- Types ------------------------------------------------------------ */
--- a/src/server_room.h
+++ b/src/server_room.h
@@ -14,8 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define PS_ROOM_ABANDONED_MAX                                                 \
-    64 /* abandoned runs that are counted at a time */
+// Abandoned runs that are counted at a time.
+#define PS_ROOM_ABANDONED_MAX 64
 
 /**
  * struct ps_server_room - What one daemon believes of the room at one server.
@@ -25,7 +25,8 @@
     int64_t abandoned_until_ms[PS_ROOM_ABANDONED_MAX]; /* expected ends, in a
                                                           ring */
     int next_abandoned;
-    int64_t full_until_ms; /* gets no requests until then */
+    int64_t last_abandoned_ms; /* the latest of these ends */
+    int64_t full_until_ms;     /* gets no requests until then */
 } ps_server_room_t;
 
 /**
