--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -111,7 +111,8 @@
 
 /**
  * PsBackendRegistry_MustRead() - Tells whether all registrations have to be
- * read: the grace period is over, and servers are still missing.
+ * read: the grace period is over, and servers are still missing. After a read
+ * that brings no list it does so again.
  *
  * They are removed only by a list that is read after it. A daemon that seldom
  * reads the store would otherwise remove servers that have registered again.
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -387,6 +387,25 @@
         self->refused.push_back(task);
         self->retry_after.push_back(retry_after_ms);
     }
+    // Has the first server say whether it is brittle, and grants slots there for long.
+    void
+    Grant(bool is_brittle, int slots)
+    {
+        backends[0]->is_brittle = is_brittle;
+        PsScheduler_UpdateBrittle(&scheduler);
+        scheduler.has_granted_limits = true;
+        scheduler.granted_until_ms = now + 60000;
+        backends[0]->slot_limit = slots;
+    }
+    // Submits tasks that can wait for 4 s.
+    void
+    SubmitAll(std::vector<ps_task_t> &tasks)
+    {
+        for (ps_task_t &task : tasks) {
+            task = MakeTask(0, 4000, 4000);
+            Submit(&task);
+        }
+    }
     ps_task_t
     MakeTask(int tier, int64_t objective_in_ms = 400, int64_t wait_ms = 1400)
     {
@@ -764,16 +783,9 @@
 {
     for (bool is_brittle : {false, true}) {
         SchedulerHarness daemon(1, 8, false);
-        daemon.backends[0]->is_brittle = is_brittle;
-        PsScheduler_UpdateBrittle(&daemon.scheduler);
-        daemon.scheduler.has_granted_limits = true;
-        daemon.scheduler.granted_until_ms = daemon.now + 60000;
-        daemon.backends[0]->slot_limit = 1;
+        daemon.Grant(is_brittle, 1);
         std::vector<ps_task_t> tasks(8);
-        for (ps_task_t &task : tasks) {
-            task = daemon.MakeTask(0, 4000, 4000);
-            daemon.Submit(&task);
-        }
+        daemon.SubmitAll(tasks);
         while (!daemon.running.empty() && daemon.started.size() < 5) {
             daemon.End(daemon.running.begin()->first, PS_TASK_REJECTED);
         }
@@ -790,17 +802,10 @@
 {
     for (bool is_brittle : {false, true}) {
         SchedulerHarness daemon(1, 4, false);
-        daemon.backends[0]->is_brittle = is_brittle;
-        PsScheduler_UpdateBrittle(&daemon.scheduler);
+        daemon.Grant(is_brittle, 4);
         daemon.scheduler.mean_run_ms = 200;
-        daemon.scheduler.has_granted_limits = true;
-        daemon.scheduler.granted_until_ms = daemon.now + 60000;
-        daemon.backends[0]->slot_limit = 4;
         std::vector<ps_task_t> tasks(12);
-        for (ps_task_t &task : tasks) {
-            task = daemon.MakeTask(0, 4000, 4000);
-            daemon.Submit(&task);
-        }
+        daemon.SubmitAll(tasks);
         daemon.now += 50;
         for (size_t i = 0; i < 3; i++) {
             daemon.End(&tasks[i], PS_TASK_FAILED);
@@ -823,10 +828,7 @@
     PsScheduler_UpdateBrittle(&daemon.scheduler);
     daemon.scheduler.paused_until_ms = daemon.now;
     std::vector<ps_task_t> tasks(4);
-    for (ps_task_t &task : tasks) {
-        task = daemon.MakeTask(0, 4000, 4000);
-        daemon.Submit(&task);
-    }
+    daemon.SubmitAll(tasks);
     EXPECT_EQ(daemon.backends[0]->running, 1);
     daemon.now += 400;
     PsScheduler_Run(&daemon.scheduler, daemon.now);
