Take a version for the only one only where the store shows it

A daemon that had just started took the version that it saw for the only one unless a server was younger than 30 s; registrations of the users' platform name no start, so that it always did. Streams taken up after a loss of all daemons went on at another version when the servers of theirs had just left.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -407,8 +407,8 @@
     return cut_off;
 }
 
-// Saves in the store how much teams have spent of their quotas, and the
-// crashes of contents.
+// Saves in the store how much teams have spent of their quotas, the crashes of
+// contents, and the versions that have served.
 static void
 save_state(ps_sharing_t *sharing, int64_t now_ms)
 {
@@ -417,14 +417,19 @@
         return;
     }
     ps_mark_crashes_t *crashes = &sharing->gateway->mark_crashes;
+    ps_version_history_t *history = &sharing->gateway->version_history;
     ps_stored_state_t state;
     state.n_teams = PsAllocator_GetQuotaUsage(&sharing->allocator, state.teams,
                                               PS_STORED_TEAMS_MAX, now_ms);
     // An empty list of teams is saved once, to replace a list with teams.
     if (state.n_teams == 0 && sharing->is_stored_usage_empty &&
-        !crashes->has_unsaved_crash) {
+        !crashes->has_unsaved_crash && !history->is_unsaved) {
         return;
     }
+    state.n_versions = PsVersionHistory_List(history, state.versions,
+                                             PS_STORED_VERSIONS_MAX, now_ms);
+    state.has_versions = state.n_versions <= PS_STORED_VERSIONS_MAX;
+    state.versions_from_ms = history->known_from_ms;
     state.n_crashes = PsSuspects_ListAllCrashes(
         &crashes->suspects, state.crashes, PS_STORED_CRASHES_MAX, now_ms);
     sharing->next_state_save_ms = now_ms + SAVE_INTERVAL_MS;
@@ -432,6 +437,7 @@
                                                 &state)) {
         sharing->is_stored_usage_empty = state.n_teams == 0;
         crashes->has_unsaved_crash = false;
+        history->is_unsaved = false;
     }
 }
 
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -57,6 +57,7 @@
  */
 typedef struct ps_service {
     ps_name_t name;
+    ps_name_t check_path; /* of status checks; empty: none */
     bool is_engine;       /* model engines that run requests in batches */
     int tokens_per_event; /* output tokens in a stream's event; 0: not known */
 } ps_service_t;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -908,10 +908,8 @@
     if (route->n_targets != 1 || (!is_answered && age_ms > HEARD_LATELY_MS)) {
         return 0;
     }
-    return PsGateway_FindOnlyVersion(
-        exchange->gateway,
-        PsGateway_GetDispatcher(exchange->gateway, &route->targets[0].service),
-        now_ms);
+    return PsVersionHistory_FindOnly(&exchange->gateway->version_history,
+                                     &route->targets[0].service, now_ms);
 }
 
 // Submits a request that takes up a stream, or refuses it if it isn't known
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -52,6 +52,10 @@
 // A shutdown ends at the latest this long before its grace period is over.
 #define GRACE_MARGIN_MS 400
 
+// Time without news of the store after which servers of another version may
+// have come and left unseen. A registration outlives its server by longer.
+#define VERSIONS_MISSED_MS 3000
+
 // Share of the grace period in which new requests are accepted.
 #define ACCEPT_SHARE 0.3
 
@@ -259,6 +263,30 @@
     }
 }
 
+// Takes the versions that have served before this daemon's start. Nothing has
+// before the first start of the deployment.
+static void
+restore_versions(ps_gateway_t *gateway, const ps_stored_state_t *state)
+{
+    int64_t now_ms = PsClock_Now();
+    bool is_first =
+        !state->is_stored && gateway->settings.gateway.is_first_start;
+    if (state->has_versions) {
+        PsVersionHistory_Restore(&gateway->version_history, state->versions,
+                                 state->n_versions, state->versions_from_ms,
+                                 now_ms);
+    }
+    else if (is_first) {
+        PsVersionHistory_Restore(&gateway->version_history, NULL, 0,
+                                 now_ms - PS_STREAM_ORIGIN_MS, now_ms);
+    }
+    PsEvents_Add(
+        "versions.recover", "{s:b,s:b,s:i,s:I}", "stored",
+        (int)state->has_versions, "first_start", (int)is_first, "versions",
+        (int)gateway->version_history.versions->len, "known_ms",
+        (json_int_t)(now_ms - gateway->version_history.known_from_ms));
+}
+
 static void
 on_state_read(void *user, const ps_stored_state_t *state, int64_t age_ms)
 {
@@ -273,6 +301,7 @@
     gateway->sharing.is_stored_usage_empty = state->n_teams == 0;
     PsAllocator_AddQuotaUsage(&gateway->sharing.allocator, state->teams,
                               state->n_teams, age_ms, PsClock_Now());
+    restore_versions(gateway, state);
 }
 
 static void
@@ -280,6 +309,7 @@
 {
     ps_gateway_t *gateway = user;
     gateway->mark_crashes.has_unsaved_crash |= !is_saved;
+    gateway->version_history.is_unsaved |= !is_saved;
 }
 
 static void
@@ -307,11 +337,26 @@
     PsBackendRegistry_HandleStoreRestored(&gateway->backend_registry,
                                           PsClock_Now());
     gateway->mark_crashes.has_unsaved_crash = true;
+    gateway->version_history.is_unsaved = true;
     gateway->sharing.is_stored_usage_empty = false;
 }
 
 /* ---- Backend servers -------------------------------------------------- */
 
+// Notes which versions a service has servers of.
+static void
+note_versions(ps_gateway_t *gateway, const ps_dispatcher_t *dispatcher)
+{
+    const GPtrArray *backends = dispatcher->scheduler.backends;
+    uint64_t *versions = g_new(uint64_t, backends->len + 1);
+    for (guint i = 0; i < backends->len; i++) {
+        versions[i] = ((const ps_backend_t *)backends->pdata[i])->version;
+    }
+    PsVersionHistory_Update(&gateway->version_history, &dispatcher->name,
+                            versions, backends->len, PsClock_Now());
+    g_free(versions);
+}
+
 static void
 on_listed(ps_backend_registry_t *registry, ps_backend_t *backend, bool is_new)
 {
@@ -331,6 +376,7 @@
     ps_dispatcher_t *dispatcher =
         PsGateway_GetDispatcher(gateway, &registration->service);
     PsScheduler_AddBackend(&dispatcher->scheduler, backend);
+    note_versions(gateway, dispatcher);
     PsScheduler_Run(&dispatcher->scheduler, PsClock_Now());
 }
 
@@ -353,8 +399,7 @@
     ps_dispatcher_t *dispatcher =
         PsGateway_GetDispatcher(gateway, &backend->registration.service);
     PsScheduler_RemoveBackend(&dispatcher->scheduler, backend);
-    PsRecentMap_Put(&dispatcher->removed_versions, backend->version, 0,
-                    PsClock_Now());
+    note_versions(gateway, dispatcher);
     PsAllocator_RemoveServer(&gateway->sharing.allocator,
                              PsSharing_HashServer(backend));
 }
@@ -553,6 +598,17 @@
     gateway->store_ops->set_poll_rate(gateway->store_ops, rate);
 }
 
+// A daemon that has not heard of the store for some time, itself or from the
+// allocator, may have missed servers of another version.
+static void
+check_versions(ps_gateway_t *gateway, int64_t now_ms)
+{
+    if (gateway->catalog_confirmed_ms > 0 &&
+        now_ms - gateway->catalog_confirmed_ms > VERSIONS_MISSED_MS) {
+        PsVersionHistory_Forget(&gateway->version_history, now_ms);
+    }
+}
+
 // After a pause of this daemon, what others have sent since waits at its
 // sockets: the time of the pause shows no silence of theirs.
 static void
@@ -581,6 +637,7 @@
     ps_gateway_t *gateway = timer->data;
     int64_t now_ms = PsClock_Now();
     check_pause(gateway, now_ms);
+    check_versions(gateway, now_ms);
     if (PsBackendRegistry_MustRead(&gateway->backend_registry, now_ms)) {
         gateway->store_ops->read_now(gateway->store_ops, false, true, false);
     }
@@ -642,6 +699,8 @@
                            gateway);
     PsMarkCrashes_Init(&gateway->mark_crashes);
     PsStreamOrigins_Init(&gateway->stream_origins);
+    PsVersionHistory_Init(&gateway->version_history, PS_STREAM_ORIGIN_MS,
+                          gateway->started_ms);
     PsReachChecks_Init(&gateway->reach_checks, gateway);
     gateway->dispatchers = g_hash_table_new(PsName_Hash, PsName_EqualKeys);
     gateway->quotas =
@@ -687,6 +746,7 @@
     PsReachChecks_Finish(&gateway->reach_checks);
     PsMarkCrashes_Finish(&gateway->mark_crashes);
     PsStreamOrigins_Finish(&gateway->stream_origins);
+    PsVersionHistory_Finish(&gateway->version_history);
     PsRecentMembers_Finish(&gateway->recent_members);
     PsEvents_Flush();
 }
@@ -831,7 +891,6 @@
     PsScheduler_Init(&dispatcher->scheduler, PsExchange_GetSchedulerEvents(),
                      gateway, service, (uint32_t)gateway->self.incarnation);
     PsRetryBudget_Init(&dispatcher->retry_budget, gateway->started_ms);
-    PsRecentMap_Init(&dispatcher->removed_versions, PS_STREAM_ORIGIN_MS);
     g_hash_table_insert(gateway->dispatchers, &dispatcher->name, dispatcher);
     divide_among_daemons(gateway);
     return dispatcher;
@@ -871,35 +930,6 @@
     return names;
 }
 
-uint64_t
-PsGateway_FindOnlyVersion(const ps_gateway_t *gateway,
-                          ps_dispatcher_t *dispatcher, int64_t now_ms)
-{
-    const GPtrArray *backends = dispatcher->scheduler.backends;
-    int64_t youngest_ms = 0; // Unix time
-    for (guint i = 0; i < backends->len; i++) {
-        const ps_backend_t *backend = backends->pdata[i];
-        const ps_backend_t *first = backends->pdata[0];
-        if (backend->version != first->version) {
-            return 0;
-        }
-        youngest_ms = MAX(youngest_ms, backend->registration.started_ms);
-    }
-    // A daemon that has just started doesn't know which servers were removed
-    // before. Servers are replaced by others that start at that time.
-    bool knows_removed = now_ms - gateway->started_ms > PS_STREAM_ORIGIN_MS;
-    int64_t age_ms = g_get_real_time() / 1000 - youngest_ms;
-    if (backends->len == 0 ||
-        (!knows_removed && age_ms <= PS_STREAM_ORIGIN_MS)) {
-        return 0;
-    }
-    const ps_backend_t *first = backends->pdata[0];
-    return PsRecentMap_HasOther(&dispatcher->removed_versions, first->version,
-                                now_ms)
-               ? 0
-               : first->version;
-}
-
 ps_quota_t *
 PsGateway_GetQuota(ps_gateway_t *gateway, const ps_name_t *team)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -30,6 +30,7 @@
 #include "sharing.h"
 #include "store_events.h"
 #include "stream_origins.h"
+#include "version_history.h"
 
 struct ps_gateway;
 
@@ -42,7 +43,6 @@
     ps_retry_budget_t retry_budget;
     bool is_brittle; /* as the allocator: a server has told any daemon so */
     int tokens_per_event; /* output tokens in an event of a stream */
-    ps_recent_map_t removed_versions; /* of servers removed lately */
 } ps_dispatcher_t;
 
 /**
@@ -133,6 +133,7 @@
     ps_forwarders_t forwarders;         /* daemons that can carry requests */
     ps_forward_server_t forward_server; /* carries those of others */
     ps_stream_origins_t stream_origins;
+    ps_version_history_t version_history;
     ps_daemon_info_t self;
     GHashTable *members; /* name to ps_daemon_info_t, this daemon included */
     ps_recent_members_t recent_members; /* that left */
@@ -252,14 +253,6 @@
  */
 GPtrArray *PsGateway_ListOthers(const ps_gateway_t *gateway);
 
-/**
- * PsGateway_FindOnlyVersion() - Returns the version of a service's servers if
- * no other one has served within PS_STREAM_ORIGIN_MS; 0: others may have.
- */
-uint64_t PsGateway_FindOnlyVersion(const ps_gateway_t *gateway,
-                                   ps_dispatcher_t *dispatcher,
-                                   int64_t now_ms);
-
 /**
  * PsGateway_GetQuota() - Returns a team's quota, made at first use; never
  * NULL. Owned by the gateway.
--- a/src/recent_map.c
+++ b/src/recent_map.c
@@ -30,13 +30,6 @@
     }
 }
 
-static bool
-has_other(GHashTable *generation, uint64_t hash)
-{
-    guint n_equal = g_hash_table_contains(generation, &hash) ? 1 : 0;
-    return g_hash_table_size(generation) > n_equal;
-}
-
 /* ---- Public functions ------------------------------------------------- */
 
 void
@@ -85,10 +78,3 @@
     }
     return known != NULL;
 }
-
-bool
-PsRecentMap_HasOther(ps_recent_map_t *map, uint64_t hash, int64_t now_ms)
-{
-    expire(map, now_ms);
-    return has_other(map->newer, hash) || has_other(map->older, hash);
-}
--- a/src/recent_map.h
+++ b/src/recent_map.h
@@ -46,9 +46,4 @@
 bool PsRecentMap_Get(ps_recent_map_t *map, uint64_t hash, uint64_t *value,
                      int64_t now_ms);
 
-/**
- * PsRecentMap_HasOther() - Tells whether any other hash was put lately.
- */
-bool PsRecentMap_HasOther(ps_recent_map_t *map, uint64_t hash, int64_t now_ms);
-
 #endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -13,6 +13,7 @@
     SETTING_MODE,
     SETTING_ADDRESS,
     SETTING_TOKEN,
+    SETTING_FLAG,
     SETTING_DURATION, /* this kind and later ones are numbers */
     SETTING_SIZE,
     SETTING_COUNT,
@@ -91,6 +92,8 @@
      "0.1", 0, 10},
     {"gateway", "quota_slack", SETTING_REAL, FIELD(gateway.quota_slack), "0",
      0, 1000000000},
+    {"gateway", "first_start", SETTING_FLAG, FIELD(gateway.is_first_start),
+     "false", 0, 0},
     {"gateway", "cpu_share", SETTING_REAL, FIELD(gateway.cpu_share), "1", 0,
      1024},
 };
@@ -228,6 +231,14 @@
     return allowed;
 }
 
+static const char *
+parse_flag(const char *value, bool *out)
+{
+    *out = strcmp(value, "true") == 0;
+    return *out || strcmp(value, "false") == 0 ? NULL
+                                               : "allowed are true and false";
+}
+
 // Parses a value of any kind into the field of ps_settings_t at @field, whose
 // type follows from the kind; returns what is allowed when it is not valid,
 // else NULL.
@@ -237,6 +248,9 @@
     if (setting->kind == SETTING_REAL) {
         return parse_real(setting, value, field);
     }
+    if (setting->kind == SETTING_FLAG) {
+        return parse_flag(value, field);
+    }
     return setting->kind < SETTING_DURATION
                ? parse_text(setting, value, field)
                : parse_integer(setting, value, field);
--- a/src/settings.h
+++ b/src/settings.h
@@ -36,6 +36,8 @@
                                which it may be exceeded */
     double quota_slack;     /* [gateway] quota_slack, units by which a quota
                                may be exceeded in addition */
+    bool is_first_start;    /* [gateway] first_start, no daemon of the
+                               deployment has run before */
     double cpu_share;       /* [gateway] cpu_share, processor share of this
                                daemon, in cores */
 } ps_gateway_settings_t;
--- a/src/store_events.h
+++ b/src/store_events.h
@@ -11,6 +11,7 @@
 #include "backend.h"
 #include "catalog.h"
 #include "suspects.h"
+#include "version_history.h"
 
 /**
  * struct ps_daemon_info - Registration of a daemon.
@@ -44,16 +45,24 @@
 
 #define PS_STORED_TEAMS_MAX 64    /* teams whose usage is stored */
 #define PS_STORED_CRASHES_MAX 128 /* crashes that are stored */
+#define PS_STORED_VERSIONS_MAX 64 /* versions of services that are stored */
 
 /**
  * struct ps_stored_state - What the allocator keeps in the store, for a start
  * of all daemons at once.
  */
 typedef struct ps_stored_state {
+    bool is_stored; /* false: no state was ever stored */
     ps_quota_usage_t teams[PS_STORED_TEAMS_MAX];
     int n_teams;
     ps_crash_t crashes[PS_STORED_CRASHES_MAX];
     size_t n_crashes;
+    bool has_versions; /* the next three are known; false: too many, stored by
+                          another build, or before the store was restored */
+    ps_served_version_t versions[PS_STORED_VERSIONS_MAX];
+    size_t n_versions;
+    int64_t versions_from_ms; /* all that served since are in @versions, up to
+                                 when it was written */
 } ps_stored_state_t;
 
 /**
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -97,6 +97,7 @@
 retry_ratio = $GW_RETRY_RATIO
 retry_window = $GW_RETRY_WINDOW_S
 retry_slack = $GW_RETRY_SLACK
+first_start = ${GW_FIRST_START:-false}
 END
 }
 
@@ -198,12 +199,13 @@
 
 # gw_take_up N ID EVENTS EVERY [CURL-ARGS...] - requests a stream from daemon N, leaves
 # after EVERY seconds and takes it up at the next daemon until it is whole, six times
-# at most, naming the first request that brought an event; prints the number of requests,
-# the versions that events came from, and whole or broken
+# at most (GW_TRIES), naming the first request that brought an event; waits GW_RETRY_S
+# after one that brought none. Prints the number of requests, the versions that events
+# came from, and whole or broken
 gw_take_up() {
     local daemon=$1 id=$2 events=$3 every=$4 n=0 last=0 text first="" all="" resumes
     shift 4
-    while [ "$n" -lt 6 ] && [ "$last" -lt "$events" ]; do
+    while [ "$n" -lt "${GW_TRIES:-6}" ] && [ "$last" -lt "$events" ]; do
         n=$((n + 1))
         resumes=()
         [ "$last" = 0 ] || resumes=(-H "Resumes: $first" -H "Last-Event-Id: $last")
@@ -213,6 +215,7 @@
             awk 'BEGIN { RS = "" } { for (i = 1; i < NF; i++) if ($i == "data:") print $(i + 2), $(i + 3) }')
         [ -z "$text" ] || [ "$last" != 0 ] || first=$id-$n
         [ -z "$text" ] || { all+=$text$'\n'; last=$(tail -1 <<< "$text" | cut -d' ' -f1); }
+        [ -n "$text" ] || sleep "${GW_RETRY_S:-0}"
         daemon=$((daemon % GW_DAEMONS + 1))
     done
     awk -v n="$n" -v events="$events" 'NF { good += $1 == good + 1; if (!($2 in seen)) { seen[$2] = 1; list = list (list ? "+" : "") $2 } }
@@ -377,6 +380,6 @@
     [ -z "${GW_HEARTBEAT_MS:-}" ] || gw_set_switches "$(gw_store)" "registration_ttl_ms=$((3 * GW_HEARTBEAT_MS))"
     gw_print_config "${GW_VERSION:-5}" | curl -sf -X POST -d @- "http://$(gw_store)/pearstair/objects/config" > /dev/null
     for i in $(seq "$GW_RUNNERS"); do gw_start_runner "$i"; done
-    for i in $(seq "$GW_DAEMONS"); do gw_start_daemon "$i"; done
+    for i in $(seq "$GW_DAEMONS"); do GW_FIRST_START=true gw_start_daemon "$i"; done
     for i in $(seq "$GW_DAEMONS"); do rig_wait_until 15 gw_serves "$i"; done
 }
--- a/tests/run_one.sh
+++ b/tests/run_one.sh
@@ -11,6 +11,7 @@
 gw_crash_before_end_known | gw_crashing_part) GW_RUNNERS=12 GW_HEARTBEAT_MS=2000 ;; # registrations last 6 s
 gw_common_request | gw_crashing_no_body | gw_faults | gw_server_limit | gw_paused | gw_retry_*) GW_RUNNERS=6 ;;
 gw_crashing_content | gw_silent_crash | gw_unframed | gw_endless) GW_RUNNERS=8 ;; # one request can reach four engines
+gw_stream_versions_restart) GW_RUNNERS=9 GW_DAEMONS=4 RUNNER_BORN_AGO_MS=60000 ;;
 gw_stream_versions*) GW_RUNNERS=12 GW_DAEMONS=4 ;;
 gw_server_limit_faults | gw_server_pause | gw_store_back) GW_RUNNERS=6 GW_DAEMONS=4 ;;
 gw_server_pause_shorter) GW_LINKS=1 GW_RUNNERS=6 ;;
@@ -19,7 +20,7 @@
 gw_server_leaving) GW_RUNNERS=6 GW_DAEMONS=4 GW_REVOKE_MS=60000 ;; # keys stay valid while the store is down
 gw_crashing_part_faults) GW_RUNNERS=12 GW_DAEMONS=4 GW_HEARTBEAT_MS=2000 ;;
 gw_unframed_crash) GW_LINKS=1 GW_RUNNERS=8 GW_HEARTBEAT_MS=2000 RUNNER_UNFRAMED=100 ;; # registrations last 6 s
-gw_cut_off) GW_LINKS="1 2 3 4 5 6" GW_DAEMONS=6 GW_RUNNERS=6 ;;
+gw_cut_off | gw_cut_off_broken) GW_LINKS="1 2 3 4 5 6" GW_DAEMONS=6 GW_RUNNERS=6 ;;
 gw_cut_off_faults) GW_LINKS="1 2 3" GW_DAEMONS=6 GW_RUNNERS=12 GW_HEARTBEAT_MS=2000 ;; # registrations last 6 s
 gw_brittle_faults | gw_brittle_store) GW_LINKS="1 2 3" GW_DAEMONS=6 GW_RUNNERS=10 RUNNER_BRITTLE=3 RUNNER_QUEUE=2 RUNNER_WORK_MS=200 ;;
 gw_brittle) GW_DAEMONS=6 GW_RUNNERS=10 RUNNER_BRITTLE=3 RUNNER_QUEUE=2 RUNNER_WORK_MS=200 ;;
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -28,7 +28,8 @@
  * ends, and logs its name with "fell". queue sets how many requests may wait
  * beside those that run, work_ms how long a plain answer takes.
  * RUNNER_BRITTLE, RUNNER_QUEUE, RUNNER_WORK_MS and RUNNER_UNFRAMED in the
- * environment set these from the start. The switch limit sets the text of the
+ * environment set these from the start; RUNNER_BORN_AGO_MS has it register a
+ * start that was so long ago. The switch limit sets the text of the
  * header Server-Limit of all answers; with the text "none" they have no such
  * header. says_leaving=1 adds the header Server-Leaving to all answers,
  * retry_after the header Retry-After with this text to those of requests that
@@ -40,7 +41,8 @@
  * silent. The faults above don't strike such a request. A stream's request
  * with a part in Prompt-Prefix, not the last one, whose ID is "dead" and more
  * digits ends the process when its first event is due. GET /counts: runs by
- * request id, rejected and running requests.
+ * request id, rejected and running requests. GET /health: the server's name in
+ * the header Instance, without work.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -537,6 +539,11 @@
     if (strcmp(request->path, "/counts") == 0) {
         return send_counts(request);
     }
+    if (strcmp(request->path, "/health") == 0) {
+        const char *headers[] = {"Instance", server_name, NULL};
+        return Standin_SendText(request, is_leaving ? 503 : 200, "{}",
+                                is_leaving ? NULL : headers);
+    }
     return handle_work(request);
 }
 
@@ -571,7 +578,8 @@
     queue_max = get_number_of("RUNNER_QUEUE", queue_max);
     work_ms = get_number_of("RUNNER_WORK_MS", work_ms);
     unframed_percent = get_number_of("RUNNER_UNFRAMED", unframed_percent);
-    started_ms = g_get_real_time() / 1000;
+    started_ms =
+        g_get_real_time() / 1000 - get_number_of("RUNNER_BORN_AGO_MS", 0);
     srand((unsigned)started_ms);
     runs_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     curl_global_init(CURL_GLOBAL_ALL);
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -1116,8 +1116,6 @@
     uint64_t value = 0;
     EXPECT_TRUE(PsRecentMap_Get(&map, 1, &value, now));
     EXPECT_EQ(value, 6u);
-    EXPECT_FALSE(PsRecentMap_HasOther(&map, 1, now));
-    EXPECT_TRUE(PsRecentMap_HasOther(&map, 2, now));
     PsRecentMap_Put(&map, 2, 2 + 5, now + kKept);
     EXPECT_TRUE(PsRecentMap_Get(&map, 2, nullptr, now + 2 * kKept));
     EXPECT_FALSE(PsRecentMap_Get(&map, 1, nullptr, now + 4 * kKept));
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -554,6 +554,11 @@
     written.crashes[1].mark = 0x123456789abcdef;
     written.crashes[1].id = UINT64_MAX - 1;
     written.crashes[1].at_ms = 90000;
+    written.has_versions = true;
+    written.n_versions = 2;
+    written.versions[0] = {ToName("m"), UINT64_MAX, 0};
+    written.versions[1] = {ToName("m"), 7, 96000};
+    written.versions_from_ms = 51000;
     memset(&read, 0xff, sizeof read);
     json_t *object = PsCodec_EncodeState("spent", &written, 101000);
     int64_t age_ms = -1;
@@ -575,6 +580,41 @@
         memcpy(&is_trial, &read.crashes[i].is_trial, 1);
         EXPECT_EQ(is_trial, 0);
     }
+    EXPECT_TRUE(read.is_stored);
+    ASSERT_TRUE(read.has_versions);
+    ASSERT_EQ(read.n_versions, 2u);
+    EXPECT_EQ(ToString(read.versions[0].service), "m");
+    EXPECT_EQ(read.versions[0].version, UINT64_MAX);
+    EXPECT_EQ(read.versions[0].left_ms, 0);
+    EXPECT_EQ(read.versions[1].version, 7u);
+    EXPECT_NEAR((double)read.versions[1].left_ms, 496000, 1000);
+    EXPECT_NEAR((double)read.versions_from_ms, 451000, 1000);
+}
+
+// A record of a build that doesn't know versions, or a damaged one, is no
+// evidence of which have served.
+TEST(Codec, VersionsOfADamagedStateAreNotKnown)
+{
+    const char *specs[] = {
+        R"({"writtenMs":1,"teams":[],"crashes":[]})",
+        R"({"versions":[{"service":"m","version":"zz"}],"versionsKnownMs":9})",
+        R"({"versions":[{"version":"1"}],"versionsKnownMs":9})",
+        R"({"versions":[],"versionsKnownMs":-1})",
+        R"({"versions":[]})",
+        R"({"versions":7,"versionsKnownMs":9})"};
+    for (const char *text : specs) {
+        json_t *spec = json_loads(text, 0, nullptr);
+        ps_stored_state_t read;
+        int64_t age_ms;
+        PsCodec_DecodeState(spec, &read, &age_ms, 1000);
+        EXPECT_FALSE(read.has_versions) << text;
+        json_decref(spec);
+    }
+    ps_stored_state_t none;
+    int64_t age_ms;
+    PsCodec_DecodeState(nullptr, &none, &age_ms, 1000);
+    EXPECT_FALSE(none.is_stored);
+    EXPECT_FALSE(none.has_versions);
 }
 
 /* ---- Callers and servers ---------------------------------------------- */
--- a/tests/test_origins.cpp
+++ b/tests/test_origins.cpp
@@ -10,6 +10,7 @@
 
 extern "C" {
 #include "stream_origins.h"
+#include "version_history.h"
 }
 
 namespace {
@@ -89,4 +90,110 @@
               asked.size());
 }
 
+// Servers of one service come and go, daemons store each change and are all
+// lost now and then. The one version that a daemon names has served alone for
+// as long as streams live.
+RC_GTEST_PROP(VersionHistory, OnlyVersionHasServedAloneThroughRestarts, ())
+{
+    const int64_t kept_ms = 30000;
+    const ps_name_t service = ToName("m"), other = ToName("other");
+    int64_t now = kStart;
+    ps_version_history_t history;
+    PsVersionHistory_Init(&history, kept_ms, now);
+    PsVersionHistory_Restore(&history, nullptr, 0, now - kept_ms, now);
+    std::set<uint64_t> serving = {1};
+    std::vector<std::pair<uint64_t, int64_t>> served; // and until when
+    ps_served_version_t stored[64];
+    size_t n_stored = 0;
+    int64_t stored_from_ms = 0;
+    auto update = [&]() {
+        const std::vector<uint64_t> list(serving.begin(), serving.end());
+        PsVersionHistory_Update(&history, &service, list.data(), list.size(),
+                                now);
+        const uint64_t another = 77;
+        PsVersionHistory_Update(&history, &other, &another, 1, now);
+    };
+    auto store = [&]() {
+        n_stored = PsVersionHistory_List(&history, stored, 64, now);
+        stored_from_ms = history.known_from_ms;
+        history.is_unsaved = false;
+    };
+    update();
+    store();
+    int n_known = 0;
+    for (int step = 0; step < 40; step++) {
+        now += *rc::gen::inRange<int64_t>(1, 20000);
+        const int act = *rc::gen::inRange(0, 5);
+        if (act <= 1) { // a version comes or goes
+            const uint64_t version = *rc::gen::inRange<uint64_t>(1, 4);
+            if (serving.count(version) > 0) {
+                serving.erase(version);
+                served.emplace_back(version, now);
+            }
+            else {
+                serving.insert(version);
+            }
+            update();
+            if (history.is_unsaved) {
+                store();
+            }
+        }
+        else if (act == 2) { // all daemons are lost, a server may end too
+            PsVersionHistory_Finish(&history);
+            if (serving.size() > 1 && *rc::gen::arbitrary<bool>()) {
+                served.emplace_back(*serving.begin(), now);
+                serving.erase(serving.begin());
+            }
+            now += *rc::gen::inRange<int64_t>(1, 5000);
+            PsVersionHistory_Init(&history, kept_ms, now);
+            const bool is_read_first = *rc::gen::arbitrary<bool>();
+            if (!is_read_first) {
+                update();
+            }
+            PsVersionHistory_Restore(&history, stored, n_stored,
+                                     stored_from_ms, now);
+            update();
+            store();
+        }
+        const uint64_t only =
+            PsVersionHistory_FindOnly(&history, &service, now);
+        if (only == 0) {
+            continue;
+        }
+        n_known++;
+        RC_ASSERT(serving == std::set<uint64_t>{only});
+        for (const auto &[version, until_ms] : served) {
+            RC_ASSERT(version == only || now - until_ms > kept_ms);
+        }
+    }
+    RC_TAG(n_known > 0 ? "named" : "never named");
+    PsVersionHistory_Finish(&history);
+}
+
+TEST(VersionHistory, NamesAVersionOnlyOnEvidence)
+{
+    const ps_name_t service = ToName("m");
+    const uint64_t one = 1;
+    ps_version_history_t history;
+    PsVersionHistory_Init(&history, 30000, kStart);
+    PsVersionHistory_Update(&history, &service, &one, 1, kStart);
+    EXPECT_EQ(PsVersionHistory_FindOnly(&history, &service, kStart + 29999),
+              0u)
+        << "others may have left before the start";
+    EXPECT_EQ(PsVersionHistory_FindOnly(&history, &service, kStart + 30000),
+              1u);
+    const ps_served_version_t stored = {service, 1, 0};
+    PsVersionHistory_Finish(&history);
+    PsVersionHistory_Init(&history, 30000, kStart);
+    PsVersionHistory_Restore(&history, &stored, 1, kStart - 40000, kStart);
+    EXPECT_EQ(PsVersionHistory_FindOnly(&history, &service, kStart), 0u)
+        << "its servers may have left";
+    PsVersionHistory_Update(&history, &service, &one, 1, kStart + 10);
+    EXPECT_EQ(PsVersionHistory_FindOnly(&history, &service, kStart + 10), 1u);
+    PsVersionHistory_Forget(&history, kStart + 20);
+    EXPECT_EQ(PsVersionHistory_FindOnly(&history, &service, kStart + 30), 0u)
+        << "changes may have been missed";
+    PsVersionHistory_Finish(&history);
+}
+
 } // namespace
