Ask servers for their status to see whether they are reached

Cause: a connection that opened counted as reach, so that a daemon whose connections were reset or closed after opening, or answered by something else, never sent by way of others, and its losses banned sound contents everywhere. A check now is a status request, and only the server's own answer, or a check that it takes without an answer in .5 s, shows reach. Answers that aren't the server's own have it checked.

The soak's cuts have the four ways, too.

--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -12,7 +12,10 @@
  *     (down) or both are no longer read; connections stay open
  * refuse: new connections are refused
  * hang: new connections do not open; their first packets are dropped
- * clear: ends delay, drop, silence, refuse and hang.
+ * break open|close|request|answer: open connections are reset; new ones open
+ *     and are then reset (open), closed (close), reset when bytes have come
+ *     (request), or these are answered here (answer)
+ * clear: ends delay, drop, silence, refuse, hang and break.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -70,8 +73,9 @@
 static listener_t listeners[LISTENERS_MAX];
 static int n_listeners;
 static GQueue links;
-static int delay_ms;            /* before bytes are forwarded */
-static int drop_percent;        /* of new connections, which are reset */
+static int delay_ms;       /* before bytes are forwarded */
+static int drop_percent;   /* of new connections, which are reset */
+static char break_how[16]; /* of new connections; empty: they are not broken */
 static bool is_caller_silenced; /* bytes that callers send are not read */
 static bool is_target_silenced; /* bytes that the target sends are not read */
 
@@ -122,6 +126,21 @@
                                        : is_target_silenced;
 }
 
+// Ends a connection whose bytes have come, as "break request" and "break
+// answer" say.
+static void
+break_link(link_t *link)
+{
+    static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                                 "Response-Stamp: another\r\n\r\nno";
+    bool is_answered = strcmp(break_how, "answer") == 0;
+    if (is_answered &&
+        send(link->caller.fd, answer, sizeof answer - 1, MSG_NOSIGNAL) < 0) {
+        fprintf(stderr, "soak-proxy: not answered: %s\n", strerror(errno));
+    }
+    close_link(link, !is_answered);
+}
+
 // Reads bytes of one endpoint and queues them for the other one.
 static void
 on_read(struct ev_loop *unused, ev_io *io, int events)
@@ -142,6 +161,10 @@
         close_link(endpoint->link, true);
         return;
     }
+    if (n > 0 && *break_how && endpoint == &endpoint->link->caller) {
+        break_link(endpoint->link);
+        return;
+    }
     endpoint_t *peer = endpoint->peer;
     if (n == 0) {
         peer->is_source_closed = true;
@@ -223,7 +246,11 @@
     if (fd < 0) {
         return;
     }
-    if (rand() % 100 < drop_percent) {
+    if (strcmp(break_how, "close") == 0) {
+        close(fd);
+        return;
+    }
+    if (rand() % 100 < drop_percent || strcmp(break_how, "open") == 0) {
         struct linger reset_on_close = {1, 0};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close,
                    sizeof reset_on_close);
@@ -307,6 +334,14 @@
     }
 }
 
+static void
+reset_links(void)
+{
+    while (links.head) {
+        close_link(links.head->data, true);
+    }
+}
+
 static void
 handle_command(const char *line)
 {
@@ -320,9 +355,10 @@
         is_target_silenced = strcmp(direction, "up") != 0;
     }
     else if (strncmp(line, "reset", 5) == 0) {
-        while (links.head) {
-            close_link(links.head->data, true);
-        }
+        reset_links();
+    }
+    else if (sscanf(line, "break %15s", break_how) == 1) {
+        reset_links();
     }
     else if (strncmp(line, "refuse", 6) == 0) {
         for (int i = 0; i < n_listeners; i++) {
@@ -341,6 +377,7 @@
         }
         delay_ms = 0;
         drop_percent = 0;
+        *break_how = '\0';
         is_caller_silenced = false;
         is_target_silenced = false;
         resume_reads();
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -87,6 +87,8 @@
  * @add_request_headers: adds to @transfer the headers of @request that are
  *                       passed on, and those for @outbound
  * @classify: reads the headers of the response to request @request_id
+ * @is_check_answer: tells whether the response to a status check is of the
+ *                   server that it was sent to
  * @read_limit: reads the requests a second that the response's server takes
  * @read_pause: reads for how many seconds the response's server, which turned
  * the request away, wants no others
@@ -107,6 +109,8 @@
                                 ps_transfer_t *transfer);
     ps_reply_t (*classify)(const ps_transfer_t *transfer,
                            const ps_name_t *request_id);
+    bool (*is_check_answer)(const ps_transfer_t *transfer,
+                            const ps_name_t *server);
     ps_header_reading_t (*read_limit)(const ps_transfer_t *transfer,
                                       double *rate);
     ps_header_reading_t (*read_pause)(const ps_transfer_t *transfer,
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -458,6 +458,7 @@
                              exchange->task.started_ms, now_ms);
     }
     if (exchange->reply == PS_REPLY_MISMATCH) {
+        exchange->path.has_mismatch = true;
         transfer->is_aborted = true;
     }
     else if (is_stream_response(exchange) && !exchange->is_relaying) {
--- a/src/forward_server.c
+++ b/src/forward_server.c
@@ -99,10 +99,16 @@
     ps_gateway_t *gateway = forward->forwarding->gateway;
     int64_t now_ms = PsClock_Now();
     forward->has_response_head = true;
-    PsReachChecks_HandleAnswer(&gateway->reach_checks, forward->backend,
-                               now_ms);
     ps_reply_t reply =
         gateway->dialect->classify(transfer, &forward->request_id);
+    if (reply == PS_REPLY_MISMATCH) {
+        PsReachChecks_HandleSilence(&gateway->reach_checks, forward->backend,
+                                    now_ms);
+    }
+    else {
+        PsReachChecks_HandleAnswer(&gateway->reach_checks, forward->backend,
+                                   now_ms);
+    }
     if (reply == PS_REPLY_ANSWER || reply == PS_REPLY_NOT_RUN) {
         PsServerNotices_Take(gateway, forward->backend, transfer, reply,
                              &forward->request_id, forward->started_ms,
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -38,6 +38,7 @@
         curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &os_error);
         transfer->is_refused =
             code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
+        transfer->is_timed_out = code == CURLE_OPERATION_TIMEDOUT;
         result = transfer->sends == 0 ? PS_TRANSFER_NOT_SENT
                                       : PS_TRANSFER_INCOMPLETE;
     }
@@ -355,6 +356,7 @@
     transfer->sends = 0;
     transfer->is_aborted = false;
     transfer->is_refused = false;
+    transfer->is_timed_out = false;
     transfer->is_paused = false;
     transfer->must_not_resend = request->must_not_resend;
     set_callbacks(easy, client, transfer);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -61,6 +61,7 @@
     bool must_not_resend;      /* copied from the ps_transfer_request_t */
     bool is_aborted;           /* set by a callback to close the connection */
     bool is_refused;           /* no process listens at the address */
+    bool is_timed_out;         /* its time was over */
     bool is_paused;            /* no more of the response is read */
     ps_buf_t body;             /* of the response, when events->data is NULL */
     ps_name_t content_type;    /* Content-Type of the response */
--- a/src/reach_checks.c
+++ b/src/reach_checks.c
@@ -349,7 +349,7 @@
         if (!is_server && !is_other) {
             continue;
         }
-        bool is_open = result == PS_CHECK_CONNECTED;
+        bool is_open = result == PS_CHECK_REACHED;
         question->is_server_lost |= is_server && !is_open;
         question->is_server_refused |= is_server && result == PS_CHECK_REFUSED;
         question->is_other_reached |= is_other && is_open;
@@ -396,7 +396,7 @@
               ps_check_result_t result, int64_t now_ms)
 {
     bool was_checking = backend->reach.is_checking;
-    if (result == PS_CHECK_CONNECTED) {
+    if (result == PS_CHECK_REACHED) {
         handle_open(reach, backend, now_ms);
         if (was_checking) {
             settle(reach, backend, true, false, now_ms);
@@ -414,6 +414,29 @@
     }
 }
 
+static const char *
+find_path(void *user, const ps_registration_t *server)
+{
+    const ps_reach_checks_t *reach = user;
+    const ps_catalog_t *catalog = reach->gateway->catalog;
+    for (guint i = 0; catalog && i < catalog->services->len; i++) {
+        const ps_service_t *service = catalog->services->pdata[i];
+        if (PsName_IsEqual(&service->name, &server->service) &&
+            !PsName_IsEmpty(&service->check_path)) {
+            return service->check_path.data;
+        }
+    }
+    return NULL;
+}
+
+static bool
+is_own_answer(void *user, const ps_registration_t *server,
+              const ps_transfer_t *transfer)
+{
+    const ps_reach_checks_t *reach = user;
+    return reach->gateway->dialect->is_check_answer(transfer, &server->name);
+}
+
 static void
 on_checked(void *user, const ps_registration_t *server,
            ps_check_result_t result)
@@ -472,7 +495,8 @@
 void
 PsReachChecks_Init(ps_reach_checks_t *reach, ps_gateway_t *gateway)
 {
-    static const ps_server_checks_events_t events = {is_needed, on_checked};
+    static const ps_server_checks_events_t events = {
+        is_needed, find_path, is_own_answer, on_checked};
     *reach = (ps_reach_checks_t){
         .gateway = gateway,
         .lookups = g_array_new(FALSE, FALSE, sizeof(lookup_t)),
@@ -512,7 +536,7 @@
         PsServerReach_StartCheck(&backend->reach, PS_REACH_CHECK_INTERVAL_MS,
                                  now_ms)) {
         handle_result(reach, backend,
-                      is_refused ? PS_CHECK_REFUSED : PS_CHECK_NO_ANSWER,
+                      is_refused ? PS_CHECK_REFUSED : PS_CHECK_UNOPENED,
                       now_ms);
     }
     else if (PsServerReach_HandleLost(&backend->reach, now_ms)) {
--- a/src/server_checks.c
+++ b/src/server_checks.c
@@ -1,9 +1,9 @@
-/* server_checks.c - Connections opened to see whether servers accept them. */
+/* server_checks.c - Status checks that show whether servers are reached. */
 #include "server_checks.h"
 
 #include "events_log.h"
 
-#define CONNECT_TIMEOUT_MS 500
+#define CHECK_TIMEOUT_MS 500
 
 /* ---- Types ------------------------------------------------------------ */
 
@@ -12,28 +12,41 @@
     ps_registration_t server;
     int64_t due_ms;
     bool is_running;
+    bool connects_only;
     ps_transfer_t transfer; /* while running */
     GList link;
 } server_check_t;
 
 /* ---- Internal functions ----------------------------------------------- */
 
+static ps_check_result_t
+get_result(const server_check_t *check, ps_transfer_result_t result)
+{
+    const ps_transfer_t *transfer = &check->transfer;
+    if (result == PS_TRANSFER_NOT_SENT) {
+        return transfer->is_refused ? PS_CHECK_REFUSED : PS_CHECK_UNOPENED;
+    }
+    bool is_answered = check->connects_only ||
+                       (transfer->status != 0 &&
+                        check->checks->events->is_own_answer(
+                            check->checks->user, &check->server, transfer));
+    bool is_waiting = transfer->status == 0 && transfer->is_timed_out;
+    return is_answered || is_waiting ? PS_CHECK_REACHED : PS_CHECK_BROKEN;
+}
+
 static void
 on_done(ps_transfer_t *transfer, ps_transfer_result_t result)
 {
+    static const char *const names[] = {[PS_CHECK_REACHED] = "reached",
+                                        [PS_CHECK_REFUSED] = "refused",
+                                        [PS_CHECK_BROKEN] = "broken",
+                                        [PS_CHECK_UNOPENED] = "unopened"};
     server_check_t *check = transfer->user;
     ps_server_checks_t *checks = check->checks;
-    ps_check_result_t shown = PS_CHECK_NO_ANSWER;
-    if (result == PS_TRANSFER_COMPLETE) {
-        shown = PS_CHECK_CONNECTED;
-    }
-    else if (transfer->is_refused) {
-        shown = PS_CHECK_REFUSED;
-    }
-    PsEvents_Add("server.checked", "{s:s,s:b,s:b}", "name",
-                 check->server.name.data, "connected",
-                 (int)(shown == PS_CHECK_CONNECTED), "refused",
-                 (int)(shown == PS_CHECK_REFUSED));
+    ps_check_result_t shown = get_result(check, result);
+    PsEvents_Add("server.checked", "{s:s,s:s,s:i}", "name",
+                 check->server.name.data, "result", names[shown], "status",
+                 (int)transfer->status);
     ps_registration_t server = check->server;
     g_queue_unlink(&checks->checks, &check->link);
     checks->n_running--;
@@ -46,16 +59,20 @@
 start_check(server_check_t *check)
 {
     static const ps_transfer_events_t events = {.done = on_done};
+    ps_server_checks_t *checks = check->checks;
+    const char *path = checks->events->find_path(checks->user, &check->server);
     ps_name_t url = PsName_Format("http://%s/", check->server.address.data);
+    check->connects_only = !path;
     ps_transfer_request_t request = {.method = "GET",
                                      .url = url.data,
-                                     .timeout_ms = CONNECT_TIMEOUT_MS,
-                                     .connects_only = true};
+                                     .target = path,
+                                     .timeout_ms = CHECK_TIMEOUT_MS,
+                                     .has_own_connection = true,
+                                     .connects_only = check->connects_only};
     check->is_running = true;
-    check->checks->n_running++;
+    checks->n_running++;
     PsTransfer_Init(&check->transfer, &events, check);
-    PsTransfer_StartRequest(check->checks->http_client, &check->transfer,
-                            &request);
+    PsTransfer_StartRequest(checks->http_client, &check->transfer, &request);
 }
 
 static bool
--- a/src/server_checks.h
+++ b/src/server_checks.h
@@ -1,13 +1,15 @@
 /*
- * server_checks.h - Opens connections to see whether backend servers accept
- * them.
+ * server_checks.h - Asks backend servers for their status to see whether this
+ * daemon reaches them.
  *
  * A lost connection doesn't tell whether its server has ended, and the
  * server's registration lasts for some heartbeats after its end. A check opens
  * another connection: a refused one shows that no process listens there, or
- * that this daemon is cut off from the server. Load pattern: requests that
- * crash servers come all the time, while other servers cut connections and go
- * on running; or all connections of this daemon are lost at once.
+ * that this daemon is cut off from the server. One that opens shows nothing
+ * yet, as what is between may accept it: the server has to answer. Load
+ * pattern: requests that crash servers come all the time, while other servers
+ * cut connections and go on running; or all connections of this daemon are
+ * lost at once.
  */
 #ifndef PS_SERVER_CHECKS_H
 #define PS_SERVER_CHECKS_H
@@ -26,19 +28,28 @@
  * enum ps_check_result - What a check has shown.
  */
 typedef enum ps_check_result {
-    PS_CHECK_CONNECTED,
-    PS_CHECK_REFUSED,  /* no process listens there, or something between
-                          refuses */
-    PS_CHECK_NO_ANSWER /* nothing came back within the check's time */
+    PS_CHECK_REACHED, /* the server has answered; or it has accepted the check
+                         and has not answered yet, as a busy one may */
+    PS_CHECK_REFUSED, /* no process listens there, or something between
+                         refuses */
+    PS_CHECK_BROKEN,  /* a connection opened and was lost, or something else
+                         answered */
+    PS_CHECK_UNOPENED /* no connection opened within the check's time */
 } ps_check_result_t;
 
 /**
  * struct ps_server_checks_events - Callbacks of checks.
  * @is_needed: tells, when a check is due, whether it is still wanted
+ * @find_path: returns the path of a server's status; NULL: it has none, and an
+ *             open connection has to do
+ * @is_own_answer: tells whether the response to a check is of this server
  * @checked: a check has ended
  */
 typedef struct ps_server_checks_events {
     bool (*is_needed)(void *user, const ps_registration_t *server);
+    const char *(*find_path)(void *user, const ps_registration_t *server);
+    bool (*is_own_answer)(void *user, const ps_registration_t *server,
+                          const ps_transfer_t *transfer);
     void (*checked)(void *user, const ps_registration_t *server,
                     ps_check_result_t result);
 } ps_server_checks_events_t;
--- a/src/server_path.h
+++ b/src/server_path.h
@@ -53,6 +53,7 @@
     ps_forwarder_t *forwarder; /* that carries it; NULL: none does */
     ps_name_t tried[PS_PATH_FORWARDERS_MAX]; /* daemons, this one included */
     int n_tried;
+    bool has_mismatch; /* something else than the server's answer came */
     ps_name_t url;
 } ps_server_path_t;
 
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -60,7 +60,8 @@
 
 # gw_cut_off HOW N... - cuts these daemons off from all backend servers: reset
 # (connections are reset, new ones refused), hang (they fall silent, new ones don't
-# open) or new (open ones live on, new ones are refused); "clear" ends it
+# open), new (open ones live on, new ones are refused), or as the proxy's command "break"
+# says: open, close, request or answer; "clear" ends it
 gw_cut_off() {
     local n how=$1
     shift
@@ -69,6 +70,7 @@
         reset) gw_set_link "$n" refuse reset ;;
         hang) gw_set_link "$n" hang "silence both" ;;
         new) gw_set_link "$n" refuse ;;
+        open | close | request | answer) gw_set_link "$n" "break $how" ;;
         *) gw_set_link "$n" "$how" ;;
         esac
     done
--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -4,6 +4,7 @@
 #include "loopback.hpp"
 
 extern "C" {
+#include "dialect_fleet.h"
 #include "http_client.h"
 #include "peers.h"
 #include "platform.h"
@@ -285,21 +286,26 @@
 void
 AddResult(void *user, const ps_registration_t *server, ps_check_result_t shown)
 {
-    const char *const results[] = {"connected", "refused", "no answer"};
+    const char *const results[] = {"reached", "refused", "broken", "unopened"};
     ((std::set<std::string> *)user)
         ->insert(server->name.data + std::string(": ") + results[shown]);
 }
 
 } // namespace
 
-// A server whose process has ended refuses connections; one that cuts or
-// ignores them still runs. A check that is not needed any more opens none.
+// A server whose process has ended refuses connections. Without a path of its
+// status nothing is sent. A check that is not needed any more opens none.
 TEST(ServerChecks, CheckTellsRefusedConnectionsFromOpenOnes)
 {
     ps_http_client_t client;
     PsHttpClient_Init(&client, GetLoop());
     std::set<std::string> seen;
-    const ps_server_checks_events_t events = {IsNeeded, AddResult};
+    const ps_server_checks_events_t events = {
+        IsNeeded,
+        [](void *, const ps_registration_t *) -> const char * {
+            return nullptr;
+        },
+        nullptr, AddResult};
     ps_server_checks_t checks;
     PsServerChecks_Init(&checks, &events, &seen, &client);
     RawServer running;
@@ -320,7 +326,7 @@
     PsServerChecks_Run(&checks, 1000 + PS_SERVER_CHECK_DELAY_MS);
     RunUntil([&] { return checks.checks.length == 0; });
     EXPECT_EQ(seen,
-              (std::set<std::string>{"running: connected", "ended: refused"}));
+              (std::set<std::string>{"running: reached", "ended: refused"}));
     EXPECT_EQ(client.connects, 2u);
     EXPECT_EQ(running.requests, 0) << "sent a request";
     PsServerChecks_Add(&checks, &servers[0], 0, 2000);
@@ -329,6 +335,54 @@
     PsHttpClient_Finish(&client);
 }
 
+// What is between may accept a connection. Only an answer of the server shows
+// that it is reached, or that it takes the check and is busy.
+TEST(ServerChecks, CheckTellsServersAnswersFromOpenConnections)
+{
+    ps_http_client_t client;
+    PsHttpClient_Init(&client, GetLoop());
+    std::set<std::string> seen;
+    const ps_server_checks_events_t events = {
+        IsNeeded,
+        [](void *, const ps_registration_t *) { return "/status"; },
+        [](void *, const ps_registration_t *server,
+           const ps_transfer_t *transfer) {
+            return PsDialectFleet_Get()->is_check_answer(transfer,
+                                                         &server->name);
+        },
+        AddResult};
+    ps_server_checks_t checks;
+    PsServerChecks_Init(&checks, &events, &seen, &client);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+    const std::pair<std::string, std::string> cases[] = {
+        {"sound", head + "Instance: sound\r\n\r\n"},
+        {"rejects", "HTTP/1.1 503 Service Unavailable\r\nNot-Run: full\r\n"
+                    "Content-Length: 0\r\n\r\n"},
+        {"another", head + "Instance: other\r\n\r\n"},
+        {"something else", head + "\r\n"},
+        {"closes", ""},
+        {"busy", ""}};
+    std::vector<std::unique_ptr<RawServer>> servers;
+    for (const auto &[name, answer] : cases) {
+        servers.push_back(std::make_unique<RawServer>());
+        servers.back()->answer = answer;
+        servers.back()->is_silent = name == "busy";
+        ps_registration_t registration = {};
+        registration.name = ToName(name);
+        registration.address = ToName(servers.back()->address);
+        PsServerChecks_Add(&checks, &registration, 0, 1000);
+    }
+    PsServerChecks_Run(&checks, 1000);
+    RunUntil([&] { return checks.checks.length == 0; });
+    EXPECT_EQ(seen,
+              (std::set<std::string>{"sound: reached", "rejects: reached",
+                                     "another: broken",
+                                     "something else: broken",
+                                     "closes: broken", "busy: reached"}));
+    PsServerChecks_Finish(&checks);
+    PsHttpClient_Finish(&client);
+}
+
 // libcurl retries a request when a connection that it reuses turns out to be
 // closed. A request that must be sent at most once therefore gets a connection
 // of its own.
