Read the store less often where the allocator's word is fresh

Cause: each of 195 daemons listed and watched the store as if alone after a start and after each loss of the allocator, and listed three kinds each 12 s beside fresh summaries.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -36,18 +36,13 @@
 
 // The allocator's summaries must have been fresh for this long before the
 // store is polled slowly.
-#define SLOW_POLL_DELAY_MS 700
+#define SLOW_POLL_DELAY_MS 400
 
-// Age up to which the allocator's last summary counts as fresh.
-#define SUMMARY_FRESH_MS 500
-
-// Age up to which the configuration counts as confirmed by the allocator:
-// twice the interval of the allocator's reads.
-#define CONFIRMED_FRESH_MS 1200
-
-// A daemon must have been the allocator for this long before it polls fast. By
-// then a daemon that has just started knows the other daemons.
-#define ALLOCATOR_SETTLE_MS 1000
+// Age up to which the allocator's last summary, and the configuration that it
+// has confirmed, count as fresh. The next allocator is chosen and has read the
+// store by then, so that not all daemons read it when one is lost; a read
+// after it still is in time for a change that has to be in force in 2 s.
+#define SUMMARY_FRESH_MS 1500
 
 // A shutdown ends at the latest this long before its grace period is over.
 #define GRACE_MARGIN_MS 400
@@ -581,15 +576,15 @@
     bool is_allocator =
         PsName_IsEqual(&sharing->allocator_name, &gateway->self.name);
     bool relies_on_allocator =
-        !is_allocator && !sharing->uses_even_shares &&
+        !is_allocator &&
         now_ms - gateway->last_summary_ms < SUMMARY_FRESH_MS &&
-        now_ms - gateway->catalog_confirmed_ms < CONFIRMED_FRESH_MS;
+        now_ms - gateway->catalog_confirmed_ms < SUMMARY_FRESH_MS;
     if (!relies_on_allocator && gateway->catalog) {
         gateway->slow_poll_after_ms = now_ms + SLOW_POLL_DELAY_MS;
     }
     ps_poll_rate_t rate = PS_POLL_NORMAL;
-    if (is_allocator &&
-        now_ms - sharing->allocator_since_ms > ALLOCATOR_SETTLE_MS) {
+    // Its own reports don't make a daemon read for others.
+    if (is_allocator && g_hash_table_size(sharing->allocator.reporters) > 1) {
         rate = PS_POLL_FAST;
     }
     else if (relies_on_allocator && now_ms >= gateway->slow_poll_after_ms) {
@@ -1034,12 +1029,14 @@
     bool has_mismatch = gateway->mismatch_since_ms > 0 &&
                         now_ms - gateway->mismatch_since_ms > MISMATCH_MIN_MS;
     int64_t passed_ms = now_ms - gateway->last_summary_read_ms;
-    if ((summary->version > own_version &&
-         passed_ms > VERSION_READ_INTERVAL_MS) ||
+    // Any answer of a restored store shows its era.
+    bool must_read_config =
+        summary->version > own_version ||
+        summary->store_era > gateway->store_ops->get_era(gateway->store_ops);
+    if ((must_read_config && passed_ms > VERSION_READ_INTERVAL_MS) ||
         (has_mismatch && passed_ms > MISMATCH_READ_INTERVAL_MS)) {
         gateway->last_summary_read_ms = now_ms;
-        gateway->store_ops->read_now(gateway->store_ops,
-                                     summary->version > own_version,
+        gateway->store_ops->read_now(gateway->store_ops, must_read_config,
                                      servers_differ, members_differ);
     }
     if (summary->version == own_version) {
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -4311,7 +4311,7 @@
   (ProtobufCMessageInit) ps__member_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[14] =
+static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[15] =
 {
   {
     "round",
@@ -4481,6 +4481,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareGrant, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_grant__field_indices_by_name[] = {
   12,   /* field[12] = cleared */
@@ -4496,13 +4508,14 @@
   6,   /* field[6] = servers_hash */
   1,   /* field[1] = services */
   3,   /* field[3] = silent */
+  14,   /* field[14] = store_era */
   2,   /* field[2] = teams */
 };
 static const ProtobufCIntRange ps__share_grant__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ps__share_grant__descriptor =
 {
@@ -4512,7 +4525,7 @@
   "Ps__ShareGrant",
   "ps",
   sizeof(Ps__ShareGrant),
-  14,
+  15,
   ps__share_grant__field_descriptors,
   ps__share_grant__field_indices_by_name,
   2,  ps__share_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -838,10 +838,14 @@
    */
   size_t n_cut_off;
   char **cut_off;
+  /*
+   * of the store as the sender reads it; 0: not known
+   */
+  uint64_t store_era;
 };
 #define PS__SHARE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_grant__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -416,7 +416,8 @@
                                   .confirmed_ms =
                                       sent_ms - (int64_t)grant->config_age_ms,
                                   .servers_hash = grant->servers_hash,
-                                  .members_hash = grant->members_hash};
+                                  .members_hash = grant->members_hash,
+                                  .store_era = grant->store_era};
     PsGateway_HandleStoreSummary(sharing->gateway, &summary, now_ms);
 }
 
