--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -274,6 +274,33 @@
     harness.Stop();
 }
 
+// A connection may go silent for good while a watch waits on it. Lists show
+// the changes then, at their usual interval.
+TEST(Store, ServersAreListedWhileTheirWatchIsSilent)
+{
+    StoreHarness harness;
+    int n_lists = 0, n_watches = 0;
+    harness.server.closes_after_answer = false;
+    harness.server.respond = [&](const std::string &request) -> std::string {
+        if (request.find("watch=") != std::string::npos) {
+            n_watches++;
+            return "";
+        }
+        n_lists +=
+            request.find("/objects/servers") != std::string::npos ? 1 : 0;
+        return MakeResponse("200 OK", R"({"items":[],"currentRev":10})");
+    };
+    harness.Start();
+    harness.store.catalog_version = 1;
+    PsStore_SetPollInterval(&harness.store, 600, false);
+    RunUntil([&] { return n_watches == PS_STORE_KINDS; });
+    const int before = n_lists;
+    const int64_t start_ms = g_get_monotonic_time() / 1000;
+    RunUntil([&] { return n_lists == before + 3; });
+    EXPECT_LT(g_get_monotonic_time() / 1000 - start_ms, 3000);
+    harness.Stop();
+}
+
 namespace {
 
 bool
@@ -343,8 +370,7 @@
     PsHttpClient_Init(&client, GetLoop());
     std::set<std::string> seen;
     const ps_server_checks_events_t events = {
-        IsNeeded,
-        [](void *, const ps_registration_t *) { return "/status"; },
+        IsNeeded, [](void *, const ps_registration_t *) { return "/status"; },
         [](void *, const ps_registration_t *server,
            const ps_transfer_t *transfer) {
             return PsDialectFleet_Get()->is_check_answer(transfer,
@@ -374,11 +400,10 @@
     }
     PsServerChecks_Run(&checks, 1000);
     RunUntil([&] { return checks.checks.length == 0; });
-    EXPECT_EQ(seen,
-              (std::set<std::string>{"sound: reached", "rejects: reached",
-                                     "another: broken",
-                                     "something else: broken",
-                                     "closes: broken", "busy: reached"}));
+    EXPECT_EQ(seen, (std::set<std::string>{
+                        "sound: reached", "rejects: reached",
+                        "another: broken", "something else: broken",
+                        "closes: broken", "busy: reached"}));
     PsServerChecks_Finish(&checks);
     PsHttpClient_Finish(&client);
 }
