Tell daemons how long requests wait over the whole fleet

Cause: each daemon estimated waits from its own starts, five a second on the large site, and refused requests below the engines' capacity or accepted ones that could only be late. Grants now carry the wait of each rank over all daemons, a new request that would be late by it is refused at once, and rounds come each .3 ms a daemon (58 ms with 195) in place of .6.

--- a/src/allocator.h
+++ b/src/allocator.h
@@ -206,6 +206,19 @@
  */
 int PsServiceUse_CountGranted(const ps_service_use_t *use, uint32_t server);
 
+/**
+ * PsAllocator_CountWaiting() - Counts the requests of each rank that wait for
+ * a service, by the fresh reports. To be called before their slots are
+ * divided.
+ * @counts: receives at most @max counts
+ *
+ * Return: number of counts.
+ */
+int PsAllocator_CountWaiting(ps_allocator_t *allocator,
+                             const ps_name_t *service,
+                             ps_waiting_count_t *counts, int max,
+                             int64_t now_ms);
+
 /**
  * PsAllocator_CountRunning() - Returns how many requests run at a service's
  * servers, by the fresh reports.
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -24,12 +24,15 @@
 // A daemon must have been the allocator for this long before it saves the
 // versions that have served: after a start each daemon is, until it knows
 // others.
-#define SAVE_VERSIONS_DELAY_MS 1500
+#define SAVE_VERSIONS_DELAY_MS 3000
 
 // Time that a report takes at most, unless links or daemons are disturbed. A
 // notice of a server's limit in it may be older than it says by that much.
 #define REPORT_DELAY_MAX_MS 100
 
+#define WAIT_MAX_MS 60000.0 /* longer estimates are cut to it */
+#define STARTS_MAX 100000   /* more in one report are not counted */
+
 /* The fields that are the same in all grants of a round. */
 typedef struct round_data {
     GPtrArray *silent;          /* names of members that do not report */
@@ -111,6 +114,12 @@
         handle_server_limits(sharing, reporter, use_message, &service, now_ms);
         ps_dispatcher_t *dispatcher =
             PsGateway_FindDispatcher(sharing->gateway, &service);
+        for (size_t k = 0; dispatcher && k < use_message->n_started; k++) {
+            const Ps__WaitingCount *started = use_message->started[k];
+            PsFleetWaits_AddStarts(&dispatcher->fleet_waits, started->rank,
+                                   (int)MIN(started->count, STARTS_MAX),
+                                   now_ms);
+        }
         for (size_t k = 0; k < use_message->n_outcomes; k++) {
             const Ps__ServerOutcomes *each = use_message->outcomes[k];
             ps_outcomes_t outcomes = {each->good, each->failed, each->absent};
@@ -190,6 +199,17 @@
                                n_slots, n_daemons);
 }
 
+static void
+estimate_waits(ps_sharing_t *sharing, ps_dispatcher_t *dispatcher,
+               int64_t now_ms)
+{
+    ps_waiting_count_t counts[PS_RANKS_MAX];
+    dispatcher->n_waits = PsAllocator_CountWaiting(
+        &sharing->allocator, &dispatcher->name, counts, PS_RANKS_MAX, now_ms);
+    PsFleetWaits_Estimate(&dispatcher->fleet_waits, counts,
+                          dispatcher->n_waits, dispatcher->waits, now_ms);
+}
+
 static void
 divide_service(ps_sharing_t *sharing, ps_dispatcher_t *dispatcher,
                int64_t now_ms)
@@ -216,6 +236,7 @@
                 (int)(backend->registration.slots * factor + 0.5);
         }
     }
+    estimate_waits(sharing, dispatcher, now_ms);
     PsAllocator_DivideSlots(&sharing->allocator, &dispatcher->name, slots, n,
                             members, now_ms);
     g_free(slots);
@@ -246,6 +267,24 @@
     }
 }
 
+// Plain requests wait for less than a round, so that no wait is told for them.
+static void
+add_waits_to_grant(Ps__ServiceGrant *grant, const ps_dispatcher_t *dispatcher)
+{
+    grant->has_waits = dispatcher->scheduler.is_engine;
+    if (!grant->has_waits) {
+        return;
+    }
+    grant->waits = g_new0(Ps__RankWait *, dispatcher->n_waits + 1);
+    for (int i = 0; i < dispatcher->n_waits; i++) {
+        Ps__RankWait *wait = g_new(Ps__RankWait, 1);
+        ps__rank_wait__init(wait);
+        wait->rank = dispatcher->waits[i].rank;
+        wait->ms = (uint32_t)MIN(dispatcher->waits[i].ms, WAIT_MAX_MS);
+        grant->waits[grant->n_waits++] = wait;
+    }
+}
+
 static Ps__ServiceGrant *
 make_service_grant(const ps_name_t *service, const ps_service_use_t *use)
 {
@@ -283,6 +322,7 @@
         if (dispatcher) {
             add_limits_to_grant(service, dispatcher, value, is_own, now_ms);
             service->brittle = dispatcher->is_brittle;
+            add_waits_to_grant(service, dispatcher);
         }
         grant->services[grant->n_services++] = service;
     }
@@ -358,6 +398,10 @@
         for (size_t k = 0; k < each->n_server_limits; k++) {
             g_free(each->server_limits[k]);
         }
+        for (size_t k = 0; k < each->n_waits; k++) {
+            g_free(each->waits[k]);
+        }
+        g_free(each->waits);
         g_free(each->limits);
         g_free(each->server_limits);
         g_free(each);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -16,6 +16,7 @@
 #include "changes.h"
 #include "mark_crashes.h"
 #include "dialect.h"
+#include "fleet_waits.h"
 #include "forward_server.h"
 #include "forwarders.h"
 #include "histogram.h"
@@ -43,10 +44,13 @@
     ps_scheduler_t scheduler;
     ps_retry_budget_t retry_budget;
     bool is_brittle; /* as the allocator: a server has told any daemon so */
-    ps_overcommit_t overcommit; /* of plain servers, as the allocator */
+    ps_overcommit_t overcommit;   /* of plain servers, as the allocator */
+    ps_fleet_waits_t fleet_waits; /* as the allocator */
+    ps_rank_wait_t waits[PS_RANKS_MAX]; /* for the grants of this round */
+    int n_waits;
     int n_ended; /* requests that have ended at servers, by the reports since
                     the last round */
-    int tokens_per_event;       /* output tokens in an event of a stream */
+    int tokens_per_event; /* output tokens in an event of a stream */
 } ps_dispatcher_t;
 
 /**
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &ps__share_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__rank_wait__init
+                     (Ps__RankWait         *message)
+{
+  static const Ps__RankWait init_value = PS__RANK_WAIT__INIT;
+  *message = init_value;
+}
+size_t ps__rank_wait__get_packed_size
+                     (const Ps__RankWait *message)
+{
+  assert(message->base.descriptor == &ps__rank_wait__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__rank_wait__pack
+                     (const Ps__RankWait *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__rank_wait__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__rank_wait__pack_to_buffer
+                     (const Ps__RankWait *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__rank_wait__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__RankWait *
+       ps__rank_wait__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__RankWait *)
+     protobuf_c_message_unpack (&ps__rank_wait__descriptor,
+                                allocator, len, data);
+}
+void   ps__rank_wait__free_unpacked
+                     (Ps__RankWait *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__rank_wait__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__service_grant__init
                      (Ps__ServiceGrant         *message)
 {
@@ -3499,7 +3544,7 @@
   (ProtobufCMessageInit) ps__server_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[7] =
 {
   {
     "service",
@@ -3573,6 +3618,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceUse, n_started),
+    offsetof(Ps__ServiceUse, started),
+    &ps__waiting_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_use__field_indices_by_name[] = {
   5,   /* field[5] = brittle */
@@ -3580,12 +3637,13 @@
   1,   /* field[1] = running */
   4,   /* field[4] = server_limits */
   0,   /* field[0] = service */
+  6,   /* field[6] = started */
   2,   /* field[2] = waiting */
 };
 static const ProtobufCIntRange ps__service_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ps__service_use__descriptor =
 {
@@ -3595,7 +3653,7 @@
   "Ps__ServiceUse",
   "ps",
   sizeof(Ps__ServiceUse),
-  6,
+  7,
   ps__service_use__field_descriptors,
   ps__service_use__field_indices_by_name,
   1,  ps__service_use__number_ranges,
@@ -3886,7 +3944,58 @@
   (ProtobufCMessageInit) ps__share_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ps__rank_wait__field_descriptors[2] =
+{
+  {
+    "rank",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RankWait, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RankWait, ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__rank_wait__field_indices_by_name[] = {
+  1,   /* field[1] = ms */
+  0,   /* field[0] = rank */
+};
+static const ProtobufCIntRange ps__rank_wait__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ps__rank_wait__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.RankWait",
+  "RankWait",
+  "Ps__RankWait",
+  "ps",
+  sizeof(Ps__RankWait),
+  2,
+  ps__rank_wait__field_descriptors,
+  ps__rank_wait__field_indices_by_name,
+  1,  ps__rank_wait__number_ranges,
+  (ProtobufCMessageInit) ps__rank_wait__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[6] =
 {
   {
     "service",
@@ -3936,17 +4045,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waits",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceGrant, n_waits),
+    offsetof(Ps__ServiceGrant, waits),
+    &ps__rank_wait__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_waits",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServiceGrant, has_waits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_grant__field_indices_by_name[] = {
   3,   /* field[3] = brittle */
+  5,   /* field[5] = has_waits */
   1,   /* field[1] = limits */
   2,   /* field[2] = server_limits */
   0,   /* field[0] = service */
+  4,   /* field[4] = waits */
 };
 static const ProtobufCIntRange ps__service_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ps__service_grant__descriptor =
 {
@@ -3956,7 +4091,7 @@
   "Ps__ServiceGrant",
   "ps",
   sizeof(Ps__ServiceGrant),
-  4,
+  6,
   ps__service_grant__field_descriptors,
   ps__service_grant__field_indices_by_name,
   1,  ps__service_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Ps__TeamUse Ps__TeamUse;
 typedef struct Ps__ContentCrash Ps__ContentCrash;
 typedef struct Ps__ShareReport Ps__ShareReport;
+typedef struct Ps__RankWait Ps__RankWait;
 typedef struct Ps__ServiceGrant Ps__ServiceGrant;
 typedef struct Ps__TeamGrant Ps__TeamGrant;
 typedef struct Ps__ServerNews Ps__ServerNews;
@@ -569,6 +570,11 @@
    */
   size_t n_server_limits;
   Ps__ServerLimit **server_limits;
+  /*
+   * requests started since the last report
+   */
+  size_t n_started;
+  Ps__WaitingCount **started;
   /*
    * a server of it has told the sender that it falls over when it
    */
@@ -576,7 +582,7 @@
 };
 #define PS__SERVICE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Ps__TeamUse
@@ -666,6 +672,20 @@
     , 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * How long a new request of one rank would wait.
+ */
+struct  Ps__RankWait
+{
+  ProtobufCMessage base;
+  uint32_t rank;
+  uint32_t ms;
+};
+#define PS__RANK_WAIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__rank_wait__descriptor) \
+    , 0, 0 }
+
+
 /*
  * What one daemon may use until the next grant.
  */
@@ -687,10 +707,19 @@
    * a server of it has told any daemon so
    */
   protobuf_c_boolean brittle;
+  /*
+   * of the ranks in which any daemon's requests wait
+   */
+  size_t n_waits;
+  Ps__RankWait **waits;
+  /*
+   * the sender knows them
+   */
+  protobuf_c_boolean has_waits;
 };
 #define PS__SERVICE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
 
 
 struct  Ps__TeamGrant
@@ -876,7 +905,7 @@
 {
   ProtobufCMessage base;
   /*
-   * hash of the id of the request
+   * hash of the id of the request; 0: any answer will do, it
    */
   uint64_t request;
 };
@@ -1407,6 +1436,25 @@
 void   ps__share_report__free_unpacked
                      (Ps__ShareReport *message,
                       ProtobufCAllocator *allocator);
+/* Ps__RankWait methods */
+void   ps__rank_wait__init
+                     (Ps__RankWait         *message);
+size_t ps__rank_wait__get_packed_size
+                     (const Ps__RankWait   *message);
+size_t ps__rank_wait__pack
+                     (const Ps__RankWait   *message,
+                      uint8_t             *out);
+size_t ps__rank_wait__pack_to_buffer
+                     (const Ps__RankWait   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__RankWait *
+       ps__rank_wait__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__rank_wait__free_unpacked
+                     (Ps__RankWait *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ServiceGrant methods */
 void   ps__service_grant__init
                      (Ps__ServiceGrant         *message);
@@ -1655,6 +1703,9 @@
 typedef void (*Ps__ShareReport_Closure)
                  (const Ps__ShareReport *message,
                   void *closure_data);
+typedef void (*Ps__RankWait_Closure)
+                 (const Ps__RankWait *message,
+                  void *closure_data);
 typedef void (*Ps__ServiceGrant_Closure)
                  (const Ps__ServiceGrant *message,
                   void *closure_data);
@@ -1714,6 +1765,7 @@
 extern const ProtobufCMessageDescriptor ps__team_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__content_crash__descriptor;
 extern const ProtobufCMessageDescriptor ps__share_report__descriptor;
+extern const ProtobufCMessageDescriptor ps__rank_wait__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_news__descriptor;
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -18,6 +18,10 @@
 // objective.
 #define LATENESS_MAX_MS 400.0
 
+// The same for a new task, where the wait is known for all daemons: the
+// inaccuracy of the estimate.
+#define FLEET_LATENESS_MAX_MS 50.0
+
 #define RETRY_AFTER_MIN_MS 400.0 /* shortest Retry-After */
 
 // Longest Retry-After. Callers wait for at most a third of the time that they
@@ -339,7 +343,9 @@
         task->is_waiting = false;
     }
     uint32_t rank = get_rank(scheduler, task, now_ms);
-    get_rank_rate(scheduler, rank, now_ms)->starts += 1.0;
+    ps_rank_rate_t *rate = get_rank_rate(scheduler, rank, now_ms);
+    rate->starts += 1.0;
+    scheduler->unreported_starts[rate - scheduler->rates]++;
     PsBackend_Ref(backend);
     task->backend = backend;
     task->started_ms = now_ms;
@@ -476,12 +482,30 @@
            due + LATENESS_MAX_MS;
 }
 
+// Tells whether a new task would be late for its objective, as all daemons'
+// tasks of its rank are: what is on time goes first then, so that it would
+// wait in vain.
+static bool
+would_be_late_in_fleet(ps_scheduler_t *scheduler, const ps_task_t *task,
+                       int64_t now_ms)
+{
+    if (now_ms >= scheduler->fleet_waits_until_ms ||
+        is_late(scheduler, task, now_ms)) {
+        return false;
+    }
+    uint32_t rank = get_rank(scheduler, task, now_ms);
+    double wait = PsScheduler_EstimateWait(scheduler, rank, now_ms);
+    return (double)now_ms + wait + scheduler->mean_first_event_ms >
+           (double)task->objective_ms + FLEET_LATENESS_MAX_MS;
+}
+
 // Refuses a new task if its first event would come too late; returns whether
 // it did.
 static bool
 refuse_if_too_late(ps_scheduler_t *scheduler, ps_task_t *task, int64_t now_ms)
 {
-    if (!would_be_too_late(scheduler, task, now_ms)) {
+    if (!would_be_too_late(scheduler, task, now_ms) &&
+        !would_be_late_in_fleet(scheduler, task, now_ms)) {
         return false;
     }
     refuse_lower_tiers(scheduler, task->tier, now_ms);
@@ -637,10 +661,43 @@
     return n;
 }
 
+int
+PsScheduler_TakeStarts(ps_scheduler_t *scheduler, ps_waiting_count_t *counts)
+{
+    int n = 0;
+    for (int i = 0; i < scheduler->n_rates; i++) {
+        if (scheduler->unreported_starts[i] > 0) {
+            counts[n++] =
+                (ps_waiting_count_t){scheduler->rates[i].rank,
+                                     (int)scheduler->unreported_starts[i]};
+            scheduler->unreported_starts[i] = 0;
+        }
+    }
+    return n;
+}
+
+void
+PsScheduler_SetFleetWaits(ps_scheduler_t *scheduler,
+                          const ps_rank_wait_t *waits, int n, int64_t until_ms)
+{
+    scheduler->n_fleet_waits = MIN(n, PS_RANKS_MAX);
+    memcpy(scheduler->fleet_waits, waits,
+           (size_t)scheduler->n_fleet_waits * sizeof *waits);
+    scheduler->fleet_waits_until_ms = until_ms;
+}
+
 double
 PsScheduler_EstimateWait(ps_scheduler_t *scheduler, uint32_t rank,
                          int64_t now_ms)
 {
+    if (now_ms < scheduler->fleet_waits_until_ms) {
+        for (int i = 0; i < scheduler->n_fleet_waits; i++) {
+            if (scheduler->fleet_waits[i].rank == rank) {
+                return scheduler->fleet_waits[i].ms;
+            }
+        }
+        return 0;
+    }
     int ahead = 0;
     for (const GList *l = scheduler->waiting.head; l; l = l->next) {
         ahead += get_rank(scheduler, l->data, now_ms) == rank ? 1 : 0;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -72,7 +72,7 @@
 } ps_task_t;
 
 /**
- * struct ps_waiting_count - Number of waiting requests of one rank.
+ * struct ps_waiting_count - Number of waiting or started requests of one rank.
  */
 typedef struct ps_waiting_count {
     uint32_t rank; /* 0 is served first */
@@ -88,6 +88,14 @@
     int64_t at_ms; /* @starts is decayed up to this time */
 } ps_rank_rate_t;
 
+/**
+ * struct ps_rank_wait - How long tasks of one rank wait over all daemons.
+ */
+typedef struct ps_rank_wait {
+    uint32_t rank;
+    double ms;
+} ps_rank_wait_t;
+
 /**
  * struct ps_scheduler_events - Callbacks of a scheduler.
  * @start: send the task to its backend server now
@@ -117,8 +125,12 @@
                          not known yet */
     ps_rank_rate_t rates[PS_RANKS_MAX];
     int n_rates;
-    double mean_run_ms;         /* moving average of times at a server */
-    double mean_first_event_ms; /* moving average of times to first event */
+    uint32_t unreported_starts[PS_RANKS_MAX]; /* of the rates' ranks */
+    ps_rank_wait_t fleet_waits[PS_RANKS_MAX]; /* told by the allocator */
+    int n_fleet_waits;
+    int64_t fleet_waits_until_ms; /* they are too old then */
+    double mean_run_ms;           /* moving average of times at a server */
+    double mean_first_event_ms;   /* moving average of times to first event */
     uint32_t random_state;
     bool has_brittle_server;  /* one has told this daemon so */
     int64_t brittle_told_ms;  /* when the allocator last said that there is
@@ -279,10 +291,32 @@
                              ps_waiting_count_t *counts, int max,
                              int64_t now_ms);
 
+/**
+ * PsScheduler_TakeStarts() - Lists how many tasks of each rank were started
+ * since the last call.
+ * @counts: receives at most PS_RANKS_MAX of them
+ *
+ * Return: their number.
+ */
+int PsScheduler_TakeStarts(ps_scheduler_t *scheduler,
+                           ps_waiting_count_t *counts);
+
+/**
+ * PsScheduler_SetFleetWaits() - Sets how long tasks wait over all daemons.
+ * @waits: of the ranks in which any wait
+ *
+ * A daemon's own few starts tell little where there are many daemons: its
+ * tasks wait as long as those of others. Load pattern: overload, spread over
+ * more daemons than start a task in the time that one may wait.
+ */
+void PsScheduler_SetFleetWaits(ps_scheduler_t *scheduler,
+                               const ps_rank_wait_t *waits, int n,
+                               int64_t until_ms);
+
 /**
  * PsScheduler_EstimateWait() - Estimates how long a new task of a rank would
- * wait, in milliseconds, from how many tasks of the rank wait and how often
- * tasks of the rank are started.
+ * wait, in milliseconds: as told for all daemons, or from how many tasks of
+ * the rank wait here and how often tasks of the rank are started.
  */
 double PsScheduler_EstimateWait(ps_scheduler_t *scheduler, uint32_t rank,
                                 int64_t now_ms);
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -14,7 +14,7 @@
 // allocator's load.
 #define ROUND_MIN_MS 20
 #define ROUND_MAX_MS 150
-#define ROUND_PER_DAEMON_MS 0.6
+#define ROUND_PER_DAEMON_MS 0.3
 
 // Times without a grant, and what follows when they are over.
 #define GRANT_TTL_MS 400 /* even shares are used from then on */
@@ -208,11 +208,33 @@
     use->server_limits[use->n_server_limits++] = message;
 }
 
+// Freed with free_rank_counts().
+static Ps__WaitingCount **
+make_rank_counts(const ps_waiting_count_t *ranks, int n)
+{
+    Ps__WaitingCount **counts = g_new0(Ps__WaitingCount *, n + 1);
+    for (int i = 0; i < n; i++) {
+        counts[i] = g_new(Ps__WaitingCount, 1);
+        ps__waiting_count__init(counts[i]);
+        counts[i]->rank = ranks[i].rank;
+        counts[i]->count = (uint32_t)ranks[i].count;
+    }
+    return counts;
+}
+
+static void
+free_rank_counts(Ps__WaitingCount **counts, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        g_free(counts[i]);
+    }
+    g_free(counts);
+}
+
 // Returns a service's part of the report: running requests and outcomes by
 // server, and waiting requests by rank. Freed with free_service_use().
 static Ps__ServiceUse *
-make_service_use(const ps_dispatcher_t *dispatcher, uint64_t round,
-                 int64_t now_ms)
+make_service_use(ps_dispatcher_t *dispatcher, uint64_t round, int64_t now_ms)
 {
     Ps__ServiceUse *use = g_new(Ps__ServiceUse, 1);
     ps__service_use__init(use);
@@ -238,14 +260,11 @@
     ps_waiting_count_t ranks[PS_RANKS_MAX];
     int n = PsScheduler_CountWaiting(&dispatcher->scheduler, ranks,
                                      PS_RANKS_MAX, now_ms);
-    use->waiting = g_new0(Ps__WaitingCount *, n + 1);
-    for (int i = 0; i < n; i++) {
-        Ps__WaitingCount *count = g_new(Ps__WaitingCount, 1);
-        ps__waiting_count__init(count);
-        count->rank = ranks[i].rank;
-        count->count = (uint32_t)ranks[i].count;
-        use->waiting[use->n_waiting++] = count;
-    }
+    use->waiting = make_rank_counts(ranks, n);
+    use->n_waiting = (size_t)n;
+    n = PsScheduler_TakeStarts(&dispatcher->scheduler, ranks);
+    use->started = make_rank_counts(ranks, n);
+    use->n_started = (size_t)n;
     return use;
 }
 
@@ -255,9 +274,6 @@
     for (size_t i = 0; i < use->n_running; i++) {
         g_free(use->running[i]);
     }
-    for (size_t i = 0; i < use->n_waiting; i++) {
-        g_free(use->waiting[i]);
-    }
     for (size_t i = 0; i < use->n_outcomes; i++) {
         g_free(use->outcomes[i]);
     }
@@ -265,7 +281,8 @@
         g_free(use->server_limits[i]);
     }
     g_free(use->running);
-    g_free(use->waiting);
+    free_rank_counts(use->waiting, use->n_waiting);
+    free_rank_counts(use->started, use->n_started);
     g_free(use->outcomes);
     g_free(use->server_limits);
     g_free(use);
@@ -314,7 +331,7 @@
     gpointer value;
     g_hash_table_iter_init(&each, gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const ps_dispatcher_t *dispatcher = value;
+        ps_dispatcher_t *dispatcher = value;
         report.services[report.n_services++] =
             make_service_use(dispatcher, report.round, now_ms);
     }
@@ -363,6 +380,19 @@
     }
 }
 
+static void
+apply_waits(ps_scheduler_t *scheduler, const Ps__ServiceGrant *grant,
+            int64_t now_ms)
+{
+    ps_rank_wait_t waits[PS_RANKS_MAX];
+    int n = (int)MIN(grant->n_waits, PS_RANKS_MAX);
+    for (int i = 0; i < n; i++) {
+        waits[i] = (ps_rank_wait_t){grant->waits[i]->rank,
+                                    (double)grant->waits[i]->ms};
+    }
+    PsScheduler_SetFleetWaits(scheduler, waits, n, now_ms + GRANT_TTL_MS);
+}
+
 // Sets the slot limits of a service; a server without a granted limit gets 0.
 static void
 apply_service_grant(ps_sharing_t *sharing, const Ps__ServiceGrant *grant,
@@ -388,6 +418,9 @@
     if (grant->brittle) {
         dispatcher->scheduler.brittle_told_ms = now_ms;
     }
+    if (grant->has_waits) {
+        apply_waits(&dispatcher->scheduler, grant, now_ms);
+    }
     PsScheduler_Run(&dispatcher->scheduler, now_ms);
 }
 
