Remove no member that answers

An allocator asks members that it doesn't hear, and removes and names silent only those that send nothing at all.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -6,14 +6,19 @@
 #include "clock.h"
 #include "events_log.h"
 #include "gateway.h"
+#include "origin_lookups.h"
 
-// A member that has sent no report for this long is named silent in grants.
+// A member that has sent nothing for this long is named silent in grants.
 #define SILENT_MS 700
 
-// The registration of a member that has sent no report for this long is
-// removed from the store.
+// The registration of a member that has sent nothing for this long is removed
+// from the store.
 #define DEAD_MS 3000
 
+// A member that has sent nothing for this long is asked for an answer, and
+// again at this interval: it may report to another allocator.
+#define PROBE_MS 350
+
 // Age up to which a daemon's word that servers are brittle holds, should its
 // reports stop.
 #define BRITTLE_REPORT_MAX_AGE_MS 3000
@@ -431,7 +436,7 @@
     return fresh * 2 > g_hash_table_size(sharing->gateway->members);
 }
 
-// Lists members whose reports have stopped, and removes the registrations of
+// Lists members that are heard of no more, and removes the registrations of
 // those that are dead.
 static GPtrArray *
 list_silent(ps_sharing_t *sharing, int64_t now_ms)
@@ -448,8 +453,12 @@
         const ps_reporter_t *reporter =
             g_hash_table_lookup(sharing->allocator.reporters, &member->name);
         int64_t last_seen_ms =
-            MAX(reporter ? reporter->reported_ms : 0,
+            MAX(MAX(reporter ? reporter->reported_ms : 0, member->heard_ms),
                 MAX(member->joined_ms, sharing->allocator_since_ms));
+        if (now_ms - MAX(last_seen_ms, member->probed_ms) > PROBE_MS) {
+            member->probed_ms = now_ms;
+            PsOriginLookups_Probe(sharing->gateway, &member->name);
+        }
         if (now_ms - last_seen_ms > SILENT_MS) {
             g_ptr_array_add(silent, member->name.data);
         }
--- a/src/origin_lookups.c
+++ b/src/origin_lookups.c
@@ -3,8 +3,22 @@
 
 #include "exchange.h"
 
+// Request that probes ask for.
+#define NO_REQUEST 0
+
 /* ---- Internal functions ----------------------------------------------- */
 
+static void
+send_lookup(ps_gateway_t *gateway, const ps_name_t *to, uint64_t request)
+{
+    Ps__OriginLookup lookup = PS__ORIGIN_LOOKUP__INIT;
+    lookup.request = request;
+    Ps__Frame frame = PS__FRAME__INIT;
+    frame.body_case = PS__FRAME__BODY_ORIGIN_LOOKUP;
+    frame.origin_lookup = &lookup;
+    PsPeers_Send(&gateway->sharing.peers, to, &frame);
+}
+
 // Chooses other members for a request's record, without those that are silent.
 static size_t
 choose_holders(const ps_gateway_t *gateway, uint64_t request,
@@ -69,16 +83,17 @@
     const ps_name_t *holders[PS_ORIGIN_ASKED];
     size_t n = choose_holders(gateway, request, holders, PS_ORIGIN_ASKED);
     for (size_t i = 0; i < n; i++) {
-        Ps__OriginLookup lookup = PS__ORIGIN_LOOKUP__INIT;
-        lookup.request = request;
-        Ps__Frame frame = PS__FRAME__INIT;
-        frame.body_case = PS__FRAME__BODY_ORIGIN_LOOKUP;
-        frame.origin_lookup = &lookup;
-        PsPeers_Send(&gateway->sharing.peers, holders[i], &frame);
+        send_lookup(gateway, holders[i], request);
     }
     return (int)n;
 }
 
+void
+PsOriginLookups_Probe(ps_gateway_t *gateway, const ps_name_t *member)
+{
+    send_lookup(gateway, member, NO_REQUEST);
+}
+
 bool
 PsOriginLookups_HandleFrame(ps_gateway_t *gateway, const ps_name_t *from,
                             const Ps__Frame *frame, int64_t now_ms)
@@ -91,7 +106,9 @@
         return true;
     }
     if (frame->body_case == PS__FRAME__BODY_STREAM_ORIGIN) {
-        handle_origin(gateway, from, frame->stream_origin, now_ms);
+        if (frame->stream_origin->request != NO_REQUEST) {
+            handle_origin(gateway, from, frame->stream_origin, now_ms);
+        }
         return true;
     }
     return false;
--- a/src/origin_lookups.h
+++ b/src/origin_lookups.h
@@ -27,6 +27,13 @@
  */
 int PsOriginLookups_Ask(struct ps_gateway *gateway, uint64_t request);
 
+/**
+ * PsOriginLookups_Probe() - Asks a member for a record that nobody keeps: its
+ * answer shows that it is alive.
+ */
+void PsOriginLookups_Probe(struct ps_gateway *gateway,
+                           const ps_name_t *member);
+
 /**
  * PsOriginLookups_HandleFrame() - Handles a frame of another daemon.
  *
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -549,6 +549,11 @@
 {
     ps_sharing_t *sharing = peers->user;
     int64_t now_ms = PsClock_Now();
+    ps_daemon_info_t *member =
+        g_hash_table_lookup(sharing->gateway->members, from);
+    if (member) {
+        member->heard_ms = now_ms;
+    }
     if (PsOriginLookups_HandleFrame(sharing->gateway, from, frame, now_ms) ||
         PsReachChecks_HandleFrame(&sharing->gateway->reach_checks, from, frame,
                                   now_ms)) {
--- a/src/store_events.h
+++ b/src/store_events.h
@@ -26,6 +26,8 @@
     double cpu_share;          /* processor share, in cores */
     uint64_t revision;         /* of its object in the store; 0: not known */
     int64_t joined_ms;         /* when this daemon learnt of it */
+    int64_t heard_ms;          /* of its last frame; 0: none yet */
+    int64_t probed_ms;         /* when it was last asked for one */
     bool is_removal_requested; /* the store was asked to remove it */
 } ps_daemon_info_t;
 
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -269,7 +269,9 @@
     {
         // Operations that do nothing, as there is no store.
         static const ps_store_ops_t store = {
-            [](const ps_store_ops_t *, const ps_daemon_info_t *) {},
+            [](const ps_store_ops_t *, const ps_daemon_info_t *member) {
+                GetRemovedMembers().insert(member->name.data);
+            },
             [](const ps_store_ops_t *, const ps_stored_state_t *) {
                 return true;
             },
@@ -316,6 +318,13 @@
             << "requests without an end after 5 s";
         PsGateway_Finish(&gateway);
     }
+    // Names of the members whose registrations were to be removed.
+    static std::set<std::string> &
+    GetRemovedMembers()
+    {
+        static std::set<std::string> removed;
+        return removed;
+    }
     // Applies the good configuration and makes the two good servers and the
     // gateway itself the only registrations.
     void
@@ -618,6 +627,46 @@
     EXPECT_FALSE(none.has_versions);
 }
 
+/* ---- Members ---------------------------------------------------------- */
+
+// A member that reports to another allocator is alive: this one hears its
+// other frames. One that sends nothing is removed.
+TEST(Members, OnlyThoseThatSendNothingAreRemoved)
+{
+    GatewayHarness harness;
+    ps_gateway_t *gateway = &harness.gateway;
+    const ps_store_events_t *store_events = PsGateway_GetStoreEvents();
+    const ps_name_t names[] = {ToName("d2"), ToName("d3"), ToName("d4"),
+                               ToName("d5")};
+    for (const ps_name_t &name : names) {
+        ps_daemon_info_t info = {};
+        info.name = name;
+        info.domain = ToName("z");
+        store_events->member_changed(gateway, &info);
+    }
+    GatewayHarness::GetRemovedMembers().clear();
+    const int64_t start_ms = PsClock_Now();
+    for (uint64_t round = 1; PsClock_Now() - start_ms < 3800; round++) {
+        Ps__ShareReport report = PS__SHARE_REPORT__INIT;
+        report.round = round;
+        for (int i = 0; i < 2; i++) { // d4 and d5 do not report
+            PsAllocatorRounds_HandleReport(&gateway->sharing, &names[i],
+                                           &report, PsClock_Now());
+        }
+        if (round % 4 == 0) { // d4 answers probes
+            Ps__StreamOrigin origin = PS__STREAM_ORIGIN__INIT;
+            Ps__Frame frame = PS__FRAME__INIT;
+            frame.body_case = PS__FRAME__BODY_STREAM_ORIGIN;
+            frame.stream_origin = &origin;
+            gateway->sharing.peers.events->frame(&gateway->sharing.peers,
+                                                 &names[2], &frame);
+        }
+        harness.RunLoop(0.05);
+    }
+    EXPECT_EQ(GatewayHarness::GetRemovedMembers(),
+              std::set<std::string>{"d5"});
+}
+
 /* ---- Callers and servers ---------------------------------------------- */
 
 TEST(Mutations, RequestsEndAndDoNotStopService)
