Keep a daemon's quota usage charged when it starts again

Cause: reports count what was spent since the daemon's start, and a smaller number than before was taken for a refund.

--- a/src/allocator.h
+++ b/src/allocator.h
@@ -62,7 +62,7 @@
  */
 typedef struct ps_reporter {
     ps_name_t name;
-    uint64_t incarnation;
+    uint64_t incarnation; /* rises with each start of the daemon */
     int64_t reported_ms; /* time of its last report */
     uint64_t round;      /* of its last report */
     int64_t age_ms;      /* since its start, as its last report says */
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -97,8 +97,14 @@
                                const Ps__ShareReport *report, int64_t now_ms)
 {
     ps_allocator_t *allocator = &sharing->allocator;
+    const ps_reporter_t *known =
+        g_hash_table_lookup(allocator->reporters, from);
+    uint64_t start = known ? known->incarnation : 0;
+    if (known && (int64_t)report->age_ms < known->age_ms) {
+        start++; // the daemon has started again since its last report
+    }
     ps_reporter_t *reporter =
-        PsAllocator_StartReport(allocator, from, 0, now_ms);
+        PsAllocator_StartReport(allocator, from, start, now_ms);
     reporter->round = report->round;
     reporter->age_ms = (int64_t)report->age_ms;
     for (size_t i = 0; i < report->n_services; i++) {
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -667,6 +667,33 @@
               std::set<std::string>{"d5"});
 }
 
+// A daemon that is killed and starts again within the time until it counts as
+// dead reports anew what it has spent since its start. What it had spent
+// before stays charged.
+TEST(Members, UsageOfADaemonThatStartsAgainStaysCharged)
+{
+    GatewayHarness harness;
+    ps_sharing_t *sharing = &harness.gateway.sharing;
+    const ps_name_t d2 = ToName("d2"), team = ToName("team");
+    PsAllocator_SetQuotaLimit(&sharing->allocator, &team, 1000000, 8);
+    const std::pair<uint64_t, double> reports[] = {
+        {20000, 0}, {20050, 50000}, {20100, 90000}, {100, 0}, {150, 1000}};
+    for (const auto &[age_ms, total] : reports) {
+        Ps__TeamUse use = PS__TEAM_USE__INIT;
+        use.team = (char *)"team";
+        use.spent = use.total = total;
+        Ps__TeamUse *uses[] = {&use};
+        Ps__ShareReport report = PS__SHARE_REPORT__INIT;
+        report.age_ms = age_ms;
+        report.teams = uses;
+        report.n_teams = 1;
+        PsAllocatorRounds_HandleReport(sharing, &d2, &report, PsClock_Now());
+    }
+    auto *quota = (ps_quota_t *)g_hash_table_lookup(
+        sharing->allocator.team_quotas, &team);
+    EXPECT_EQ(PsQuota_GetSpent(quota, PsClock_Now()), 91000);
+}
+
 /* ---- Callers and servers ---------------------------------------------- */
 
 TEST(Mutations, RequestsEndAndDoNotStopService)
