Start settings from empty values

Keys with an empty default left their fields as the caller's memory was. A daemon without a forward address took what was there for one and ended at its start (PsAddress_Split), as tests/mixed_builds.sh showed, and SIGHUP would have done the same. Settings.KeysWithoutAValueAreEmpty fails without it.

--- a/src/settings.c
+++ b/src/settings.c
@@ -385,6 +385,8 @@
         g_error_free(error);
         return status;
     }
+    // Keys with an empty default leave their fields as they are.
+    *settings = (ps_settings_t){0};
     GKeyFile *file = g_key_file_new();
     ps_status_t status;
     if (!g_key_file_load_from_data(file, text, (gsize)-1, G_KEY_FILE_NONE,
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -99,7 +99,7 @@
 retry_ratio = $GW_RETRY_RATIO
 retry_window = $GW_RETRY_WINDOW_S
 retry_slack = $GW_RETRY_SLACK
-first_start = ${GW_FIRST_START:-false}
+${GW_NO_FIRST_START:+#}first_start = ${GW_FIRST_START:-false}
 END
 }
 
--- a/tests/mixed_builds.sh
+++ b/tests/mixed_builds.sh
@@ -144,7 +144,8 @@
 run_gateway_mode() {
     source tests/rig.sh
     source tests/gateway_rig.sh
-    GW_NO_FORWARD=1 # builds before this setting refuse it
+    # Builds before these settings refuse them.
+    GW_NO_FORWARD=1 GW_NO_FIRST_START=1
     gw_start_daemon() {
         gw_write_settings "$1"
         start_daemon "$1"
--- a/tests/test_tables.cpp
+++ b/tests/test_tables.cpp
@@ -54,6 +54,19 @@
 
 } // namespace
 
+// The caller's memory may hold anything before.
+TEST(Settings, KeysWithoutAValueAreEmpty)
+{
+    const std::string path = testing::TempDir() + "settings-empty.ini";
+    g_file_set_contents(path.c_str(), kGoodSettings, -1, nullptr);
+    ps_settings_t settings;
+    memset(&settings, 0xff, sizeof settings);
+    ASSERT_EQ(PsSettings_Load(&settings, path.c_str()), PS_OK);
+    EXPECT_TRUE(PsName_IsEmpty(&settings.gateway.forward_address));
+    EXPECT_FALSE(settings.gateway.is_first_start);
+    unlink(path.c_str());
+}
+
 TEST(Settings, ErrorsNameLineKeyAndAllowedValues)
 {
     struct Case {
@@ -82,6 +95,9 @@
          ":12: unknown section [extra]; allowed are daemon listen platform "
          "admin timing limits gateway"},
         {good + "[gateway]\nretry_ratio = 0.25\n", ""},
+        {good + "[gateway]\nfirst_start = true\n", ""},
+        {good + "[gateway]\nfirst_start = 1\n",
+         ":13: [gateway] first_start = '1': allowed are true and false"},
         {good + "[gateway]\nretry_ratio = lots\n",
          ":13: [gateway] retry_ratio = 'lots': allowed is a number from 0 to "
          "10"},
