--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -326,6 +326,20 @@
             print bad ? "cut daemons are served worse" : ok[0] < .9 * n[0] ? "the others are served worse" : "served" }' "$RIG_DIR/tries"
 }
 
+# gw_try_cut HOW KIND DAEMON... - sends requests of this kind to six daemons while these
+# are cut off, and judges those since 3 s after the cut; then lets the daemons recover
+gw_try_cut() {
+    local cut_ms how=$1 kind=$2
+    shift 2
+    : > "$RIG_DIR/tries"
+    cut_ms=$(date +%s%3N)
+    gw_cut_off "$how" "$@"
+    gw_try_load 6 "$kind" 1 2 3 4 5 6
+    gw_cut_off clear "$@"
+    echo "$how, $kind, $# of 6: $(gw_judge_tries $((cut_ms + 3000)) "${*/#/d}")"
+    gw_try_load 2 safe 1 2 3 4 5 6
+}
+
 # gw_try_brittle LABEL RATE SECONDS [COMMAND...] - sends brittle servers requests at this
 # rate, by way of all daemons, and meanwhile runs the command. Prints whether callers got
 # .8 of what the servers can run, 200 a second less GW_LOST in all, and whether few
