--- a/src/allocator.h
+++ b/src/allocator.h
@@ -63,9 +63,9 @@
 typedef struct ps_reporter {
     ps_name_t name;
     uint64_t incarnation; /* rises with each start of the daemon */
-    int64_t reported_ms; /* time of its last report */
-    uint64_t round;      /* of its last report */
-    int64_t age_ms;      /* since its start, as its last report says */
+    int64_t reported_ms;  /* time of its last report */
+    uint64_t round;       /* of its last report */
+    int64_t age_ms;       /* since its start, as its last report says */
     bool is_leaving;
     bool is_cut_off;      /* it reaches no server of some service */
     GHashTable *services; /* name to ps_service_use_t */
