--- a/tests/rig.sh
+++ b/tests/rig.sh
@@ -15,7 +15,7 @@
 RIG_LIMITS=${RIG_LIMITS:-}
 RIG_DIR=$(mktemp -d)
 RIG_PIDS=()
-declare -A RIG_PID RIG_STARTED
+declare -gA RIG_PID RIG_STARTED
 trap rig_stop EXIT
 
 rig_platform() { echo "127.0.0.1:$((RIG_PORT + 500))"; }
