--- a/tests/rig.sh
+++ b/tests/rig.sh
@@ -14,8 +14,7 @@
 RIG_TIMING=${RIG_TIMING:-$'renew = 500ms\nlease = 2s\nheartbeat = 100ms\ntakeover = 800ms\nentries = 600ms'}
 RIG_LIMITS=${RIG_LIMITS:-}
 RIG_DIR=$(mktemp -d)
-RIG_PIDS=()
-declare -gA RIG_PID RIG_STARTED
+declare -gA RIG_PID=() RIG_STARTED=()
 trap rig_stop EXIT
 
 rig_platform() { echo "127.0.0.1:$((RIG_PORT + 500))"; }
@@ -32,9 +31,13 @@
     shift
     "$@" >> "$RIG_DIR/$name.log" 2>&1 &
     RIG_PID[$name]=$!
-    RIG_STARTED[$!]=$(rig_get_start $!)
-    RIG_PIDS+=($!)
-    disown
+    rig_own $!
+}
+
+# rig_own PID - has the rig end this child process at its own end
+rig_own() {
+    RIG_STARTED[$1]=$(rig_get_start "$1")
+    disown "$1"
 }
 
 # rig_get_start PID - prints when a process started, in clock ticks since boot; nothing if
@@ -162,9 +165,9 @@
 }
 
 rig_stop() {
-    for pid in "${RIG_PIDS[@]}"; do rig_is_running "$pid" && kill -CONT "$pid" && kill "$pid"; done
+    for pid in "${!RIG_STARTED[@]}"; do rig_is_running "$pid" && kill -CONT "$pid" && kill "$pid"; done
     sleep 0.3
-    for pid in "${RIG_PIDS[@]}"; do rig_is_running "$pid" && kill -KILL "$pid"; done
+    for pid in "${!RIG_STARTED[@]}"; do rig_is_running "$pid" && kill -KILL "$pid"; done
     [ -n "${RIG_KEEP:-}" ] || rm -rf "$RIG_DIR"
 }
 
--- a/tests/runs/full_pipe.sh
+++ b/tests/runs/full_pipe.sh
@@ -1,15 +1,11 @@
 # Nobody reads the daemon's log: lines are dropped, and requests are served.
 mkfifo "$RIG_DIR/pipe"
 sleep 120 < "$RIG_DIR/pipe" &
-RIG_PIDS+=($!)
-RIG_STARTED[$!]=$(rig_get_start $!)
-disown
+rig_own $!
 rig_write_settings 4
 "$RIG_BUILD/pearstaird" -s "$RIG_DIR/d4.ini" > /dev/null 2> "$RIG_DIR/pipe" &
 RIG_PID[d4]=$!
-RIG_STARTED[$!]=$(rig_get_start $!)
-RIG_PIDS+=($!)
-disown
+rig_own $!
 rig_wait_until 15 rig_serves 4
 "$RIG_BUILD/pearstair-load" --direct "$(rig_caller 4)" --mix service -n 600 -r 300 -q > "$RIG_DIR/load"
 echo "exit $?"
