Use one copy of the start rates and counts by rank

fleet_waits.c had the scheduler's table of decayed starts again, and the allocator its count of waiting requests: both are in rank_rates.c. Waits are no longer estimated for plain services, which are not told any.

--- a/src/allocator.c
+++ b/src/allocator.c
@@ -618,22 +618,6 @@
     return MAX((limit ? *limit : 0) - (running ? *running : 0), 0);
 }
 
-static int
-add_count(ps_waiting_count_t *counts, int n, int max,
-          const ps_waiting_count_t *added)
-{
-    for (int i = 0; i < n; i++) {
-        if (counts[i].rank == added->rank) {
-            counts[i].count += added->count;
-            return n;
-        }
-    }
-    if (n < max && added->count > 0) {
-        counts[n++] = *added;
-    }
-    return n;
-}
-
 int
 PsAllocator_CountWaiting(ps_allocator_t *allocator, const ps_name_t *service,
                          ps_waiting_count_t *counts, int max, int64_t now_ms)
@@ -643,8 +627,9 @@
     for (guint i = 0; i < uses->len; i++) {
         const GArray *waiting = ((ps_service_use_t *)uses->pdata[i])->waiting;
         for (guint k = 0; k < waiting->len; k++) {
-            n = add_count(counts, n, max,
-                          &g_array_index(waiting, ps_waiting_count_t, k));
+            const ps_waiting_count_t *each =
+                &g_array_index(waiting, ps_waiting_count_t, k);
+            n = PsWaitingCounts_Add(counts, n, max, each->rank, each->count);
         }
     }
     g_ptr_array_unref(uses);
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -247,7 +247,9 @@
                 (int)(backend->registration.slots * factor + 0.5);
         }
     }
-    estimate_waits(sharing, dispatcher, now_ms);
+    if (dispatcher->scheduler.is_engine) {
+        estimate_waits(sharing, dispatcher, now_ms);
+    }
     PsAllocator_DivideSlots(&sharing->allocator, &dispatcher->name, slots, n,
                             members, now_ms);
     g_free(slots);
--- a/src/fleet_waits.h
+++ b/src/fleet_waits.h
@@ -15,8 +15,7 @@
  * struct ps_fleet_waits - Start rates of one service. All zero: no starts yet.
  */
 typedef struct ps_fleet_waits {
-    ps_rank_rate_t rates[PS_RANKS_MAX];
-    int n_rates;
+    ps_rank_rates_t rates;
 } ps_fleet_waits_t;
 
 /**
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -6,10 +6,10 @@
 
 #include "even_shares.h"
 
-#define RATE_DECAY_MS 500.0 /* time constant of start rates */
-#define RATE_INITIAL 3.0    /* starts in RATE_DECAY_MS, assumed at first */
-#define RATE_MIN 0.05       /* starts in RATE_DECAY_MS, assumed at least */
-#define RUN_TIME_DECAY 0.97 /* weight kept by older times at a server */
+#define RATE_INITIAL                                                          \
+    3.0               /* starts in PS_RANK_RATE_DECAY_MS, assumed at first */
+#define RATE_MIN 0.05 /* the same, assumed at least */
+#define RUN_TIME_DECAY 0.97       /* weight kept by older times at a server */
 #define RUN_TIME_INITIAL_MS 1000  /* assumed at first */
 #define FIRST_EVENT_DECAY 0.95    /* weight kept by older times */
 #define FIRST_EVENT_INITIAL_MS 80 /* assumed at first */
@@ -318,18 +318,7 @@
 static ps_rank_rate_t *
 get_rank_rate(ps_scheduler_t *scheduler, uint32_t rank, int64_t now_ms)
 {
-    int i = 0;
-    while (i < scheduler->n_rates && scheduler->rates[i].rank != rank) {
-        i++;
-    }
-    if (i == scheduler->n_rates && i < PS_RANKS_MAX) {
-        scheduler->rates[scheduler->n_rates++] =
-            (ps_rank_rate_t){rank, RATE_INITIAL, now_ms};
-    }
-    ps_rank_rate_t *rate = &scheduler->rates[MIN(i, PS_RANKS_MAX - 1)];
-    rate->starts *= exp(-(double)(now_ms - rate->at_ms) / RATE_DECAY_MS);
-    rate->at_ms = now_ms;
-    return rate;
+    return PsRankRates_Get(&scheduler->rates, rank, RATE_INITIAL, now_ms);
 }
 
 // Takes a task from the queue, if it is there, and a slot at a server for it,
@@ -345,7 +334,7 @@
     uint32_t rank = get_rank(scheduler, task, now_ms);
     ps_rank_rate_t *rate = get_rank_rate(scheduler, rank, now_ms);
     rate->starts += 1.0;
-    scheduler->unreported_starts[rate - scheduler->rates]++;
+    scheduler->unreported_starts[rate - scheduler->rates.rates]++;
     PsBackend_Ref(backend);
     task->backend = backend;
     task->started_ms = now_ms;
@@ -407,7 +396,8 @@
         }
     }
     rate += slots / run_ms;
-    return MAX(rate, is_any_limited ? RATE_MIN / RATE_DECAY_MS : 0.5 / run_ms);
+    return MAX(rate, is_any_limited ? RATE_MIN / PS_RANK_RATE_DECAY_MS
+                                    : 0.5 / run_ms);
 }
 
 // Returns for how long all servers that take new work have asked for a pause.
@@ -647,16 +637,7 @@
     for (const GList *l = scheduler->waiting.head; l; l = l->next) {
         const ps_task_t *task = l->data;
         uint32_t rank = get_rank(scheduler, task, now_ms);
-        int i = 0;
-        while (i < n && counts[i].rank != rank) {
-            i++;
-        }
-        if (i == n && n < max) {
-            counts[n++] = (ps_waiting_count_t){rank, 0};
-        }
-        if (i < n) {
-            counts[i].count++;
-        }
+        n = PsWaitingCounts_Add(counts, n, max, rank, 1);
     }
     return n;
 }
@@ -665,10 +646,10 @@
 PsScheduler_TakeStarts(ps_scheduler_t *scheduler, ps_waiting_count_t *counts)
 {
     int n = 0;
-    for (int i = 0; i < scheduler->n_rates; i++) {
+    for (int i = 0; i < scheduler->rates.n; i++) {
         if (scheduler->unreported_starts[i] > 0) {
             counts[n++] =
-                (ps_waiting_count_t){scheduler->rates[i].rank,
+                (ps_waiting_count_t){scheduler->rates.rates[i].rank,
                                      (int)scheduler->unreported_starts[i]};
             scheduler->unreported_starts[i] = 0;
         }
@@ -706,7 +687,7 @@
         return 0;
     }
     ps_rank_rate_t *rate = get_rank_rate(scheduler, rank, now_ms);
-    return ahead * RATE_DECAY_MS / MAX(rate->starts, RATE_MIN);
+    return ahead * PS_RANK_RATE_DECAY_MS / MAX(rate->starts, RATE_MIN);
 }
 
 bool
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -14,10 +14,10 @@
 #include <glib.h>
 
 #include "backend.h"
+#include "rank_rates.h"
 
 #define PS_TASK_PARTS_MAX 8 /* prompt parts recorded for one request */
 #define PS_TASK_TRIED_MAX 4 /* servers recorded as tried by one request */
-#define PS_RANKS_MAX 16     /* ranks that are counted separately */
 
 struct ps_scheduler;
 
@@ -71,23 +71,6 @@
                                       task was sent, its own included */
 } ps_task_t;
 
-/**
- * struct ps_waiting_count - Number of waiting or started requests of one rank.
- */
-typedef struct ps_waiting_count {
-    uint32_t rank; /* 0 is served first */
-    int count;
-} ps_waiting_count_t;
-
-/**
- * struct ps_rank_rate - How often tasks of one rank are started.
- */
-typedef struct ps_rank_rate {
-    uint32_t rank;
-    double starts; /* count with exponential decay */
-    int64_t at_ms; /* @starts is decayed up to this time */
-} ps_rank_rate_t;
-
 /**
  * struct ps_rank_wait - How long tasks of one rank wait over all daemons.
  */
@@ -123,8 +106,7 @@
     int daemon_index; /* this daemon's index among @n_daemons */
     int n_turns;      /* daemons that take turns at servers with a limit; 0:
                          not known yet */
-    ps_rank_rate_t rates[PS_RANKS_MAX];
-    int n_rates;
+    ps_rank_rates_t rates;
     uint32_t unreported_starts[PS_RANKS_MAX]; /* of the rates' ranks */
     ps_rank_wait_t fleet_waits[PS_RANKS_MAX]; /* told by the allocator */
     int n_fleet_waits;
