Show daemons that exceed their memory by answers without end

A daemon keeps up to 16 MB of each answer that isn't a stream's. Engines that answer 45 in 100 requests with status 500 and a body without end for 3.8 s bring all three daemons over memoryMb at the site's usual traffic, each time.

--- a/review/standins/server.c
+++ b/review/standins/server.c
@@ -4,10 +4,11 @@
  *
  * Usage: review-server IP:PORT STORE NAME SERVICE SLOTS LOG
  * Registers itself in the store at STORE every 1,200 ms. Runs each request for
- * 60 ms and answers it with Request-Id and Response-Stamp. POST /switch?fail=S
+ * 60 ms, or for what the switch work_ms says, and answers it with Request-Id and Response-Stamp. POST /switch?fail=S
  * has it fail every other request that it has run with status S (0: none); no
- * such answer has the header Not-Run, since the request has run. A request that
- * names another server in Expect-Instance gets 421 with Not-Run. GET /health:
+ * such answer has the header Not-Run, since the request has run. POST
+ * /switch?endless=S has 45 in 100 of its answers, of status S then, come with
+ * bodies without end, until the caller closes. A request that names another server in Expect-Instance gets 421 with Not-Run. GET /health:
  * 200 with the server's name in Instance. Writes "ID TIME_MS NAME ran|rejected
  * STATUS" to LOG.
  */
@@ -21,7 +22,13 @@
 #include "common.h"
 
 #define HEARTBEAT_MS 1200
-#define WORK_MS 60
+#define WORK_MS 60 /* of a request, if the switch work_ms doesn't say otherwise */
+
+// Answers without end come at this rate on each connection: 31 of them fill a
+// link of 1,000 Mbit/s.
+#define ENDLESS_BYTES_PER_MS 4000
+#define ENDLESS_PERCENT 45 /* of the requests that it runs */
+#define ENDLESS_PART 16384 /* bytes sent at a time */
 
 static const char *own_address;
 static const char *store_address;
@@ -31,7 +38,10 @@
 static FILE *arrival_log;
 static int64_t born_ms;
 static int64_t fail_status;
+static int64_t endless_status;
+static int64_t work_ms = WORK_MS;
 static int64_t n_run;
+static int64_t n_seen;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static size_t
@@ -91,15 +101,48 @@
             (long long)(g_get_real_time() / 1000), name, what, status);
 }
 
+static ssize_t
+read_endless(void *user, uint64_t position, char *out, size_t max)
+{
+    (void)user;
+    (void)position;
+    size_t n = MIN(max, ENDLESS_PART);
+    Standin_SleepMs((double)ENDLESS_PART / ENDLESS_BYTES_PER_MS);
+    memset(out, 'x', n);
+    return (ssize_t)n;
+}
+
+static enum MHD_Result
+send_endless(standin_request_t *request, const char *id, unsigned status)
+{
+    struct MHD_Response *response = MHD_create_response_from_callback(
+        MHD_SIZE_UNKNOWN, 16384, read_endless, NULL, NULL);
+    char *stamp = g_strdup_printf("%s.%s", name, id);
+    MHD_add_response_header(response, "Request-Id", id);
+    MHD_add_response_header(response, "Response-Stamp", stamp);
+    g_free(stamp);
+    enum MHD_Result result =
+        MHD_queue_response(request->connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
 static enum MHD_Result
 run_request(standin_request_t *request, const char *id)
 {
     pthread_mutex_lock(&lock);
     bool must_fail = fail_status > 0 && n_run++ % 2 == 0;
     unsigned status = must_fail ? (unsigned)fail_status : 200;
-    log_arrival(id, "ran", status);
+    n_seen++;
+    bool is_endless = n_seen * ENDLESS_PERCENT / 100 !=
+                      (n_seen - 1) * ENDLESS_PERCENT / 100;
+    unsigned endless = is_endless ? (unsigned)endless_status : 0;
+    log_arrival(id, "ran", endless > 0 ? endless : status);
     pthread_mutex_unlock(&lock);
-    Standin_SleepMs(WORK_MS);
+    Standin_SleepMs((double)work_ms);
+    if (endless > 0) {
+        return send_endless(request, id, endless);
+    }
     char *stamp = g_strdup_printf("%s.%s", name, id);
     char *text = g_strdup_printf("%s %s", must_fail ? "failed" : "ok", id);
     const char *headers[] = {"Request-Id", id, "Response-Stamp", stamp, NULL};
@@ -115,6 +158,9 @@
     if (strcmp(request->path, "/switch") == 0) {
         fail_status =
             Standin_GetQueryNumber(request, "fail", fail_status);
+        work_ms = Standin_GetQueryNumber(request, "work_ms", work_ms);
+        endless_status =
+            Standin_GetQueryNumber(request, "endless", endless_status);
         return Standin_SendText(request, 200, "{}", NULL);
     }
     if (strcmp(request->path, "/health") == 0) {
