Show streams with missing events that end as complete

What waits for a requester beyond 8 MB is dropped, later events follow, and the stream may end well.

--- a/review/standins/server.c
+++ b/review/standins/server.c
@@ -8,7 +8,9 @@
  * has it fail every other request that it has run with status S (0: none); no
  * such answer has the header Not-Run, since the request has run. POST
  * /switch?endless=S has 45 in 100 of its answers, of status S then, come with
- * bodies without end, until the caller closes. A request that names another server in Expect-Instance gets 421 with Not-Run. GET /health:
+ * bodies without end, until the caller closes. A path with "/stream" is answered
+ * with STREAM_EVENTS events of 6,000 bytes, at 10 MB/s as far as the caller
+ * reads, and ends as whole. A request that names another server in Expect-Instance gets 421 with Not-Run. GET /health:
  * 200 with the server's name in Instance. Writes "ID TIME_MS NAME ran|rejected
  * STATUS" to LOG.
  */
@@ -30,6 +32,10 @@
 #define ENDLESS_PERCENT 45 /* of the requests that it runs */
 #define ENDLESS_PART 16384 /* bytes sent at a time */
 
+#define STREAM_EVENTS 2600
+#define EVENT_BYTES 6000
+#define STREAM_PART_MS 6 /* between parts of ten events */
+
 static const char *own_address;
 static const char *store_address;
 static const char *name;
@@ -127,6 +133,56 @@
     return result;
 }
 
+typedef struct stream {
+    int next_event;
+    size_t sent; // of the next event
+    char event[EVENT_BYTES + 1];
+} stream_t;
+
+static ssize_t
+read_stream(void *user, uint64_t position, char *out, size_t max)
+{
+    (void)position;
+    stream_t *stream = user;
+    if (stream->next_event > STREAM_EVENTS) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    if (stream->sent == 0) {
+        if (stream->next_event % 10 == 0) {
+            Standin_SleepMs(STREAM_PART_MS);
+        }
+        memset(stream->event, 'x', EVENT_BYTES);
+        int n = snprintf(stream->event, 64, "id: %d\ndata: ",
+                         stream->next_event);
+        stream->event[n] = 'x';
+        memcpy(stream->event + EVENT_BYTES - 2, "\n\n", 2);
+    }
+    size_t n = MIN(max, EVENT_BYTES - stream->sent);
+    memcpy(out, stream->event + stream->sent, n);
+    stream->sent = (stream->sent + n) % EVENT_BYTES;
+    stream->next_event += stream->sent == 0 ? 1 : 0;
+    return (ssize_t)n;
+}
+
+static enum MHD_Result
+send_stream(standin_request_t *request, const char *id)
+{
+    const char *last = Standin_GetHeader(request, "Last-Event-Id");
+    stream_t *stream = g_new0(stream_t, 1);
+    stream->next_event = last ? atoi(last) + 1 : 1;
+    struct MHD_Response *response = MHD_create_response_from_callback(
+        MHD_SIZE_UNKNOWN, 8192, read_stream, stream, g_free);
+    char *stamp = g_strdup_printf("%s.%s", name, id);
+    MHD_add_response_header(response, "Content-Type", "text/event-stream");
+    MHD_add_response_header(response, "Request-Id", id);
+    MHD_add_response_header(response, "Response-Stamp", stamp);
+    g_free(stamp);
+    enum MHD_Result result =
+        MHD_queue_response(request->connection, 200, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
 static enum MHD_Result
 run_request(standin_request_t *request, const char *id)
 {
@@ -143,6 +199,9 @@
     if (endless > 0) {
         return send_endless(request, id, endless);
     }
+    if (strstr(request->path, "/stream")) {
+        return send_stream(request, id);
+    }
     char *stamp = g_strdup_printf("%s.%s", name, id);
     char *text = g_strdup_printf("%s %s", must_fail ? "failed" : "ok", id);
     const char *headers[] = {"Request-Id", id, "Response-Stamp", stamp, NULL};
