--- a/review/build.sh
+++ b/review/build.sh
@@ -8,5 +8,5 @@
 for name in server store_view reader; do
     # shellcheck disable=SC2086
     cc -std=c11 -D_GNU_SOURCE -Wall -Wextra -O2 -g -Isrc -Itests/standins $flags "review/standins/$name.c" \
-        build/standin_common.o build/str.o $libs -lpthread -o "build/review-${name//_/-}"
+        tests/standins/common.c src/str.c $libs -lpthread -o "build/review-${name//_/-}"
 done
