Name record.txt in each script

Cause: the scripts wrote record.txt by way of review/lib.sh, so that nothing in a case's own folder showed it.

Change: each run.sh sets RECORD to its record.txt; lib.sh uses it. What is written, and what breaks the rule, is as before.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,6 +3,7 @@
 # header Not-Run. The daemon answers its caller 503, which promises that it hasn't run.
 cd "$(dirname "$0")/../.." || exit 2
 CASE=$PWD/review/1
+RECORD=$CASE/record.txt # what was sent, answered and run
 GW_DAEMONS=3
 source review/lib.sh
 review_print_config() {
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,6 +3,7 @@
 # answers them 503, which promises that they haven't run.
 cd "$(dirname "$0")/../.." || exit 2
 CASE=$PWD/review/3
+RECORD=$CASE/record.txt # what was sent, answered and run
 GW_DAEMONS=3
 source review/lib.sh
 review_print_config() {
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,6 +1,6 @@
 # lib.sh - Starts a small deployment for a case: the store's and the servers' stand-ins, and
 # the daemon as the deploy file starts it. To be sourced from the repository's root, with
-# CASE, the case's folder, set.
+# CASE, the case's folder, and RECORD, its file record.txt, set.
 #
 # Exit codes of a case: 1 the rule was broken, 0 it held, 2 the case couldn't run.
 
@@ -37,7 +37,6 @@
 source tests/rig.sh
 source tests/gateway_rig.sh
 REVIEW_STORE=${REVIEW_STORE:-$(gw_store)}
-RECORD=$CASE/record.txt
 : > "$RECORD"
 review_now() { date +%s%3N; }
 # review_note TEXT... - adds a line to the record, with the time
