Promise "not run" by what the attempts show alone

Callers saw: a server fails part of the unsafe requests that it has run with 429 or 408 of its own, without Not-Run; they got 503, which promises that the request hasn't run, and it ran again. With maxAttempts 2 the daemon itself sent it to a second server.

Cause: whether a request has run was derived from the attempt's result for the server, in which any complete answer below 500 is a success, while the answer wasn't relayed because of its status. request.end of such a request says "refused, server failed", and no forward.* line names it: neither a rejection nor another daemon's word.

Change: attempts.c keeps what is known of a request, and end_unanswered() alone chooses between a refusal with its refund and an error that promises nothing. A further attempt of an unsafe request asks the same. A server's own 408, 429 or 503 is a failure of the server.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
     outliers histogram crash_reports abandoned_runs recent_map recent_members \
     rate_bucket server_limit server_room stream_origins server_reach forwarders \
     event_stream version_history overcommit \
-    fleet_waits rank_rates
+    fleet_waits rank_rates attempts
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -135,48 +135,50 @@
     free_exchange(exchange);
 }
 
-// Ends the exchange with a refusal: the request has not run and will not. What
-// it was charged is refunded to the team's quota.
+// Ends a stream that the caller is already receiving before its last event.
 static void
-refuse_request(ps_exchange_t *exchange, unsigned int status,
-               int64_t retry_after_ms, const char *reason)
+cut_stream(ps_exchange_t *exchange, const char *reason)
 {
-    exchange->gateway->stats.refused++;
-    if (exchange->team && exchange->quota_units > 0) {
-        PsQuota_Refund(
-            PsGateway_GetQuota(exchange->gateway, &exchange->team->name),
-            exchange->quota_units);
-    }
-    send_own_response(exchange, status, retry_after_ms, "refused", reason);
+    exchange->gateway->stats.failed++;
+    log_end(exchange, 200, "cut", reason);
+    PsHttpRequest_EndStream(exchange->request, false);
+    free_exchange(exchange);
 }
 
-// Ends the exchange with an error: the request was sent, and a backend server
-// may have run it. A stream that the caller is already receiving is cut off.
+// Ends the exchange without a backend server's answer. This alone promises
+// callers that a request has not run and will not, by @refusal; its charge is
+// refunded then. A request that may have run gets @failure, which promises
+// nothing.
 static void
-fail_request(ps_exchange_t *exchange, unsigned int status, const char *reason)
+end_unanswered(ps_exchange_t *exchange, unsigned int refusal,
+               unsigned int failure, int64_t retry_after_ms,
+               const char *reason)
 {
-    exchange->gateway->stats.failed++;
     if (exchange->is_relaying) {
-        log_end(exchange, 200, "cut", reason);
-        PsHttpRequest_EndStream(exchange->request, false);
-        free_exchange(exchange);
-        return;
+        cut_stream(exchange, reason);
+    }
+    else if (PsAttempts_GetRan(&exchange->attempts) != PS_RAN_NO) {
+        exchange->gateway->stats.failed++;
+        send_own_response(exchange, failure, 0, "failed", reason);
+    }
+    else {
+        exchange->gateway->stats.refused++;
+        if (exchange->team && exchange->quota_units > 0) {
+            PsQuota_Refund(
+                PsGateway_GetQuota(exchange->gateway, &exchange->team->name),
+                exchange->quota_units);
+        }
+        send_own_response(exchange, refusal, retry_after_ms, "refused",
+                          reason);
     }
-    send_own_response(exchange, status, 0, "failed", reason);
 }
 
-// Ends the exchange without a further attempt: with an error if a backend
-// server may have run the request, else with a refusal.
+// Ends the exchange with a refusal, or with 502 if the request may have run.
 static void
-refuse_or_fail(ps_exchange_t *exchange, int64_t retry_after_ms,
-               const char *reason)
+refuse_request(ps_exchange_t *exchange, unsigned int status,
+               int64_t retry_after_ms, const char *reason)
 {
-    if (exchange->may_have_run || exchange->is_relaying) {
-        fail_request(exchange, 502, reason);
-    }
-    else {
-        refuse_request(exchange, 503, retry_after_ms, reason);
-    }
+    end_unanswered(exchange, status, 502, retry_after_ms, reason);
 }
 
 static void
@@ -221,7 +223,7 @@
                  "kind", PsMark_GetKind(mark), "crashes",
                  PsSuspects_GetCrashes(
                      &exchange->gateway->mark_crashes.suspects, mark, now_ms));
-    refuse_or_fail(exchange, 0,
+    refuse_request(exchange, 503, 0,
                    PsMark_IsPart(mark)
                        ? "a part of the prompt was in flight at crashes"
                        : "content was in flight at crashes");
@@ -233,12 +235,13 @@
     return exchange->route->retry_policy != PS_RETRY_NEVER;
 }
 
-// Counts a retry when it is sent, not when it is decided: it may have waited
+// A retry counts when it is sent, not when it is decided: it may have waited
 // for a server and for a connection.
 static void
 on_sending(ps_transfer_t *transfer)
 {
     ps_exchange_t *exchange = transfer->user;
+    PsAttempts_HandleSent(&exchange->attempts);
     if (exchange->has_reserved_retry) {
         exchange->has_reserved_retry = false;
         PsRetryBudget_CountSent(&exchange->dispatcher->retry_budget,
@@ -332,7 +335,7 @@
     if (exchange->team &&
         !PsGateway_IsCatalogFresh(exchange->gateway, now_ms)) {
         PsScheduler_EndTask(scheduler, task, PS_TASK_CANCELLED, now_ms);
-        refuse_or_fail(exchange, RETRY_OTHER_DAEMON_MS,
+        refuse_request(exchange, 503, RETRY_OTHER_DAEMON_MS,
                        "API keys not confirmed lately");
         return;
     }
@@ -360,7 +363,8 @@
                  "waiting", (int)scheduler->waiting.length, "tier", task->tier,
                  "retry_after_ms", (json_int_t)retry_after_ms);
     // Retry-After is at most a quarter of the time that the caller has left.
-    refuse_or_fail(exchange, CLAMP(left_ms / 4, 1, retry_after_ms), reason);
+    refuse_request(exchange, 503, CLAMP(left_ms / 4, 1, retry_after_ms),
+                   reason);
 }
 
 /* ---- Events of a stream ----------------------------------------------- */
@@ -498,11 +502,11 @@
     free_exchange(exchange);
 }
 
-// Tells whether a status means to callers that the request has not run. A
-// backend server's own 408, 421, 429 or 503 is therefore not relayed: without
-// the header that says so, the server may have run the request.
+// Tells whether a status promises callers that the request has not run. One
+// that a backend server gives without saying that it has not run the request
+// counts as a failure of the server, and is not relayed.
 static bool
-means_not_run(long status)
+promises_not_run(long status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -537,8 +541,8 @@
 static bool
 take_retry(ps_exchange_t *exchange, ps_task_result_t result, int64_t now_ms)
 {
-    bool has_run = result == PS_TASK_FAILED || result == PS_TASK_CANCELLED;
-    if ((has_run && !may_retry(exchange)) ||
+    bool may_have_run = PsAttempts_GetRan(&exchange->attempts) != PS_RAN_NO;
+    if ((may_have_run && !may_retry(exchange)) ||
         now_ms + DEADLINE_MARGIN_MS >= exchange->deadline_ms ||
         exchange->sends >= SENDS_MAX || exchange->is_trial ||
         find_banned(exchange, now_ms) != 0) {
@@ -611,11 +615,21 @@
         exchange->reply == PS_REPLY_WRONG_SERVER) {
         return PS_TASK_WRONG_SERVER;
     }
-    return is_complete(exchange, result) && exchange->transfer.status < 500
+    long status = exchange->transfer.status;
+    return is_complete(exchange, result) && status < 500 &&
+                   !promises_not_run(status)
                ? PS_TASK_SUCCEEDED
                : PS_TASK_FAILED;
 }
 
+// Tells whether no backend server has run an attempt that ended so, nor will.
+static bool
+shows_not_run(ps_task_result_t result)
+{
+    return result == PS_TASK_UNREACHABLE || result == PS_TASK_REJECTED ||
+           result == PS_TASK_PAUSED || result == PS_TASK_WRONG_SERVER;
+}
+
 static void
 log_failure(const ps_exchange_t *exchange, ps_task_result_t result)
 {
@@ -683,10 +697,11 @@
         result == PS_TRANSFER_COMPLETE && was_broken_off(exchange);
     result = exchange->path.ops->finish(&exchange->path, transfer, result,
                                         is_broken_off, now_ms);
+    ps_task_result_t task_result = get_task_result(exchange, result);
+    PsAttempts_HandleEnd(&exchange->attempts, shows_not_run(task_result));
     if (result == PS_TRANSFER_NOT_SENT && take_next_path(exchange, now_ms)) {
         return;
     }
-    ps_task_result_t task_result = get_task_result(exchange, result);
     if (task_result != PS_TASK_SUCCEEDED) {
         log_failure(exchange, task_result);
     }
@@ -699,11 +714,10 @@
     }
     bool is_relayable = exchange->is_relaying
                             ? is_stream_response(exchange)
-                            : !means_not_run(transfer->status);
+                            : !promises_not_run(transfer->status);
     bool is_response = is_complete(exchange, result) && is_relayable;
     PsScheduler_EndTask(&exchange->dispatcher->scheduler, &exchange->task,
                         task_result, now_ms);
-    exchange->may_have_run |= task_result == PS_TASK_FAILED;
     if (task_result == PS_TASK_SUCCEEDED && is_response) {
         relay_response(exchange);
     }
@@ -716,7 +730,7 @@
     }
     else {
         close_transfer(exchange);
-        refuse_or_fail(exchange, RETRY_REJECTED_MS,
+        refuse_request(exchange, 503, RETRY_REJECTED_MS,
                        get_failure_reason(task_result));
     }
 }
@@ -1037,6 +1051,7 @@
     ps_lost_run_t run = get_lost_run(exchange);
     PsMarkCrashes_AddAbandoned(&exchange->gateway->mark_crashes, &run, now_ms);
     PsTransfer_Cancel(&exchange->gateway->http_client, &exchange->transfer);
+    PsAttempts_HandleEnd(&exchange->attempts, false);
     close_transfer(exchange);
 }
 
@@ -1082,7 +1097,6 @@
                  exchange->task.backend->registration.name.data, "silent_ms",
                  (json_int_t)(now_ms - exchange->task.last_event_ms), "events",
                  (int)exchange->n_events);
-    exchange->may_have_run = true;
     exchange->gateway->stats.retries++;
     abandon_transfer(exchange, now_ms);
     PsScheduler_MoveTask(scheduler, &exchange->task, now_ms);
@@ -1093,16 +1107,10 @@
 end_timed_out(ps_exchange_t *exchange, int64_t now_ms)
 {
     PsScheduler_Withdraw(&exchange->dispatcher->scheduler, &exchange->task);
-    bool was_sent = exchange->is_transferring;
-    if (was_sent) {
+    if (exchange->is_transferring) {
         stop_transfer(exchange, now_ms, PS_TASK_CANCELLED);
     }
-    if (was_sent || exchange->may_have_run || exchange->is_relaying) {
-        fail_request(exchange, 504, "time is over");
-    }
-    else {
-        refuse_request(exchange, 503, 0, "time is over");
-    }
+    end_unanswered(exchange, 503, 504, 0, "time is over");
 }
 
 bool
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -8,6 +8,7 @@
 #ifndef PS_EXCHANGE_H
 #define PS_EXCHANGE_H
 
+#include "attempts.h"
 #include "gateway.h"
 #include "server_path.h"
 
@@ -32,7 +33,7 @@
     ps_transfer_t transfer;
     ps_server_path_t path;   /* of @transfer to the server */
     bool is_transferring;    /* @transfer is in use */
-    bool may_have_run;       /* a server may have run an earlier attempt */
+    ps_attempts_t attempts;  /* whether the request has run */
     int sends;               /* attempts so far */
     bool has_reserved_retry; /* a retry that is not sent yet */
     ps_reply_t reply;        /* valid with @has_response_head */
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -13,8 +13,9 @@
  * service, "ran" or "rejected", and its Deadline-Ms, 0 without one.
  * POST /switch sets faults: leaving (announced in the registration), reject
  * (all requests), and in percent of requests
- * errors: status 500; a stream's path gets a plain answer, of which the same
- *     percentage has status 500
+ * errors: status 500, or what the switch error_status says, without Not-Run;
+ *     a stream's path gets a plain answer, of which the same percentage has
+ *     this status
  * cut: the connection is closed before the answer or within a stream
  * mute: a plain answer is 2 s late, then with the same probability 2 s more,
  *     and so on; a stream sends no event and breaks off after SILENCE_MS
@@ -93,6 +94,7 @@
 static int64_t is_leaving;
 static int64_t rejects_all;
 static int64_t error_percent;
+static int64_t error_status = 500;
 static int64_t cut_percent;
 static int64_t silent_percent;
 static int64_t wrong_id_percent;
@@ -369,8 +371,9 @@
     add_own_headers(headers, 4);
     enum MHD_Result result = MHD_NO;
     if (!should_inject(cut_percent)) {
-        result = Standin_SendText(
-            request, should_inject(error_percent) ? 500 : 200, text, headers);
+        unsigned status =
+            should_inject(error_percent) ? (unsigned)error_status : 200;
+        result = Standin_SendText(request, status, text, headers);
     }
     g_free(text);
     g_free(stamp);
@@ -523,6 +526,8 @@
         rejects_all = Standin_GetQueryNumber(request, "reject", rejects_all);
         error_percent =
             Standin_GetQueryNumber(request, "errors", error_percent);
+        error_status =
+            Standin_GetQueryNumber(request, "error_status", error_status);
         cut_percent = Standin_GetQueryNumber(request, "cut", cut_percent);
         silent_percent =
             Standin_GetQueryNumber(request, "mute", silent_percent);
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -1,5 +1,6 @@
-// test_gateway.cpp - Tests the gateway's decisions in virtual time: routes,
-// the registry of backend servers and the scheduler; and latency histograms.
+// test_gateway.cpp - Tests the gateway's decisions in virtual time: whether a
+// request has run, routes, the registry of backend servers and the scheduler;
+// and latency histograms.
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -8,6 +9,7 @@
 #include "kernel.hpp"
 
 extern "C" {
+#include "attempts.h"
 #include "backend_registry.h"
 #include "catalog.h"
 #include "event_stream.h"
@@ -33,6 +35,45 @@
 
 } // namespace
 
+/* ---- Attempts --------------------------------------------------------- */
+
+namespace {
+
+// A request may run when an attempt was handed to a connection, unless that
+// attempt is known not to have run; what an attempt did stays so.
+bool
+MayHaveRun(const std::vector<int> &steps)
+{
+    bool is_open = false;
+    bool has_run = false;
+    for (int step : steps) {
+        has_run |= is_open && step != 1;
+        is_open = step == 0;
+    }
+    return is_open || has_run;
+}
+
+} // namespace
+
+// Whatever comes before or after, an attempt that a server may have run keeps
+// its request from being promised not to have run.
+RC_GTEST_PROP(Attempts, OneAttemptInDoubtIsEnough, ())
+{
+    // 0: handed to a connection, 1: ended, not run, 2: ended otherwise
+    auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3));
+    ps_attempts_t attempts = {};
+    for (int step : steps) {
+        if (step == 0) {
+            PsAttempts_HandleSent(&attempts);
+        }
+        else {
+            PsAttempts_HandleEnd(&attempts, step == 1);
+        }
+    }
+    RC_ASSERT(PsAttempts_GetRan(&attempts) ==
+              (MayHaveRun(steps) ? PS_RAN_UNKNOWN : PS_RAN_NO));
+}
+
 /* ---- Catalog ---------------------------------------------------------- */
 
 TEST(Catalog, LongestPrefixOfTheHostMatches)
