End requests of a daemon that stops by what is known of them

Callers saw: six unsafe requests are at work at servers when their daemon gets SIGTERM; as the grace period ends, all six get 503, which promises that they haven't run, though they have. A caller that half-closes its connection got the same.

Cause: the HTTP server answered 503 by itself for requests that nobody had answered. The answer had no body, no Request-Id and no request.end line, so it was no exchange's. Only the exchange knows whether a request has run.

Change: the HTTP server makes no status; a request without an answer has its connection closed. Shortly before the grace period ends the gateway ends all requests itself: what waits is refused first, so that it never runs, and what may have run gets 502. Requests that are carried for other daemons are ended likewise. The process waits for the answers to be sent, 0.25 s at most.

HttpServer.RequestWithoutAnAnswerGetsNoStatus fails on the code before.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -1063,13 +1063,11 @@
                         result, now_ms);
 }
 
-void
-PsExchange_HandleDisconnect(ps_exchange_t *exchange)
+// Takes the request from the queue or from its server, so that it does not run
+// later.
+static void
+withdraw(ps_exchange_t *exchange, int64_t now_ms)
 {
-    int64_t now_ms = PsClock_Now();
-    exchange->request = NULL;
-    exchange->gateway->stats.caller_disconnects++;
-    log_end(exchange, 0, "left", "caller closed the connection");
     if (exchange->dispatcher) {
         PsScheduler_Withdraw(&exchange->dispatcher->scheduler,
                              &exchange->task);
@@ -1077,6 +1075,16 @@
     if (exchange->is_transferring) {
         stop_transfer(exchange, now_ms, PS_TASK_CANCELLED);
     }
+}
+
+void
+PsExchange_HandleDisconnect(ps_exchange_t *exchange)
+{
+    int64_t now_ms = PsClock_Now();
+    exchange->request = NULL;
+    exchange->gateway->stats.caller_disconnects++;
+    log_end(exchange, 0, "left", "caller closed the connection");
+    withdraw(exchange, now_ms);
     free_exchange(exchange);
 }
 
@@ -1103,14 +1111,18 @@
     return true;
 }
 
-static void
-end_timed_out(ps_exchange_t *exchange, int64_t now_ms)
+bool
+PsExchange_IsAtServer(const ps_exchange_t *exchange)
 {
-    PsScheduler_Withdraw(&exchange->dispatcher->scheduler, &exchange->task);
-    if (exchange->is_transferring) {
-        stop_transfer(exchange, now_ms, PS_TASK_CANCELLED);
-    }
-    end_unanswered(exchange, 503, 504, 0, "time is over");
+    return exchange->is_transferring;
+}
+
+void
+PsExchange_Stop(ps_exchange_t *exchange, int64_t now_ms)
+{
+    withdraw(exchange, now_ms);
+    end_unanswered(exchange, 503, 502, RETRY_OTHER_DAEMON_MS,
+                   "this daemon is ending");
 }
 
 bool
@@ -1128,7 +1140,8 @@
         return false;
     }
     if (now_ms >= exchange->deadline_ms) {
-        end_timed_out(exchange, now_ms);
+        withdraw(exchange, now_ms);
+        end_unanswered(exchange, 503, 504, 0, "time is over");
         return true;
     }
     if (!exchange->is_transferring ||
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -65,6 +65,20 @@
  */
 void PsExchange_HandleDisconnect(ps_exchange_t *exchange);
 
+/**
+ * PsExchange_IsAtServer() - Tells whether the request has a backend server, to
+ * which it was sent or is about to be.
+ */
+bool PsExchange_IsAtServer(const ps_exchange_t *exchange);
+
+/**
+ * PsExchange_Stop() - Ends an exchange because this daemon's process ends.
+ *
+ * Its caller gets a refusal if the request has not run, and else an error that
+ * promises nothing. A slot that it frees may start a waiting exchange.
+ */
+void PsExchange_Stop(ps_exchange_t *exchange, int64_t now_ms);
+
 /**
  * PsExchange_Run() - Ends an exchange past its deadline, or moves it away from
  * a silent backend server.
--- a/src/forward_server.c
+++ b/src/forward_server.c
@@ -345,6 +345,37 @@
     }
 }
 
+// Gives up a request that is carried.
+static void
+stop_forward(forward_t *forward)
+{
+    const char *reason = "this daemon is ending";
+    PsTransfer_Cancel(&forward->forwarding->gateway->http_client,
+                      &forward->transfer);
+    if (forward->has_response_head) {
+        PsHttpRequest_EndStream(forward->request, false);
+    }
+    else if (forward->transfer.sends == 0) {
+        send_failure(forward->request, MHD_HTTP_SERVICE_UNAVAILABLE,
+                     PS_FORWARD_REFUSED, reason);
+    }
+    else {
+        send_failure(forward->request, MHD_HTTP_BAD_GATEWAY, PS_FORWARD_LOST,
+                     reason);
+    }
+    free_forward(forward);
+}
+
+void
+PsForwardServer_Stop(ps_forward_server_t *forwarding)
+{
+    GList *next;
+    for (GList *l = forwarding->forwards.head; l; l = next) {
+        next = l->next;
+        stop_forward(l->data);
+    }
+}
+
 bool
 PsForwardServer_IsIdle(const ps_forward_server_t *forwarding)
 {
--- a/src/forward_server.h
+++ b/src/forward_server.h
@@ -46,6 +46,13 @@
  */
 void PsForwardServer_Run(ps_forward_server_t *forwarding);
 
+/**
+ * PsForwardServer_Stop() - Gives up all requests that are carried, because
+ * this daemon's process ends, and says of each whether it was sent to its
+ * server.
+ */
+void PsForwardServer_Stop(ps_forward_server_t *forwarding);
+
 /**
  * PsForwardServer_IsIdle() - Tells whether nothing is being carried.
  */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -44,8 +44,11 @@
 // after it still is in time for a change that has to be in force in 2 s.
 #define SUMMARY_FRESH_MS 1500
 
-// A shutdown ends at the latest this long before its grace period is over.
+// A shutdown stops the requests that are left this long before its grace
+// period is over, and ends at the latest so long before it: their callers
+// receive their answers in between.
 #define GRACE_MARGIN_MS 400
+#define GRACE_END_MARGIN_MS 150
 
 // Time without news of the store after which servers of another version may
 // have come and left unseen. A registration outlives its server by longer.
@@ -624,6 +627,37 @@
     gateway->last_tick_ms = now_ms;
 }
 
+static double
+get_shutdown_left_ms(const ps_gateway_t *gateway, int64_t now_ms)
+{
+    return gateway->settings.gateway.grace_s * 1000.0 -
+           (double)(now_ms - gateway->shutdown_started_ms);
+}
+
+// Ends all requests of callers and of other daemons shortly before the process
+// ends. Those that wait for a server go first, so that none of them is sent in
+// a slot that another one frees.
+static void
+stop_requests(ps_gateway_t *gateway, int64_t now_ms)
+{
+    PsEvents_Add("daemon.stop_requests", "{s:i,s:i}", "in_progress",
+                 (int)gateway->exchanges.length, "carried",
+                 (int)gateway->forward_server.forwards.length);
+    gateway->has_stopped_requests = true;
+    GList *next;
+    for (GList *l = gateway->exchanges.head; l; l = next) {
+        next = l->next;
+        if (!PsExchange_IsAtServer(l->data)) {
+            PsExchange_Stop(l->data, now_ms);
+        }
+    }
+    for (GList *l = gateway->exchanges.head; l; l = next) {
+        next = l->next;
+        PsExchange_Stop(l->data, now_ms);
+    }
+    PsForwardServer_Stop(&gateway->forward_server);
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -642,6 +676,10 @@
     update_poll_rate(gateway, now_ms);
     run_dispatchers(gateway, now_ms);
     run_exchanges(gateway, now_ms);
+    if (gateway->is_shutting_down && !gateway->has_stopped_requests &&
+        get_shutdown_left_ms(gateway, now_ms) <= GRACE_MARGIN_MS) {
+        stop_requests(gateway, now_ms);
+    }
     PsEvents_Flush();
 }
 
@@ -786,11 +824,12 @@
     if (!gateway->is_shutting_down) {
         return false;
     }
+    double left_ms = get_shutdown_left_ms(gateway, PsClock_Now());
     double grace_ms = gateway->settings.gateway.grace_s * 1000.0;
-    double passed_ms = (double)(PsClock_Now() - gateway->shutdown_started_ms);
-    return passed_ms >= grace_ms - GRACE_MARGIN_MS ||
-           (passed_ms >= grace_ms * SHUTDOWN_MIN_SHARE &&
-            gateway->exchanges.length == 0 &&
+    bool may_end_early = gateway->has_stopped_requests ||
+                         left_ms <= grace_ms * (1 - SHUTDOWN_MIN_SHARE);
+    return left_ms <= GRACE_END_MARGIN_MS ||
+           (may_end_early && gateway->exchanges.length == 0 &&
             PsForwardServer_IsIdle(&gateway->forward_server) &&
             PsHttpServer_GetRequestCount(&gateway->caller_server) == 0);
 }
@@ -800,8 +839,9 @@
 {
     double grace_ms = gateway->settings.gateway.grace_s * 1000.0;
     return !gateway->is_shutting_down ||
-           (double)(now_ms - gateway->shutdown_started_ms) <
-               grace_ms * ACCEPT_SHARE;
+           (!gateway->has_stopped_requests &&
+            get_shutdown_left_ms(gateway, now_ms) >
+                grace_ms * (1 - ACCEPT_SHARE));
 }
 
 bool
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -167,6 +167,7 @@
     int64_t started_ms;
     bool is_shutting_down;
     int64_t shutdown_started_ms;
+    bool has_stopped_requests; /* the grace period is nearly over */
     ps_gateway_stats_t stats;
 } ps_gateway_t;
 
@@ -197,7 +198,8 @@
  * PsGateway_StartShutdown() - Starts the graceful shutdown.
  *
  * It lasts at most the grace period of the settings. New requests are accepted
- * for the first part of it.
+ * for the first part of it. Those that have not ended shortly before its end
+ * are stopped, and their callers told.
  */
 void PsGateway_StartShutdown(ps_gateway_t *gateway);
 
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -149,7 +149,9 @@
 
 // The library calls this several times for a request: after the headers, for
 // each part of the body, at its end, and again when the connection is resumed
-// with a response. The request callback is called at the end of the body.
+// with a response or, for an aborted request, without one. The request
+// callback is called at the end of the body. MHD_NO makes the library close
+// the connection.
 static enum MHD_Result
 on_request_data(void *user, struct MHD_Connection *connection, const char *url,
                 const char *method, const char *version, const char *data,
@@ -178,6 +180,9 @@
         server->events->request(server, request);
         return MHD_YES;
     }
+    if (request->is_closed && !request->response) {
+        return MHD_NO;
+    }
     return request->response ? queue_response(request) : MHD_YES;
 }
 
@@ -277,16 +282,17 @@
 }
 
 // Ends a request that needs no response any more: calls the closed callback
-// and resumes the connection, so that the library closes it.
+// and resumes the connection. A response that was set is still sent, and a
+// stream is truncated. Without one the connection is closed: any status would
+// state something of the request that only its owner knows.
 static void
 abort_request(ps_http_request_t *request)
 {
     report_closed(request);
     request->is_truncated = true;
-    if (!request->response && !request->is_answered) {
-        request->status = MHD_HTTP_SERVICE_UNAVAILABLE;
-        request->response = MHD_create_response_from_buffer(
-            0, (void *)"", MHD_RESPMEM_PERSISTENT);
+    if (request->response && !request->is_answered) {
+        MHD_destroy_response(request->response);
+        request->response = NULL;
     }
     resume(request);
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -4,7 +4,8 @@
  * A request is passed to the request callback when its body is complete. Its
  * connection is suspended until there is a response to send, whole or as a
  * stream. The closed callback tells when the request ends, also when the
- * caller disconnects while the connection is suspended.
+ * caller disconnects while the connection is suspended. The server itself
+ * never answers a request that it has passed on.
  */
 #ifndef PS_HTTP_SERVER_H
 #define PS_HTTP_SERVER_H
@@ -97,6 +98,7 @@
  * PsHttpServer_Finish() - Aborts all requests and stops listening.
  *
  * Calls the closed callback of each request passed to the request callback.
+ * The connection of one that has no response is closed; no status is sent.
  */
 void PsHttpServer_Finish(ps_http_server_t *server);
 
--- a/tests/test_contract.cpp
+++ b/tests/test_contract.cpp
@@ -1,11 +1,13 @@
-// test_contract.cpp - Tests the HTTP client, the platform client and the
-// connections between daemons against servers and peers that misbehave.
+// test_contract.cpp - Tests the HTTP client and server, the platform client
+// and the connections between daemons against servers, callers and peers that
+// misbehave.
 #include "kernel.hpp"
 #include "loopback.hpp"
 
 extern "C" {
 #include "dialect_fleet.h"
 #include "http_client.h"
+#include "http_server.h"
 #include "peers.h"
 #include "platform.h"
 #include "server_checks.h"
@@ -483,6 +485,148 @@
 
 namespace {
 
+// A server that keeps the requests that it receives, and a caller's
+// connection.
+struct ServerHarness {
+    ps_http_server_t server;
+    std::vector<ps_http_request_t *> requests;
+    int n_closed = 0;
+    int fd = -1;
+
+    // Starts the server and sends it this text.
+    void
+    Start(const std::string &text)
+    {
+        static ps_http_server_events_t events = {};
+        events.request = [](ps_http_server_t *from, ps_http_request_t *got) {
+            ((ServerHarness *)from->user)->requests.push_back(got);
+        };
+        events.closed = [](ps_http_server_t *from, ps_http_request_t *) {
+            ((ServerHarness *)from->user)->n_closed++;
+        };
+        ps_name_t address = ToName("127.0.0.1:17943");
+        ASSERT_EQ(PsHttpServer_Init(&server, &events, this, GetLoop(),
+                                    &address, 1000),
+                  PS_OK);
+        sockaddr_in in = {};
+        in.sin_family = AF_INET;
+        in.sin_port = htons(17943);
+        in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        fd = socket(AF_INET, SOCK_STREAM, 0);
+        ASSERT_EQ(connect(fd, (sockaddr *)&in, sizeof in), 0);
+        ASSERT_EQ(send(fd, text.data(), text.size(), 0), (ssize_t)text.size());
+    }
+    // Starts the server, sends it a request and waits until it has it.
+    void
+    Start()
+    {
+        Start("POST /x HTTP/1.1\r\nHost: a\r\n"
+              "Content-Length: 4\r\n\r\nbody");
+        RunUntil([&] { return requests.size() == 1; });
+    }
+    // Returns what the caller receives until its connection is closed.
+    std::string
+    ReadAll()
+    {
+        std::string received;
+        char block[4096];
+        ssize_t n;
+        while ((n = recv(fd, block, sizeof block, 0)) > 0) {
+            received.append(block, (size_t)n);
+        }
+        close(fd);
+        return received;
+    }
+};
+
+} // namespace
+
+// Whether a request has run is not the HTTP server's to know: one without an
+// answer gets no status, as a 503 would promise that it has not run.
+TEST(HttpServer, RequestWithoutAnAnswerGetsNoStatus)
+{
+    for (bool is_stopped : {true, false}) {
+        SCOPED_TRACE(is_stopped ? "server is stopped" : "caller half-closes");
+        ServerHarness harness;
+        harness.Start();
+        if (is_stopped) {
+            PsHttpServer_Finish(&harness.server);
+        }
+        else {
+            shutdown(harness.fd, SHUT_WR);
+            RunUntil([&] { return harness.n_closed == 1; });
+            RunUntil([&] { return harness.server.requests.length == 0; });
+        }
+        EXPECT_EQ(harness.ReadAll(), "");
+        EXPECT_EQ(harness.n_closed, 1);
+        if (!is_stopped) {
+            PsHttpServer_Finish(&harness.server);
+        }
+    }
+}
+
+// What can't be parsed is answered by the library, before a request is passed
+// on; none of its statuses promises that a request has not run.
+TEST(HttpServer, OwnAnswersOfTheLibraryPromiseNothing)
+{
+    const std::string many(40000, 'a');
+    std::string fields;
+    for (int i = 0; i < 4000; i++) {
+        fields += "H" + std::to_string(i) + ": x\r\n";
+    }
+    const std::string host = " HTTP/1.1\r\nHost: a\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {"large header", "GET /x" + host + "X: " + many + "\r\n\r\n"},
+        {"long target", "GET /" + many + host + "\r\n"},
+        {"many headers", "GET /x" + host + fields + "\r\n"},
+        {"bad length", "POST /x" + host + "Content-Length: x\r\n\r\n"},
+        {"huge length", "POST /x" + host + "Content-Length: " +
+                            std::string(30, '9') + "\r\n\r\n"},
+        {"bad chunk",
+         "POST /x" + host + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"},
+        {"no host", "GET /x HTTP/1.1\r\n\r\n"},
+        {"long method", many + " /x" + host + "\r\n"},
+        {"bad version", "GET /x HTTP/9.9\r\nHost: a\r\n\r\n"},
+    };
+    for (const auto &[name, text] : cases) {
+        SCOPED_TRACE(name);
+        ServerHarness harness;
+        harness.Start(text);
+        std::string received;
+        char block[4096];
+        bool is_closed = false;
+        RunUntil([&] {
+            ssize_t n = recv(harness.fd, block, sizeof block, MSG_DONTWAIT);
+            received.append(block, n > 0 ? (size_t)n : 0);
+            is_closed = n == 0 || (n < 0 && errno != EAGAIN);
+            return is_closed || !received.empty() || !harness.requests.empty();
+        });
+        PsHttpServer_Finish(&harness.server);
+        close(harness.fd);
+        std::string status =
+            received.size() > 12 ? received.substr(9, 3) : "none";
+        for (const char *promise : {"408", "421", "429", "503"}) {
+            EXPECT_NE(status, promise);
+        }
+        RecordProperty(name, status);
+    }
+}
+
+// An answer that its owner has set before the end is sent.
+TEST(HttpServer, AnswersThatWereSetAreSentAtTheEnd)
+{
+    ServerHarness harness;
+    harness.Start();
+    PsHttpRequest_PrepareResponse(harness.requests[0], 502, nullptr, false);
+    PsHttpRequest_SendResponse(harness.requests[0], ToStr("reason"));
+    PsHttpServer_Finish(&harness.server);
+    std::string received = harness.ReadAll();
+    EXPECT_EQ(received.rfind("HTTP/1.1 502", 0), 0u) << received;
+    EXPECT_NE(received.find("\r\n\r\nreason"), std::string::npos) << received;
+}
+
+namespace {
+
 struct PeerEvents {
     std::vector<std::string> frames; // names of their senders
     std::vector<std::string> silent_peers;
