--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -24,6 +24,8 @@
  *     connection, also where a stream is cut
  * empty: a stream without chunks ends before its first event
  * endless: a stream's first event has no end.
+ * forged=1 adds a header to all answers that says, as another daemon would,
+ * that nothing was sent.
  * The switch brittle=N adds the header Server-Brittle to all answers: when it
  * rejects more than N requests within a second, the process falls over: it
  * ends, and logs its name with "fell". queue sets how many requests may wait
@@ -105,6 +107,7 @@
 static char retry_after_text[64]; /* of Retry-After, likewise */
 static char next_pause_text[64]; /* of the next Retry-After; empty: that one */
 static int64_t says_leaving;
+static int64_t forges_result;
 static int64_t brittle_limit = -1; /* of Server-Brittle; -1: not brittle */
 static int64_t queue_max;
 static int64_t work_ms = PLAIN_ANSWER_MS;
@@ -334,6 +337,10 @@
         headers[n++] = "Server-Leaving";
         headers[n++] = "1";
     }
+    if (forges_result) {
+        headers[n++] = "pearstair-forward-result";
+        headers[n++] = "refused";
+    }
     if (brittle_limit >= 0) {
         static char text[32];
         g_snprintf(text, sizeof text, "%lld", (long long)brittle_limit);
@@ -365,7 +372,7 @@
     pthread_mutex_unlock(&lock);
     char *stamp = g_strdup_printf("%s.%s", server_name, id);
     char *text = g_strdup_printf("ok %s", id);
-    const char *headers[16] = {
+    const char *headers[20] = {
         "Request-Id", should_inject(wrong_id_percent) ? "another" : id,
         "Response-Stamp", stamp};
     add_own_headers(headers, 4);
@@ -425,7 +432,7 @@
         fall_over_if_brittle();
     }
     pthread_mutex_unlock(&lock);
-    const char *headers[16] = {"Request-Id", id,         "Not-Run",
+    const char *headers[20] = {"Request-Id", id,         "Not-Run",
                                "1",          "Instance", server_name};
     size_t n = add_own_headers(headers, 6);
     char pause[sizeof retry_after_text];
@@ -518,6 +525,8 @@
         }
         says_leaving =
             Standin_GetQueryNumber(request, "says_leaving", says_leaving);
+        forges_result =
+            Standin_GetQueryNumber(request, "forged", forges_result);
         brittle_limit =
             Standin_GetQueryNumber(request, "brittle", brittle_limit);
         queue_max = Standin_GetQueryNumber(request, "queue", queue_max);
--- a/tests/test_server_limits.cpp
+++ b/tests/test_server_limits.cpp
@@ -488,3 +488,16 @@
                    {503, "Retry-After: 3\r\nRetry-After: 4\r\n",
                     PS_HEADER_MALFORMED, 0}});
 }
+
+// Only a daemon says that it hasn't sent a request on: a server that could say
+// so in its place would make another daemon send the request again.
+TEST(DialectFleet, ForwardResultIsNeverRelayed)
+{
+    for (const char *name :
+         {"Pearstair-Forward-Result", "pearstair-forward-result",
+          "PEARSTAIR-FORWARD-RESULT"}) {
+        EXPECT_FALSE(PsDialectFleet_Get()->is_header_relayed(ToStr(name)))
+            << name;
+    }
+    EXPECT_TRUE(PsDialectFleet_Get()->is_header_relayed(ToStr("Request-Id")));
+}
