Start and stop daemons in gw_promises one at a time

A daemon that was still starting as the faults ended was started a second time on its ports. A stop now strikes running daemons only, and one that has ended is started in its place.

--- a/tests/runs/gw_promises.sh
+++ b/tests/runs/gw_promises.sh
@@ -41,19 +41,19 @@
     link) pick reset hang new open close request answer clear && gw_cut_off "$picked" 1 ;;
     term)
         pick 1 2 3 && i=$picked
-        rig_is_alive "d$i" || gw_start_daemon "$i"
-        rig_kill "d$i" TERM
+        if rig_is_alive "d$i"; then rig_kill "d$i" TERM; else gw_start_daemon "$i"; fi
         ;;
     esac
 }
 
-# clear_faults - ends all faults; daemons that have ended start again
+# clear_faults - ends all faults; daemons that have ended or are stopping start again
 clear_faults() {
     local i
     gw_cut_off clear 1
     for i in 2 4 6; do gw_set_switches "$(gw_runner "$i")" "errors=0&cut=0&work_ms=15&reject=0&foreign=0"; done
     for i in 1 2 3; do
         rig_is_alive "d$i" && gw_is_ready "$i" > /dev/null && continue
+        rig_kill "d$i" TERM
         rig_wait_exit "d$i" 3
         gw_start_daemon "$i"
     done
