Charge and suspect no request that was never sent

What callers would see: a caller that leaves before its request was handed to a connection leaves its team charged for a window, so that later requests within the quota get 429; and if the server ends then, the request's content is suspected, and refused everywhere after three such ends.

The refund hung on the refusal, which a caller that has left doesn't get, and every transfer that was given up counted as in flight. Both now follow from what the attempts show.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -72,6 +72,18 @@
     exchange->is_transferring = false;
 }
 
+// Refunds what a request that has not run was charged to its team's quota.
+static void
+refund_unless_run(ps_exchange_t *exchange)
+{
+    if (exchange->team && exchange->quota_units > 0 &&
+        PsAttempts_GetRan(&exchange->attempts) == PS_RAN_NO) {
+        PsQuota_Refund(
+            PsGateway_GetQuota(exchange->gateway, &exchange->team->name),
+            exchange->quota_units);
+    }
+}
+
 static void
 free_exchange(ps_exchange_t *exchange)
 {
@@ -83,6 +95,7 @@
                           &exchange->transfer);
         close_transfer(exchange);
     }
+    refund_unless_run(exchange);
     if (exchange->has_reserved_retry) {
         PsRetryBudget_Release(&exchange->dispatcher->retry_budget);
     }
@@ -146,9 +159,8 @@
 }
 
 // Ends the exchange without a backend server's answer. This alone promises
-// callers that a request has not run and will not, by @refusal; its charge is
-// refunded then. A request that may have run gets @failure, which promises
-// nothing.
+// callers that a request has not run and will not, by @refusal. A request that
+// may have run gets @failure, which promises nothing.
 static void
 end_unanswered(ps_exchange_t *exchange, unsigned int refusal,
                unsigned int failure, int64_t retry_after_ms,
@@ -163,11 +175,6 @@
     }
     else {
         exchange->gateway->stats.refused++;
-        if (exchange->team && exchange->quota_units > 0) {
-            PsQuota_Refund(
-                PsGateway_GetQuota(exchange->gateway, &exchange->team->name),
-                exchange->quota_units);
-        }
         send_own_response(exchange, refusal, retry_after_ms, "refused",
                           reason);
     }
@@ -1044,12 +1051,15 @@
 }
 
 // Cancels the transfer. If its server turns out to have crashed, the request
-// may be the cause.
+// may be the cause, unless it was never handed to a connection.
 static void
 abandon_transfer(ps_exchange_t *exchange, int64_t now_ms)
 {
-    ps_lost_run_t run = get_lost_run(exchange);
-    PsMarkCrashes_AddAbandoned(&exchange->gateway->mark_crashes, &run, now_ms);
+    if (exchange->attempts.is_in_doubt) {
+        ps_lost_run_t run = get_lost_run(exchange);
+        PsMarkCrashes_AddAbandoned(&exchange->gateway->mark_crashes, &run,
+                                   now_ms);
+    }
     PsTransfer_Cancel(&exchange->gateway->http_client, &exchange->transfer);
     PsAttempts_HandleEnd(&exchange->attempts, false);
     close_transfer(exchange);
