Say what gw_stop_at_work shows, and what it doesn't

Its comment said that some requests still wait as the process ends. By the daemon's log none does: servers have turned them away before.

--- a/tests/runs/gw_stop_at_work.sh
+++ b/tests/runs/gw_stop_at_work.sh
@@ -39,7 +39,7 @@
 send_unsafe stopped-early 1 8
 sleep 0.2
 rig_kill d1 TERM
-sleep 0.4 # more requests come, of which some still wait as the process ends
+sleep 0.4 # more requests come while new ones are still taken
 send_unsafe stopped-late 1 30
 wait "${senders[@]}"
 rig_wait_exit d1 3 && echo "it has ended"
