--- a/src/server_model.h
+++ b/src/server_model.h
@@ -18,27 +18,27 @@
  * last report. All zero: nothing.
  */
 typedef struct ps_server_sample {
-    uint32_t events;        /* of streams, after the first ones */
-    double event_ms;        /* sum of the times between them */
-    double event_running;   /* sum, over @events, of the requests that ran
-                               there, of all daemons as far as known */
-    uint32_t first_events;  /* of streams; of plain requests, answers */
-    double first_event_ms;  /* sum of the times since they were sent */
-    double prefill_tokens;  /* sum of the prompt tokens read before them */
-    uint32_t on_time;       /* ended answers that met objective and pauses */
-    uint32_t late;          /* those that the server made late */
+    uint32_t events;       /* of streams, after the first ones */
+    double event_ms;       /* sum of the times between them */
+    double event_running;  /* sum, over @events, of the requests that ran
+                              there, of all daemons as far as known */
+    uint32_t first_events; /* of streams; of plain requests, answers */
+    double first_event_ms; /* sum of the times since they were sent */
+    double prefill_tokens; /* sum of the prompt tokens read before them */
+    uint32_t on_time;      /* ended answers that met objective and pauses */
+    uint32_t late;         /* those that the server made late */
 } ps_server_sample_t;
 
 /**
  * struct ps_server_pace - Predicted speed of a server; sent with grants.
  */
 typedef struct ps_server_pace {
-    double event_base_ms;   /* between two events, without other requests */
-    double event_slope_ms;  /* that each running request adds */
-    double first_base_ms;   /* to the first event of an empty prompt, or to a
-                               plain answer */
-    double first_slope_ms;  /* that each thousand prompt tokens adds */
-    int limit;              /* requests at a time with answers on time */
+    double event_base_ms;  /* between two events, without other requests */
+    double event_slope_ms; /* that each running request adds */
+    double first_base_ms;  /* to the first event of an empty prompt, or to a
+                              plain answer */
+    double first_slope_ms; /* that each thousand prompt tokens adds */
+    int limit;             /* requests at a time with answers on time */
 } ps_server_pace_t;
 
 #endif
