Count no waiting request as waiting before itself; keep retries

A request that became late while it waited counted itself as ahead of it, and divided by the few starts of late requests: a lone one was refused as if it had to wait for seconds. A retry was refused for its objective too, which its caller gets as a failure.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -457,15 +457,45 @@
     }
 }
 
+// Estimates how long a task of a rank waits, as PsScheduler_EstimateWait().
+// @task: waiting: only those that arrived before it are ahead; NULL: a new one
+static double
+estimate_wait(ps_scheduler_t *scheduler, uint32_t rank, const ps_task_t *task,
+              int64_t now_ms)
+{
+    if (now_ms < scheduler->fleet_waits_until_ms) {
+        for (int i = 0; i < scheduler->n_fleet_waits; i++) {
+            if (scheduler->fleet_waits[i].rank == rank) {
+                return scheduler->fleet_waits[i].ms;
+            }
+        }
+        return 0;
+    }
+    int ahead = 0;
+    const GList *l = scheduler->waiting.head;
+    for (; l && l->data != task; l = l->next) {
+        ahead += get_rank(scheduler, l->data, now_ms) == rank ? 1 : 0;
+    }
+    if (ahead == 0) {
+        return 0;
+    }
+    ps_rank_rate_t *rate = get_rank_rate(scheduler, rank, now_ms);
+    return ahead * PS_RANK_RATE_DECAY_MS / MAX(rate->starts, RATE_MIN);
+}
+
 // Tells whether a task's first event is expected more than LATENESS_MAX_MS
 // after its objective or, if that is later, after the time at which it would
-// come if the task were started now.
+// come if the task were started now. A task that has failed at a server waits
+// up to its wait deadline: its caller would get a failure at once instead.
 static bool
 would_be_too_late(ps_scheduler_t *scheduler, const ps_task_t *task,
                   int64_t now_ms)
 {
+    if (task->n_tried > 0) {
+        return false;
+    }
     uint32_t rank = get_rank(scheduler, task, now_ms);
-    double wait = PsScheduler_EstimateWait(scheduler, rank, now_ms);
+    double wait = estimate_wait(scheduler, rank, task, now_ms);
     double due = MAX((double)task->objective_ms,
                      (double)now_ms + scheduler->mean_first_event_ms);
     return (double)now_ms + wait + scheduler->mean_first_event_ms >
@@ -479,12 +509,12 @@
 would_be_late_in_fleet(ps_scheduler_t *scheduler, const ps_task_t *task,
                        int64_t now_ms)
 {
-    if (now_ms >= scheduler->fleet_waits_until_ms ||
+    if (now_ms >= scheduler->fleet_waits_until_ms || task->n_tried > 0 ||
         is_late(scheduler, task, now_ms)) {
         return false;
     }
     uint32_t rank = get_rank(scheduler, task, now_ms);
-    double wait = PsScheduler_EstimateWait(scheduler, rank, now_ms);
+    double wait = estimate_wait(scheduler, rank, task, now_ms);
     return (double)now_ms + wait + scheduler->mean_first_event_ms >
            (double)task->objective_ms + FLEET_LATENESS_MAX_MS;
 }
@@ -671,23 +701,7 @@
 PsScheduler_EstimateWait(ps_scheduler_t *scheduler, uint32_t rank,
                          int64_t now_ms)
 {
-    if (now_ms < scheduler->fleet_waits_until_ms) {
-        for (int i = 0; i < scheduler->n_fleet_waits; i++) {
-            if (scheduler->fleet_waits[i].rank == rank) {
-                return scheduler->fleet_waits[i].ms;
-            }
-        }
-        return 0;
-    }
-    int ahead = 0;
-    for (const GList *l = scheduler->waiting.head; l; l = l->next) {
-        ahead += get_rank(scheduler, l->data, now_ms) == rank ? 1 : 0;
-    }
-    if (ahead == 0) {
-        return 0;
-    }
-    ps_rank_rate_t *rate = get_rank_rate(scheduler, rank, now_ms);
-    return ahead * PS_RANK_RATE_DECAY_MS / MAX(rate->starts, RATE_MIN);
+    return estimate_wait(scheduler, rank, NULL, now_ms);
 }
 
 bool
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -590,6 +590,53 @@
     EXPECT_LE(top_tier_refused, 0.1 * n_top_tier);
 }
 
+// Guards against a lone task that counts itself as waiting before itself. Load
+// pattern: plain requests with an objective of 120 ms at daemons that start a
+// few in a second and have a free slot in the next round.
+TEST(Scheduler, LoneTaskThatBecomesLateIsNotRefused)
+{
+    SchedulerHarness harness(1, 1);
+    ps_task_t late = harness.MakeTask(1, 1);
+    harness.Submit(&late);
+    harness.End(&late);
+    harness.now += 5000;
+    ps_task_t first = harness.MakeTask(0), task;
+    harness.Submit(&first);
+    task = harness.MakeTask(1, 120, 300);
+    harness.Submit(&task);
+    harness.now += 200;
+    PsScheduler_Run(&harness.scheduler, harness.now);
+    EXPECT_TRUE(harness.refused.empty());
+    harness.End(&first);
+    EXPECT_EQ(harness.started.back().first, &task);
+}
+
+// Guards against a refusal, which its caller gets as a failure, of a retry that
+// only waits for a server to come free. Load pattern: plain requests of 15 ms
+// with an objective of 120 ms, of which one in seven fails at its server.
+TEST(Scheduler, FailedTaskIsNotRefusedForItsObjective)
+{
+    SchedulerHarness harness(2, 1);
+    // Late tasks of the tier were last started long ago.
+    ps_task_t late = harness.MakeTask(1, 1);
+    harness.Submit(&late);
+    harness.End(&late);
+    harness.now += 5000;
+    ps_task_t other = harness.MakeTask(0), task;
+    harness.Submit(&other);
+    task = harness.MakeTask(1, 120, 5000);
+    harness.Submit(&task);
+    ASSERT_EQ(harness.started.size(), 3u);
+    harness.End(&task, PS_TASK_FAILED);
+    harness.Submit(&task);
+    harness.now += 1000;
+    PsScheduler_Run(&harness.scheduler, harness.now);
+    EXPECT_TRUE(harness.refused.empty());
+    harness.End(&other);
+    ASSERT_EQ(harness.started.size(), 4u);
+    EXPECT_EQ(harness.started.back().first, &task);
+}
+
 TEST(Scheduler, FailingServerIsEjectedAndTriedAgain)
 {
     SchedulerHarness harness(4, 2);
