Give callers the addresses of daemons by what these can carry

With [gateway] address_sample each caller gets so many addresses, chosen by weighted rendezvous hashing: by processor share, three in four of its own failure domain, stable for the caller. Without it all daemons are listed, as before.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -360,9 +360,10 @@
 {
     ps_gateway_t *gateway = registry->user;
     const ps_registration_t *registration = &backend->registration;
-    PsEvents_Add("server.listed", "{s:s,s:s,s:s,s:s,s:i,s:b,s:b,s:I}", "name",
-                 registration->name.data, "service",
-                 registration->service.data, "address",
+    PsEvents_Add("server.listed", "{s:s,s:s,s:s,s:s,s:s,s:i,s:b,s:b,s:I}",
+                 "name", registration->name.data, "service",
+                 registration->service.data, "domain",
+                 registration->domain.data, "address",
                  registration->address.data, "version",
                  registration->version.data, "slots", registration->slots,
                  "leaving", (int)registration->is_leaving, "new", (int)is_new,
@@ -852,19 +853,6 @@
            age_ms < READY_AGE_SHARE * gateway->settings.gateway.revoke_ms;
 }
 
-// Adds a daemon's address if it is in the failure domain, or, with
-// is_same_domain false, if it is not.
-static void
-add_address(const ps_daemon_info_t *member, const char *domain,
-            bool is_same_domain, const ps_name_t **addresses, int *n, int max)
-{
-    bool is_wanted =
-        (domain && PsName_IsEqualC(&member->domain, domain)) == is_same_domain;
-    if (is_wanted && *n < max) {
-        addresses[(*n)++] = &member->caller_address;
-    }
-}
-
 static bool
 is_available(const ps_gateway_t *gateway, const ps_daemon_info_t *member,
              bool with_cut_off)
@@ -879,22 +867,24 @@
             !PsSharing_IsCutOff(&gateway->sharing, &member->name));
 }
 
-// Lists addresses, with or without those of daemons that reach servers only by
-// way of others.
+// Lists the available daemons, with or without those that reach servers only
+// by way of others.
 static int
-list_addresses(const ps_gateway_t *gateway, const char *domain,
-               bool with_cut_off, const ps_name_t **addresses, int max)
+list_available(const ps_gateway_t *gateway, const char *domain,
+               bool with_cut_off, ps_address_candidate_t *candidates)
 {
     int n = 0;
-    for (int pass = 0; pass < 2; pass++) {
-        GHashTableIter iter;
-        gpointer value;
-        g_hash_table_iter_init(&iter, gateway->members);
-        while (g_hash_table_iter_next(&iter, NULL, &value)) {
-            const ps_daemon_info_t *member = value;
-            if (is_available(gateway, member, with_cut_off)) {
-                add_address(member, domain, pass == 0, addresses, &n, max);
-            }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gateway->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const ps_daemon_info_t *member = value;
+        if (is_available(gateway, member, with_cut_off)) {
+            candidates[n++] = (ps_address_candidate_t){
+                .name = &member->name,
+                .address = &member->caller_address,
+                .is_local = domain && PsName_IsEqualC(&member->domain, domain),
+                .capacity = member->cpu_share};
         }
     }
     return n;
@@ -902,10 +892,20 @@
 
 int
 PsGateway_ListAddresses(const ps_gateway_t *gateway, const char *domain,
-                        const ps_name_t **addresses, int max)
+                        uint64_t caller, const ps_name_t **addresses, int max)
 {
-    int n = list_addresses(gateway, domain, false, addresses, max);
-    return n > 0 ? n : list_addresses(gateway, domain, true, addresses, max);
+    ps_address_candidate_t *candidates =
+        g_new(ps_address_candidate_t, g_hash_table_size(gateway->members) + 1);
+    int n = list_available(gateway, domain, false, candidates);
+    if (n == 0) {
+        n = list_available(gateway, domain, true, candidates);
+    }
+    int sample = (int)gateway->settings.gateway.address_sample;
+    n = sample > 0 ? PsAddressChoice_Pick(candidates, n, caller, addresses,
+                                          MIN(sample, max))
+                   : PsAddressChoice_ListAll(candidates, n, addresses, max);
+    g_free(candidates);
+    return n;
 }
 
 ps_dispatcher_t *
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -11,6 +11,7 @@
 
 #include <ev.h>
 
+#include "address_choice.h"
 #include "backend_registry.h"
 #include "catalog.h"
 #include "changes.h"
@@ -228,13 +229,17 @@
  * PsGateway_ListAddresses() - Lists the addresses for callers of the daemons
  * that are available: this one if it is ready, others if they are not silent.
  * Those that are cut off from a service's servers are left out unless all are.
+ * With the setting address_sample a caller gets so many, by what daemons can
+ * carry.
  * @domain: failure domain whose daemons come first; may be NULL
+ * @caller: hash that identifies the caller
  * @addresses: receives at most @max pointers, valid until members change
  *
  * Return: number of addresses.
  */
 int PsGateway_ListAddresses(const ps_gateway_t *gateway, const char *domain,
-                            const ps_name_t **addresses, int max);
+                            uint64_t caller, const ps_name_t **addresses,
+                            int max);
 
 /**
  * PsGateway_FindDispatcher() - Returns a service's dispatcher, or NULL if it
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -435,6 +435,19 @@
                                        name);
 }
 
+uint32_t
+PsHttpRequest_GetCallerIp(const ps_http_request_t *request)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        request->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (!info || info->client_addr->sa_family != AF_INET) {
+        return 0;
+    }
+    struct sockaddr_in in;
+    memcpy(&in, info->client_addr, sizeof in);
+    return in.sin_addr.s_addr;
+}
+
 typedef struct header_callback {
     void (*each)(void *user, const char *name, const char *value);
     void *user;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -132,6 +132,12 @@
 const char *PsHttpRequest_GetHeader(const ps_http_request_t *request,
                                     const char *name);
 
+/**
+ * PsHttpRequest_GetCallerIp() - Returns the IPv4 address of the other end of
+ * the connection, in network byte order; 0: not known.
+ */
+uint32_t PsHttpRequest_GetCallerIp(const ps_http_request_t *request);
+
 /**
  * PsHttpRequest_ForEachHeader() - Calls a function for each request header.
  * @each: called with @user and the header's name and value
--- a/src/settings.c
+++ b/src/settings.c
@@ -80,6 +80,8 @@
     {"gateway", "grace_s", SETTING_REAL, FIELD(gateway.grace_s), "8", 0, 3600},
     {"gateway", "address_life", SETTING_DURATION,
      FIELD(gateway.address_ttl_ms), "2s", 100, 600000},
+    {"gateway", "address_sample", SETTING_COUNT, FIELD(gateway.address_sample),
+     "0", 0, 64},
     {"gateway", "retry_ratio", SETTING_REAL, FIELD(gateway.retry_ratio), "0.2",
      0, 10},
     {"gateway", "retry_window", SETTING_REAL, FIELD(gateway.retry_window_s),
--- a/src/settings.h
+++ b/src/settings.h
@@ -25,6 +25,9 @@
     double grace_s;         /* [gateway] grace_s, longest graceful shutdown */
     int64_t address_ttl_ms; /* [gateway] address_life, how long callers may
                                keep an answer of the directory */
+    int64_t address_sample; /* [gateway] address_sample, addresses that a
+                               caller gets, by what daemons can carry; 0: those
+                               of all daemons */
     double retry_ratio;     /* [gateway] retry_ratio, retries per request */
     double retry_window_s;  /* [gateway] retry_window, in which retries and
                                requests are counted */
