--- a/src/exchange.c
+++ b/src/exchange.c
@@ -114,12 +114,13 @@
 {
     PsHistogram_Add(&exchange->gateway->stats.total_latency,
                     (double)(PsClock_Now() - exchange->arrived_ms));
-    PsEvents_Add("request.end", "{s:s,s:i,s:s,s:s,s:i,s:I,s:i}", "id",
+    PsEvents_Add("request.end", "{s:s,s:i,s:s,s:s,s:i,s:I,s:i,s:I}", "id",
                  exchange->inbound.request_id.data, "status", status,
                  "outcome", outcome, "reason", reason, "sends",
                  exchange->sends, "ms",
                  (json_int_t)(PsClock_Now() - exchange->arrived_ms), "events",
-                 (int)exchange->n_events);
+                 (int)exchange->n_events, "first_event_ms",
+                 (json_int_t)exchange->first_event_after_ms);
 }
 
 // Sends a response of the gateway itself and ends the exchange.
@@ -421,8 +422,9 @@
                                        &exchange->inbound.request_id,
                                        exchange->task.version, now_ms);
             }
+            exchange->first_event_after_ms = now_ms - exchange->arrived_ms;
             PsHistogram_Add(&exchange->gateway->stats.first_event_latency,
-                            (double)(now_ms - exchange->arrived_ms));
+                            (double)exchange->first_event_after_ms);
         }
         bool had_just_begun = has_just_begun(exchange);
         PsScheduler_HandleEvent(
@@ -903,14 +905,15 @@
     ps_name_t content = PsMark_Format(get_content(exchange));
     ps_name_t parts = PsMark_FormatParts(exchange->marks);
     PsEvents_Add(
-        "request.accept", "{s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I}",
+        "request.accept", "{s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:I,s:I,s:I}",
         "id", exchange->inbound.request_id.data, "content", content.data,
         "parts", parts.data, "route", exchange->route->name.data, "team",
         exchange->team ? exchange->team->name.data : "", "service",
         service->data, "tier", exchange->task.tier, "prompt",
         exchange->task.prompt_tokens, "output", exchange->task.output_tokens,
         "config", (json_int_t)exchange->catalog->version, "config_age_ms",
-        (json_int_t)(now_ms - gateway->catalog_confirmed_ms));
+        (json_int_t)(now_ms - gateway->catalog_confirmed_ms), "time_left_ms",
+        (json_int_t)exchange->inbound.time_left_ms);
     PsScheduler_Submit(&exchange->dispatcher->scheduler, &exchange->task,
                        now_ms);
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -43,6 +43,8 @@
     ps_name_t last_event_id; /* of the last event relayed; before, of the one
                                 after which the caller resumes the stream */
     uint32_t n_events;       /* events relayed */
+    int64_t first_event_after_ms; /* of a stream, since @arrived_ms; 0: none
+                                     yet */
     uint64_t origin_request; /* hash of the id of the request whose stream it
                                 takes up, while others are asked for its
                                 version; 0: they are not */
