Learn servers' speeds over all daemons and hand out fast slots first

A third of the engine servers are five times slower than the others, and daemons with spare slots there sent them requests while faster servers had free slots elsewhere. With [gateway] learned_limits, daemons report samples of events, first events and late answers; the allocator fits a model and a concurrency limit for each server, hands out slots by predicted time, and tells paces to daemons, whose cost function uses them.

Placement moves from scheduler.c to placement.c.

--- a/src/allocator.c
+++ b/src/allocator.c
@@ -153,23 +153,6 @@
                PsRateBucket_CountAllowed(&limited->bucket, now_ms));
 }
 
-// Returns the index of the server with the largest part of its slots free; -1:
-// none is free.
-static int
-find_freest(const int *free_slots, const ps_slot_count_t *slots, int n)
-{
-    int best = -1;
-    double most = 0;
-    for (int i = 0; i < n; i++) {
-        double part = (double)free_slots[i] / MAX(slots[i].count, 1);
-        if (part > most) {
-            most = part;
-            best = i;
-        }
-    }
-    return best;
-}
-
 // Returns the lowest rank above @above in which requests wait; -1: none.
 static int64_t
 find_next_rank(const GPtrArray *uses, int64_t above)
@@ -205,8 +188,7 @@
 // rank, until none waits or no slot is free.
 static void
 give_slots_to_rank(ps_allocator_t *allocator, const GPtrArray *uses,
-                   int64_t rank, const ps_slot_count_t *slots, int *free_slots,
-                   int n)
+                   int64_t rank, const ps_slot_order_t *order, int *free_slots)
 {
     bool has_given = true;
     while (has_given) {
@@ -215,20 +197,30 @@
             ps_service_use_t *use =
                 uses->pdata[(i + allocator->round_robin_offset) % uses->len];
             ps_waiting_count_t *waiting = find_waiting(use, rank);
-            int server = find_freest(free_slots, slots, n);
+            int server = PsSlotOrder_FindBest(order, free_slots);
             if (server < 0) {
                 return;
             }
             if (waiting && waiting->count > 0) {
                 waiting->count--;
                 free_slots[server]--;
-                add_slot(use, slots[server].server);
+                add_slot(use, order->servers[server].server);
                 has_given = true;
             }
         }
     }
 }
 
+static void
+give_slots_to_waiting(ps_allocator_t *allocator, const GPtrArray *uses,
+                      const ps_slot_order_t *order, int *free_slots)
+{
+    int64_t rank = -1;
+    while ((rank = find_next_rank(uses, rank)) >= 0) {
+        give_slots_to_rank(allocator, uses, rank, order, free_slots);
+    }
+}
+
 // Gives the remaining free slots to all daemons in turn, so that a new request
 // finds a slot at once.
 static void
@@ -404,6 +396,7 @@
     allocator->server_buckets =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     PsOutliers_Init(&allocator->outliers);
+    PsServerModels_Init(&allocator->models);
 }
 
 void
@@ -413,6 +406,7 @@
     g_hash_table_destroy(allocator->team_quotas);
     g_hash_table_destroy(allocator->server_buckets);
     PsOutliers_Finish(&allocator->outliers);
+    PsServerModels_Finish(&allocator->models);
 }
 
 ps_service_use_t *
@@ -581,6 +575,7 @@
 {
     gpointer key = GUINT_TO_POINTER(server);
     g_hash_table_remove(allocator->server_buckets, key);
+    PsServerModels_Remove(&allocator->models, server);
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, allocator->reporters);
@@ -663,11 +658,15 @@
         return;
     }
     int *free_slots = g_new(int, n_slots);
+    ps_slot_order_t order;
+    PsSlotOrder_Init(&order, slots, n_slots);
     for (int i = 0; i < n_slots; i++) {
+        order.servers[i].running = count_running(uses, slots[i].server);
         free_slots[i] = apply_server_rate(
             allocator, uses, slots[i].server,
             count_free_slots(uses, &slots[i], n_daemons), n_daemons, now_ms);
     }
+    PsSlotOrder_Predict(&order, &allocator->models, now_ms);
     for (guint i = 0; i < uses->len; i++) {
         ps_service_use_t *use = uses->pdata[i];
         g_array_set_size(use->limits, 0);
@@ -677,12 +676,15 @@
         }
     }
     withhold_outliers(allocator, uses, slots, free_slots, n_slots, now_ms);
-    int64_t rank = -1;
-    while ((rank = find_next_rank(uses, rank)) >= 0) {
-        give_slots_to_rank(allocator, uses, rank, slots, free_slots, n_slots);
+    PsSlotOrder_Withhold(&order, free_slots);
+    give_slots_to_waiting(allocator, uses, &order, free_slots);
+    if (PsSlotOrder_Release(&order, free_slots)) {
+        give_slots_to_waiting(allocator, uses, &order, free_slots);
     }
+    PsSlotOrder_LimitSpare(&order, free_slots, (int)uses->len, now_ms);
     spread_free_slots(allocator, uses, slots, free_slots, n_slots);
     allocator->round_robin_offset++;
+    PsSlotOrder_Finish(&order);
     g_free(free_slots);
     g_ptr_array_unref(uses);
 }
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -22,18 +22,11 @@
 #include "quota.h"
 #include "rate_bucket.h"
 #include "scheduler.h"
+#include "slot_order.h"
 #include "store_events.h"
 
 #define PS_REPORT_MAX_AGE_MS 500 /* daemons with older reports get nothing */
 
-/**
- * struct ps_slot_count - Number of slots or requests at one server.
- */
-typedef struct ps_slot_count {
-    uint32_t server; /* hash of its name */
-    int count;
-} ps_slot_count_t;
-
 /**
  * struct ps_service_use - One daemon's use of one service.
  */
@@ -43,6 +36,7 @@
     GArray *waiting; /* ps_waiting_count_t: waiting requests of each rank */
     GArray *limits;  /* ps_slot_count_t, set by PsAllocator_DivideSlots() */
     bool is_brittle; /* a server has told the daemon that it is brittle */
+    uint64_t told_paces; /* version of the last pace told to the daemon */
 } ps_service_use_t;
 
 /**
@@ -91,6 +85,7 @@
     ps_outliers_t outliers;
     GHashTable *server_buckets; /* hash of a server with a limit to its
                                    ps_server_bucket_t */
+    ps_server_models_t models;  /* empty unless switched on */
     double window_s;            /* of the quotas, seconds */
     int64_t started_ms;       /* usage before then is unknown, except what was
                                  stored; 0: all usage is known */
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -7,6 +7,7 @@
 #include "events_log.h"
 #include "gateway.h"
 #include "origin_lookups.h"
+#include "pace_messages.h"
 
 // A member that has sent nothing for this long is named silent in grants.
 #define SILENT_MS 700
@@ -123,6 +124,7 @@
             g_array_append_val(use->waiting, count);
         }
         handle_server_limits(sharing, reporter, use_message, &service, now_ms);
+        PsPaceMessages_HandleSamples(&allocator->models, use_message, now_ms);
         ps_dispatcher_t *dispatcher =
             PsGateway_FindDispatcher(sharing->gateway, &service);
         for (size_t k = 0; dispatcher && k < use_message->n_started; k++) {
@@ -241,6 +243,8 @@
                 ? MAX(backend->limit.notice.rate, PS_SERVER_RATE_MIN)
                 : PS_SERVER_RATE_NONE,
             now_ms);
+        PsPaceMessages_SetServer(&sharing->allocator.models, server, backend,
+                                 dispatcher->scheduler.is_engine, now_ms);
         if (!backend->registration.is_leaving) {
             slots[n].server = server;
             slots[n++].count =
@@ -336,6 +340,8 @@
             add_limits_to_grant(service, dispatcher, value, is_own, now_ms);
             service->brittle = dispatcher->is_brittle;
             add_waits_to_grant(service, dispatcher);
+            PsPaceMessages_AddPaces(service, &sharing->allocator.models,
+                                    &dispatcher->scheduler, value);
         }
         grant->services[grant->n_services++] = service;
     }
@@ -414,6 +420,7 @@
         for (size_t k = 0; k < each->n_waits; k++) {
             g_free(each->waits[k]);
         }
+        PsPaceMessages_FreePaces(each);
         g_free(each->waits);
         g_free(each->limits);
         g_free(each->server_limits);
@@ -538,6 +545,8 @@
 void
 PsAllocatorRounds_Run(ps_sharing_t *sharing, int64_t now_ms)
 {
+    sharing->allocator.models.is_enabled =
+        sharing->gateway->settings.gateway.learned_limits;
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, sharing->gateway->dispatchers);
--- a/src/backend.h
+++ b/src/backend.h
@@ -12,6 +12,7 @@
 
 #include "outliers.h"
 #include "server_limit.h"
+#include "server_model.h"
 #include "server_reach.h"
 #include "server_room.h"
 #include "speed.h"
@@ -67,6 +68,10 @@
                                     thousands of prompt tokens */
     ps_speed_t token_interval;   /* milliseconds between output tokens, by the
                                     number of this daemon's running requests */
+    ps_server_sample_t sample;   /* of this daemon, not yet reported */
+    int64_t sample_since_ms;     /* its oldest part */
+    ps_server_pace_t pace;       /* learned over all daemons */
+    int64_t pace_told_ms;        /* by the allocator; 0: never */
     GHashTable *cached_parts; /* hash of a prompt part to time of last use */
     /* health */
     double outcomes; /* successes and failures, with exponential decay */
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -50,6 +50,8 @@
     int64_t timeout_ms; /* for the whole response; 0: not set */
     int64_t target_latency_ms; /* for the whole response, or for a stream's
                                   first event; 0: not set */
+    int64_t gap_target_ms; /* longest pause between events of a stream; 0: not
+                              set */
 } ps_route_t;
 
 /**
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -925,6 +925,7 @@
     dispatcher->name = *service;
     PsScheduler_Init(&dispatcher->scheduler, PsExchange_GetSchedulerEvents(),
                      gateway, service, (uint32_t)gateway->self.incarnation);
+    dispatcher->scheduler.domain = gateway->settings.domain;
     PsRetryBudget_Init(&dispatcher->retry_budget, gateway->started_ms);
     g_hash_table_insert(gateway->dispatchers, &dispatcher->name, dispatcher);
     divide_among_daemons(gateway);
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &ps__server_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__server_sample__init
+                     (Ps__ServerSample         *message)
+{
+  static const Ps__ServerSample init_value = PS__SERVER_SAMPLE__INIT;
+  *message = init_value;
+}
+size_t ps__server_sample__get_packed_size
+                     (const Ps__ServerSample *message)
+{
+  assert(message->base.descriptor == &ps__server_sample__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__server_sample__pack
+                     (const Ps__ServerSample *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__server_sample__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__server_sample__pack_to_buffer
+                     (const Ps__ServerSample *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__server_sample__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ServerSample *
+       ps__server_sample__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ServerSample *)
+     protobuf_c_message_unpack (&ps__server_sample__descriptor,
+                                allocator, len, data);
+}
+void   ps__server_sample__free_unpacked
+                     (Ps__ServerSample *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__server_sample__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__service_use__init
                      (Ps__ServiceUse         *message)
 {
@@ -1177,6 +1222,51 @@
   assert(message->base.descriptor == &ps__rank_wait__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__server_pace__init
+                     (Ps__ServerPace         *message)
+{
+  static const Ps__ServerPace init_value = PS__SERVER_PACE__INIT;
+  *message = init_value;
+}
+size_t ps__server_pace__get_packed_size
+                     (const Ps__ServerPace *message)
+{
+  assert(message->base.descriptor == &ps__server_pace__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__server_pace__pack
+                     (const Ps__ServerPace *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__server_pace__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__server_pace__pack_to_buffer
+                     (const Ps__ServerPace *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__server_pace__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__ServerPace *
+       ps__server_pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__ServerPace *)
+     protobuf_c_message_unpack (&ps__server_pace__descriptor,
+                                allocator, len, data);
+}
+void   ps__server_pace__free_unpacked
+                     (Ps__ServerPace *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__server_pace__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__service_grant__init
                      (Ps__ServiceGrant         *message)
 {
@@ -3544,7 +3634,136 @@
   (ProtobufCMessageInit) ps__server_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ps__server_sample__field_descriptors[8] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerSample, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "events",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerSample, events),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "event_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerSample, event_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_events",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerSample, first_events),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_event_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerSample, first_event_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill_tokens",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerSample, prefill_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "on_time",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerSample, on_time),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "late",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerSample, late),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__server_sample__field_indices_by_name[] = {
+  2,   /* field[2] = event_ms */
+  1,   /* field[1] = events */
+  4,   /* field[4] = first_event_ms */
+  3,   /* field[3] = first_events */
+  7,   /* field[7] = late */
+  6,   /* field[6] = on_time */
+  5,   /* field[5] = prefill_tokens */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange ps__server_sample__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor ps__server_sample__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ServerSample",
+  "ServerSample",
+  "Ps__ServerSample",
+  "ps",
+  sizeof(Ps__ServerSample),
+  8,
+  ps__server_sample__field_descriptors,
+  ps__server_sample__field_indices_by_name,
+  1,  ps__server_sample__number_ranges,
+  (ProtobufCMessageInit) ps__server_sample__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[8] =
 {
   {
     "service",
@@ -3630,11 +3849,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "samples",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceUse, n_samples),
+    offsetof(Ps__ServiceUse, samples),
+    &ps__server_sample__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_use__field_indices_by_name[] = {
   5,   /* field[5] = brittle */
   3,   /* field[3] = outcomes */
   1,   /* field[1] = running */
+  7,   /* field[7] = samples */
   4,   /* field[4] = server_limits */
   0,   /* field[0] = service */
   6,   /* field[6] = started */
@@ -3643,7 +3875,7 @@
 static const ProtobufCIntRange ps__service_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ps__service_use__descriptor =
 {
@@ -3653,7 +3885,7 @@
   "Ps__ServiceUse",
   "ps",
   sizeof(Ps__ServiceUse),
-  7,
+  8,
   ps__service_use__field_descriptors,
   ps__service_use__field_indices_by_name,
   1,  ps__service_use__number_ranges,
@@ -3995,7 +4227,97 @@
   (ProtobufCMessageInit) ps__rank_wait__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ps__server_pace__field_descriptors[5] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerPace, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "event_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerPace, event_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_base_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerPace, first_base_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_slope_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerPace, first_slope_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServerPace, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__server_pace__field_indices_by_name[] = {
+  1,   /* field[1] = event_ms */
+  2,   /* field[2] = first_base_ms */
+  3,   /* field[3] = first_slope_ms */
+  4,   /* field[4] = limit */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange ps__server_pace__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ps__server_pace__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.ServerPace",
+  "ServerPace",
+  "Ps__ServerPace",
+  "ps",
+  sizeof(Ps__ServerPace),
+  5,
+  ps__server_pace__field_descriptors,
+  ps__server_pace__field_indices_by_name,
+  1,  ps__server_pace__number_ranges,
+  (ProtobufCMessageInit) ps__server_pace__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[7] =
 {
   {
     "service",
@@ -4069,11 +4391,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "paces",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceGrant, n_paces),
+    offsetof(Ps__ServiceGrant, paces),
+    &ps__server_pace__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_grant__field_indices_by_name[] = {
   3,   /* field[3] = brittle */
   5,   /* field[5] = has_waits */
   1,   /* field[1] = limits */
+  6,   /* field[6] = paces */
   2,   /* field[2] = server_limits */
   0,   /* field[0] = service */
   4,   /* field[4] = waits */
@@ -4081,7 +4416,7 @@
 static const ProtobufCIntRange ps__service_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ps__service_grant__descriptor =
 {
@@ -4091,7 +4426,7 @@
   "Ps__ServiceGrant",
   "ps",
   sizeof(Ps__ServiceGrant),
-  6,
+  7,
   ps__service_grant__field_descriptors,
   ps__service_grant__field_indices_by_name,
   1,  ps__service_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -36,11 +36,13 @@
 typedef struct Ps__WaitingCount Ps__WaitingCount;
 typedef struct Ps__ServerOutcomes Ps__ServerOutcomes;
 typedef struct Ps__ServerLimit Ps__ServerLimit;
+typedef struct Ps__ServerSample Ps__ServerSample;
 typedef struct Ps__ServiceUse Ps__ServiceUse;
 typedef struct Ps__TeamUse Ps__TeamUse;
 typedef struct Ps__ContentCrash Ps__ContentCrash;
 typedef struct Ps__ShareReport Ps__ShareReport;
 typedef struct Ps__RankWait Ps__RankWait;
+typedef struct Ps__ServerPace Ps__ServerPace;
 typedef struct Ps__ServiceGrant Ps__ServiceGrant;
 typedef struct Ps__TeamGrant Ps__TeamGrant;
 typedef struct Ps__ServerNews Ps__ServerNews;
@@ -552,6 +554,50 @@
     , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * What a daemon has seen of a server since the last sample that it reported.
+ */
+struct  Ps__ServerSample
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the backend server's name
+   */
+  uint32_t server;
+  /*
+   * of streams, after the first ones
+   */
+  uint32_t events;
+  /*
+   * sum of the times between them
+   */
+  float event_ms;
+  /*
+   * of streams; of plain requests, answers
+   */
+  uint32_t first_events;
+  /*
+   * sum of the times since they were sent
+   */
+  float first_event_ms;
+  /*
+   * sum of the prompt tokens read before them
+   */
+  float prefill_tokens;
+  /*
+   * ended answers that met objective and pauses
+   */
+  uint32_t on_time;
+  /*
+   * those that the server made late
+   */
+  uint32_t late;
+};
+#define PS__SERVER_SAMPLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__server_sample__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 struct  Ps__ServiceUse
 {
   ProtobufCMessage base;
@@ -579,10 +625,18 @@
    * a server of it has told the sender that it falls over when it
    */
   protobuf_c_boolean brittle;
+  /*
+   * has to reject too many requests
+   */
+  /*
+   * of servers that have enough of them
+   */
+  size_t n_samples;
+  Ps__ServerSample **samples;
 };
 #define PS__SERVICE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  Ps__TeamUse
@@ -686,6 +740,38 @@
     , 0, 0 }
 
 
+/*
+ * Speed of a server, learned over all daemons.
+ */
+struct  Ps__ServerPace
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the backend server's name
+   */
+  uint32_t server;
+  /*
+   * between two events, at its present load
+   */
+  float event_ms;
+  /*
+   * to the first event of an empty prompt, or to a plain answer
+   */
+  float first_base_ms;
+  /*
+   * that each thousand prompt tokens adds
+   */
+  float first_slope_ms;
+  /*
+   * requests at a time with answers on time, of all daemons
+   */
+  uint32_t limit;
+};
+#define PS__SERVER_PACE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__server_pace__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 /*
  * What one daemon may use until the next grant.
  */
@@ -716,10 +802,15 @@
    * the sender knows them
    */
   protobuf_c_boolean has_waits;
+  /*
+   * that have changed, or were not told lately
+   */
+  size_t n_paces;
+  Ps__ServerPace **paces;
 };
 #define PS__SERVICE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL }
 
 
 struct  Ps__TeamGrant
@@ -1360,6 +1451,25 @@
 void   ps__server_limit__free_unpacked
                      (Ps__ServerLimit *message,
                       ProtobufCAllocator *allocator);
+/* Ps__ServerSample methods */
+void   ps__server_sample__init
+                     (Ps__ServerSample         *message);
+size_t ps__server_sample__get_packed_size
+                     (const Ps__ServerSample   *message);
+size_t ps__server_sample__pack
+                     (const Ps__ServerSample   *message,
+                      uint8_t             *out);
+size_t ps__server_sample__pack_to_buffer
+                     (const Ps__ServerSample   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ServerSample *
+       ps__server_sample__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__server_sample__free_unpacked
+                     (Ps__ServerSample *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ServiceUse methods */
 void   ps__service_use__init
                      (Ps__ServiceUse         *message);
@@ -1455,6 +1565,25 @@
 void   ps__rank_wait__free_unpacked
                      (Ps__RankWait *message,
                       ProtobufCAllocator *allocator);
+/* Ps__ServerPace methods */
+void   ps__server_pace__init
+                     (Ps__ServerPace         *message);
+size_t ps__server_pace__get_packed_size
+                     (const Ps__ServerPace   *message);
+size_t ps__server_pace__pack
+                     (const Ps__ServerPace   *message,
+                      uint8_t             *out);
+size_t ps__server_pace__pack_to_buffer
+                     (const Ps__ServerPace   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__ServerPace *
+       ps__server_pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__server_pace__free_unpacked
+                     (Ps__ServerPace *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ServiceGrant methods */
 void   ps__service_grant__init
                      (Ps__ServiceGrant         *message);
@@ -1691,6 +1820,9 @@
 typedef void (*Ps__ServerLimit_Closure)
                  (const Ps__ServerLimit *message,
                   void *closure_data);
+typedef void (*Ps__ServerSample_Closure)
+                 (const Ps__ServerSample *message,
+                  void *closure_data);
 typedef void (*Ps__ServiceUse_Closure)
                  (const Ps__ServiceUse *message,
                   void *closure_data);
@@ -1706,6 +1838,9 @@
 typedef void (*Ps__RankWait_Closure)
                  (const Ps__RankWait *message,
                   void *closure_data);
+typedef void (*Ps__ServerPace_Closure)
+                 (const Ps__ServerPace *message,
+                  void *closure_data);
 typedef void (*Ps__ServiceGrant_Closure)
                  (const Ps__ServiceGrant *message,
                   void *closure_data);
@@ -1761,11 +1896,13 @@
 extern const ProtobufCMessageDescriptor ps__waiting_count__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_outcomes__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_limit__descriptor;
+extern const ProtobufCMessageDescriptor ps__server_sample__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__content_crash__descriptor;
 extern const ProtobufCMessageDescriptor ps__share_report__descriptor;
 extern const ProtobufCMessageDescriptor ps__rank_wait__descriptor;
+extern const ProtobufCMessageDescriptor ps__server_pace__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_news__descriptor;
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #include "even_shares.h"
+#include "placement.h"
+#include "task_samples.h"
 
 #define RATE_INITIAL                                                          \
     3.0               /* starts in PS_RANK_RATE_DECAY_MS, assumed at first */
@@ -45,18 +47,7 @@
 // lost, is expected to run for this many times the usual time.
 #define ABANDONED_RUN_FACTOR 2.0
 
-// Longest time after a pause of this daemon for which it runs one request at a
-// time at each brittle server until it is granted more. Even shares are used
-// after it, as without an allocator.
-#define GRANT_WAIT_MS 400
-
 #define EVENT_TOKENS_MAX 10.0 /* most output tokens in one event */
-#define COLD_FACTOR 2.0       /* a server that has just started is slower */
-
-// Cost of a server with all its slots in use. It spreads work over servers of
-// equal speed.
-#define LOAD_COST_MS 4.0
-
 /* ---- Even shares ------------------------------------------------------ */
 
 static gint
@@ -166,135 +157,7 @@
     }
 }
 
-/* ---- Placement -------------------------------------------------------- */
-
-static bool
-has_version(const ps_task_t *task, const ps_backend_t *backend)
-{
-    return task->version == 0 || task->version == backend->version;
-}
-
-static bool
-was_tried(const ps_task_t *task, const ps_backend_t *backend)
-{
-    for (int i = 0; i < task->n_tried; i++) {
-        if (task->tried[i] == backend->instance_id) {
-            return true;
-        }
-    }
-    return false;
-}
-
-// Returns how many requests this daemon may run at a server. A brittle one
-// gets no more than its slots from all daemons: without fresh grants, this
-// daemon's share of them, or less if the allocator may have given that to
-// others in a pause of this daemon.
-static int
-get_slot_limit(const ps_scheduler_t *scheduler, const ps_backend_t *backend,
-               int64_t now_ms)
-{
-    bool has_grants =
-        scheduler->has_granted_limits && now_ms < scheduler->granted_until_ms;
-    if (!has_grants && PsScheduler_IsBrittle(scheduler, now_ms)) {
-        bool is_awaited = scheduler->paused_until_ms > 0 &&
-                          now_ms - scheduler->paused_until_ms < GRANT_WAIT_MS;
-        int limit = MIN(backend->slot_limit, backend->even_share);
-        return is_awaited ? MIN(limit, 1) : limit;
-    }
-    return backend->slot_limit;
-}
-
-static bool
-has_free_slot(const ps_scheduler_t *scheduler, const ps_backend_t *backend,
-              int64_t now_ms)
-{
-    if (!backend->is_listed || backend->registration.is_leaving ||
-        now_ms < backend->ejected_until_ms ||
-        now_ms < backend->paused_until_ms) {
-        return false;
-    }
-    if (!PsServerLimit_MayStart(&backend->limit, now_ms) ||
-        PsServerRoom_IsFull(&backend->room, now_ms)) {
-        return false;
-    }
-    int limit = get_slot_limit(scheduler, backend, now_ms);
-    return PsBackend_CountOccupied(backend, now_ms) <
-           (backend->is_on_trial ? MIN(limit, 1) : limit);
-}
-
-// Returns the prompt tokens beyond the longest prefix that the server has
-// cached.
-static double
-get_prefill_tokens(const ps_backend_t *backend, const ps_task_t *task,
-                   int64_t now_ms)
-{
-    double cached = 0;
-    for (int i = 0; i < task->n_parts; i++) {
-        if (!PsBackend_HasCachedPart(backend, task->part_hashes[i], now_ms)) {
-            break;
-        }
-        cached += task->part_tokens[i];
-    }
-    return MAX(task->prompt_tokens - cached, 0.0);
-}
-
-// Predicts the milliseconds until the first event of a task sent now. The
-// speed model first_event_time takes thousands of prompt tokens to prefill in
-// place of a batch size.
-static double
-predict_first_event(const ps_backend_t *backend, const ps_task_t *task,
-                    double prefill_tokens, int64_t now_ms)
-{
-    (void)task;
-    double tokens =
-        (prefill_tokens + backend->pending_prefill_tokens) / 1000.0;
-    double ms = PsSpeed_GetStepMs(&backend->first_event_time, tokens);
-    return now_ms < backend->cold_until_ms ? ms * COLD_FACTOR : ms;
-}
-
-// Returns the cost of placing a task at a server, in predicted milliseconds.
-// For a generation: the time to the first event, a quarter of the time of the
-// output, and LOAD_COST_MS by load. For other tasks the running requests count
-// most.
-static double
-predict_cost(const ps_backend_t *backend, const ps_task_t *task,
-             int64_t now_ms)
-{
-    double load_ms =
-        LOAD_COST_MS * backend->running / MAX(backend->slot_limit, 1);
-    if (!task->is_generation) {
-        return PsSpeed_GetStepMs(&backend->first_event_time, 0.0) * 0.1 +
-               LOAD_COST_MS * 10.0 * backend->running;
-    }
-    double prefill_tokens = get_prefill_tokens(backend, task, now_ms);
-    double token_ms =
-        PsSpeed_GetStepMs(&backend->token_interval, backend->running + 1.0);
-    return predict_first_event(backend, task, prefill_tokens, now_ms) +
-           task->output_tokens * token_ms * 0.25 + load_ms;
-}
-
-// Returns the server of least cost that has a free slot and was not tried yet;
-// NULL: none.
-static ps_backend_t *
-find_best_backend(const ps_scheduler_t *scheduler, const ps_task_t *task,
-                  int64_t now_ms)
-{
-    ps_backend_t *best = NULL;
-    double lowest = INFINITY;
-    for (guint i = 0; i < scheduler->backends->len; i++) {
-        ps_backend_t *backend = scheduler->backends->pdata[i];
-        if (!has_free_slot(scheduler, backend, now_ms) ||
-            was_tried(task, backend) || !has_version(task, backend)) {
-            continue;
-        }
-        double cost = predict_cost(backend, task, now_ms);
-        if (cost < lowest) {
-            lowest = cost;
-            best = backend;
-        }
-    }
-    return best;
-}
+/* ---- Starting --------------------------------------------------------- */
 
 // Tells whether a task would miss its objective even if it were started now.
 static bool
@@ -340,7 +203,8 @@
     task->started_ms = now_ms;
     task->last_event_ms = now_ms;
     task->first_event_ms = 0;
-    task->prefill_tokens = get_prefill_tokens(backend, task, now_ms);
+    task->was_made_late = false;
+    task->prefill_tokens = PsPlacement_GetPrefillTokens(backend, task, now_ms);
     task->prefill_backlog_tokens =
         backend->pending_prefill_tokens + task->prefill_tokens;
     if (task->n_tried < PS_TASK_TRIED_MAX) {
@@ -537,7 +401,7 @@
         if (best && !comes_before(scheduler, task, best, now_ms)) {
             continue;
         }
-        ps_backend_t *found = find_best_backend(scheduler, task, now_ms);
+        ps_backend_t *found = PsPlacement_FindBest(scheduler, task, now_ms);
         if (found) {
             best = task;
             *backend = found;
@@ -550,7 +414,8 @@
 has_any_free_slot(const ps_scheduler_t *scheduler, int64_t now_ms)
 {
     for (guint i = 0; i < scheduler->backends->len; i++) {
-        if (has_free_slot(scheduler, scheduler->backends->pdata[i], now_ms)) {
+        if (PsPlacement_HasFreeSlot(scheduler, scheduler->backends->pdata[i],
+                                    now_ms)) {
             return true;
         }
     }
@@ -707,7 +572,7 @@
 {
     task->link = (GList){.data = task};
     if (scheduler->waiting.length == 0) {
-        ps_backend_t *backend = find_best_backend(scheduler, task, now_ms);
+        ps_backend_t *backend = PsPlacement_FindBest(scheduler, task, now_ms);
         if (backend) {
             start_task(scheduler, task, backend, now_ms);
             return;
@@ -743,6 +608,7 @@
                         double tokens, int64_t now_ms)
 {
     ps_backend_t *backend = task->backend;
+    PsTaskSamples_HandleEvent(scheduler, task, now_ms);
     if (task->first_event_ms == 0) {
         double ms = (double)(now_ms - task->started_ms);
         task->first_event_ms = now_ms;
@@ -760,6 +626,7 @@
     }
     else if (tokens > 0) {
         double step = (double)(now_ms - task->last_event_ms) / tokens;
+        scheduler->tokens_per_event = tokens;
         PsSpeed_AddStep(&backend->token_interval, backend->running, step, 0.2);
     }
     task->last_event_ms = now_ms;
@@ -818,7 +685,7 @@
 PsScheduler_CanMoveTask(const ps_scheduler_t *scheduler, const ps_task_t *task,
                         int64_t now_ms)
 {
-    return find_best_backend(scheduler, task, now_ms) != NULL;
+    return PsPlacement_FindBest(scheduler, task, now_ms) != NULL;
 }
 
 // Notes what the end of a task shows of the room at a brittle server.
@@ -842,6 +709,7 @@
                ps_task_result_t result, int64_t now_ms)
 {
     ps_backend_t *backend = task->backend;
+    PsTaskSamples_HandleEnd(scheduler, task, result, now_ms);
     if (task->first_event_ms == 0) {
         backend->pending_prefill_tokens =
             MAX(backend->pending_prefill_tokens - task->prefill_tokens, 0.0);
@@ -869,7 +737,7 @@
 PsScheduler_MoveTask(ps_scheduler_t *scheduler, ps_task_t *task,
                      int64_t now_ms)
 {
-    ps_backend_t *backend = find_best_backend(scheduler, task, now_ms);
+    ps_backend_t *backend = PsPlacement_FindBest(scheduler, task, now_ms);
     g_assert(backend);
     end_at_backend(scheduler, task, PS_TASK_FAILED, now_ms);
     start_task(scheduler, task, backend, now_ms);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -47,6 +47,8 @@
     int64_t objective_ms; /* time by which a stream's first event, or else the
                              whole answer, should have come */
     int64_t wait_deadline_ms; /* refused if it still waits then */
+    int64_t deadline_ms;      /* its caller gives up then; 0: not known */
+    int64_t gap_target_ms;    /* longest pause between events; 0: not set */
     double prompt_tokens;
     double output_tokens; /* expected */
     int n_parts;
@@ -66,6 +68,7 @@
     int64_t first_event_ms; /* time of the first event; 0: none yet */
     int64_t last_event_ms;  /* time of the latest event; @started_ms before the
                                first */
+    bool was_made_late;     /* by its server: the first event or a pause */
     double prefill_tokens;  /* prompt tokens that the server has not cached */
     double prefill_backlog_tokens; /* prefill pending at the server when the
                                       task was sent, its own included */
@@ -123,6 +126,12 @@
     bool has_granted_limits;  /* slot limits come from the allocator; false:
                                  from even shares */
     bool is_running; /* PsScheduler_Run() is active; stops it from re-entry */
+    /* learned speeds */
+    ps_name_t domain;        /* of this daemon; empty: no server is preferred
+                                for its failure domain */
+    double tokens_per_event; /* of the last event; 0: not known */
+    ps_server_pace_t median_pace; /* assumed at servers without a told one */
+    int64_t median_told_ms;       /* 0: never */
 } ps_scheduler_t;
 
 /**
--- a/src/server_model.h
+++ b/src/server_model.h
@@ -13,6 +13,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "concurrency_limit.h"
+
+// Time in which samples lose half of their weight. Slow periods of 600 ms
+// then move a mean by an eighth of their excess, while a lasting change shows
+// within two or three seconds.
+#define PS_SERVER_MODEL_HALF_LIFE_MS 3000.0
+
 /**
  * struct ps_server_sample - What one daemon has seen of a server since its
  * last report. All zero: nothing.
@@ -20,8 +27,6 @@
 typedef struct ps_server_sample {
     uint32_t events;       /* of streams, after the first ones */
     double event_ms;       /* sum of the times between them */
-    double event_running;  /* sum, over @events, of the requests that ran
-                              there, of all daemons as far as known */
     uint32_t first_events; /* of streams; of plain requests, answers */
     double first_event_ms; /* sum of the times since they were sent */
     double prefill_tokens; /* sum of the prompt tokens read before them */
@@ -33,12 +38,88 @@
  * struct ps_server_pace - Predicted speed of a server; sent with grants.
  */
 typedef struct ps_server_pace {
-    double event_base_ms;  /* between two events, without other requests */
-    double event_slope_ms; /* that each running request adds */
+    double event_ms;       /* between two events, at its present load */
     double first_base_ms;  /* to the first event of an empty prompt, or to a
                               plain answer */
     double first_slope_ms; /* that each thousand prompt tokens adds */
     int limit;             /* requests at a time with answers on time */
 } ps_server_pace_t;
 
+/**
+ * struct ps_fitted_line - Line through samples, by weighted least squares.
+ */
+typedef struct ps_fitted_line {
+    double weight; /* as the next four: decaying sums over samples */
+    double sum_x;
+    double sum_xx;
+    double sum_y;
+    double sum_xy;
+    uint64_t n;     /* samples, without decay */
+    int64_t age_ms; /* time of the last one; 0: none yet */
+} ps_fitted_line_t;
+
+/**
+ * struct ps_server_model - What is known of one server. All zero: nothing.
+ */
+typedef struct ps_server_model {
+    ps_fitted_line_t events; /* time between events, by running requests */
+    ps_fitted_line_t firsts; /* time to first events, by thousands of prompt
+                                tokens */
+    double on_time;          /* decaying number of answers */
+    double late;
+    int64_t ended_ms;      /* time of the last ended answer; 0: none yet */
+    int64_t decayed_ms;    /* the sums are as of this time */
+    double running;        /* requests there in all, smoothed over rounds */
+    int peak_running;      /* since the limit was last adjusted */
+    ps_server_pace_t seed; /* assumed while nothing is known */
+    bool has_seed;
+    ps_concurrency_limit_t limit;
+} ps_server_model_t;
+
+/**
+ * PsServerSample_IsEmpty() - Tells whether a sample has nothing in it.
+ */
+bool PsServerSample_IsEmpty(const ps_server_sample_t *sample);
+
+/**
+ * PsServerModel_AddSample() - Adds what a daemon has reported. A sample with
+ * numbers that are negative, not finite or far out of range is ignored.
+ *
+ * The samples count for the number of requests that the rounds have noted.
+ */
+void PsServerModel_AddSample(ps_server_model_t *model,
+                             const ps_server_sample_t *sample, int64_t now_ms);
+
+/**
+ * PsServerModel_NoteRound() - Notes how many requests of all daemons run at
+ * the server, and adjusts its limit.
+ * @slots: that it has registered
+ */
+void PsServerModel_NoteRound(ps_server_model_t *model, int running, int slots,
+                             int64_t now_ms);
+
+/**
+ * PsServerModel_IsKnown() - Tells whether there are enough samples, or a seed,
+ * to predict from.
+ */
+bool PsServerModel_IsKnown(const ps_server_model_t *model);
+
+/**
+ * PsServerModel_GetEventMs() - Predicts the time between two events.
+ * @running: requests there in all
+ */
+double PsServerModel_GetEventMs(const ps_server_model_t *model,
+                                double running);
+
+/**
+ * PsServerModel_GetPace() - Predicts the server's speed at its present load.
+ */
+ps_server_pace_t PsServerModel_GetPace(const ps_server_model_t *model);
+
+/**
+ * PsServerModel_GetLateShare() - Returns the decayed share of late answers, 0
+ * to 1.
+ */
+double PsServerModel_GetLateShare(const ps_server_model_t *model);
+
 #endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -94,6 +94,8 @@
      0, 1000000000},
     {"gateway", "first_start", SETTING_FLAG, FIELD(gateway.is_first_start),
      "false", 0, 0},
+    {"gateway", "learned_limits", SETTING_FLAG, FIELD(gateway.learned_limits),
+     "false", 0, 0},
     {"gateway", "cpu_share", SETTING_REAL, FIELD(gateway.cpu_share), "1", 0,
      1024},
 };
--- a/src/settings.h
+++ b/src/settings.h
@@ -38,6 +38,8 @@
                                may be exceeded in addition */
     bool is_first_start;    /* [gateway] first_start, no daemon of the
                                deployment has run before */
+    bool learned_limits;    /* [gateway] learned_limits, speeds and limits of
+                               servers are learned over all daemons */
     double cpu_share;       /* [gateway] cpu_share, processor share of this
                                daemon, in cores */
 } ps_gateway_settings_t;
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -9,6 +9,7 @@
 #include "events_log.h"
 #include "gateway.h"
 #include "origin_lookups.h"
+#include "pace_messages.h"
 
 // Interval between reports. It grows with the number of daemons, to bound the
 // allocator's load.
@@ -234,7 +235,8 @@
 // Returns a service's part of the report: running requests and outcomes by
 // server, and waiting requests by rank. Freed with free_service_use().
 static Ps__ServiceUse *
-make_service_use(ps_dispatcher_t *dispatcher, uint64_t round, int64_t now_ms)
+make_service_use(ps_dispatcher_t *dispatcher, uint64_t round,
+                 bool learned_limits, int64_t now_ms)
 {
     Ps__ServiceUse *use = g_new(Ps__ServiceUse, 1);
     ps__service_use__init(use);
@@ -265,6 +267,9 @@
     n = PsScheduler_TakeStarts(&dispatcher->scheduler, ranks);
     use->started = make_rank_counts(ranks, n);
     use->n_started = (size_t)n;
+    if (learned_limits) {
+        PsPaceMessages_AddSamples(use, &dispatcher->scheduler, now_ms);
+    }
     return use;
 }
 
@@ -283,6 +288,7 @@
     g_free(use->running);
     free_rank_counts(use->waiting, use->n_waiting);
     free_rank_counts(use->started, use->n_started);
+    PsPaceMessages_FreeSamples(use);
     g_free(use->outcomes);
     g_free(use->server_limits);
     g_free(use);
@@ -333,7 +339,8 @@
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         ps_dispatcher_t *dispatcher = value;
         report.services[report.n_services++] =
-            make_service_use(dispatcher, report.round, now_ms);
+            make_service_use(dispatcher, report.round,
+                             gateway->settings.gateway.learned_limits, now_ms);
     }
     add_team_uses(sharing, &report, now_ms);
     report.crashes = PsMarkCrashes_MakeMessages(
@@ -421,6 +428,9 @@
     if (grant->has_waits) {
         apply_waits(&dispatcher->scheduler, grant, now_ms);
     }
+    if (sharing->gateway->settings.gateway.learned_limits) {
+        PsPaceMessages_ApplyPaces(&dispatcher->scheduler, grant, now_ms);
+    }
     PsScheduler_Run(&dispatcher->scheduler, now_ms);
 }
 
