Bound servers by throughput, try slow ones again, weigh plain slots by speed

A server that slows down when nearly full answered less with all slots handed out: its capacity is where the measured throughput by running requests is highest, found by probes while it is late. Slow servers get a trial each 2 to 16 s, so that one that has recovered is used again.

--- a/src/allocator.c
+++ b/src/allocator.c
@@ -213,23 +213,35 @@
 
 static void
 give_slots_to_waiting(ps_allocator_t *allocator, const GPtrArray *uses,
-                      const ps_slot_order_t *order, int *free_slots)
+                      ps_slot_order_t *order, int *free_slots)
 {
     int64_t rank = -1;
     while ((rank = find_next_rank(uses, rank)) >= 0) {
+        order->is_last_rank = find_next_rank(uses, rank) < 0;
         give_slots_to_rank(allocator, uses, rank, order, free_slots);
     }
 }
 
 // Gives the remaining free slots to all daemons in turn, so that a new request
-// finds a slot at once.
+// finds a slot at once. If a server is to have a trial, the first daemon gets
+// a slot there and no others.
 static void
 spread_free_slots(ps_allocator_t *allocator, const GPtrArray *uses,
-                  const ps_slot_count_t *slots, int *free_slots, int n)
+                  const ps_slot_order_t *order, int *free_slots)
 {
+    const ps_ordered_server_t *slots = order->servers;
     guint turn = allocator->round_robin_offset;
-    for (int server = 0; server < n; server++) {
+    int trial = PsSlotOrder_TakeSpareTrial(order);
+    guint trial_turn = trial >= 0 ? turn % uses->len : G_MAXUINT;
+    if (trial >= 0) {
+        add_slot(uses->pdata[trial_turn], slots[trial].server);
+    }
+    if (trial >= 0 && uses->len == 1) {
+        return;
+    }
+    for (int server = 0; server < order->n; server++) {
         for (; free_slots[server] > 0; free_slots[server]--) {
+            turn += turn % uses->len == trial_turn ? 1 : 0;
             add_slot(uses->pdata[turn++ % uses->len], slots[server].server);
         }
     }
@@ -681,9 +693,10 @@
     if (PsSlotOrder_Release(&order, free_slots)) {
         give_slots_to_waiting(allocator, uses, &order, free_slots);
     }
-    PsSlotOrder_LimitSpare(&order, free_slots, (int)uses->len, now_ms);
-    spread_free_slots(allocator, uses, slots, free_slots, n_slots);
+    PsSlotOrder_LimitSpare(&order, free_slots, (int)uses->len);
+    spread_free_slots(allocator, uses, &order, free_slots);
     allocator->round_robin_offset++;
+    PsSlotOrder_NoteStates(&order);
     PsSlotOrder_Finish(&order);
     g_free(free_slots);
     g_ptr_array_unref(uses);
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -251,6 +251,9 @@
                 (int)(backend->registration.slots * factor + 0.5);
         }
     }
+    if (!dispatcher->scheduler.is_engine && !dispatcher->is_brittle) {
+        PsSlotOrder_WeighSlots(&sharing->allocator.models, slots, n);
+    }
     if (dispatcher->scheduler.is_engine) {
         estimate_waits(sharing, dispatcher, now_ms);
     }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -8,6 +8,7 @@
 #include "counters.h"
 #include "events_log.h"
 #include "exchange.h"
+#include "pace_messages.h"
 
 #define TICK_S 0.01 /* period of the gateway's periodic work */
 
@@ -521,6 +522,7 @@
     print_metric(&out, "pearstair_carried_refused_total",
                  (double)gateway->forward_server.refused);
     print_retry_budgets(gateway, &out);
+    PsPaceMessages_PrintMetrics(&gateway->sharing.allocator.models, &out);
     PsHistogram_Print(&stats->wait_latency, "pearstair_wait_milliseconds",
                       &out);
     PsHistogram_Print(&stats->first_event_latency,
--- a/src/pace_messages.c
+++ b/src/pace_messages.c
@@ -3,6 +3,7 @@
 
 #include <math.h>
 
+#include "events_log.h"
 #include "placement.h"
 #include "sharing.h"
 
@@ -75,6 +76,31 @@
     }
 }
 
+static void
+log_server(const ps_learned_server_t *server, const ps_backend_t *backend,
+           int64_t now_ms)
+{
+    const ps_server_model_t *model = &server->model;
+    ps_server_pace_t pace = PsServerModel_GetPace(model);
+    int64_t trial_ms =
+        server->next_trial_ms > 0 ? server->next_trial_ms - now_ms : 0;
+    PsEvents_Add(
+        "server.pace",
+        "{s:s,s:s,s:s,s:f,s:f,s:f,s:i,s:i,s:i,s:i,s:f,s:I,s:I,s:I,s:i,s:I}",
+        "name", backend->registration.name.data, "service",
+        backend->registration.service.data, "state",
+        PsSlotState_GetName(server->state), "event_ms", pace.event_ms,
+        "first_ms", pace.first_base_ms, "first_ms_per_ktoken",
+        pace.first_slope_ms, "running", server->running, "limit", pace.limit,
+        "capacity", PsConcurrencyLimit_GetCapacity(&model->limit), "slots",
+        server->slots, "late_share", PsServerModel_GetLateShare(model),
+        "events", (json_int_t)model->events.n, "first_events",
+        (json_int_t)model->firsts.n, "age_ms",
+        (json_int_t)(now_ms - MAX(model->firsts.last_ms, server->added_ms)),
+        "trials", (int)server->n_trials, "next_trial_ms",
+        (json_int_t)trial_ms);
+}
+
 void
 PsPaceMessages_SetServer(ps_server_models_t *models, uint32_t server,
                          const ps_backend_t *backend, bool is_engine,
@@ -92,6 +118,31 @@
         PsLearnedServer_Seed(learned, &backend->pace);
     }
     PsServerModels_UpdateTold(models, learned, now_ms);
+    if (PsLearnedServer_TakeLogTurn(learned, now_ms)) {
+        log_server(learned, backend, now_ms);
+    }
+}
+
+void
+PsPaceMessages_PrintMetrics(const ps_server_models_t *models, ps_buf_t *out)
+{
+    if (!models->is_enabled) {
+        return;
+    }
+    ps_server_counts_t counts = PsServerModels_Count(models);
+    const struct {
+        const char *name;
+        const char *type;
+        double value;
+    } metrics[] = {
+        {"pearstair_servers_learned", "gauge", counts.known},
+        {"pearstair_servers_slow", "gauge", counts.slow},
+        {"pearstair_servers_below_slots", "gauge", counts.limited},
+        {"pearstair_server_trials", "gauge", (double)counts.trials}};
+    for (size_t i = 0; i < G_N_ELEMENTS(metrics); i++) {
+        PsBuf_AppendFormat(out, "# TYPE %s %s\n%s %.0f\n", metrics[i].name,
+                           metrics[i].type, metrics[i].name, metrics[i].value);
+    }
 }
 
 void
--- a/src/pace_messages.h
+++ b/src/pace_messages.h
@@ -34,6 +34,13 @@
                               const ps_backend_t *backend, bool is_engine,
                               int64_t now_ms);
 
+/**
+ * PsPaceMessages_PrintMetrics() - Prints how many servers are learned, slow
+ * and limited, at the allocator.
+ */
+void PsPaceMessages_PrintMetrics(const ps_server_models_t *models,
+                                 ps_buf_t *out);
+
 /**
  * PsPaceMessages_AddPaces() - Adds to a daemon's grant the paces that it was
  * not told yet.
--- a/src/server_model.c
+++ b/src/server_model.c
@@ -9,13 +9,14 @@
 #define KNOWN_FIRSTS 3.0
 
 // The sums stop decaying at this weight, so that a server that is no longer
-// used keeps its last known speed until new samples outweigh it.
-#define WEIGHT_MIN 1.0
+// used keeps its last known speed until new samples outweigh it. They are
+// lowered to it for a trial.
+#define WEIGHT_MIN 0.2
 
 // Prior of the line of event times: this many samples at no and at
 // PRIOR_RUNNING requests, with the slope that PRIOR_SLOPE of the mean gives.
 // Without it, samples at a single number of requests leave the slope open.
-#define PRIOR_WEIGHT 20.0
+#define PRIOR_WEIGHT 8.0
 #define PRIOR_RUNNING 10.0
 #define PRIOR_SLOPE 0.02
 
@@ -25,6 +26,11 @@
 #define PRIOR_KTOKENS 8.0
 #define PRIOR_FIRST_SLOPE 0.3
 
+// Times between events count by the time that they took, this much being one
+// sample: counted singly, the many short ones from before a server turned slow
+// would outweigh the few long ones since.
+#define EVENT_WEIGHT_MS 100.0
+
 #define RUNNING_DECAY 0.7 /* weight kept by older rounds */
 
 // Larger numbers in one sample are malformed: a daemon reports several times
@@ -38,9 +44,10 @@
 static void
 decay_line(ps_fitted_line_t *line, double keep)
 {
-    if (line->weight * keep < WEIGHT_MIN) {
+    if (line->weight * keep < WEIGHT_MIN * 0.999) {
         return;
     }
+    line->count *= keep;
     line->weight *= keep;
     line->sum_x *= keep;
     line->sum_xx *= keep;
@@ -56,24 +63,26 @@
                            PS_SERVER_MODEL_HALF_LIFE_MS);
         decay_line(&model->events, keep);
         decay_line(&model->firsts, keep);
+        PsConcurrencyLimit_Decay(&model->limit, keep);
         model->on_time *= keep;
         model->late *= keep;
     }
     model->decayed_ms = MAX(model->decayed_ms, now_ms);
 }
 
-// Adds @n samples with the mean @x and the sum @sum_y of their times.
+// Adds @n samples with the means @x and @y.
 static void
-add_to_line(ps_fitted_line_t *line, uint32_t n, double x, double sum_y,
-            int64_t now_ms)
+add_to_line(ps_fitted_line_t *line, uint32_t n, double weight, double x,
+            double y, int64_t now_ms)
 {
-    line->weight += n;
-    line->sum_x += n * x;
-    line->sum_xx += n * x * x;
-    line->sum_y += sum_y;
-    line->sum_xy += x * sum_y;
+    line->count += n;
+    line->weight += weight;
+    line->sum_x += weight * x;
+    line->sum_xx += weight * x * x;
+    line->sum_y += weight * y;
+    line->sum_xy += weight * x * y;
     line->n += n;
-    line->age_ms = now_ms;
+    line->last_ms = now_ms;
 }
 
 // Fits a line with prior samples at 0 and at @prior_x, which rise by
@@ -136,14 +145,19 @@
     }
     decay_to(model, now_ms);
     if (sample->events > 0) {
-        add_to_line(&model->events, sample->events, MAX(model->running, 1.0),
-                    sample->event_ms, now_ms);
+        add_to_line(&model->events, sample->events,
+                    sample->event_ms / EVENT_WEIGHT_MS,
+                    MAX(model->running, 1.0),
+                    sample->event_ms / sample->events, now_ms);
+        PsConcurrencyLimit_AddEvents(&model->limit, model->running,
+                                     sample->events, sample->event_ms);
     }
     if (sample->first_events > 0) {
         double ktokens =
             sample->prefill_tokens / 1000.0 / sample->first_events;
-        add_to_line(&model->firsts, sample->first_events, ktokens,
-                    sample->first_event_ms, now_ms);
+        add_to_line(&model->firsts, sample->first_events, sample->first_events,
+                    ktokens, sample->first_event_ms / sample->first_events,
+                    now_ms);
     }
     if (sample->on_time + sample->late > 0) {
         model->on_time += sample->on_time;
@@ -153,19 +167,36 @@
 }
 
 void
-PsServerModel_NoteRound(ps_server_model_t *model, int running, int slots,
-                        int64_t now_ms)
+PsServerModel_NoteRound(ps_server_model_t *model,
+                        const ps_model_round_t *round, int64_t now_ms)
 {
     decay_to(model, now_ms);
-    model->running =
-        model->running * RUNNING_DECAY + (1.0 - RUNNING_DECAY) * running;
-    model->peak_running = MAX(model->peak_running, running);
+    model->running = model->running * RUNNING_DECAY +
+                     (1.0 - RUNNING_DECAY) * round->running;
+    model->peak_running = MAX(model->peak_running, round->running);
     ps_limit_evidence_t evidence = {.on_time = model->on_time,
                                     .late = model->late,
-                                    .peak_running = model->peak_running};
-    if (PsConcurrencyLimit_Update(&model->limit, &evidence, slots, now_ms)) {
-        model->peak_running = running;
+                                    .usual_late_share =
+                                        round->usual_late_share,
+                                    .peak_running = model->peak_running,
+                                    .may_probe = round->may_probe};
+    if (PsConcurrencyLimit_Update(&model->limit, &evidence, round->slots,
+                                  now_ms)) {
+        model->peak_running = round->running;
+    }
+}
+
+void
+PsServerModel_StartTrial(ps_server_model_t *model)
+{
+    ps_fitted_line_t *lines[] = {&model->events, &model->firsts};
+    for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+        if (lines[i]->weight > WEIGHT_MIN) {
+            decay_line(lines[i], WEIGHT_MIN / lines[i]->weight);
+        }
     }
+    model->on_time = 0;
+    model->late = 0;
 }
 
 bool
--- a/src/server_model.h
+++ b/src/server_model.h
@@ -54,8 +54,9 @@
     double sum_xx;
     double sum_y;
     double sum_xy;
-    uint64_t n;     /* samples, without decay */
-    int64_t age_ms; /* time of the last one; 0: none yet */
+    double count;    /* decaying number of samples */
+    uint64_t n;      /* of them, without decay */
+    int64_t last_ms; /* time of the last one; 0: none yet */
 } ps_fitted_line_t;
 
 /**
@@ -76,6 +77,16 @@
     ps_concurrency_limit_t limit;
 } ps_server_model_t;
 
+/**
+ * struct ps_model_round - What a round of the allocator knows of a server.
+ */
+typedef struct ps_model_round {
+    int running;             /* requests of all daemons */
+    int slots;               /* that the server has registered */
+    double usual_late_share; /* of the good servers of its service */
+    bool may_probe; /* it is this server's turn to run fewer requests */
+} ps_model_round_t;
+
 /**
  * PsServerSample_IsEmpty() - Tells whether a sample has nothing in it.
  */
@@ -93,10 +104,15 @@
 /**
  * PsServerModel_NoteRound() - Notes how many requests of all daemons run at
  * the server, and adjusts its limit.
- * @slots: that it has registered
  */
-void PsServerModel_NoteRound(ps_server_model_t *model, int running, int slots,
-                             int64_t now_ms);
+void PsServerModel_NoteRound(ps_server_model_t *model,
+                             const ps_model_round_t *round, int64_t now_ms);
+
+/**
+ * PsServerModel_StartTrial() - Lowers the weight of all samples, so that those
+ * of a single request outweigh them.
+ */
+void PsServerModel_StartTrial(ps_server_model_t *model);
 
 /**
  * PsServerModel_IsKnown() - Tells whether there are enough samples, or a seed,
--- a/src/server_models.c
+++ b/src/server_models.c
@@ -15,6 +15,14 @@
 // Changes of times below this many milliseconds are not told.
 #define CHANGE_MIN_MS 1.0
 
+// Without rounds for this long, this daemon was not the allocator, or was
+// paused: what it knew is out of date.
+#define ROUND_GAP_MS 2000
+
+// Longest and shortest time between two log lines about one server.
+#define LOG_INTERVAL_MS 10000
+#define LOG_MIN_MS 1000
+
 /* ---- Internal functions ----------------------------------------------- */
 
 static bool
@@ -72,7 +80,9 @@
         g_hash_table_insert(models->by_server, GUINT_TO_POINTER(server),
                             known);
     }
-    if (known->added_ms == 0 || known->started_ms != started_ms) {
+    bool is_stale = known->model.decayed_ms > 0 &&
+                    now_ms - known->model.decayed_ms > ROUND_GAP_MS;
+    if (known->added_ms == 0 || known->started_ms != started_ms || is_stale) {
         *known = (ps_learned_server_t){.started_ms = started_ms,
                                        .added_ms = now_ms};
     }
@@ -93,6 +103,50 @@
     g_hash_table_remove(models->by_server, GUINT_TO_POINTER(server));
 }
 
+const char *
+PsSlotState_GetName(ps_slot_state_t state)
+{
+    static const char *const names[] = {"open", "new",  "limited",
+                                        "full", "slow", "on trial"};
+    return names[state];
+}
+
+bool
+PsLearnedServer_TakeLogTurn(ps_learned_server_t *server, int64_t now_ms)
+{
+    int limit = PsConcurrencyLimit_Get(&server->model.limit);
+    // Servers become limited and open again with each few requests.
+    bool is_slow = server->state >= PS_SLOTS_SLOW;
+    bool was_slow = server->logged_state >= PS_SLOTS_SLOW;
+    bool has_changed = is_slow != was_slow || limit != server->logged_limit;
+    int64_t age_ms = now_ms - server->logged_ms;
+    if (age_ms < (has_changed ? LOG_MIN_MS : LOG_INTERVAL_MS)) {
+        return false;
+    }
+    server->logged_state = server->state;
+    server->logged_limit = limit;
+    server->logged_ms = now_ms;
+    return true;
+}
+
+ps_server_counts_t
+PsServerModels_Count(const ps_server_models_t *models)
+{
+    ps_server_counts_t counts = {0};
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, models->by_server);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_learned_server_t *server = value;
+        int limit = PsConcurrencyLimit_Get(&server->model.limit);
+        counts.known += PsServerModel_IsKnown(&server->model) ? 1 : 0;
+        counts.slow += server->is_slow ? 1 : 0;
+        counts.limited += server->is_engine && limit < server->slots ? 1 : 0;
+        counts.trials += server->n_trials;
+    }
+    return counts;
+}
+
 void
 PsLearnedServer_Seed(ps_learned_server_t *server, const ps_server_pace_t *pace)
 {
--- a/src/server_models.h
+++ b/src/server_models.h
@@ -13,6 +13,20 @@
 
 #include "server_model.h"
 
+/**
+ * enum ps_slot_state - What decides about a server's slots.
+ */
+typedef enum ps_slot_state {
+    PS_SLOTS_OPEN,    /* free slots within its limit */
+    PS_SLOTS_NEW,     /* not known yet: few requests at a time */
+    PS_SLOTS_LIMITED, /* it runs as many as its limit or more: only requests
+                          that no other server takes */
+    PS_SLOTS_FULL,    /* it runs as many as its capacity */
+    PS_SLOTS_SLOW,    /* only requests that no fast server takes, and trials
+                       */
+    PS_SLOTS_ON_TRIAL /* slow, and a slot for a trial is handed out */
+} ps_slot_state_t;
+
 /**
  * struct ps_learned_server - One server.
  */
@@ -24,14 +38,18 @@
     bool is_slow;          /* much slower than the fast ones of its service, by
                               the last round */
     int64_t added_ms;      /* when this start of it became known here */
-    int64_t trial_ms;      /* when it last had a slot for a trial; 0: never */
-    uint32_t n_trials;     /* of these */
+    int64_t next_trial_ms; /* of a slow server without requests; 0: none */
+    int64_t trial_interval_ms; /* until the one after that */
+    bool is_on_trial;          /* a slot for a trial has been handed out */
+    uint32_t n_trials;
     ps_server_pace_t told; /* as last told */
     int64_t told_ms;       /* 0: never */
     uint64_t told_version; /* of @told, among all servers */
-    int64_t logged_ms;     /* for the user's log */
+    int running;           /* requests of all daemons, by the last round */
+    ps_slot_state_t state; /* likewise */
+    ps_slot_state_t logged_state; /* for the user's log */
     int logged_limit;
-    bool was_logged_slow;
+    int64_t logged_ms; /* 0: never */
 } ps_learned_server_t;
 
 /**
@@ -65,6 +83,29 @@
                                          uint32_t server);
 void PsServerModels_Remove(ps_server_models_t *models, uint32_t server);
 
+/**
+ * PsSlotState_GetName() - Returns a state's name in logs.
+ */
+const char *PsSlotState_GetName(ps_slot_state_t state);
+
+/**
+ * PsLearnedServer_TakeLogTurn() - Tells whether a line about a server is to
+ * be logged now: its state or limit has changed, or it was not logged lately.
+ */
+bool PsLearnedServer_TakeLogTurn(ps_learned_server_t *server, int64_t now_ms);
+
+/**
+ * struct ps_server_counts - Numbers of servers, for metrics.
+ */
+typedef struct ps_server_counts {
+    int known;
+    int slow;
+    int limited; /* their limit is below their slots */
+    uint64_t trials;
+} ps_server_counts_t;
+
+ps_server_counts_t PsServerModels_Count(const ps_server_models_t *models);
+
 /**
  * PsLearnedServer_Seed() - Sets a pace that another allocator has told, to be
  * used until there are samples.
--- a/src/slot_order.c
+++ b/src/slot_order.c
@@ -22,16 +22,29 @@
 // Requests at a time at a server that has just started, until it is known.
 #define TRIAL_SLOTS 2
 
-// Time in which a slow server without requests gets a slot for a trial once.
+// A server without requests whose predicted time is this many times that of
+// the fast ones gets one waiting request as a trial after
+// this time. It doubles with each trial after which the server is still slow,
+// up to the longest.
+#define TRIAL_RATIO 1.3
 #define TRIAL_INTERVAL_MS 2000
+#define TRIAL_INTERVAL_MAX_MS 16000
 
-// Time for which a slot for a trial is kept at its daemon.
-#define TRIAL_MS 250
+// Part of the mean slots that a plain server gets at least and at most.
+#define WEIGHT_MIN 0.3
+#define WEIGHT_MAX 1.5
 
 // Slots at slow servers are spread when the fast ones have fewer left than
 // one for so many daemons: about as many requests come in a round.
 #define DAEMONS_PER_SPARE 8
 
+// Time in which one in so many servers of a service may be probed with fewer
+// requests: few until one of them has shown that it gains from that, as a
+// probe costs a quarter of a server's slots.
+#define PROBE_TURN_MS 4000
+#define PROBE_TURNS 12
+#define PROBE_TURNS_FOUND 3
+
 /* Means over a service's answers. */
 typedef struct usual_request {
     double ktokens; /* thousands of prompt tokens read before the first event
@@ -51,8 +64,8 @@
         const ps_learned_server_t *learned = order->servers[i].learned;
         if (learned) {
             ktokens += learned->model.firsts.sum_x;
-            firsts += learned->model.firsts.weight;
-            events += learned->model.events.weight;
+            firsts += learned->model.firsts.count;
+            events += learned->model.events.count;
         }
     }
     usual_request_t usual = {0};
@@ -71,24 +84,79 @@
     return (a > b) - (a < b);
 }
 
-// Returns a quantile of the predicted times of known servers; 0: none is.
+static bool
+is_known(const ps_ordered_server_t *server)
+{
+    return server->learned && PsServerModel_IsKnown(&server->learned->model);
+}
+
+static double
+get_time(const ps_ordered_server_t *server)
+{
+    return server->base_ms;
+}
+
+static double
+get_late_share(const ps_ordered_server_t *server)
+{
+    return PsServerModel_GetLateShare(&server->learned->model);
+}
+
+// Returns a quantile over the known servers; 0: none is.
 static double
-get_quantile(const ps_slot_order_t *order, double quantile)
+get_quantile(const ps_slot_order_t *order,
+             double (*get)(const ps_ordered_server_t *server), double quantile)
 {
-    double *times = g_new(double, order->n + 1);
+    double *values = g_new(double, order->n + 1);
     int n = 0;
     for (int i = 0; i < order->n; i++) {
-        const ps_ordered_server_t *each = &order->servers[i];
-        if (each->learned && PsServerModel_IsKnown(&each->learned->model)) {
-            times[n++] = each->base_ms;
+        if (is_known(&order->servers[i])) {
+            values[n++] = get(&order->servers[i]);
         }
     }
-    qsort(times, (size_t)n, sizeof *times, compare_doubles);
-    double result = n > 0 ? times[(int)((n - 1) * quantile)] : 0.0;
-    g_free(times);
+    qsort(values, (size_t)n, sizeof *values, compare_doubles);
+    double result = n > 0 ? values[(int)((n - 1) * quantile)] : 0.0;
+    g_free(values);
     return result;
 }
 
+// Tells whether a server's capacity was found to be below its slots.
+static bool
+has_found_capacity(const ps_slot_order_t *order)
+{
+    for (int i = 0; i < order->n; i++) {
+        const ps_learned_server_t *learned = order->servers[i].learned;
+        if (learned && learned->model.limit.probe_until_ms == 0 &&
+            PsConcurrencyLimit_GetCapacity(&learned->model.limit) <
+                learned->model.limit.slots) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Notes the running requests in the models, which adjusts limits.
+static void
+note_round(const ps_slot_order_t *order, int64_t now_ms)
+{
+    double late_share = get_quantile(order, get_late_share, FAST_QUANTILE);
+    uint32_t turn = (uint32_t)(now_ms / PROBE_TURN_MS);
+    uint32_t n_turns =
+        has_found_capacity(order) ? PROBE_TURNS_FOUND : PROBE_TURNS;
+    for (int i = 0; i < order->n; i++) {
+        const ps_ordered_server_t *each = &order->servers[i];
+        if (each->learned) {
+            ps_model_round_t round = {
+                .running = each->running,
+                .slots = each->learned->slots,
+                .usual_late_share = late_share,
+                .may_probe = each->learned->is_engine &&
+                             (each->server + turn) % n_turns == 0};
+            PsServerModel_NoteRound(&each->learned->model, &round, now_ms);
+        }
+    }
+}
+
 static void
 predict_server(ps_ordered_server_t *server, const usual_request_t *usual)
 {
@@ -102,12 +170,63 @@
         weight * (PsServerModel_GetEventMs(model, 2.0) - event_ms);
 }
 
+/* ---- Trials ----------------------------------------------------------- */
+
+// Notes that a trial has begun, or that a server is in use anyway.
+static void
+end_trial(ps_learned_server_t *learned, int64_t now_ms)
+{
+    if (learned->is_on_trial) {
+        learned->is_on_trial = false;
+        learned->n_trials++;
+        PsServerModel_StartTrial(&learned->model);
+        learned->trial_interval_ms =
+            MIN(learned->trial_interval_ms * 2, TRIAL_INTERVAL_MAX_MS);
+    }
+    learned->next_trial_ms = now_ms + learned->trial_interval_ms;
+}
+
+// Finds the unused server whose trial has been due for longest. Without
+// trials, it would stay unused after it has become fast again.
+static void
+find_trial(ps_slot_order_t *order, double fast_ms, int64_t now_ms)
+{
+    int64_t earliest_ms = now_ms;
+    for (int i = 0; i < order->n; i++) {
+        const ps_ordered_server_t *each = &order->servers[i];
+        ps_learned_server_t *learned = each->learned;
+        if (!learned || !learned->is_engine) {
+            continue;
+        }
+        bool is_worse = each->base_ms > TRIAL_RATIO * fast_ms;
+        if (!is_worse || learned->trial_interval_ms == 0) {
+            learned->is_on_trial = false;
+            learned->trial_interval_ms = TRIAL_INTERVAL_MS;
+            learned->next_trial_ms = now_ms + TRIAL_INTERVAL_MS;
+        }
+        else if (each->running > 0) {
+            end_trial(learned, now_ms);
+        }
+        else if (learned->next_trial_ms < earliest_ms) {
+            earliest_ms = learned->next_trial_ms;
+            order->trial = i;
+        }
+    }
+}
+
+// Returns how many of a server's free slots have been handed out.
+static int
+count_given(const ps_ordered_server_t *server, int n_free)
+{
+    return server->n_free - n_free - server->withheld;
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 void
 PsSlotOrder_Init(ps_slot_order_t *order, const ps_slot_count_t *slots, int n)
 {
-    *order = (ps_slot_order_t){.n = n};
+    *order = (ps_slot_order_t){.n = n, .trial = -1};
     order->servers = g_new0(ps_ordered_server_t, n + 1);
     for (int i = 0; i < n; i++) {
         order->servers[i].server = slots[i].server;
@@ -128,61 +247,61 @@
     for (int i = 0; models->is_enabled && i < order->n; i++) {
         ps_ordered_server_t *each = &order->servers[i];
         each->learned = PsServerModels_Find(models, each->server);
-        if (each->learned) {
-            PsServerModel_NoteRound(&each->learned->model, each->running,
-                                    each->learned->slots, now_ms);
-        }
     }
+    note_round(order, now_ms);
     usual_request_t usual = get_usual_request(order);
+    int n_known = 0;
     for (int i = 0; i < order->n; i++) {
         ps_ordered_server_t *each = &order->servers[i];
-        if (each->learned && PsServerModel_IsKnown(&each->learned->model)) {
+        if (is_known(each)) {
+            n_known++;
             predict_server(each, &usual);
         }
     }
-    double median_ms = get_quantile(order, 0.5);
-    double fast_ms = get_quantile(order, FAST_QUANTILE);
+    double median_ms = get_quantile(order, get_time, 0.5);
+    double fast_ms = get_quantile(order, get_time, FAST_QUANTILE);
     order->is_learned = median_ms > 0;
+    order->are_most_known = 2 * n_known > order->n;
     for (int i = 0; i < order->n; i++) {
         ps_ordered_server_t *each = &order->servers[i];
-        if (!each->learned || !PsServerModel_IsKnown(&each->learned->model)) {
+        if (!is_known(each)) {
             each->base_ms = median_ms;
         }
         if (each->learned) {
             each->learned->is_slow = each->base_ms > SLOW_RATIO * fast_ms;
         }
     }
+    find_trial(order, fast_ms, now_ms);
 }
 
-// Returns how many requests a server takes within its limit; one that is not
-// known yet, in a service with servers that are, gets TRIAL_SLOTS.
+// Returns how many requests a server takes within its limit, or within its
+// capacity. One that is not known yet gets TRIAL_SLOTS, unless most are not.
 static int
-get_limit(const ps_slot_order_t *order, const ps_ordered_server_t *server)
+get_bound(const ps_slot_order_t *order, const ps_ordered_server_t *server,
+          bool is_capacity)
 {
-    const ps_learned_server_t *learned = server->learned;
-    if (!order->is_learned || !learned || !learned->is_engine) {
+    if (!order->is_learned || !server->learned ||
+        !server->learned->is_engine) {
         return server->slots;
     }
-    return PsServerModel_IsKnown(&learned->model)
-               ? PsConcurrencyLimit_Get(&learned->model.limit)
-               : TRIAL_SLOTS;
-}
-
-// Returns how many of a server's free slots have been handed out.
-static int
-count_given(const ps_ordered_server_t *server, int n_free)
-{
-    return server->n_free - n_free - server->withheld;
+    const ps_concurrency_limit_t *limit = &server->learned->model.limit;
+    if (!is_known(server)) {
+        return order->are_most_known ? TRIAL_SLOTS : server->slots;
+    }
+    return is_capacity ? PsConcurrencyLimit_GetCapacity(limit)
+                       : PsConcurrencyLimit_Get(limit);
 }
 
-// Takes the free slots beyond the limit out of @n_free, which is returned.
+// Takes the free slots beyond @bound requests out of @n_free, which is
+// returned.
 static int
-withhold(const ps_slot_order_t *order, ps_ordered_server_t *server, int n_free)
+withhold(ps_ordered_server_t *server, int bound, int n_free)
 {
     int taken = server->running + count_given(server, n_free);
-    int within = MAX(get_limit(order, server) - taken, 0);
-    server->withheld = MAX(n_free - within, 0);
-    return n_free - server->withheld;
+    int rest = n_free + server->withheld;
+    int kept = CLAMP(bound - taken, 0, rest);
+    server->withheld = rest - kept;
+    return kept;
 }
 
 void
@@ -191,7 +310,8 @@
     for (int i = 0; i < order->n; i++) {
         ps_ordered_server_t *each = &order->servers[i];
         each->n_free = free_slots[i];
-        free_slots[i] = withhold(order, each, free_slots[i]);
+        free_slots[i] =
+            withhold(each, get_bound(order, each, false), free_slots[i]);
     }
 }
 
@@ -200,53 +320,133 @@
 {
     bool has_any = false;
     for (int i = 0; i < order->n; i++) {
-        has_any |= order->servers[i].withheld > 0;
-        free_slots[i] += order->servers[i].withheld;
-        order->servers[i].withheld = 0;
+        ps_ordered_server_t *each = &order->servers[i];
+        int before = free_slots[i];
+        int capacity = get_bound(order, each, true);
+        free_slots[i] = withhold(each, capacity, free_slots[i]);
+        has_any |= free_slots[i] > before;
     }
     return has_any;
 }
 
-// Tells whether an unused slow server is to get a slot for a trial now.
-static bool
-take_trial(ps_learned_server_t *learned, int running, int64_t now_ms)
-{
-    if (running > 0) {
-        return false;
-    }
-    if (now_ms - learned->trial_ms >= TRIAL_INTERVAL_MS + TRIAL_MS) {
-        learned->trial_ms = now_ms;
-        learned->n_trials++;
-    }
-    return now_ms - learned->trial_ms < TRIAL_MS;
-}
-
 void
-PsSlotOrder_LimitSpare(ps_slot_order_t *order, int *free_slots, int n_daemons,
-                       int64_t now_ms)
+PsSlotOrder_LimitSpare(ps_slot_order_t *order, int *free_slots, int n_daemons)
 {
+    if (order->trial >= 0) {
+        ps_ordered_server_t *trial = &order->servers[order->trial];
+        if (trial->n_free > 0) {
+            trial->learned->is_on_trial = true;
+        }
+        if (trial->n_free == 0 ||
+            count_given(trial, free_slots[order->trial]) > 0) {
+            order->trial = -1;
+        }
+        else if (free_slots[order->trial] > 0) {
+            free_slots[order->trial]--;
+        }
+    }
     int n_fast = 0;
     for (int i = 0; i < order->n; i++) {
-        free_slots[i] = withhold(order, &order->servers[i], free_slots[i]);
-        const ps_learned_server_t *learned = order->servers[i].learned;
+        ps_ordered_server_t *each = &order->servers[i];
+        free_slots[i] =
+            withhold(each, get_bound(order, each, false), free_slots[i]);
+        const ps_learned_server_t *learned = each->learned;
         n_fast += learned && learned->is_slow ? 0 : free_slots[i];
     }
     if (n_fast * DAEMONS_PER_SPARE < n_daemons) {
+        order->trial = -1;
         return;
     }
     for (int i = 0; i < order->n; i++) {
-        const ps_ordered_server_t *each = &order->servers[i];
-        ps_learned_server_t *learned = each->learned;
+        const ps_learned_server_t *learned = order->servers[i].learned;
         if (learned && learned->is_engine && learned->is_slow) {
-            bool is_trial = take_trial(learned, each->running, now_ms);
-            free_slots[i] = MIN(free_slots[i], is_trial ? 1 : 0);
+            free_slots[i] = 0;
+        }
+    }
+}
+
+static ps_slot_state_t
+get_state(const ps_slot_order_t *order, const ps_ordered_server_t *server)
+{
+    const ps_learned_server_t *learned = server->learned;
+    if (!is_known(server)) {
+        return PS_SLOTS_NEW;
+    }
+    if (learned->is_slow) {
+        return learned->is_on_trial ? PS_SLOTS_ON_TRIAL : PS_SLOTS_SLOW;
+    }
+    if (server->running >= get_bound(order, server, true)) {
+        return PS_SLOTS_FULL;
+    }
+    return server->running >= get_bound(order, server, false)
+               ? PS_SLOTS_LIMITED
+               : PS_SLOTS_OPEN;
+}
+
+void
+PsSlotOrder_NoteStates(const ps_slot_order_t *order)
+{
+    for (int i = 0; i < order->n; i++) {
+        const ps_ordered_server_t *each = &order->servers[i];
+        if (each->learned) {
+            each->learned->running = each->running;
+            each->learned->state = get_state(order, each);
+        }
+    }
+}
+
+int
+PsSlotOrder_TakeSpareTrial(const ps_slot_order_t *order)
+{
+    return order->trial;
+}
+
+static double
+get_plain_ms(const ps_learned_server_t *learned)
+{
+    return MAX(PsServerModel_GetPace(&learned->model).first_base_ms, 1.0);
+}
+
+void
+PsSlotOrder_WeighSlots(const ps_server_models_t *models,
+                       ps_slot_count_t *slots, int n)
+{
+    double speeds = 0;
+    for (int i = 0; i < n; i++) {
+        const ps_learned_server_t *learned =
+            PsServerModels_Find(models, slots[i].server);
+        if (!learned || !PsServerModel_IsKnown(&learned->model)) {
+            return;
         }
+        speeds += 1.0 / get_plain_ms(learned);
+    }
+    int missing = 0;
+    int fastest = 0;
+    double highest = 0;
+    for (int i = 0; i < n; i++) {
+        double speed =
+            1.0 / get_plain_ms(PsServerModels_Find(models, slots[i].server));
+        double weight = CLAMP(speed * n / speeds, WEIGHT_MIN, WEIGHT_MAX);
+        int count = MAX((int)(slots[i].count * weight + 0.5), 1);
+        missing += slots[i].count - count;
+        slots[i].count = count;
+        fastest = speed > highest ? i : fastest;
+        highest = MAX(highest, speed);
+    }
+    if (n > 0) {
+        slots[fastest].count += MAX(missing, 0);
     }
 }
 
 int
 PsSlotOrder_FindBest(const ps_slot_order_t *order, const int *free_slots)
 {
+    if (order->is_last_rank && order->trial >= 0 &&
+        free_slots[order->trial] > 0 &&
+        count_given(&order->servers[order->trial], free_slots[order->trial]) ==
+            0) {
+        return order->trial;
+    }
     int best = -1;
     double lowest = INFINITY;
     for (int i = 0; i < order->n; i++) {
--- a/src/slot_order.h
+++ b/src/slot_order.h
@@ -32,7 +32,7 @@
     ps_learned_server_t *learned; /* NULL: not learned */
     double base_ms;  /* predicted for a usual request, the first one there */
     double slope_ms; /* that each further request adds */
-    int withheld;    /* free slots beyond its limit */
+    int withheld;    /* free slots that are not handed out now */
 } ps_ordered_server_t;
 
 /**
@@ -42,6 +42,10 @@
     ps_ordered_server_t *servers;
     int n;
     bool is_learned; /* the predicted times are set */
+    bool are_most_known;
+    int trial; /* index of a slow server that may have a trial; -1: none */
+    bool is_last_rank; /* slots are being given to the last rank in which
+                          requests wait: one of them may be the trial */
 } ps_slot_order_t;
 
 /**
@@ -67,8 +71,8 @@
 void PsSlotOrder_Withhold(ps_slot_order_t *order, int *free_slots);
 
 /**
- * PsSlotOrder_Release() - Puts the withheld slots back, for requests that
- * still wait.
+ * PsSlotOrder_Release() - Puts the withheld slots up to each server's capacity
+ * back, for requests that still wait.
  *
  * Return: whether there were any.
  */
@@ -81,7 +85,29 @@
  * @n_daemons: among which the rest is spread
  */
 void PsSlotOrder_LimitSpare(ps_slot_order_t *order, int *free_slots,
-                            int n_daemons, int64_t now_ms);
+                            int n_daemons);
+
+/**
+ * PsSlotOrder_NoteStates() - Notes in the learned servers what decides about
+ * their slots, for operators.
+ */
+void PsSlotOrder_NoteStates(const ps_slot_order_t *order);
+
+/**
+ * PsSlotOrder_TakeSpareTrial() - Returns the index of the slow server for
+ * which one daemon is to get a slot and no other spare ones, so that its next
+ * request is the trial; -1: none. To be called after
+ * PsSlotOrder_LimitSpare().
+ */
+int PsSlotOrder_TakeSpareTrial(const ps_slot_order_t *order);
+
+/**
+ * PsSlotOrder_WeighSlots() - Moves slots of plain servers, which are granted
+ * several times over, from slow ones to fast ones; their sum stays.
+ * @slots: of each server
+ */
+void PsSlotOrder_WeighSlots(const ps_server_models_t *models,
+                            ps_slot_count_t *slots, int n);
 
 /**
  * PsSlotOrder_FindBest() - Returns the index of the server whose free slot is
