Run learned limits with real daemons; let one trial decide

A short stream did not outweigh what was known from before a trial: a server that had recovered stayed slow for 11 s more in the run. A former allocator kept the paces that it had been told first, and logged them.

--- a/src/pace_messages.c
+++ b/src/pace_messages.c
@@ -114,7 +114,7 @@
     }
     if (backend->pace_told_ms > 0 &&
         now_ms - backend->pace_told_ms < PS_PACE_TTL_MS &&
-        !PsServerModel_IsKnown(&learned->model)) {
+        !PsServerModel_HasSamples(&learned->model)) {
         PsLearnedServer_Seed(learned, &backend->pace);
     }
     PsServerModels_UpdateTold(models, learned, now_ms);
--- a/src/server_model.c
+++ b/src/server_model.c
@@ -10,8 +10,10 @@
 
 // The sums stop decaying at this weight, so that a server that is no longer
 // used keeps its last known speed until new samples outweigh it. They are
-// lowered to it for a trial.
+// lowered to TRIAL_WEIGHT for a trial: a short stream has less than half a
+// sample's time between its events.
 #define WEIGHT_MIN 0.2
+#define TRIAL_WEIGHT 0.03
 
 // Prior of the line of event times: this many samples at no and at
 // PRIOR_RUNNING requests, with the slope that PRIOR_SLOPE of the mean gives.
@@ -42,11 +44,8 @@
 /* ---- Internal functions ----------------------------------------------- */
 
 static void
-decay_line(ps_fitted_line_t *line, double keep)
+scale_line(ps_fitted_line_t *line, double keep)
 {
-    if (line->weight * keep < WEIGHT_MIN * 0.999) {
-        return;
-    }
     line->count *= keep;
     line->weight *= keep;
     line->sum_x *= keep;
@@ -55,6 +54,14 @@
     line->sum_xy *= keep;
 }
 
+static void
+decay_line(ps_fitted_line_t *line, double keep)
+{
+    if (line->weight * keep >= WEIGHT_MIN) {
+        scale_line(line, keep);
+    }
+}
+
 static void
 decay_to(ps_server_model_t *model, int64_t now_ms)
 {
@@ -191,18 +198,24 @@
 {
     ps_fitted_line_t *lines[] = {&model->events, &model->firsts};
     for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
-        if (lines[i]->weight > WEIGHT_MIN) {
-            decay_line(lines[i], WEIGHT_MIN / lines[i]->weight);
+        if (lines[i]->weight > TRIAL_WEIGHT) {
+            scale_line(lines[i], TRIAL_WEIGHT / lines[i]->weight);
         }
     }
     model->on_time = 0;
     model->late = 0;
 }
 
+bool
+PsServerModel_HasSamples(const ps_server_model_t *model)
+{
+    return model->firsts.n >= KNOWN_FIRSTS;
+}
+
 bool
 PsServerModel_IsKnown(const ps_server_model_t *model)
 {
-    return model->has_seed || model->firsts.n >= KNOWN_FIRSTS;
+    return model->has_seed || PsServerModel_HasSamples(model);
 }
 
 double
@@ -223,7 +236,7 @@
 {
     ps_server_pace_t pace = model->seed;
     pace.event_ms = PsServerModel_GetEventMs(model, MAX(model->running, 1.0));
-    if (model->firsts.n >= KNOWN_FIRSTS) {
+    if (PsServerModel_HasSamples(model)) {
         fit_line(&model->firsts, PRIOR_FIRST_WEIGHT, PRIOR_KTOKENS,
                  PRIOR_FIRST_SLOPE, &pace.first_base_ms, &pace.first_slope_ms);
     }
--- a/src/server_model.h
+++ b/src/server_model.h
@@ -114,6 +114,12 @@
  */
 void PsServerModel_StartTrial(ps_server_model_t *model);
 
+/**
+ * PsServerModel_HasSamples() - Tells whether there are enough samples to
+ * predict from.
+ */
+bool PsServerModel_HasSamples(const ps_server_model_t *model);
+
 /**
  * PsServerModel_IsKnown() - Tells whether there are enough samples, or a seed,
  * to predict from.
--- a/src/server_models.c
+++ b/src/server_models.c
@@ -115,6 +115,9 @@
 PsLearnedServer_TakeLogTurn(ps_learned_server_t *server, int64_t now_ms)
 {
     int limit = PsConcurrencyLimit_Get(&server->model.limit);
+    if (limit == 0) {
+        return false; // no slots were divided here: another daemon does it
+    }
     // Servers become limited and open again with each few requests.
     bool is_slow = server->state >= PS_SLOTS_SLOW;
     bool was_slow = server->logged_state >= PS_SLOTS_SLOW;
--- a/src/server_models.h
+++ b/src/server_models.h
@@ -90,7 +90,8 @@
 
 /**
  * PsLearnedServer_TakeLogTurn() - Tells whether a line about a server is to
- * be logged now: its state or limit has changed, or it was not logged lately.
+ * be logged now: it has become slow or fast, its limit has
+ * changed, or it was not logged lately. Only the allocator logs.
  */
 bool PsLearnedServer_TakeLogTurn(ps_learned_server_t *server, int64_t now_ms);
 
--- a/src/slot_order.c
+++ b/src/slot_order.c
@@ -26,7 +26,7 @@
 // the fast ones gets one waiting request as a trial after
 // this time. It doubles with each trial after which the server is still slow,
 // up to the longest.
-#define TRIAL_RATIO 1.3
+#define TRIAL_RATIO 1.1
 #define TRIAL_INTERVAL_MS 2000
 #define TRIAL_INTERVAL_MAX_MS 16000
 
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -29,7 +29,8 @@
  * The switch brittle=N adds the header Server-Brittle to all answers: when it
  * rejects more than N requests within a second, the process falls over: it
  * ends, and logs its name with "fell". queue sets how many requests may wait
- * beside those that run, work_ms how long a plain answer takes.
+ * beside those that run, work_ms how long a plain answer takes, event_ms the
+ * time between events of a stream.
  * RUNNER_BRITTLE, RUNNER_QUEUE, RUNNER_WORK_MS and RUNNER_UNFRAMED in the
  * environment set these from the start; RUNNER_BORN_AGO_MS has it register a
  * start that was so long ago. The switch limit sets the text of the
@@ -111,6 +112,7 @@
 static int64_t brittle_limit = -1; /* of Server-Brittle; -1: not brittle */
 static int64_t queue_max;
 static int64_t work_ms = PLAIN_ANSWER_MS;
+static int64_t event_ms = EVENT_INTERVAL_MS;
 static pthread_cond_t slot_freed = PTHREAD_COND_INITIALIZER;
 static int n_working;                 /* plain requests that run */
 static int64_t recent_rejections[64]; /* times in ms, in a ring */
@@ -250,7 +252,7 @@
                                    : MHD_CONTENT_READER_END_WITH_ERROR;
     }
     if (stream->bytes_sent == 0) {
-        Standin_SleepMs(EVENT_INTERVAL_MS);
+        Standin_SleepMs((double)event_ms);
     }
     size_t n = MIN((size_t)len - stream->bytes_sent, max);
     if (stream->next_event == stream->cut_event) {
@@ -531,6 +533,7 @@
             Standin_GetQueryNumber(request, "brittle", brittle_limit);
         queue_max = Standin_GetQueryNumber(request, "queue", queue_max);
         work_ms = Standin_GetQueryNumber(request, "work_ms", work_ms);
+        event_ms = Standin_GetQueryNumber(request, "event_ms", event_ms);
         is_leaving = Standin_GetQueryNumber(request, "leaving", is_leaving);
         rejects_all = Standin_GetQueryNumber(request, "reject", rejects_all);
         error_percent =
