--- a/src/allocator.c
+++ b/src/allocator.c
@@ -79,28 +79,10 @@
     return uses;
 }
 
-static int *
-find_count(GArray *counts, uint32_t server)
-{
-    for (guint i = 0; i < counts->len; i++) {
-        ps_slot_count_t *each = &g_array_index(counts, ps_slot_count_t, i);
-        if (each->server == server) {
-            return &each->count;
-        }
-    }
-    return NULL;
-}
-
 static void
 add_slot(ps_service_use_t *use, uint32_t server)
 {
-    int *count = find_count(use->limits, server);
-    if (count) {
-        (*count)++;
-        return;
-    }
-    ps_slot_count_t one = {server, 1};
-    g_array_append_val(use->limits, one);
+    PsSlotCounts_Add(use->limits, server);
 }
 
 static int
@@ -109,7 +91,7 @@
     int sum = 0;
     for (guint i = 0; i < uses->len; i++) {
         const ps_service_use_t *use = uses->pdata[i];
-        const int *running = find_count(use->running, server);
+        const int *running = PsSlotCounts_Find(use->running, server);
         sum += running ? *running : 0;
     }
     return sum;
@@ -620,8 +602,8 @@
 int
 PsServiceUse_CountGranted(const ps_service_use_t *use, uint32_t server)
 {
-    const int *limit = find_count(use->limits, server);
-    const int *running = find_count(use->running, server);
+    const int *limit = PsSlotCounts_Find(use->limits, server);
+    const int *running = PsSlotCounts_Find(use->running, server);
     return MAX((limit ? *limit : 0) - (running ? *running : 0), 0);
 }
 
--- a/src/server_models.c
+++ b/src/server_models.c
@@ -142,6 +142,9 @@
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         const ps_learned_server_t *server = value;
         int limit = PsConcurrencyLimit_Get(&server->model.limit);
+        if (limit == 0) {
+            continue; // another daemon divides the slots
+        }
         counts.known += PsServerModel_IsKnown(&server->model) ? 1 : 0;
         counts.slow += server->is_slow ? 1 : 0;
         counts.limited += server->is_engine && limit < server->slots ? 1 : 0;
--- a/src/slot_order.c
+++ b/src/slot_order.c
@@ -223,6 +223,30 @@
 
 /* ---- Public functions ------------------------------------------------- */
 
+int *
+PsSlotCounts_Find(GArray *counts, uint32_t server)
+{
+    for (guint i = 0; i < counts->len; i++) {
+        ps_slot_count_t *each = &g_array_index(counts, ps_slot_count_t, i);
+        if (each->server == server) {
+            return &each->count;
+        }
+    }
+    return NULL;
+}
+
+void
+PsSlotCounts_Add(GArray *counts, uint32_t server)
+{
+    int *count = PsSlotCounts_Find(counts, server);
+    if (count) {
+        (*count)++;
+        return;
+    }
+    ps_slot_count_t one = {server, 1};
+    g_array_append_val(counts, one);
+}
+
 void
 PsSlotOrder_Init(ps_slot_order_t *order, const ps_slot_count_t *slots, int n)
 {
--- a/src/slot_order.h
+++ b/src/slot_order.h
@@ -21,6 +21,17 @@
     int count;
 } ps_slot_count_t;
 
+/**
+ * PsSlotCounts_Find() - Returns a server's number in an array of
+ * ps_slot_count_t; NULL: it has none.
+ */
+int *PsSlotCounts_Find(GArray *counts, uint32_t server);
+
+/**
+ * PsSlotCounts_Add() - Adds one to a server's number.
+ */
+void PsSlotCounts_Add(GArray *counts, uint32_t server);
+
 /**
  * struct ps_ordered_server - One server in a division.
  */
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -160,7 +160,8 @@
     "caller = 127.0.0.1:1\nready = 127.0.0.1:2\ndirectory = 127.0.0.1:3\n"
     "peer = 127.0.0.1:4\nadmin = 127.0.0.1:5\n[admin]\ntoken = none\n"
     "[platform]\naddress = 127.0.0.1:6\n[gateway]\nrevoke_ms = 5000\n"
-    "grace_s = 4\nquota_window = 8\nretry_ratio = 0.2\nretry_slack = 50\n";
+    "grace_s = 4\nquota_window = 8\nretry_ratio = 0.2\nretry_slack = 50\n"
+    "learned_limits = true\n";
 
 std::string
 MakeCatalogText(long long version)
@@ -806,6 +807,14 @@
     use.waiting = all_waiting;
     use.outcomes = all_outcomes;
     use.n_running = use.n_waiting = use.n_outcomes = 1;
+    Ps__ServerSample sample = PS__SERVER_SAMPLE__INIT;
+    sample.server = running.server;
+    sample.events = sample.first_events = sample.on_time = 5;
+    sample.event_ms = sample.first_event_ms = 200;
+    sample.prefill_tokens = 3000;
+    Ps__ServerSample *samples[] = {&sample};
+    use.samples = samples;
+    use.n_samples = 1;
     Ps__ServiceUse *uses[] = {&use};
     Ps__TeamUse team = PS__TEAM_USE__INIT;
     team.team = (char *)"team";
@@ -838,6 +847,13 @@
     service.service = (char *)"s";
     service.limits = limits;
     service.n_limits = 1;
+    Ps__ServerPace pace = PS__SERVER_PACE__INIT;
+    pace.server = limit.server;
+    pace.event_ms = pace.first_base_ms = pace.first_slope_ms = 30;
+    pace.limit = 4;
+    Ps__ServerPace *paces[] = {&pace};
+    service.paces = paces;
+    service.n_paces = 1;
     Ps__ServiceGrant *services[] = {&service};
     Ps__TeamGrant team = PS__TEAM_GRANT__INIT;
     team.team = (char *)"team";
--- a/tests/test_server_model.cpp
+++ b/tests/test_server_model.cpp
@@ -12,6 +12,7 @@
 
 extern "C" {
 #include "allocator.h"
+#include "codec.h"
 #include "concurrency_limit.h"
 #include "fleet_waits.h"
 #include "overcommit.h"
@@ -1199,3 +1200,86 @@
         EXPECT_EQ(daemon.backends[0]->sample.on_time, 0u) << each.result;
     }
 }
+
+/* ---- Messages and configuration ---------------------------------------- */
+
+// The longest pause of a route is optional; without it no pause makes an
+// answer late.
+TEST(Codec, RoutesHaveTheLongestPauseBetweenEvents)
+{
+    json_t *spec = json_loads(
+        "{\"version\":1,\"routes\":["
+        "{\"name\":\"t\",\"host\":\"a\",\"pathPrefix\":\"/t/\",\"kind\":"
+        "\"streaming\",\"service\":\"m\",\"gapTargetMs\":250},"
+        "{\"name\":\"u\",\"host\":\"a\",\"pathPrefix\":\"/u/\",\"kind\":"
+        "\"streaming\",\"service\":\"m\"}],\"services\":[{\"name\":\"m\"}]}",
+        0, nullptr);
+    ASSERT_NE(spec, nullptr);
+    ps_catalog_t *catalog = PsCodec_DecodeCatalog(spec);
+    ASSERT_NE(catalog, nullptr);
+    auto find = [&](const char *path) {
+        return PsCatalog_FindRoute(catalog, "a", ToStr(path));
+    };
+    ASSERT_NE(find("/t/1"), nullptr);
+    EXPECT_EQ(find("/t/1")->gap_target_ms, 250);
+    ASSERT_NE(find("/u/1"), nullptr);
+    EXPECT_EQ(find("/u/1")->gap_target_ms, 0);
+    PsCatalog_Unref(catalog);
+    json_decref(spec);
+}
+
+// A malformed pace would send all requests of a daemon to one server, or none.
+TEST(PaceMessages, IgnoresMalformedPaces)
+{
+    for (float bad : {NAN, INFINITY, -1.0f, 1e9f}) {
+        Daemon daemon;
+        daemon.Tell(0, 25, 50);
+        Ps__ServerPace pace = PS__SERVER_PACE__INIT;
+        pace.server = PsSharing_HashServer(daemon.backends[0]);
+        pace.event_ms = bad;
+        pace.limit = 4000000000u;
+        Ps__ServerPace *paces[] = {&pace};
+        Ps__ServiceGrant grant = PS__SERVICE_GRANT__INIT;
+        grant.paces = paces;
+        grant.n_paces = 1;
+        PsPaceMessages_ApplyPaces(&daemon.scheduler, &grant, kStart);
+        EXPECT_EQ(daemon.backends[0]->pace.event_ms, 25) << bad;
+    }
+}
+
+// A daemon that was not told the newest paces gets those, and only once.
+TEST(PaceMessages, EachDaemonIsToldWhatIsNewToIt)
+{
+    Daemon daemon;
+    ps_server_models_t models;
+    PsServerModels_Init(&models);
+    models.is_enabled = true;
+    const ps_server_pace_t seed = {30, 50, 30, 10};
+    for (int i = 0; i < 2; i++) {
+        ps_learned_server_t *server = PsServerModels_Set(
+            &models, PsSharing_HashServer(daemon.backends[i]), 1, 10, true,
+            kStart);
+        PsLearnedServer_Seed(server, &seed);
+        PsServerModels_UpdateTold(&models, server, kStart);
+    }
+    ps_service_use_t old_use = {}, new_use = {};
+    auto count = [&](ps_service_use_t *use) {
+        Ps__ServiceGrant grant = PS__SERVICE_GRANT__INIT;
+        PsPaceMessages_AddPaces(&grant, &models, &daemon.scheduler, use);
+        const size_t n = grant.n_paces;
+        PsPaceMessages_FreePaces(&grant);
+        return n;
+    };
+    EXPECT_EQ(count(&old_use), 2u);
+    EXPECT_EQ(count(&old_use), 0u);
+    ps_learned_server_t *server = PsServerModels_Find(
+        &models, PsSharing_HashServer(daemon.backends[0]));
+    server->model.seed.event_ms = 60;
+    PsServerModels_UpdateTold(&models, server, kStart + 1000);
+    EXPECT_EQ(count(&old_use), 1u);
+    EXPECT_EQ(count(&new_use), 2u);
+    models.is_enabled = false;
+    new_use.told_paces = 0;
+    EXPECT_EQ(count(&new_use), 0u) << "switched off";
+    PsServerModels_Finish(&models);
+}
