--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 KERNEL := status str request forecast prefix_cache speed marks suspects queue rules \
     rule_kinds settings config server pool estimate place_finish \
     place_baseline ids ledger owner members entry clock catalog quota \
-    retry_budget backend even_shares backend_registry scheduler allocator \
+    quota_share quota_pools quota_division retry_budget backend even_shares backend_registry scheduler allocator \
     outliers histogram crash_reports abandoned_runs recent_map recent_members \
     rate_bucket server_limit server_room stream_origins server_reach forwarders \
     event_stream version_history overcommit \
@@ -24,7 +24,7 @@
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
     allocator_rounds changes mark_crashes server_checks origin_lookups \
-    server_notices reach_checks server_path forward_server response_headers
+    quota_messages quota_admission server_notices reach_checks server_path forward_server response_headers
 PLATFORM := endpoints codec dialect_fleet run_gateway store
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
@@ -127,7 +127,7 @@
 
 TESTS := test_tables test_pool test_ledger test_contract test_simulation \
     test_gateway test_limits test_mutations test_server_limits test_marks \
-    test_origins test_reach test_fleet
+    test_origins test_reach test_fleet test_quota_fleet
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
@@ -152,6 +152,10 @@
     $(DAEMON_OBJS) $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
+$(BUILD)/test_quota_fleet: $(BUILD)/tests/test_quota_fleet.o \
+    $(DAEMON_OBJS) $(KERNEL_OBJS)
+	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
+
 $(BUILD)/test_marks: $(BUILD)/tests/test_marks.o $(DAEMON_OBJS) \
     $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -20,6 +20,7 @@
 
 #include "outliers.h"
 #include "quota.h"
+#include "quota_pools.h"
 #include "rate_bucket.h"
 #include "scheduler.h"
 #include "store_events.h"
@@ -67,11 +68,12 @@
     uint64_t round;       /* of its last report */
     int64_t age_ms;       /* since its start, as its last report says */
     bool is_leaving;
-    bool is_cut_off;      /* it reaches no server of some service */
-    GHashTable *services; /* name to ps_service_use_t */
-    GHashTable *teams;    /* name to ps_team_use_t */
-    GHashTable *starts;   /* hash of a server with a limit to the requests that
-                             the daemon has sent there, uint64_t */
+    bool is_quota_by_bucket; /* it holds claims to quotas */
+    bool is_cut_off;         /* it reaches no server of some service */
+    GHashTable *services;    /* name to ps_service_use_t */
+    GHashTable *teams;       /* name to ps_team_use_t */
+    GHashTable *starts; /* hash of a server with a limit to the requests that
+                           the daemon has sent there, uint64_t */
 } ps_reporter_t;
 
 /**
@@ -88,6 +90,7 @@
 typedef struct ps_allocator {
     GHashTable *reporters;   /* name to ps_reporter_t */
     GHashTable *team_quotas; /* team to ps_quota_t, over all daemons */
+    ps_quota_pools_t quota_pools;
     ps_outliers_t outliers;
     GHashTable *server_buckets; /* hash of a server with a limit to its
                                    ps_server_bucket_t */
@@ -117,6 +120,11 @@
                                        const ps_name_t *name,
                                        uint64_t incarnation, int64_t now_ms);
 
+/**
+ * PsReporter_IsFresh() - Tells whether a daemon has reported lately.
+ */
+bool PsReporter_IsFresh(const ps_reporter_t *reporter, int64_t now_ms);
+
 /**
  * PsReporter_GetServiceUse() - Finds or adds a daemon's use of a service.
  *
@@ -158,6 +166,15 @@
                               ps_quota_usage_t *records, int max,
                               int64_t now_ms);
 
+/**
+ * PsAllocator_GetQuotaCredit() - Returns what a team's token bucket holds
+ * after a restart of all daemons, by the stored usage.
+ */
+double PsAllocator_GetQuotaCredit(ps_allocator_t *allocator,
+                                  const ps_name_t *team,
+                                  const ps_quota_terms_t *terms,
+                                  int64_t now_ms);
+
 /**
  * PsAllocator_RemoveReporter() - Removes a daemon. What its reports charged to
  * quotas stays charged.
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -107,6 +107,7 @@
         PsAllocator_StartReport(allocator, from, start, now_ms);
     reporter->round = report->round;
     reporter->age_ms = (int64_t)report->age_ms;
+    reporter->is_quota_by_bucket = report->quota_by_bucket;
     for (size_t i = 0; i < report->n_services; i++) {
         const Ps__ServiceUse *use_message = report->services[i];
         ps_name_t service = PsName_FromC(use_message->service);
@@ -155,6 +156,7 @@
                                use_message->wanted, use_message->total,
                                now_ms);
     }
+    PsQuotaAdmission_HandleReport(sharing, from, report, now_ms);
     ps_mark_crashes_t *crashes = &sharing->gateway->mark_crashes;
     PsMarkCrashes_MergeCleared(crashes, report->cleared, report->n_cleared,
                                from, now_ms);
@@ -388,7 +390,10 @@
     Ps__ShareGrant grant = PS__SHARE_GRANT__INIT;
     grant.round = reporter->round;
     add_service_grants(sharing, &grant, reporter, PsClock_Now());
-    add_team_grants(&sharing->allocator, &grant, reporter);
+    if (!PsQuotaAdmission_AddGrants(sharing, reporter, &grant,
+                                    PsClock_Now())) {
+        add_team_grants(&sharing->allocator, &grant, reporter);
+    }
     grant.silent = (char **)round->silent->pdata;
     grant.n_silent = round->silent->len;
     grant.cut_off = (char **)round->cut_off->pdata;
@@ -419,12 +424,9 @@
         g_free(each->server_limits);
         g_free(each);
     }
-    for (size_t i = 0; i < grant.n_teams; i++) {
-        g_free(grant.teams[i]);
-    }
+    PsQuotaAdmission_FreeGrants(&grant);
     PsChanges_FreeInGrant(&grant);
     g_free(grant.services);
-    g_free(grant.teams);
 }
 
 // Tells whether most members have a fresh report here. If not, this daemon was
@@ -546,6 +548,7 @@
     }
     int n_daemons = PsGateway_CountQuotaDaemons(sharing->gateway, now_ms);
     PsAllocator_DivideQuotas(&sharing->allocator, n_daemons, now_ms);
+    PsQuotaPools_Divide(&sharing->allocator.quota_pools, n_daemons, now_ms);
     save_state(sharing, now_ms);
     round_data_t round = {
         .silent = list_silent(sharing, now_ms),
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -53,6 +53,12 @@
 // hears of new servers: from the store or the allocator.
 #define HEARD_LATELY_MS 1500
 
+// A request waits this long for the allocator's verdict on its team's quota,
+// and no longer than this part of its time. Another daemon becomes the
+// allocator within about 1 s.
+#define QUOTA_WAIT_MAX_MS 1500
+#define QUOTA_WAIT_SHARE 0.4
+
 // Retry-After values, by reason.
 #define RETRY_OTHER_DAEMON_MS 20 /* another daemon can serve it at once */
 #define RETRY_REJECTED_MS 300   /* servers that reject are full for a moment */
@@ -96,6 +102,10 @@
         close_transfer(exchange);
     }
     refund_unless_run(exchange);
+    if (exchange->quota_ask != 0) {
+        PsQuotaAdmission_Withdraw(&exchange->gateway->sharing,
+                                  &exchange->team->name, exchange->quota_ask);
+    }
     if (exchange->has_reserved_retry) {
         PsRetryBudget_Release(&exchange->dispatcher->retry_budget);
     }
@@ -839,8 +849,27 @@
     return true;
 }
 
-// Charges the team's quota with one request, or with its tokens. Refuses the
-// request and returns false if the quota is used up.
+// Refuses a request that the team's quota has no room for, or for which it is
+// not known whether it has.
+static void
+refuse_over_quota(ps_exchange_t *exchange, double units, bool is_known,
+                  int64_t now_ms)
+{
+    const ps_team_t *team = exchange->team;
+    const ps_sharing_t *sharing = &exchange->gateway->sharing;
+    PsEvents_Add("request.over_quota", "{s:s,s:s,s:f,s:f,s:b,s:b,s:I}", "id",
+                 exchange->inbound.request_id.data, "team", team->name.data,
+                 "units", units, "rate", team->rate, "even_share",
+                 (int)sharing->uses_even_shares, "use_known", (int)is_known,
+                 "ms", (json_int_t)(now_ms - exchange->arrived_ms));
+    refuse_request(exchange, is_known ? 429 : 503, RETRY_OVER_QUOTA_MS,
+                   is_known ? "team is over its quota"
+                            : "use of the team's quota is not known yet");
+}
+
+// Charges the team's quota with one request, or with its tokens. Returns false
+// if it can't be charged now: the request is refused, or the allocator is
+// asked whether the quota has room for it.
 static bool
 charge_quota(ps_exchange_t *exchange, int64_t now_ms)
 {
@@ -856,16 +885,19 @@
                     : team->default_tokens;
     }
     ps_sharing_t *sharing = &exchange->gateway->sharing;
-    if (!PsSharing_ChargeQuota(sharing, &team->name, units, now_ms)) {
-        bool is_known = PsSharing_IsSpendingKnown(sharing, now_ms);
-        PsEvents_Add("request.over_quota", "{s:s,s:s,s:f,s:f,s:b,s:b}", "id",
-                     exchange->inbound.request_id.data, "team",
-                     team->name.data, "units", units, "rate", team->rate,
-                     "even_share", (int)sharing->uses_even_shares, "use_known",
-                     (int)is_known);
-        refuse_request(exchange, is_known ? 429 : 503, RETRY_OVER_QUOTA_MS,
-                       is_known ? "team is over its quota"
-                                : "use of the team's quota is not known yet");
+    if (PsQuotaAdmission_IsUsed(sharing)) {
+        exchange->asked_units = units;
+        if (!PsQuotaAdmission_Request(sharing, &team->name, units,
+                                      &exchange->quota_ask, now_ms)) {
+            if (exchange->quota_ask == 0) {
+                refuse_over_quota(exchange, units, false, now_ms);
+            }
+            return false;
+        }
+    }
+    else if (!PsSharing_ChargeQuota(sharing, &team->name, units, now_ms)) {
+        refuse_over_quota(exchange, units,
+                          PsSharing_IsSpendingKnown(sharing, now_ms), now_ms);
         return false;
     }
     exchange->quota_units = units;
@@ -995,6 +1027,50 @@
         MIN(now_ms + ORIGIN_WAIT_MAX_MS, exchange->deadline_ms);
 }
 
+// Goes on with a request that is admitted and charged to its team's quota.
+static void
+go_on(ps_exchange_t *exchange, int64_t now_ms)
+{
+    if (exchange->route->is_stream &&
+        !PsName_IsEmpty(&exchange->last_event_id)) {
+        find_origin(exchange, now_ms);
+    }
+    else {
+        submit(exchange, now_ms);
+    }
+}
+
+/* ---- Verdicts on quotas ----------------------------------------------- */
+
+// Goes on with a request, or refuses it, once the allocator has decided
+// whether the team's quota has room for it. Returns true if it did.
+static bool
+check_quota_ask(ps_exchange_t *exchange, int64_t now_ms)
+{
+    ps_sharing_t *sharing = &exchange->gateway->sharing;
+    ps_quota_verdict_t verdict = PsQuotaAdmission_Check(
+        sharing, &exchange->team->name, exchange->asked_units,
+        exchange->quota_ask, now_ms);
+    int64_t wait_ms =
+        MIN((int64_t)((double)(exchange->deadline_ms - exchange->arrived_ms) *
+                      QUOTA_WAIT_SHARE),
+            QUOTA_WAIT_MAX_MS);
+    bool is_over = now_ms - exchange->arrived_ms >= wait_ms;
+    if (verdict == PS_QUOTA_PENDING && !is_over) {
+        return false;
+    }
+    if (verdict == PS_QUOTA_GRANTED) {
+        exchange->quota_ask = 0;
+        exchange->quota_units = exchange->asked_units;
+        go_on(exchange, now_ms);
+        return true;
+    }
+    bool is_known = verdict == PS_QUOTA_REFUSED &&
+                    PsQuotaAdmission_IsSpendingKnown(sharing, now_ms);
+    refuse_over_quota(exchange, exchange->asked_units, is_known, now_ms);
+    return true;
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 const ps_scheduler_events_t *
@@ -1037,16 +1113,9 @@
         end_banned(exchange, banned, now_ms);
         return;
     }
-    if (!charge_quota(exchange, now_ms)) {
-        return;
-    }
     init_task(exchange, now_ms);
-    if (exchange->route->is_stream &&
-        !PsName_IsEmpty(&exchange->last_event_id)) {
-        find_origin(exchange, now_ms);
-    }
-    else {
-        submit(exchange, now_ms);
+    if (charge_quota(exchange, now_ms)) {
+        go_on(exchange, now_ms);
     }
 }
 
@@ -1146,6 +1215,9 @@
         exchange->origins_asked =
             PsOriginLookups_Ask(exchange->gateway, exchange->origin_request);
     }
+    if (exchange->quota_ask != 0) {
+        return check_quota_ask(exchange, now_ms);
+    }
     if (!exchange->dispatcher) {
         return false;
     }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -30,6 +30,9 @@
     int64_t arrived_ms;
     int64_t deadline_ms; /* the response is due by then */
     double quota_units;  /* charged to the team */
+    double asked_units;  /* of the team's quota, with @quota_ask */
+    uint32_t quota_ask;  /* the allocator is asked whether the quota has room
+                            for the request; 0: it is not */
     ps_transfer_t transfer;
     ps_server_path_t path;   /* of @transfer to the server */
     bool is_transferring;    /* @transfer is in use */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -124,6 +124,10 @@
                          quota_settings.window_s);
         PsAllocator_SetQuotaLimit(&gateway->sharing.allocator, &team->name,
                                   limit, quota_settings.window_s);
+        ps_quota_terms_t terms =
+            PsQuota_ComputeTerms(team->rate, team->burst, &quota_settings);
+        PsQuotaAdmission_SetTeam(&gateway->sharing, &team->name, &terms,
+                                 PsClock_Now());
     }
 }
 
@@ -299,6 +303,10 @@
     gateway->sharing.is_stored_usage_empty = state->n_teams == 0;
     PsAllocator_AddQuotaUsage(&gateway->sharing.allocator, state->teams,
                               state->n_teams, age_ms, PsClock_Now());
+    PsQuotaAdmission_HandleStart(&gateway->sharing,
+                                 !state->is_stored &&
+                                     gateway->settings.gateway.is_first_start,
+                                 PsClock_Now());
     restore_versions(gateway, state);
 }
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -3660,7 +3660,7 @@
   (ProtobufCMessageInit) ps__service_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__team_use__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ps__team_use__field_descriptors[9] =
 {
   {
     "team",
@@ -3710,17 +3710,83 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ceiling",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamUse, ceiling),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_ids",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ps__TeamUse, n_ask_ids),
+    offsetof(Ps__TeamUse, ask_ids),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_units",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Ps__TeamUse, n_ask_units),
+    offsetof(Ps__TeamUse, ask_units),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_ages_ms",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ps__TeamUse, n_ask_ages_ms),
+    offsetof(Ps__TeamUse, ask_ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_new",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamUse, is_new),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__team_use__field_indices_by_name[] = {
+  7,   /* field[7] = ask_ages_ms */
+  5,   /* field[5] = ask_ids */
+  6,   /* field[6] = ask_units */
+  4,   /* field[4] = ceiling */
+  8,   /* field[8] = is_new */
   1,   /* field[1] = spent */
   0,   /* field[0] = team */
   3,   /* field[3] = total */
   2,   /* field[2] = wanted */
 };
-static const ProtobufCIntRange ps__team_use__number_ranges[1 + 1] =
+static const ProtobufCIntRange ps__team_use__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 8, 4 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ps__team_use__descriptor =
 {
@@ -3730,10 +3796,10 @@
   "Ps__TeamUse",
   "ps",
   sizeof(Ps__TeamUse),
-  4,
+  9,
   ps__team_use__field_descriptors,
   ps__team_use__field_indices_by_name,
-  1,  ps__team_use__number_ranges,
+  2,  ps__team_use__number_ranges,
   (ProtobufCMessageInit) ps__team_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3814,7 +3880,7 @@
   (ProtobufCMessageInit) ps__content_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_report__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ps__share_report__field_descriptors[11] =
 {
   {
     "round",
@@ -3912,6 +3978,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_by_bucket",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareReport, quota_by_bucket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_epoch",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareReport, quota_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_join",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareReport, quota_join),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_report__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
@@ -3919,15 +4021,19 @@
   5,   /* field[5] = crashes */
   7,   /* field[7] = cut_off */
   3,   /* field[3] = leaving */
+  8,   /* field[8] = quota_by_bucket */
+  9,   /* field[9] = quota_epoch */
+  10,   /* field[10] = quota_join */
   0,   /* field[0] = round */
   1,   /* field[1] = services */
   2,   /* field[2] = teams */
 };
-static const ProtobufCIntRange ps__share_report__number_ranges[2 + 1] =
+static const ProtobufCIntRange ps__share_report__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 8 }
+  { 16, 8 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ps__share_report__descriptor =
 {
@@ -3937,10 +4043,10 @@
   "Ps__ShareReport",
   "ps",
   sizeof(Ps__ShareReport),
-  8,
+  11,
   ps__share_report__field_descriptors,
   ps__share_report__field_indices_by_name,
-  2,  ps__share_report__number_ranges,
+  3,  ps__share_report__number_ranges,
   (ProtobufCMessageInit) ps__share_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4098,7 +4204,7 @@
   (ProtobufCMessageInit) ps__service_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__team_grant__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ps__team_grant__field_descriptors[5] =
 {
   {
     "team",
@@ -4124,15 +4230,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ceiling",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamGrant, ceiling),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ps__TeamGrant, n_granted),
+    offsetof(Ps__TeamGrant, granted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ps__TeamGrant, n_refused),
+    offsetof(Ps__TeamGrant, refused),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__team_grant__field_indices_by_name[] = {
+  2,   /* field[2] = ceiling */
+  3,   /* field[3] = granted */
+  4,   /* field[4] = refused */
   0,   /* field[0] = team */
   1,   /* field[1] = units */
 };
-static const ProtobufCIntRange ps__team_grant__number_ranges[1 + 1] =
+static const ProtobufCIntRange ps__team_grant__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 8, 2 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ps__team_grant__descriptor =
 {
@@ -4142,10 +4288,10 @@
   "Ps__TeamGrant",
   "ps",
   sizeof(Ps__TeamGrant),
-  2,
+  5,
   ps__team_grant__field_descriptors,
   ps__team_grant__field_indices_by_name,
-  1,  ps__team_grant__number_ranges,
+  2,  ps__team_grant__number_ranges,
   (ProtobufCMessageInit) ps__team_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4446,7 +4592,7 @@
   (ProtobufCMessageInit) ps__member_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[15] =
+static const ProtobufCFieldDescriptor ps__share_grant__field_descriptors[17] =
 {
   {
     "round",
@@ -4628,6 +4774,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_epoch",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareGrant, quota_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_join",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ShareGrant, quota_join),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__share_grant__field_indices_by_name[] = {
   12,   /* field[12] = cleared */
@@ -4639,6 +4809,8 @@
   9,   /* field[9] = member_news */
   7,   /* field[7] = members_hash */
   8,   /* field[8] = news */
+  15,   /* field[15] = quota_epoch */
+  16,   /* field[16] = quota_join */
   0,   /* field[0] = round */
   6,   /* field[6] = servers_hash */
   1,   /* field[1] = services */
@@ -4650,7 +4822,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor ps__share_grant__descriptor =
 {
@@ -4660,7 +4832,7 @@
   "Ps__ShareGrant",
   "ps",
   sizeof(Ps__ShareGrant),
-  15,
+  17,
   ps__share_grant__field_descriptors,
   ps__share_grant__field_indices_by_name,
   2,  ps__share_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -601,10 +601,33 @@
    * units since the sender's start
    */
   double total;
+  /*
+   * total up to which the sender may spend
+   */
+  double ceiling;
+  /*
+   * of requests that wait for a verdict
+   */
+  size_t n_ask_ids;
+  uint32_t *ask_ids;
+  /*
+   * of each of them
+   */
+  size_t n_ask_units;
+  double *ask_units;
+  /*
+   * since each of them arrived
+   */
+  size_t n_ask_ages_ms;
+  uint32_t *ask_ages_ms;
+  /*
+   * no allocator has had the sender's claim before
+   */
+  protobuf_c_boolean is_new;
 };
 #define PS__TEAM_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__team_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -666,10 +689,25 @@
    * it reaches no server of a service that others reach
    */
   protobuf_c_boolean cut_off;
+  /*
+   * the sender understands ceilings of quotas
+   */
+  protobuf_c_boolean quota_by_bucket;
+  /*
+   * of the allocator's state that has the sender's claims;
+   */
+  uint64_t quota_epoch;
+  /*
+   * 0: none. If set, only teams with news are named
+   */
+  /*
+   * rises each time the sender brings in its claims
+   */
+  uint32_t quota_join;
 };
 #define PS__SHARE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_report__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -730,10 +768,24 @@
    * that may be spent beyond what was reported
    */
   double units;
+  /*
+   * total up to which the receiver may spend
+   */
+  double ceiling;
+  /*
+   * requests that may run
+   */
+  size_t n_granted;
+  uint32_t *granted;
+  /*
+   * requests that exceed the quota
+   */
+  size_t n_refused;
+  uint32_t *refused;
 };
 #define PS__TEAM_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__team_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -871,10 +923,18 @@
    * of the store as the sender reads it; 0: not known
    */
   uint64_t store_era;
+  /*
+   * of the sender's state of quotas; 0: it grants units
+   */
+  uint64_t quota_epoch;
+  /*
+   * of the receiver's claims that the sender has; 0: none
+   */
+  uint32_t quota_join;
 };
 #define PS__SHARE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__share_grant__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/src/quota.c
+++ b/src/quota.c
@@ -7,6 +7,12 @@
 // the inexactness of the allocator's rounds.
 #define TOLERANCE_USED 0.5
 
+// Parts of the tolerance that a token bucket uses. The rest covers daemons
+// that differ in their count of daemons for a moment, and refill that is
+// counted twice when a daemon loses its allocator.
+#define EXTRA_PART 0.35
+#define BRIDGE_PART 0.35
+
 /* ---- Internal functions ----------------------------------------------- */
 
 // Moves the window to the present: clears the buckets that have left it, for
@@ -56,6 +62,23 @@
 
 /* ---- Public functions ------------------------------------------------- */
 
+ps_quota_terms_t
+PsQuota_ComputeTerms(double rate, double burst,
+                     const ps_quota_settings_t *settings)
+{
+    if (rate <= 0) {
+        return (ps_quota_terms_t){.window_s = settings->window_s};
+    }
+    double tolerance =
+        settings->overage * (rate * settings->window_s + burst) +
+        settings->slack;
+    return (ps_quota_terms_t){.rate = rate,
+                              .burst = burst,
+                              .extra = EXTRA_PART * tolerance,
+                              .bridge = BRIDGE_PART * tolerance,
+                              .window_s = settings->window_s};
+}
+
 double
 PsQuota_ComputeLimit(double rate, double burst,
                      const ps_quota_settings_t *settings)
--- a/src/quota.h
+++ b/src/quota.h
@@ -46,6 +46,28 @@
                               none */
 } ps_quota_t;
 
+/**
+ * struct ps_quota_terms - A team's quota as a token bucket over all daemons.
+ *
+ * The bucket holds at most @burst + @extra units. Daemons may hold claims to
+ * @bridge units more than it has, while a change of their claims is on its
+ * way. In any window of w seconds at most
+ * @rate x w + @burst + @extra + @bridge units are spent.
+ */
+typedef struct ps_quota_terms {
+    double rate;   /* units per second; 0: no quota */
+    double burst;  /* units */
+    double extra;  /* units of the tolerance that may be spent */
+    double bridge; /* units of the tolerance that overlapping claims may use */
+    double window_s;
+} ps_quota_terms_t;
+
+/**
+ * PsQuota_ComputeTerms() - Computes the token bucket of a quota.
+ */
+ps_quota_terms_t PsQuota_ComputeTerms(double rate, double burst,
+                                      const ps_quota_settings_t *settings);
+
 /**
  * PsQuota_ComputeLimit() - Computes the units that may be spent in any window.
  * @rate: units per second over all daemons; 0: no quota
--- /dev/null
+++ b/src/quota_pools.c
@@ -0,0 +1,518 @@
+/* quota_pools.c - Division of teams' token buckets among daemons. */
+#include "quota_pools.h"
+
+#include <math.h>
+
+// Daemons whose last report is older have left: their claims and their part of
+// the refill are not this allocator's any more.
+#define REPORT_MAX_AGE_MS 500
+
+// Refill for a longer time between two rounds is not counted, since daemons
+// that got no grants have refilled their claims themselves.
+#define REFILL_MAX_MS 300
+
+// A grant that was not confirmed in this time is repeated.
+#define REPEAT_MS 150
+
+// A claim is changed only if it is off by more than this part of it, or of the
+// daemon's part of the bridge; each change costs two messages.
+#define CLAIM_STEP 0.1
+#define BRIDGE_STEP 0.25
+
+// Part of the tolerance that is kept for requests within the bucket, because
+// the allocator sees them later than they arrive.
+#define EXTRA_KEPT 0.5
+
+/* What the claims to one pool add up to. */
+typedef struct sums {
+    double held;    /* units that may be spent below the highest ceilings */
+    double granted; /* of granted requests that are not spent yet */
+    double pending; /* of requests that are granted once claims are lower */
+    int n;
+} sums_t;
+
+/* ---- Memory ----------------------------------------------------------- */
+
+static void
+free_claim(gpointer data)
+{
+    ps_quota_claim_t *claim = data;
+    g_array_free(claim->asks, TRUE);
+    g_free(claim);
+}
+
+static void
+free_pool(gpointer data)
+{
+    ps_quota_pool_t *pool = data;
+    g_hash_table_destroy(pool->claims);
+    g_free(pool);
+}
+
+static ps_quota_pool_t *
+get_pool(ps_quota_pools_t *pools, const ps_name_t *team)
+{
+    ps_quota_pool_t *pool = g_hash_table_lookup(pools->pools, team);
+    if (!pool) {
+        pool = g_new0(ps_quota_pool_t, 1);
+        pool->n_daemons = 1;
+        pool->claims = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+                                             NULL, free_claim);
+        g_hash_table_insert(pools->pools, g_memdup2(team, sizeof *team), pool);
+    }
+    return pool;
+}
+
+/* ---- Claims ----------------------------------------------------------- */
+
+// Returns what a daemon may spend below a ceiling.
+static double
+get_room(const ps_quota_claim_t *claim, double ceiling)
+{
+    return MAX(ceiling - claim->total, 0.0);
+}
+
+static sums_t
+add_up(const ps_quota_pool_t *pool)
+{
+    sums_t sums = {0};
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, pool->claims);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_quota_claim_t *claim = value;
+        sums.held += get_room(claim, claim->highest);
+        sums.granted += claim->granted;
+        sums.n++;
+    }
+    return sums;
+}
+
+// Returns the part of a pool that belongs to the daemons with claims to it.
+static double
+get_part(const ps_quota_pool_t *pool)
+{
+    int n = (int)g_hash_table_size(pool->claims);
+    return (double)n / MAX(pool->n_daemons, MAX(n, 1));
+}
+
+// Takes what a daemon may still spend out of a pool, and the refill for it
+// since its last report.
+static void
+take_out(ps_quota_pool_t *pool, const ps_quota_claim_t *claim, int64_t now_ms)
+{
+    int64_t silent_ms =
+        CLAMP(now_ms - claim->daemon->heard_ms, 0, REPORT_MAX_AGE_MS);
+    double refill = pool->terms.rate * (double)silent_ms / 1000.0 /
+                    MAX(pool->n_daemons, 1);
+    double units = get_room(claim, claim->highest) + refill;
+    double own_part = pool->terms.burst / MAX(pool->n_daemons, 1);
+    pool->level -= units;
+    pool->reference = MAX(pool->reference - MIN(units, own_part), 0.0);
+}
+
+static void
+remove_claims(ps_quota_pools_t *pools, ps_quota_daemon_t *daemon,
+              int64_t now_ms)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, pools->pools);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_quota_pool_t *pool = value;
+        const ps_quota_claim_t *claim =
+            g_hash_table_lookup(pool->claims, daemon);
+        if (claim) {
+            take_out(pool, claim, now_ms);
+            g_hash_table_remove(pool->claims, daemon);
+        }
+    }
+}
+
+// Adds a daemon's claim to a pool, as the daemon brings it in.
+static void
+bring_in(ps_quota_pool_t *pool, ps_quota_daemon_t *daemon,
+         const ps_quota_use_t *use)
+{
+    ps_quota_claim_t *claim = g_new0(ps_quota_claim_t, 1);
+    claim->daemon = daemon;
+    claim->total = use->total;
+    claim->acked = use->ceiling;
+    claim->told = use->ceiling;
+    claim->highest = use->ceiling;
+    claim->is_credit_due = use->is_new;
+    claim->must_send = true;
+    claim->asks = g_array_new(FALSE, FALSE, sizeof(ps_quota_ask_t));
+    g_hash_table_insert(pool->claims, daemon, claim);
+    double room = use->ceiling - use->total;
+    double own_part = pool->terms.burst / MAX(pool->n_daemons, 1);
+    pool->level += room;
+    pool->reference += CLAMP(room, 0.0, own_part);
+}
+
+// Charges what a daemon has spent since its last report. Granted requests were
+// charged to the reference when they were granted.
+static void
+charge(ps_quota_pool_t *pool, ps_quota_claim_t *claim, double total)
+{
+    double spent = total - claim->total;
+    double expected = CLAMP(spent, 0.0, claim->granted);
+    claim->total = total;
+    claim->granted -= expected;
+    pool->level -= spent;
+    pool->reference = MAX(pool->reference - (spent - expected), 0.0);
+}
+
+// Takes the list of requests that wait at a daemon, and keeps the verdicts for
+// those that are still on it.
+static void
+set_asks(ps_quota_claim_t *claim, const ps_quota_use_t *use)
+{
+    GArray *asks = g_array_new(FALSE, FALSE, sizeof(ps_quota_ask_t));
+    for (size_t i = 0; i < use->n_asks; i++) {
+        ps_quota_ask_t ask = use->asks[i];
+        ask.verdict = PS_QUOTA_PENDING;
+        for (guint k = 0; k < claim->asks->len; k++) {
+            const ps_quota_ask_t *known =
+                &g_array_index(claim->asks, ps_quota_ask_t, k);
+            if (known->id == ask.id) {
+                ask = *known;
+            }
+        }
+        g_array_append_val(asks, ask);
+    }
+    g_array_free(claim->asks, TRUE);
+    claim->asks = asks;
+}
+
+// Gives back what was granted to requests that gave up waiting.
+static void
+return_unused(ps_quota_pool_t *pool, ps_quota_claim_t *claim)
+{
+    if (claim->asks->len == 0 && claim->acked == claim->told) {
+        pool->reference += claim->granted;
+        claim->granted = 0;
+    }
+}
+
+/* ---- Division --------------------------------------------------------- */
+
+static void
+remove_silent(ps_quota_pool_t *pool, int64_t now_ms)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, pool->claims);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_quota_claim_t *claim = value;
+        if (now_ms - claim->daemon->heard_ms > REPORT_MAX_AGE_MS) {
+            claim->daemon->left_join = claim->daemon->join;
+            take_out(pool, claim, now_ms);
+            g_hash_table_iter_remove(&each);
+        }
+    }
+}
+
+static void
+refill(ps_quota_pool_t *pool, int64_t now_ms)
+{
+    int64_t passed_ms = CLAMP(now_ms - pool->refilled_ms, 0, REFILL_MAX_MS);
+    double part = get_part(pool);
+    double units = pool->terms.rate * part * (double)passed_ms / 1000.0;
+    double burst = pool->terms.burst * part;
+    double most = (pool->terms.burst + pool->terms.extra) * part;
+    pool->refilled_ms = now_ms;
+    pool->level = MIN(pool->level + units, most);
+    pool->reference = MIN(pool->reference + units, burst);
+}
+
+// Gives their part of the stored credit to daemons that have started anew.
+static void
+add_credits(ps_quota_pool_t *pool)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, pool->claims);
+    while (pool->credit > 0 && g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_quota_claim_t *claim = value;
+        double units = pool->credit / MAX(pool->n_daemons, 1);
+        pool->level += claim->is_credit_due ? units : 0;
+        pool->reference += claim->is_credit_due ? units : 0;
+        claim->is_credit_due = false;
+    }
+}
+
+typedef struct pending_ask {
+    ps_quota_claim_t *claim;
+    ps_quota_ask_t *ask;
+} pending_ask_t;
+
+static gint
+compare_arrival(gconstpointer a, gconstpointer b)
+{
+    const pending_ask_t *x = a;
+    const pending_ask_t *y = b;
+    return (x->ask->asked_ms > y->ask->asked_ms) -
+           (x->ask->asked_ms < y->ask->asked_ms);
+}
+
+// Lists the requests without a verdict, in order of arrival.
+static GArray *
+list_pending(const ps_quota_pool_t *pool)
+{
+    GArray *pending = g_array_new(FALSE, FALSE, sizeof(pending_ask_t));
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, pool->claims);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_quota_claim_t *claim = value;
+        for (guint i = 0; i < claim->asks->len; i++) {
+            ps_quota_ask_t *ask =
+                &g_array_index(claim->asks, ps_quota_ask_t, i);
+            if (ask->verdict == PS_QUOTA_PENDING) {
+                pending_ask_t one = {claim, ask};
+                g_array_append_val(pending, one);
+            }
+        }
+    }
+    g_array_sort(pending, compare_arrival);
+    return pending;
+}
+
+// Sets a daemon's ceiling, unless claims would then overlap by more than the
+// bridge.
+static bool
+raise_claim(const ps_quota_pool_t *pool, sums_t *sums, ps_quota_claim_t *claim,
+            double told)
+{
+    double raised = get_room(claim, told) - get_room(claim, claim->highest);
+    double unheld =
+        pool->level + pool->terms.bridge * get_part(pool) - sums->held;
+    if (raised > MAX(unheld, 0.0)) {
+        return false;
+    }
+    claim->told = told;
+    claim->must_send = true;
+    if (raised > 0) {
+        claim->highest = told;
+        sums->held += raised;
+    }
+    return true;
+}
+
+// Decides on one request. It stays pending while claims of other daemons would
+// overlap with it by more than the bridge; these are lowered then.
+static void
+decide(ps_quota_pool_t *pool, sums_t *sums, const pending_ask_t *pending)
+{
+    ps_quota_ask_t *ask = pending->ask;
+    double part = get_part(pool);
+    double left = pool->level - sums->granted - sums->pending;
+    double kept = pool->reference + EXTRA_KEPT * pool->terms.extra * part;
+    bool is_within = ask->units <= pool->reference;
+    if (!is_within && ask->units > left - kept) {
+        ask->verdict = PS_QUOTA_REFUSED;
+        pending->claim->must_send = true;
+        return;
+    }
+    ps_quota_claim_t *claim = pending->claim;
+    double told = MAX(claim->told, claim->total) + ask->units;
+    if (!raise_claim(pool, sums, claim, told)) {
+        sums->pending += ask->units;
+        return;
+    }
+    ask->verdict = PS_QUOTA_GRANTED;
+    pool->reference -= is_within ? ask->units : 0;
+    claim->granted += ask->units;
+    sums->granted += ask->units;
+}
+
+// Sets a daemon's ceiling so that it may spend an even share of the pool, and
+// what was granted to its waiting requests.
+static void
+deal(ps_quota_pool_t *pool, sums_t *sums, ps_quota_claim_t *claim)
+{
+    double left = MAX(pool->level - sums->granted - sums->pending, 0.0);
+    double target = left / MAX(sums->n, 1) + claim->granted;
+    double now_told = claim->told - claim->total;
+    double step =
+        MAX(CLAIM_STEP * MAX(target, now_told),
+            BRIDGE_STEP * pool->terms.bridge / MAX(pool->n_daemons, 1));
+    if (fabs(target - now_told) <= step) {
+        return;
+    }
+    raise_claim(pool, sums, claim, claim->total + target);
+}
+
+static void
+divide_pool(ps_quota_pool_t *pool, int n_daemons, int64_t now_ms)
+{
+    remove_silent(pool, now_ms);
+    pool->n_daemons = MAX(n_daemons, 1);
+    add_credits(pool);
+    refill(pool, now_ms);
+    sums_t sums = add_up(pool);
+    GArray *pending = list_pending(pool);
+    for (guint i = 0; i < pending->len; i++) {
+        decide(pool, &sums, &g_array_index(pending, pending_ask_t, i));
+    }
+    g_array_free(pending, TRUE);
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, pool->claims);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        deal(pool, &sums, value);
+    }
+}
+
+/* ---- Public functions ------------------------------------------------- */
+
+void
+PsQuotaPools_Init(ps_quota_pools_t *pools)
+{
+    *pools = (ps_quota_pools_t){0};
+    pools->daemons =
+        g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, NULL, g_free);
+    pools->pools = g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free,
+                                         free_pool);
+}
+
+void
+PsQuotaPools_Finish(ps_quota_pools_t *pools)
+{
+    g_hash_table_destroy(pools->pools);
+    g_hash_table_destroy(pools->daemons);
+}
+
+void
+PsQuotaPools_Reset(ps_quota_pools_t *pools, uint64_t epoch)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, pools->pools);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_quota_pool_t *pool = value;
+        g_hash_table_remove_all(pool->claims);
+        pool->level = 0;
+        pool->reference = 0;
+    }
+    g_hash_table_remove_all(pools->daemons);
+    pools->epoch = epoch;
+}
+
+void
+PsQuotaPools_SetTerms(ps_quota_pools_t *pools, const ps_name_t *team,
+                      const ps_quota_terms_t *terms)
+{
+    get_pool(pools, team)->terms = *terms;
+}
+
+void
+PsQuotaPools_SetCredit(ps_quota_pools_t *pools, const ps_name_t *team,
+                       double units)
+{
+    get_pool(pools, team)->credit = units;
+}
+
+ps_quota_daemon_t *
+PsQuotaPools_HandleReport(ps_quota_pools_t *pools, const ps_name_t *name,
+                          uint32_t join, int64_t now_ms)
+{
+    ps_quota_daemon_t *daemon = g_hash_table_lookup(pools->daemons, name);
+    if (!daemon) {
+        daemon = g_new0(ps_quota_daemon_t, 1);
+        daemon->name = *name;
+        daemon->join = join;
+        g_hash_table_insert(pools->daemons, &daemon->name, daemon);
+    }
+    if (daemon->join != join) {
+        remove_claims(pools, daemon, now_ms);
+        daemon->join = join;
+    }
+    if (daemon->left_join == join) {
+        return NULL;
+    }
+    daemon->heard_ms = now_ms;
+    return daemon;
+}
+
+ps_quota_daemon_t *
+PsQuotaPools_FindDaemon(const ps_quota_pools_t *pools, const ps_name_t *name)
+{
+    ps_quota_daemon_t *daemon = g_hash_table_lookup(pools->daemons, name);
+    return daemon && daemon->left_join != daemon->join ? daemon : NULL;
+}
+
+void
+PsQuotaPools_RemoveDaemon(ps_quota_pools_t *pools, const ps_name_t *name,
+                          int64_t now_ms)
+{
+    ps_quota_daemon_t *daemon = g_hash_table_lookup(pools->daemons, name);
+    if (daemon) {
+        remove_claims(pools, daemon, now_ms);
+        g_hash_table_remove(pools->daemons, name);
+    }
+}
+
+void
+PsQuotaPools_SetUse(ps_quota_pools_t *pools, ps_quota_daemon_t *daemon,
+                    const ps_name_t *team, const ps_quota_use_t *use,
+                    int64_t now_ms)
+{
+    (void)now_ms;
+    ps_quota_pool_t *pool = get_pool(pools, team);
+    if (pool->terms.rate <= 0) {
+        return;
+    }
+    ps_quota_claim_t *claim = g_hash_table_lookup(pool->claims, daemon);
+    if (!claim) {
+        bring_in(pool, daemon, use);
+        claim = g_hash_table_lookup(pool->claims, daemon);
+    }
+    else {
+        charge(pool, claim, use->total);
+        claim->acked = use->ceiling;
+        claim->highest = claim->acked == claim->told
+                             ? claim->told
+                             : MAX(claim->highest, claim->told);
+    }
+    set_asks(claim, use);
+    return_unused(pool, claim);
+}
+
+void
+PsQuotaPools_Divide(ps_quota_pools_t *pools, int n_daemons, int64_t now_ms)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, pools->pools);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_quota_pool_t *pool = value;
+        if (pool->terms.rate > 0) {
+            divide_pool(pool, n_daemons, now_ms);
+        }
+    }
+}
+
+const ps_quota_claim_t *
+PsQuotaPools_TakeGrant(ps_quota_pool_t *pool, ps_quota_daemon_t *daemon,
+                       int64_t now_ms)
+{
+    ps_quota_claim_t *claim = g_hash_table_lookup(pool->claims, daemon);
+    if (!claim) {
+        return NULL;
+    }
+    bool has_verdict = false;
+    for (guint i = 0; i < claim->asks->len; i++) {
+        has_verdict |= g_array_index(claim->asks, ps_quota_ask_t, i).verdict !=
+                       PS_QUOTA_PENDING;
+    }
+    bool is_unconfirmed = claim->acked != claim->told || has_verdict;
+    if (!claim->must_send &&
+        (!is_unconfirmed || now_ms - claim->sent_ms < REPEAT_MS)) {
+        return NULL;
+    }
+    claim->must_send = false;
+    claim->sent_ms = now_ms;
+    return claim;
+}
--- a/src/settings.c
+++ b/src/settings.c
@@ -92,6 +92,8 @@
      "0.1", 0, 10},
     {"gateway", "quota_slack", SETTING_REAL, FIELD(gateway.quota_slack), "0",
      0, 1000000000},
+    {"gateway", "quota_by_bucket", SETTING_FLAG,
+     FIELD(gateway.has_quota_buckets), "false", 0, 0},
     {"gateway", "first_start", SETTING_FLAG, FIELD(gateway.is_first_start),
      "false", 0, 0},
     {"gateway", "cpu_share", SETTING_REAL, FIELD(gateway.cpu_share), "1", 0,
--- a/src/settings.h
+++ b/src/settings.h
@@ -36,6 +36,8 @@
                                which it may be exceeded */
     double quota_slack;     /* [gateway] quota_slack, units by which a quota
                                may be exceeded in addition */
+    bool has_quota_buckets; /* [gateway] quota_by_bucket, quotas are token
+                               buckets that daemons hold claims to */
     bool is_first_start;    /* [gateway] first_start, no daemon of the
                                deployment has run before */
     double cpu_share;       /* [gateway] cpu_share, processor share of this
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -9,6 +9,7 @@
 #include "events_log.h"
 #include "gateway.h"
 #include "origin_lookups.h"
+#include "quota_messages.h"
 
 // Interval between reports. It grows with the number of daemons, to bound the
 // allocator's load.
@@ -81,6 +82,7 @@
         sharing->allocator_name = best->name;
         sharing->allocator_since_ms = now_ms;
         PsCrashReports_AddAll(&sharing->gateway->mark_crashes.to_allocator);
+        PsQuotaAdmission_HandleChoice(sharing);
     }
 }
 
@@ -335,7 +337,10 @@
         report.services[report.n_services++] =
             make_service_use(dispatcher, report.round, now_ms);
     }
-    add_team_uses(sharing, &report, now_ms);
+    bool has_claims = PsQuotaAdmission_AddUses(sharing, &report, now_ms);
+    if (!has_claims) {
+        add_team_uses(sharing, &report, now_ms);
+    }
     report.crashes = PsMarkCrashes_MakeMessages(
         &gateway->mark_crashes.to_allocator, &report.n_crashes, now_ms);
     uint64_t cleared[PS_MARKS_CLEARED_MAX];
@@ -351,7 +356,7 @@
         free_service_use(report.services[i]);
     }
     for (size_t i = 0; i < report.n_teams; i++) {
-        g_free(report.teams[i]);
+        PsQuotaMessages_FreeUse(report.teams[i]);
     }
     g_free(report.services);
     g_free(report.teams);
@@ -514,7 +519,10 @@
         avoid_allocator(sharing, now_ms);
     }
     sharing->grants_received++;
-    for (size_t i = 0; i < grant->n_teams; i++) {
+    bool has_claims = PsQuotaAdmission_HandleGrant(
+        sharing, grant,
+        sharing->sent_ms[grant->round % PS_SHARING_ROUNDS_KEPT], now_ms);
+    for (size_t i = 0; !has_claims && i < grant->n_teams; i++) {
         double units = grant->teams[i]->units;
         ps_name_t team = PsName_FromC(grant->teams[i]->team);
         if (!isfinite(units) || units < 0) {
@@ -641,6 +649,10 @@
                               .uses_even_shares = true,
                               .is_stored_usage_empty = true};
     PsAllocator_Init(&sharing->allocator);
+    PsQuotaAdmission_Init(&sharing->quota_admission,
+                          gateway->settings.gateway.has_quota_buckets,
+                          gateway->self.incarnation);
+    PsQuotaAdmission_HandlePause(sharing);
     sharing->avoided =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
     sharing->cut_off_members =
@@ -659,6 +671,7 @@
 {
     PsPeers_Finish(&sharing->peers);
     PsAllocator_Finish(&sharing->allocator);
+    PsQuotaAdmission_Finish(&sharing->quota_admission);
     g_hash_table_destroy(sharing->avoided);
     g_hash_table_destroy(sharing->cut_off_members);
     g_hash_table_destroy(sharing->silent_members);
@@ -694,6 +707,7 @@
 {
     sharing->allocator_since_ms = now_ms;
     sharing->woken_ms = now_ms;
+    PsQuotaAdmission_HandlePause(sharing);
 }
 
 void
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -11,6 +11,7 @@
 
 #include "allocator.h"
 #include "peers.h"
+#include "quota_admission.h"
 #include "store_events.h"
 
 struct ps_gateway;
@@ -58,7 +59,8 @@
                                     some service */
     GHashTable *silent_members;  /* names of members that do not report */
     GHashTable *spending;        /* team to ps_spending_t */
-    bool uses_even_shares;       /* no fresh grant */
+    ps_quota_admission_t quota_admission; /* used with quota_by_bucket */
+    bool uses_even_shares;                /* no fresh grant */
     uint64_t grants_received;
 } ps_sharing_t;
 
