Decide on requests near a quota's limit in order of arrival

A request that arrives later but is reported earlier took the room of one that was within the quota. Requests are decided 35 ms after they arrived, unless the bucket has plenty of room, and a small part of the tolerance goes to those that exceed the bucket by little.

--- a/src/quota.c
+++ b/src/quota.c
@@ -10,8 +10,9 @@
 // Parts of the tolerance that a token bucket uses. The rest covers daemons
 // that differ in their count of daemons for a moment, and refill that is
 // counted twice when a daemon loses its allocator.
-#define EXTRA_PART 0.35
-#define BRIDGE_PART 0.35
+#define EXTRA_PART 0.3
+#define BRIDGE_PART 0.3
+#define LENIENCE_PART 0.1
 
 /* ---- Internal functions ----------------------------------------------- */
 
@@ -76,6 +77,7 @@
                               .burst = burst,
                               .extra = EXTRA_PART * tolerance,
                               .bridge = BRIDGE_PART * tolerance,
+                              .lenience = LENIENCE_PART * tolerance,
                               .window_s = settings->window_s};
 }
 
--- a/src/quota.h
+++ b/src/quota.h
@@ -51,14 +51,18 @@
  *
  * The bucket holds at most @burst + @extra units. Daemons may hold claims to
  * @bridge units more than it has, while a change of their claims is on its
- * way. In any window of w seconds at most
- * @rate x w + @burst + @extra + @bridge units are spent.
+ * way. Requests that are beyond the quota by so little that this may be an
+ * error of the order in which they were reported get @lenience units in a
+ * window, and as many in addition when none were given before. In any window
+ * of w seconds at most
+ * @rate x w + @burst + @extra + @bridge + 2 x @lenience units are spent.
  */
 typedef struct ps_quota_terms {
     double rate;   /* units per second; 0: no quota */
     double burst;  /* units */
     double extra;  /* units of the tolerance that may be spent */
     double bridge; /* units of the tolerance that overlapping claims may use */
+    double lenience; /* units of the tolerance */
     double window_s;
 } ps_quota_terms_t;
 
--- a/src/quota_pools.c
+++ b/src/quota_pools.c
@@ -23,6 +23,17 @@
 // the allocator sees them later than they arrive.
 #define EXTRA_KEPT 0.5
 
+// A request that arrived less than this ago is decided only if the bucket has
+// plenty of room, because earlier ones may not have been reported yet: a round
+// takes 28 ms for 94 daemons, and a message up to 3 ms.
+#define ORDER_MS 35
+#define PLENTY_RATIO 0.2 /* of the burst, that must be left */
+
+// A request that exceeds the bucket by less than its refill in this time may
+// be within the quota: spending without asking is charged up to two rounds
+// late.
+#define LENIENCE_MS 70
+
 /* What the claims to one pool add up to. */
 typedef struct sums {
     double held;    /* units that may be spent below the highest ceilings */
@@ -160,14 +171,36 @@
     claim->total = total;
     claim->granted -= expected;
     pool->level -= spent;
-    pool->reference = MAX(pool->reference - (spent - expected), 0.0);
+    // The reference bucket would have refused what it has no room for.
+    double units = spent - expected;
+    pool->reference -= units <= pool->reference ? units : 0;
+}
+
+static bool
+is_listed(const ps_quota_use_t *use, uint32_t id)
+{
+    for (size_t i = 0; i < use->n_asks; i++) {
+        if (use->asks[i].id == id) {
+            return true;
+        }
+    }
+    return false;
 }
 
 // Takes the list of requests that wait at a daemon, and keeps the verdicts for
 // those that are still on it.
 static void
-set_asks(ps_quota_claim_t *claim, const ps_quota_use_t *use)
+set_asks(ps_quota_pool_t *pool, ps_quota_claim_t *claim,
+         const ps_quota_use_t *use)
 {
+    for (guint k = 0; k < claim->asks->len; k++) {
+        const ps_quota_ask_t *ask =
+            &g_array_index(claim->asks, ps_quota_ask_t, k);
+        if (ask->verdict == PS_QUOTA_PENDING && ask->is_within &&
+            !is_listed(use, ask->id)) {
+            pool->reference += ask->units;
+        }
+    }
     GArray *asks = g_array_new(FALSE, FALSE, sizeof(ps_quota_ask_t));
     for (size_t i = 0; i < use->n_asks; i++) {
         ps_quota_ask_t ask = use->asks[i];
@@ -219,11 +252,45 @@
     int64_t passed_ms = CLAMP(now_ms - pool->refilled_ms, 0, REFILL_MAX_MS);
     double part = get_part(pool);
     double units = pool->terms.rate * part * (double)passed_ms / 1000.0;
-    double burst = pool->terms.burst * part;
     double most = (pool->terms.burst + pool->terms.extra) * part;
     pool->refilled_ms = now_ms;
     pool->level = MIN(pool->level + units, most);
-    pool->reference = MIN(pool->reference + units, burst);
+    double lenience = pool->terms.lenience * part;
+    pool->lenience = MIN(pool->lenience + lenience * (double)passed_ms /
+                                              1000.0 / pool->terms.window_s,
+                         lenience);
+}
+
+// Refills the reference bucket up to a time.
+static void
+advance_reference(ps_quota_pool_t *pool, int64_t to_ms)
+{
+    int64_t passed_ms = CLAMP(to_ms - pool->reference_ms, 0, REFILL_MAX_MS);
+    double part = get_part(pool);
+    double units = pool->terms.rate * part * (double)passed_ms / 1000.0;
+    pool->reference_ms = MAX(pool->reference_ms, to_ms);
+    pool->reference = MIN(pool->reference + units, pool->terms.burst * part);
+}
+
+// Tells whether it can be decided now if a request is within the reference
+// bucket, and whether it is.
+static bool
+test_reference(ps_quota_pool_t *pool, ps_quota_ask_t *ask, int64_t now_ms)
+{
+    if (ask->is_within) {
+        return true;
+    }
+    double plenty = PLENTY_RATIO * pool->terms.burst;
+    bool is_plenty = pool->reference - ask->units >= plenty;
+    if (!is_plenty && now_ms - ask->asked_ms < ORDER_MS) {
+        return false;
+    }
+    if (!is_plenty) {
+        advance_reference(pool, ask->asked_ms);
+    }
+    ask->is_within = ask->units <= pool->reference;
+    pool->reference -= ask->is_within ? ask->units : 0;
+    return true;
 }
 
 // Gives their part of the stored credit to daemons that have started anew.
@@ -279,6 +346,22 @@
     return pending;
 }
 
+// Adds units to the pool for a request that the reference bucket may have no
+// room for just because requests that were admitted elsewhere without asking
+// are charged in the wrong order.
+static bool
+use_lenience(ps_quota_pool_t *pool, ps_quota_ask_t *ask)
+{
+    double margin = pool->terms.rate * LENIENCE_MS / 1000.0;
+    if (ask->units > pool->reference + margin || ask->units > pool->lenience) {
+        return false;
+    }
+    pool->lenience -= ask->units;
+    pool->level += ask->units;
+    ask->is_within = true;
+    return true;
+}
+
 // Sets a daemon's ceiling, unless claims would then overlap by more than the
 // bridge.
 static bool
@@ -303,14 +386,19 @@
 // Decides on one request. It stays pending while claims of other daemons would
 // overlap with it by more than the bridge; these are lowered then.
 static void
-decide(ps_quota_pool_t *pool, sums_t *sums, const pending_ask_t *pending)
+decide(ps_quota_pool_t *pool, sums_t *sums, const pending_ask_t *pending,
+       int64_t now_ms)
 {
     ps_quota_ask_t *ask = pending->ask;
+    if (!test_reference(pool, ask, now_ms)) {
+        sums->pending += ask->units <= pool->reference ? ask->units : 0;
+        return;
+    }
     double part = get_part(pool);
     double left = pool->level - sums->granted - sums->pending;
     double kept = pool->reference + EXTRA_KEPT * pool->terms.extra * part;
-    bool is_within = ask->units <= pool->reference;
-    if (!is_within && ask->units > left - kept) {
+    if (!ask->is_within && ask->units > left - kept &&
+        !use_lenience(pool, ask)) {
         ask->verdict = PS_QUOTA_REFUSED;
         pending->claim->must_send = true;
         return;
@@ -322,7 +410,6 @@
         return;
     }
     ask->verdict = PS_QUOTA_GRANTED;
-    pool->reference -= is_within ? ask->units : 0;
     claim->granted += ask->units;
     sums->granted += ask->units;
 }
@@ -354,8 +441,9 @@
     sums_t sums = add_up(pool);
     GArray *pending = list_pending(pool);
     for (guint i = 0; i < pending->len; i++) {
-        decide(pool, &sums, &g_array_index(pending, pending_ask_t, i));
+        decide(pool, &sums, &g_array_index(pending, pending_ask_t, i), now_ms);
     }
+    advance_reference(pool, now_ms - ORDER_MS);
     g_array_free(pending, TRUE);
     GHashTableIter each;
     gpointer value;
@@ -395,6 +483,7 @@
         g_hash_table_remove_all(pool->claims);
         pool->level = 0;
         pool->reference = 0;
+        pool->lenience = 0;
     }
     g_hash_table_remove_all(pools->daemons);
     pools->epoch = epoch;
@@ -476,7 +565,7 @@
                              ? claim->told
                              : MAX(claim->highest, claim->told);
     }
-    set_asks(claim, use);
+    set_asks(pool, claim, use);
     return_unused(pool, claim);
 }
 
--- a/src/quota_pools.h
+++ b/src/quota_pools.h
@@ -60,10 +60,15 @@
  */
 typedef struct ps_quota_pool {
     ps_quota_terms_t terms;
-    double level;     /* units that daemons may spend, dealt or not */
-    double reference; /* level of a bucket of the rate and burst alone */
-    double credit;    /* units for daemons that have started anew, by the
-                         stored usage */
+    double level;         /* units that daemons may spend, dealt or not */
+    double reference;     /* level of a bucket of the rate and burst alone, at
+                             @reference_ms */
+    int64_t reference_ms; /* earlier than the present, so that requests are
+                             decided in order of arrival */
+    double lenience; /* units left for requests that are beyond the quota by
+                        little */
+    double credit;   /* units for daemons that have started anew, by the
+                               stored usage */
     int64_t refilled_ms;
     int n_daemons;      /* all that share the quota */
     GHashTable *claims; /* ps_quota_daemon_t to ps_quota_claim_t */
--- a/src/quota_share.c
+++ b/src/quota_share.c
@@ -106,7 +106,10 @@
     if (share->asks->len >= PS_QUOTA_ASKS_MAX) {
         return 0;
     }
-    ps_quota_ask_t ask = {++share->last_ask, units, now_ms, PS_QUOTA_PENDING};
+    ps_quota_ask_t ask = {.id = ++share->last_ask,
+                          .units = units,
+                          .asked_ms = now_ms,
+                          .verdict = PS_QUOTA_PENDING};
     g_array_append_val(share->asks, ask);
     share->has_new_ask = true;
     return ask.id;
--- a/src/quota_share.h
+++ b/src/quota_share.h
@@ -37,6 +37,8 @@
     double units;
     int64_t asked_ms;
     ps_quota_verdict_t verdict;
+    bool is_within; /* at the allocator: the reference bucket had room for it,
+                       and is charged */
 } ps_quota_ask_t;
 
 /**
