--- a/src/quota_pools.c
+++ b/src/quota_pools.c
@@ -7,6 +7,9 @@
 // the refill are not this allocator's any more.
 #define REPORT_MAX_AGE_MS 500
 
+// No request is refused in this time after the first claim was brought in.
+#define SETTLE_MS 300
+
 // Refill for a longer time between two rounds is not counted, since daemons
 // that got no grants have refilled their claims themselves.
 #define REFILL_MAX_MS 300
@@ -151,7 +154,7 @@
     claim->acked = use->ceiling;
     claim->told = use->ceiling;
     claim->highest = use->ceiling;
-    claim->is_credit_due = use->is_new;
+    claim->is_new = use->is_new;
     claim->must_send = true;
     claim->asks = g_array_new(FALSE, FALSE, sizeof(ps_quota_ask_t));
     g_hash_table_insert(pool->claims, daemon, claim);
@@ -293,19 +296,39 @@
     return true;
 }
 
-// Gives their part of the stored credit to daemons that have started anew.
+// Gives the stored credit to daemons that have started anew, once, when all
+// claims are there. If just some have, the others' claims tell what is left.
 static void
-add_credits(ps_quota_pool_t *pool)
+add_credit(ps_quota_pool_t *pool)
 {
+    int n_new = 0;
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, pool->claims);
-    while (pool->credit > 0 && g_hash_table_iter_next(&each, NULL, &value)) {
-        ps_quota_claim_t *claim = value;
-        double units = pool->credit / MAX(pool->n_daemons, 1);
-        pool->level += claim->is_credit_due ? units : 0;
-        pool->reference += claim->is_credit_due ? units : 0;
-        claim->is_credit_due = false;
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        n_new += ((ps_quota_claim_t *)value)->is_new ? 1 : 0;
+    }
+    if (n_new * 2 > pool->n_daemons) {
+        double units = pool->credit * n_new / pool->n_daemons;
+        pool->level += units;
+        pool->reference += units;
+    }
+}
+
+// Waits until the daemons have brought in their claims.
+static void
+settle(ps_quota_pool_t *pool, int64_t now_ms)
+{
+    if (g_hash_table_size(pool->claims) == 0) {
+        pool->settled_ms = 0;
+        pool->has_settled = false;
+    }
+    else if (pool->settled_ms == 0) {
+        pool->settled_ms = now_ms + SETTLE_MS;
+    }
+    else if (!pool->has_settled && now_ms >= pool->settled_ms) {
+        pool->has_settled = true;
+        add_credit(pool);
     }
 }
 
@@ -399,6 +422,9 @@
     double kept = pool->reference + EXTRA_KEPT * pool->terms.extra * part;
     if (!ask->is_within && ask->units > left - kept &&
         !use_lenience(pool, ask)) {
+        if (!pool->has_settled) {
+            return;
+        }
         ask->verdict = PS_QUOTA_REFUSED;
         pending->claim->must_send = true;
         return;
@@ -436,7 +462,7 @@
 {
     remove_silent(pool, now_ms);
     pool->n_daemons = MAX(n_daemons, 1);
-    add_credits(pool);
+    settle(pool, now_ms);
     refill(pool, now_ms);
     sums_t sums = add_up(pool);
     GArray *pending = list_pending(pool);
--- a/src/quota_pools.h
+++ b/src/quota_pools.h
@@ -52,7 +52,7 @@
     GArray *asks;    /* ps_quota_ask_t */
     int64_t sent_ms; /* when it was told the last time */
     bool must_send;
-    bool is_credit_due; /* it may get its part of the stored credit */
+    bool is_new; /* no allocator has had it before */
 } ps_quota_claim_t;
 
 /**
@@ -65,10 +65,13 @@
                              @reference_ms */
     int64_t reference_ms; /* earlier than the present, so that requests are
                              decided in order of arrival */
-    double lenience; /* units left for requests that are beyond the quota by
-                        little */
-    double credit;   /* units for daemons that have started anew, by the
-                               stored usage */
+    double lenience;    /* units left for requests that are beyond the quota by
+                           little */
+    double credit;      /* units for daemons that have all started anew, by the
+                           stored usage */
+    int64_t settled_ms; /* until then claims are being brought in; 0: there
+                           are none */
+    bool has_settled;
     int64_t refilled_ms;
     int n_daemons;      /* all that share the quota */
     GHashTable *claims; /* ps_quota_daemon_t to ps_quota_claim_t */
--- a/tests/test_quota_fleet.cpp
+++ b/tests/test_quota_fleet.cpp
@@ -161,9 +161,12 @@
         for (int t = 0; t < (int)teams.size(); t++) {
             ApplyQuota(node, t);
         }
-        if (is_first) {
-            PsQuotaAdmission_HandleStart(sharing, true, now);
+        if (!is_first) {
+            PsAllocator_AddQuotaUsage(&sharing->allocator, record.data(),
+                                      (int)record.size(),
+                                      now - recorded_ms, now);
         }
+        PsQuotaAdmission_HandleStart(sharing, is_first, now);
     }
 
     void Kill(int i)
@@ -253,10 +256,38 @@
         }
     }
 
+    // The allocator leaves: the other daemons turn to the next one.
+    void HandOver()
+    {
+        int leaving = GetAllocator();
+        for (int i = 0; i < n; i++) {
+            if (nodes[i].is_alive && nodes[i].allocator == leaving) {
+                nodes[i].avoided[leaving] = now + 3000;
+                ChooseAllocator(i);
+            }
+        }
+    }
+
+    // Writes the allocator's usage to the store.
+    void SaveState()
+    {
+        int i = GetAllocator();
+        if (i >= 0 && CanTake(i)) {
+            record.resize(PS_STORED_TEAMS_MAX);
+            record.resize(PsAllocator_GetQuotaUsage(
+                &nodes[i].gateway->sharing.allocator, record.data(),
+                PS_STORED_TEAMS_MAX, now));
+            recorded_ms = now;
+        }
+    }
+
     // Runs one millisecond.
     void Tick()
     {
         now++;
+        if (now % 500 == 0) {
+            SaveState();
+        }
         for (int i = 0; i < n; i++) {
             Node &node = nodes[i];
             if (!node.is_alive || node.frozen_until_ms > now) {
@@ -601,6 +632,8 @@
     std::vector<std::pair<double, double>> rates;
     int cut_size = 0;
     int64_t cut_until_ms = 0;
+    std::vector<ps_quota_usage_t> record; // in the store
+    int64_t recorded_ms = 0;
 };
 
 // What became of one team's requests.
@@ -707,3 +740,178 @@
         }
     }
 }
+
+/* ---- Faults ----------------------------------------------------------- */
+
+namespace {
+
+enum class Fault { kKill, kKillAllocator, kFreeze, kFreezeAllocator, kCut,
+                   kHandOver, kKillAll, kBurst };
+
+struct FaultAt {
+    int64_t ms;
+    Fault fault;
+    int size;     // daemons
+    int64_t for_ms;
+};
+
+std::ostream &
+operator<<(std::ostream &out, const FaultAt &each)
+{
+    return out << "{" << each.ms << " ms, fault " << (int)each.fault << ", "
+               << each.size << " daemons, " << each.for_ms << " ms}";
+}
+
+rc::Gen<std::vector<FaultAt>>
+GenFaults(int n, int64_t end_ms)
+{
+    auto one = rc::gen::build<FaultAt>(
+        rc::gen::set(&FaultAt::ms, rc::gen::inRange<int64_t>(500, end_ms)),
+        rc::gen::set(&FaultAt::fault,
+                     rc::gen::map(rc::gen::inRange(0, 8),
+                                  [](int k) { return (Fault)k; })),
+        rc::gen::set(&FaultAt::size, rc::gen::inRange(1, n + 1)),
+        rc::gen::set(&FaultAt::for_ms, rc::gen::inRange<int64_t>(50, 4000)));
+    return rc::gen::resize(
+        8, rc::gen::container<std::vector<FaultAt>>(std::move(one)));
+}
+
+// Runs a fleet through faults under a load on one team.
+class FaultRun {
+public:
+    FaultRun(Fleet &fleet, double rate, double burst)
+        : fleet(fleet), rate(rate), burst(burst)
+    {
+    }
+
+    // @pick: returns the units of a request, or 0 for none, in each ms
+    void Run(const std::vector<FaultAt> &faults, int64_t ms_total,
+             const std::function<double(int64_t)> &pick)
+    {
+        std::multimap<int64_t, int> restarts;
+        Bucket bucket(rate, burst, fleet.now);
+        for (int64_t ms = 0; ms < ms_total; ms++) {
+            fleet.Tick();
+            for (const FaultAt &each : faults) {
+                if (each.ms == ms) {
+                    Apply(each, ms, restarts);
+                }
+            }
+            for (auto it = restarts.begin();
+                 it != restarts.end() && it->first <= ms;
+                 it = restarts.erase(it)) {
+                fleet.Kill(it->second);
+                fleet.Start(it->second, false);
+            }
+            double units = pick(ms);
+            if (units > 0) {
+                fleet.Send(0, units, bucket.Take(units, fleet.now));
+            }
+        }
+    }
+
+private:
+    void Apply(const FaultAt &each, int64_t ms,
+               std::multimap<int64_t, int> &restarts)
+    {
+        int first = (int)(fleet.Random()() % fleet.n);
+        int size = each.size;
+        switch (each.fault) {
+        case Fault::kKillAllocator:
+        case Fault::kFreezeAllocator:
+            first = std::max(fleet.GetAllocator(), 0);
+            size = 1;
+            break;
+        case Fault::kKillAll:
+            size = fleet.n;
+            break;
+        case Fault::kKill:
+        case Fault::kFreeze:
+            size = std::max(size / 3, 1);
+            break;
+        default:
+            break;
+        }
+        for (int k = 0; k < size; k++) {
+            int i = (first + k) % fleet.n;
+            switch (each.fault) {
+            case Fault::kKill:
+            case Fault::kKillAllocator:
+            case Fault::kKillAll:
+                fleet.Kill(i);
+                restarts.emplace(ms + each.for_ms, i);
+                break;
+            case Fault::kFreeze:
+            case Fault::kFreezeAllocator:
+                fleet.Freeze(i, each.for_ms);
+                break;
+            case Fault::kBurst: // of the largest requests, everywhere
+                if (has_bursts && fleet.CanTake(i)) {
+                    fleet.SendTo(i, 0, 60000, false);
+                }
+                break;
+            default:
+                break;
+            }
+        }
+        if (each.fault == Fault::kCut) {
+            fleet.Cut(each.size, each.for_ms);
+        }
+        if (each.fault == Fault::kHandOver) {
+            fleet.HandOver();
+        }
+    }
+
+    Fleet &fleet;
+    const double rate, burst;
+
+public:
+    bool has_bursts = true;
+};
+
+} // namespace
+
+// Spending that was reported to an allocator was forgotten with it, and after
+// a loss each daemon with any part of a quota left admitted one more request
+// of any size. A team that sends 3 times its quota, and bursts to all daemons,
+// stays within the bound in each window, whatever is lost.
+RC_GTEST_PROP(QuotaFleet, NoWindowExceedsTheBound, ())
+{
+    const int n = *rc::gen::element(3, 3, 9, 9, 9, 94);
+    const double rate = 146756, burst = 528321;
+    const auto faults = *GenFaults(n, 14000);
+    Fleet fleet(n, 1, true, *rc::gen::arbitrary<uint64_t>());
+    fleet.SetQuota(0, rate, burst);
+    fleet.StartAll(true);
+    FaultRun run(fleet, rate, burst);
+    run.Run(faults, 16000, [&](int64_t) {
+        return fleet.Random()() % 1000 < 36 ? PickUnits(fleet.Random()) : 0;
+    });
+    Summary sum = Summarize(fleet.outcomes, 0, 0);
+    RC_CLASSIFY(sum.largest_window > 0.9 * GetBound(rate, burst));
+    RC_CLASSIFY(sum.largest_window > 0.8 * GetBound(rate, burst));
+    RC_ASSERT(sum.largest_window <= GetBound(rate, burst));
+}
+
+// A team that stays within half of its quota gets no 429, whatever is lost.
+RC_GTEST_PROP(QuotaFleet, HalfOfAQuotaGetsNo429, ())
+{
+    const int n = *rc::gen::element(3, 3, 9, 9, 9, 94);
+    const double rate = 146756, burst = 528321;
+    const auto faults = *GenFaults(n, 14000);
+    Fleet fleet(n, 1, true, *rc::gen::arbitrary<uint64_t>());
+    fleet.SetQuota(0, rate, burst);
+    fleet.StartAll(true);
+    FaultRun run(fleet, rate, burst);
+    run.has_bursts = false;
+    Bucket half(rate / 2, burst / 2, fleet.now);
+    run.Run(faults, 16000, [&](int64_t) {
+        double units = PickUnits(fleet.Random());
+        bool is_sent = fleet.Random()() % 1000 < 9 &&
+                       half.Take(units, fleet.now);
+        return is_sent ? units : 0;
+    });
+    Summary sum = Summarize(fleet.outcomes, 0, 0);
+    RC_CLASSIFY(sum.unknown_within > 0);
+    RC_ASSERT(sum.refused == 0);
+}
