Leave requests undecided that only lost claims keep from their quota

A team within half of its quota was refused after three kills within a second: claims are lost with daemons.

--- a/src/quota_pools.c
+++ b/src/quota_pools.c
@@ -10,6 +10,9 @@
 // No request is refused in this time after the first claim was brought in.
 #define SETTLE_MS 300
 
+// Part of a burst that may have been lost with an allocator.
+#define LOST_RATIO 0.15
+
 // Refill for a longer time between two rounds is not counted, since daemons
 // that got no grants have refilled their claims themselves.
 #define REFILL_MAX_MS 300
@@ -110,6 +113,14 @@
     return (double)n / MAX(pool->n_daemons, MAX(n, 1));
 }
 
+// Notes units that a team may not have spent, but which can't be granted.
+static void
+note_lost(ps_quota_pool_t *pool, double units, int64_t now_ms)
+{
+    pool->lost += units;
+    pool->lost_until_ms = now_ms + (int64_t)(pool->terms.window_s * 1000.0);
+}
+
 // Takes what a daemon may still spend out of a pool, and the refill for it
 // since its last report.
 static void
@@ -123,6 +134,7 @@
     double own_part = pool->terms.burst / MAX(pool->n_daemons, 1);
     pool->level -= units;
     pool->reference = MAX(pool->reference - MIN(units, own_part), 0.0);
+    note_lost(pool, MIN(units, own_part), now_ms);
 }
 
 static void
@@ -162,6 +174,7 @@
     double own_part = pool->terms.burst / MAX(pool->n_daemons, 1);
     pool->level += room;
     pool->reference += CLAMP(room, 0.0, own_part);
+    pool->lost = MAX(pool->lost - CLAMP(room, 0.0, own_part), 0.0);
 }
 
 // Charges what a daemon has spent since its last report. Granted requests were
@@ -273,6 +286,15 @@
     double units = pool->terms.rate * part * (double)passed_ms / 1000.0;
     pool->reference_ms = MAX(pool->reference_ms, to_ms);
     pool->reference = MIN(pool->reference + units, pool->terms.burst * part);
+    // A whole bucket would have been refilled for silent daemons as well.
+    double missed = pool->terms.rate * (1 - part) * (double)passed_ms / 1000.0;
+    if (missed > 0) {
+        note_lost(pool, missed, to_ms);
+    }
+    pool->lost = MIN(pool->lost, pool->terms.burst - pool->reference);
+    if (to_ms > pool->lost_until_ms) {
+        pool->lost = 0;
+    }
 }
 
 // Tells whether it can be decided now if a request is within the reference
@@ -329,6 +351,8 @@
     else if (!pool->has_settled && now_ms >= pool->settled_ms) {
         pool->has_settled = true;
         add_credit(pool);
+        double missing = 1 - get_part(pool) + LOST_RATIO;
+        note_lost(pool, missing * pool->terms.burst, now_ms);
     }
 }
 
@@ -422,7 +446,9 @@
     double kept = pool->reference + EXTRA_KEPT * pool->terms.extra * part;
     if (!ask->is_within && ask->units > left - kept &&
         !use_lenience(pool, ask)) {
-        if (!pool->has_settled) {
+        // It is not known whether a request exceeds the quota that would be
+        // within it if nothing had been lost. It waits for refill.
+        if (!pool->has_settled || ask->units <= pool->reference + pool->lost) {
             return;
         }
         ask->verdict = PS_QUOTA_REFUSED;
@@ -510,6 +536,7 @@
         pool->level = 0;
         pool->reference = 0;
         pool->lenience = 0;
+        pool->lost = 0;
     }
     g_hash_table_remove_all(pools->daemons);
     pools->epoch = epoch;
--- a/src/quota_pools.h
+++ b/src/quota_pools.h
@@ -65,12 +65,15 @@
                              @reference_ms */
     int64_t reference_ms; /* earlier than the present, so that requests are
                              decided in order of arrival */
-    double lenience;    /* units left for requests that are beyond the quota by
-                           little */
-    double credit;      /* units for daemons that have all started anew, by the
-                           stored usage */
-    int64_t settled_ms; /* until then claims are being brought in; 0: there
-                           are none */
+    double lenience; /* units left for requests that are beyond the quota by
+                        little */
+    double credit;   /* units for daemons that have all started anew, by the
+                        stored usage */
+    double lost;     /* units that the reference bucket may lack, because they
+                        went with daemons that are silent */
+    int64_t lost_until_ms; /* they count up to then */
+    int64_t settled_ms;    /* until then claims are being brought in; 0: there
+                              are none */
     bool has_settled;
     int64_t refilled_ms;
     int n_daemons;      /* all that share the quota */
--- a/tests/test_quota_fleet.cpp
+++ b/tests/test_quota_fleet.cpp
@@ -675,6 +675,8 @@
     return sum;
 }
 
+const double kMean = 200 + 59800.0 / 5; // of PickUnits()
+
 // Returns the units of a request: mostly small, some as large as allowed.
 double
 PickUnits(std::mt19937_64 &random)
@@ -702,8 +704,6 @@
             }
             fleet.StartAll(true);
             std::vector<Bucket> buckets(kTeams, Bucket(528321, kBurst, kStart));
-            // Mean units of a request: 200 + 59800 / 5.
-            const double kMean = 12160;
             for (int ms = 0; ms < 30000; ms++) {
                 fleet.Tick();
                 if (ms == 1500) {
@@ -878,14 +878,17 @@
 RC_GTEST_PROP(QuotaFleet, NoWindowExceedsTheBound, ())
 {
     const int n = *rc::gen::element(3, 3, 9, 9, 9, 94);
-    const double rate = 146756, burst = 528321;
+    const double rate = *rc::gen::inRange(20000, 600000);
+    const double burst = rate * *rc::gen::inRange(20, 400) / 100;
     const auto faults = *GenFaults(n, 14000);
     Fleet fleet(n, 1, true, *rc::gen::arbitrary<uint64_t>());
     fleet.SetQuota(0, rate, burst);
     fleet.StartAll(true);
     FaultRun run(fleet, rate, burst);
     run.Run(faults, 16000, [&](int64_t) {
-        return fleet.Random()() % 1000 < 36 ? PickUnits(fleet.Random()) : 0;
+        return (double)(fleet.Random()() % 1000000) < 3 * rate / kMean * 1000
+                   ? PickUnits(fleet.Random())
+                   : 0;
     });
     Summary sum = Summarize(fleet.outcomes, 0, 0);
     RC_CLASSIFY(sum.largest_window > 0.9 * GetBound(rate, burst));
@@ -897,7 +900,8 @@
 RC_GTEST_PROP(QuotaFleet, HalfOfAQuotaGetsNo429, ())
 {
     const int n = *rc::gen::element(3, 3, 9, 9, 9, 94);
-    const double rate = 146756, burst = 528321;
+    const double rate = *rc::gen::inRange(100000, 600000);
+    const double burst = rate * *rc::gen::inRange(200, 400) / 100;
     const auto faults = *GenFaults(n, 14000);
     Fleet fleet(n, 1, true, *rc::gen::arbitrary<uint64_t>());
     fleet.SetQuota(0, rate, burst);
@@ -907,7 +911,8 @@
     Bucket half(rate / 2, burst / 2, fleet.now);
     run.Run(faults, 16000, [&](int64_t) {
         double units = PickUnits(fleet.Random());
-        bool is_sent = fleet.Random()() % 1000 < 9 &&
+        bool is_sent = (double)(fleet.Random()() % 1000000) <
+                           0.75 * rate / kMean * 1000 &&
                        half.Take(units, fleet.now);
         return is_sent ? units : 0;
     });
