Empty quota pools without claims, and test the known losses

An allocator's pool kept a negative level from before a quota was lowered, so that requests were refused with 503 after it took over again (seen in the new process run gw_quota_buckets). Cuts claims when a quota is lowered, logs quota.join, quota.leave and quota.refuse, and counts asked and refused requests in metrics.

--- a/Makefile
+++ b/Makefile
@@ -153,7 +153,7 @@
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
 $(BUILD)/test_quota_fleet: $(BUILD)/tests/test_quota_fleet.o \
-    $(DAEMON_OBJS) $(KERNEL_OBJS)
+    $(filter-out $(BUILD)/events_log.o,$(DAEMON_OBJS)) $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
 $(BUILD)/test_marks: $(BUILD)/tests/test_marks.o $(DAEMON_OBJS) \
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -857,11 +857,14 @@
 {
     const ps_team_t *team = exchange->team;
     const ps_sharing_t *sharing = &exchange->gateway->sharing;
-    PsEvents_Add("request.over_quota", "{s:s,s:s,s:f,s:f,s:b,s:b,s:I}", "id",
-                 exchange->inbound.request_id.data, "team", team->name.data,
-                 "units", units, "rate", team->rate, "even_share",
-                 (int)sharing->uses_even_shares, "use_known", (int)is_known,
-                 "ms", (json_int_t)(now_ms - exchange->arrived_ms));
+    exchange->gateway->stats.quota_refusals += is_known ? 1 : 0;
+    exchange->gateway->stats.quota_unknown += is_known ? 0 : 1;
+    PsEvents_Add("request.over_quota", "{s:s,s:s,s:f,s:f,s:b,s:b,s:i,s:I}",
+                 "id", exchange->inbound.request_id.data, "team",
+                 team->name.data, "units", units, "rate", team->rate,
+                 "even_share", (int)sharing->uses_even_shares, "use_known",
+                 (int)is_known, "ask", (int)exchange->quota_ask, "ms",
+                 (json_int_t)(now_ms - exchange->arrived_ms));
     refuse_request(exchange, is_known ? 429 : 503, RETRY_OVER_QUOTA_MS,
                    is_known ? "team is over its quota"
                             : "use of the team's quota is not known yet");
@@ -889,6 +892,7 @@
         exchange->asked_units = units;
         if (!PsQuotaAdmission_Request(sharing, &team->name, units,
                                       &exchange->quota_ask, now_ms)) {
+            exchange->gateway->stats.quota_asks++;
             if (exchange->quota_ask == 0) {
                 refuse_over_quota(exchange, units, false, now_ms);
             }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -502,6 +502,12 @@
                  g_hash_table_size(gateway->mark_crashes.suspects.by_hash));
     print_metric(&out, "pearstair_content_refused_total",
                  (double)stats->banned_requests);
+    print_metric(&out, "pearstair_quota_asks_total",
+                 (double)stats->quota_asks);
+    print_metric(&out, "pearstair_quota_refusals_total",
+                 (double)stats->quota_refusals);
+    print_metric(&out, "pearstair_quota_unknown_total",
+                 (double)stats->quota_unknown);
     print_metric(&out, "pearstair_streams_taken_up_total",
                  (double)stats->taken_up_streams);
     print_metric(&out, "pearstair_stream_origins_unknown_total",
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -68,6 +68,11 @@
     uint64_t refused_retries;    /* over the retry budget */
     uint64_t lost_connections;   /* before the end of a response */
     uint64_t banned_requests;    /* refused for their marks' crashes */
+    uint64_t quota_asks;         /* requests whose quota the allocator was
+                                    asked about */
+    uint64_t quota_refusals;     /* requests that exceeded a quota */
+    uint64_t quota_unknown;      /* requests refused as it isn't known whether
+                                    they exceed one */
     uint64_t taken_up_streams;   /* resumed by their callers */
     uint64_t unknown_origins;    /* of these, refused as it isn't known which
                                     version began them */
--- a/src/quota_admission.c
+++ b/src/quota_admission.c
@@ -56,6 +56,10 @@
 static void
 leave_allocator(ps_quota_admission_t *admission)
 {
+    if (admission->epoch != 0) {
+        PsEvents_Add("quota.leave", "{s:I}", "join",
+                     (json_int_t)admission->join);
+    }
     admission->epoch = 0;
     GHashTableIter each;
     gpointer value;
@@ -80,6 +84,27 @@
     admission->epoch = epoch;
     admission->join++;
     admission->contact_ms = now_ms;
+    PsEvents_Add("quota.join", "{s:I}", "join", (json_int_t)admission->join);
+}
+
+// Logs why requests of a daemon were refused.
+static void
+log_refusals(const ps_quota_pool_t *pool, const ps_quota_claim_t *claim,
+             const ps_name_t *team)
+{
+    for (guint i = 0; i < claim->asks->len; i++) {
+        const ps_quota_ask_t *ask =
+            &g_array_index(claim->asks, ps_quota_ask_t, i);
+        if (ask->verdict == PS_QUOTA_REFUSED) {
+            PsEvents_Add(
+                "quota.refuse", "{s:s,s:s,s:i,s:f,s:f,s:f,s:f,s:i,s:i}",
+                "team", team->data, "daemon", claim->daemon->name.data, "ask",
+                (int)ask->id, "units", ask->units, "bucket", pool->reference,
+                "left", pool->level, "rate", pool->terms.rate, "claims",
+                (int)g_hash_table_size(pool->claims), "daemons",
+                pool->n_daemons);
+        }
+    }
 }
 
 static void
@@ -136,7 +161,8 @@
 PsQuotaAdmission_SetTeam(ps_sharing_t *sharing, const ps_name_t *team,
                          const ps_quota_terms_t *terms, int64_t now_ms)
 {
-    get_share(sharing, team)->terms = *terms;
+    const ps_quota_t *quota = PsGateway_GetQuota(sharing->gateway, team);
+    PsQuotaShare_SetTerms(get_share(sharing, team), terms, quota->total_spent);
     PsQuotaPools_SetTerms(&sharing->allocator.quota_pools, team, terms);
     set_credit(sharing, team, terms, now_ms);
 }
@@ -268,6 +294,7 @@
         const ps_quota_claim_t *claim =
             PsQuotaPools_TakeGrant(value, daemon, now_ms);
         if (claim) {
+            log_refusals(value, claim, key);
             grant->teams[grant->n_teams++] =
                 PsQuotaMessages_MakeGrant(claim, key);
         }
--- a/src/quota_pools.c
+++ b/src/quota_pools.c
@@ -80,6 +80,18 @@
     return pool;
 }
 
+// Empties a pool that no daemon has a claim to.
+static void
+empty(ps_quota_pool_t *pool)
+{
+    pool->level = 0;
+    pool->reference = 0;
+    pool->lenience = 0;
+    pool->lost = 0;
+    pool->settled_ms = 0;
+    pool->has_settled = false;
+}
+
 /* ---- Claims ----------------------------------------------------------- */
 
 // Returns what a daemon may spend below a ceiling.
@@ -270,7 +282,10 @@
     double units = pool->terms.rate * part * (double)passed_ms / 1000.0;
     double most = (pool->terms.burst + pool->terms.extra) * part;
     pool->refilled_ms = now_ms;
-    pool->level = MIN(pool->level + units, most);
+    // It is lower only if claims were larger than the bucket, before a quota
+    // was lowered.
+    double least = -pool->terms.bridge * part;
+    pool->level = CLAMP(pool->level + units, least, MAX(most, least));
     double lenience = pool->terms.lenience * part;
     pool->lenience = MIN(pool->lenience + lenience * (double)passed_ms /
                                               1000.0 / pool->terms.window_s,
@@ -342,8 +357,7 @@
 settle(ps_quota_pool_t *pool, int64_t now_ms)
 {
     if (g_hash_table_size(pool->claims) == 0) {
-        pool->settled_ms = 0;
-        pool->has_settled = false;
+        empty(pool);
     }
     else if (pool->settled_ms == 0) {
         pool->settled_ms = now_ms + SETTLE_MS;
@@ -533,10 +547,7 @@
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         ps_quota_pool_t *pool = value;
         g_hash_table_remove_all(pool->claims);
-        pool->level = 0;
-        pool->reference = 0;
-        pool->lenience = 0;
-        pool->lost = 0;
+        empty(pool);
     }
     g_hash_table_remove_all(pools->daemons);
     pools->epoch = epoch;
--- a/src/quota_share.c
+++ b/src/quota_share.c
@@ -63,6 +63,18 @@
     g_array_free(share->asks, TRUE);
 }
 
+void
+PsQuotaShare_SetTerms(ps_quota_share_t *share, const ps_quota_terms_t *terms,
+                      double total)
+{
+    double before = get_own_part(share);
+    share->terms = *terms;
+    double part = get_own_part(share);
+    if (share->is_started && part < before) {
+        share->ceiling = MIN(share->ceiling, total + share->reserved + part);
+    }
+}
+
 void
 PsQuotaShare_Start(ps_quota_share_t *share, double total, int64_t known_ms,
                    int64_t now_ms)
--- a/src/quota_share.h
+++ b/src/quota_share.h
@@ -71,6 +71,13 @@
 void PsQuotaShare_Init(ps_quota_share_t *share);
 void PsQuotaShare_Finish(ps_quota_share_t *share);
 
+/**
+ * PsQuotaShare_SetTerms() - Sets the quota. A lowered one cuts the claim down
+ * to the daemon's part of it.
+ */
+void PsQuotaShare_SetTerms(ps_quota_share_t *share,
+                           const ps_quota_terms_t *terms, double total);
+
 /**
  * PsQuotaShare_Start() - Gives the claim its initial value, once.
  * @known_ms: time for which the daemon has been running; what the daemons
--- a/tests/run_one.sh
+++ b/tests/run_one.sh
@@ -28,6 +28,7 @@
 gw_brittle_faults | gw_brittle_store) GW_LINKS="1 2 3" GW_DAEMONS=6 GW_RUNNERS=10 RUNNER_BRITTLE=3 RUNNER_QUEUE=2 RUNNER_WORK_MS=200 ;;
 gw_many_daemons) GW_DAEMONS=60 GW_RUNNERS=4 GW_SLOTS=6 ;;
 gw_brittle) GW_DAEMONS=6 GW_RUNNERS=10 RUNNER_BRITTLE=3 RUNNER_QUEUE=2 RUNNER_WORK_MS=200 ;;
+gw_quota_buckets) GW_QUOTA_BY_BUCKET=1 GW_FIRST_START=true ;;
 gw_leaving) GW_SLOTS=32 ;; # enough slots when streams take longer on a slow VM
 esac
 for name in "${!RUNNER_@}"; do export "${name?}"; done
--- a/tests/test_quota_fleet.cpp
+++ b/tests/test_quota_fleet.cpp
@@ -11,8 +11,31 @@
 #include "kernel.hpp"
 
 extern "C" {
+#include "events_log.h"
 #include "gateway.h"
 #include "quota_messages.h"
+
+// A fleet would write more log lines than anybody reads.
+void
+PsEvents_Init(const char *)
+{
+}
+
+void
+PsEvents_Add(const char *, const char *, ...)
+{
+}
+
+void
+PsEvents_Flush(void)
+{
+}
+
+uint64_t
+PsEvents_GetDropped(void)
+{
+    return 0;
+}
 }
 
 namespace {
@@ -741,6 +764,71 @@
     }
 }
 
+/* ---- Losses that exceeded the bound ------------------------------------ */
+
+// Each daemon with any part of a quota left admitted one more request of any
+// size, so that a burst of large requests at all daemons exceeded the bound.
+TEST(QuotaFleet, BurstAtAllDaemonsStaysWithinTheBound)
+{
+    for (bool has_buckets : {false, true}) {
+        const double rate = 146756, burst = 528321;
+        Fleet fleet(94, 1, has_buckets, 3);
+        fleet.SetQuota(0, rate, burst);
+        fleet.StartAll(true);
+        Bucket bucket(rate, burst, fleet.now);
+        int n_within = 0;
+        for (int ms = 0; ms < 4000; ms++) {
+            fleet.Tick();
+            for (int i = 0; i < 94 && (ms == 2000 || ms == 2040); i++) {
+                bool is_within = bucket.Take(60000, fleet.now);
+                n_within += is_within ? 1 : 0;
+                fleet.SendTo(i, 0, 60000, is_within);
+            }
+        }
+        Summary sum = Summarize(fleet.outcomes, 0, 0);
+        printf("burst, buckets %d: largest window %.0f of %.0f, %d "
+               "served, %d within the quota, waited at most %ld ms\n",
+               has_buckets, sum.largest_window, GetBound(rate, burst),
+               sum.served, n_within, (long)sum.longest_wait_ms);
+        if (has_buckets) {
+            EXPECT_LE(sum.largest_window, GetBound(rate, burst));
+            // Of requests of the same time any may be served.
+            EXPECT_GE(sum.served, n_within);
+        }
+    }
+}
+
+// What had been reported to an allocator was forgotten with it: daemons that
+// had spent nothing themselves then used even shares of the whole quota.
+TEST(QuotaFleet, SpendingSurvivesTheAllocator)
+{
+    for (bool has_buckets : {false, true}) {
+        const double rate = 146756, burst = 528321;
+        Fleet fleet(9, 1, has_buckets, 3);
+        fleet.SetQuota(0, rate, burst);
+        fleet.StartAll(true);
+        // The team spends all it can at four daemons, the allocator is killed,
+        // and the team goes on at the others.
+        for (int ms = 0; ms < 14000; ms++) {
+            fleet.Tick();
+            if (ms == 7000) {
+                fleet.Kill(0);
+            }
+            int first = ms < 7000 ? 0 : 4, n = ms < 7000 ? 4 : 5;
+            if (ms > 1000 && ms % 20 == 0) {
+                int i = first + (int)(fleet.Random()() % n);
+                fleet.SendTo(i, 0, 20000, false);
+            }
+        }
+        Summary sum = Summarize(fleet.outcomes, 0, 0);
+        printf("allocator lost, buckets %d: largest window %.0f of %.0f\n",
+               has_buckets, sum.largest_window, GetBound(rate, burst));
+        if (has_buckets) {
+            EXPECT_LE(sum.largest_window, GetBound(rate, burst));
+        }
+    }
+}
+
 /* ---- Faults ----------------------------------------------------------- */
 
 namespace {
