--- a/src/quota_admission.c
+++ b/src/quota_admission.c
@@ -332,9 +332,12 @@
         join_allocator(admission, grant->quota_epoch, now_ms);
         return true;
     }
-    if (grant->quota_join != admission->join) {
+    // After a reconnect an older grant may arrive late.
+    if (grant->quota_join != admission->join ||
+        grant->round < admission->last_round) {
         return true;
     }
+    admission->last_round = grant->round;
     admission->contact_ms = now_ms;
     GHashTableIter each;
     gpointer value;
--- a/src/quota_admission.h
+++ b/src/quota_admission.h
@@ -29,6 +29,7 @@
     uint32_t join;          /* rises each time claims are brought in */
     int64_t contact_ms;     /* the allocator had the claims then, or was first
                                heard */
+    uint64_t last_round;    /* of the newest grant with ceilings */
     uint64_t next_epoch;    /* of this daemon's own pools */
 } ps_quota_admission_t;
 
--- a/src/quota_pools.c
+++ b/src/quota_pools.c
@@ -20,6 +20,9 @@
 // A grant that was not confirmed in this time is repeated.
 #define REPEAT_MS 150
 
+// A daemon that has not confirmed so many ceilings is told no others.
+#define UNACKED_MAX 32
+
 // A claim is changed only if it is off by more than this part of it, or of the
 // daemon's part of the bridge; each change costs two messages.
 #define CLAIM_STEP 0.1
@@ -54,6 +57,7 @@
 free_claim(gpointer data)
 {
     ps_quota_claim_t *claim = data;
+    g_array_free(claim->unacked, TRUE);
     g_array_free(claim->asks, TRUE);
     g_free(claim);
 }
@@ -73,7 +77,7 @@
     if (!pool) {
         pool = g_new0(ps_quota_pool_t, 1);
         pool->n_daemons = 1;
-        pool->claims = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+        pool->claims = g_hash_table_new_full(PsName_Hash, PsName_EqualKeys,
                                              NULL, free_claim);
         g_hash_table_insert(pools->pools, g_memdup2(team, sizeof *team), pool);
     }
@@ -159,10 +163,10 @@
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         ps_quota_pool_t *pool = value;
         const ps_quota_claim_t *claim =
-            g_hash_table_lookup(pool->claims, daemon);
+            g_hash_table_lookup(pool->claims, &daemon->name);
         if (claim) {
             take_out(pool, claim, now_ms);
-            g_hash_table_remove(pool->claims, daemon);
+            g_hash_table_remove(pool->claims, &daemon->name);
         }
     }
 }
@@ -180,8 +184,10 @@
     claim->highest = use->ceiling;
     claim->is_new = use->is_new;
     claim->must_send = true;
+    claim->unacked = g_array_new(FALSE, FALSE, sizeof(double));
+    g_array_append_val(claim->unacked, claim->told);
     claim->asks = g_array_new(FALSE, FALSE, sizeof(ps_quota_ask_t));
-    g_hash_table_insert(pool->claims, daemon, claim);
+    g_hash_table_insert(pool->claims, &daemon->name, claim);
     double room = use->ceiling - use->total;
     double own_part = pool->terms.burst / MAX(pool->n_daemons, 1);
     pool->level += room;
@@ -189,6 +195,25 @@
     pool->lost = MAX(pool->lost - CLAMP(room, 0.0, own_part), 0.0);
 }
 
+// Takes the ceiling that is in force at a daemon. Those told before cannot be
+// in force any more; those told since may be.
+static void
+confirm_ceiling(ps_quota_claim_t *claim, double ceiling)
+{
+    const GArray *told = claim->unacked;
+    claim->acked = ceiling;
+    for (guint i = 0; i < told->len; i++) {
+        if (g_array_index(told, double, i) == ceiling) {
+            g_array_remove_range(claim->unacked, 0, i);
+            break;
+        }
+    }
+    claim->highest = ceiling;
+    for (guint i = 0; i < told->len; i++) {
+        claim->highest = MAX(claim->highest, g_array_index(told, double, i));
+    }
+}
+
 // Charges what a daemon has spent since its last report. Granted requests were
 // charged to the reference when they were granted.
 static void
@@ -435,6 +460,10 @@
     if (raised > MAX(unheld, 0.0)) {
         return false;
     }
+    if (claim->unacked->len >= UNACKED_MAX) {
+        return false;
+    }
+    g_array_append_val(claim->unacked, told);
     claim->told = told;
     claim->must_send = true;
     if (raised > 0) {
@@ -451,6 +480,7 @@
        int64_t now_ms)
 {
     ps_quota_ask_t *ask = pending->ask;
+    sums->pending -= ask->is_within ? ask->units : 0;
     if (!test_reference(pool, ask, now_ms)) {
         sums->pending += ask->units <= pool->reference ? ask->units : 0;
         return;
@@ -506,6 +536,12 @@
     refill(pool, now_ms);
     sums_t sums = add_up(pool);
     GArray *pending = list_pending(pool);
+    // What earlier rounds found to be within the quota goes first.
+    for (guint i = 0; i < pending->len; i++) {
+        const ps_quota_ask_t *ask =
+            g_array_index(pending, pending_ask_t, i).ask;
+        sums.pending += ask->is_within ? ask->units : 0;
+    }
     for (guint i = 0; i < pending->len; i++) {
         decide(pool, &sums, &g_array_index(pending, pending_ask_t, i), now_ms);
     }
@@ -617,17 +653,14 @@
     if (pool->terms.rate <= 0) {
         return;
     }
-    ps_quota_claim_t *claim = g_hash_table_lookup(pool->claims, daemon);
+    ps_quota_claim_t *claim = g_hash_table_lookup(pool->claims, &daemon->name);
     if (!claim) {
         bring_in(pool, daemon, use);
-        claim = g_hash_table_lookup(pool->claims, daemon);
+        claim = g_hash_table_lookup(pool->claims, &daemon->name);
     }
     else {
         charge(pool, claim, use->total);
-        claim->acked = use->ceiling;
-        claim->highest = claim->acked == claim->told
-                             ? claim->told
-                             : MAX(claim->highest, claim->told);
+        confirm_ceiling(claim, use->ceiling);
     }
     set_asks(pool, claim, use);
     return_unused(pool, claim);
@@ -651,7 +684,7 @@
 PsQuotaPools_TakeGrant(ps_quota_pool_t *pool, ps_quota_daemon_t *daemon,
                        int64_t now_ms)
 {
-    ps_quota_claim_t *claim = g_hash_table_lookup(pool->claims, daemon);
+    ps_quota_claim_t *claim = g_hash_table_lookup(pool->claims, &daemon->name);
     if (!claim) {
         return NULL;
     }
--- a/src/quota_pools.h
+++ b/src/quota_pools.h
@@ -49,6 +49,8 @@
     double told;     /* ceiling last told */
     double highest;  /* highest ceiling that may be in force there */
     double granted;  /* units of granted requests that are not in @total yet */
+    GArray *unacked; /* double: ceilings that may be in force there, the oldest
+                        first */
     GArray *asks;    /* ps_quota_ask_t */
     int64_t sent_ms; /* when it was told the last time */
     bool must_send;
@@ -77,7 +79,7 @@
     bool has_settled;
     int64_t refilled_ms;
     int n_daemons;      /* all that share the quota */
-    GHashTable *claims; /* ps_quota_daemon_t to ps_quota_claim_t */
+    GHashTable *claims; /* name of a daemon to ps_quota_claim_t */
 } ps_quota_pool_t;
 
 /**
