--- a/src/quota_admission.c
+++ b/src/quota_admission.c
@@ -98,7 +98,7 @@
         if (ask->verdict == PS_QUOTA_REFUSED) {
             PsEvents_Add(
                 "quota.refuse", "{s:s,s:s,s:i,s:f,s:f,s:f,s:f,s:i,s:i}",
-                "team", team->data, "daemon", claim->daemon->name.data, "ask",
+                "team", team->data, "from", claim->daemon->name.data, "ask",
                 (int)ask->id, "units", ask->units, "bucket", pool->reference,
                 "left", pool->level, "rate", pool->terms.rate, "claims",
                 (int)g_hash_table_size(pool->claims), "daemons",
