--- a/src/gateway.c
+++ b/src/gateway.c
@@ -125,6 +125,10 @@
                          quota_settings.window_s);
         PsAllocator_SetQuotaLimit(&gateway->sharing.allocator, &team->name,
                                   limit, quota_settings.window_s);
+        ps_quota_terms_t terms =
+            PsQuota_ComputeTerms(team->rate, team->burst, &quota_settings);
+        PsQuotaAdmission_SetTeam(&gateway->sharing, &team->name, &terms,
+                                 PsClock_Now());
     }
 }
 
@@ -300,6 +304,10 @@
     gateway->sharing.is_stored_usage_empty = state->n_teams == 0;
     PsAllocator_AddQuotaUsage(&gateway->sharing.allocator, state->teams,
                               state->n_teams, age_ms, PsClock_Now());
+    PsQuotaAdmission_HandleStart(&gateway->sharing,
+                                 !state->is_stored &&
+                                     gateway->settings.gateway.is_first_start,
+                                 PsClock_Now());
     restore_versions(gateway, state);
 }
 
@@ -496,6 +504,12 @@
                  g_hash_table_size(gateway->mark_crashes.suspects.by_hash));
     print_metric(&out, "pearstair_content_refused_total",
                  (double)stats->banned_requests);
+    print_metric(&out, "pearstair_quota_asks_total",
+                 (double)stats->quota_asks);
+    print_metric(&out, "pearstair_quota_refusals_total",
+                 (double)stats->quota_refusals);
+    print_metric(&out, "pearstair_quota_unknown_total",
+                 (double)stats->quota_unknown);
     print_metric(&out, "pearstair_streams_taken_up_total",
                  (double)stats->taken_up_streams);
     print_metric(&out, "pearstair_stream_origins_unknown_total",
--- a/src/settings.h
+++ b/src/settings.h
@@ -39,6 +39,8 @@
                                which it may be exceeded */
     double quota_slack;     /* [gateway] quota_slack, units by which a quota
                                may be exceeded in addition */
+    bool has_quota_buckets; /* [gateway] quota_by_bucket, quotas are token
+                               buckets that daemons hold claims to */
     bool is_first_start;    /* [gateway] first_start, no daemon of the
                                deployment has run before */
     bool learned_limits;    /* [gateway] learned_limits, speeds and limits of
