--- a/tests/test_server_model.cpp
+++ b/tests/test_server_model.cpp
@@ -159,6 +159,9 @@
                 Submit(daemons[random() % daemons.size()]);
             }
         }
+        for (; !messages.empty(); now++) {
+            RunMessages(); // until the last answers have ended
+        }
         return result;
     }
     // Requests a second that the servers can run.
