--- a/src/slot_order.c
+++ b/src/slot_order.c
@@ -34,6 +34,10 @@
 #define WEIGHT_MIN 0.3
 #define WEIGHT_MAX 1.5
 
+// Plain servers whose speeds differ by less keep their slots alike: slow
+// periods of 600 ms and noise make estimates differ by as much.
+#define EVEN_RATIO 1.5
+
 // Slots at slow servers are spread when the fast ones have fewer left than
 // one for so many daemons: about as many requests come in a round.
 #define DAEMONS_PER_SPARE 8
@@ -264,6 +268,25 @@
     g_free(order->servers);
 }
 
+// Tells whether these are plain servers of about the same speed. Their free
+// slots go where most are free, as without predictions: noise in these would
+// only make the load uneven.
+static bool
+are_even_plain(const ps_slot_order_t *order)
+{
+    double shortest = INFINITY;
+    double longest = 0;
+    for (int i = 0; i < order->n; i++) {
+        const ps_ordered_server_t *each = &order->servers[i];
+        if (!each->learned || each->learned->is_engine) {
+            return false;
+        }
+        shortest = MIN(shortest, each->base_ms);
+        longest = MAX(longest, each->base_ms);
+    }
+    return longest < EVEN_RATIO * shortest;
+}
+
 void
 PsSlotOrder_Predict(ps_slot_order_t *order, const ps_server_models_t *models,
                     int64_t now_ms)
@@ -295,6 +318,7 @@
             each->learned->is_slow = each->base_ms > SLOW_RATIO * fast_ms;
         }
     }
+    order->is_learned = order->is_learned && !are_even_plain(order);
     find_trial(order, fast_ms, now_ms);
 }
 
@@ -436,13 +460,21 @@
                        ps_slot_count_t *slots, int n)
 {
     double speeds = 0;
+    double shortest = INFINITY;
+    double longest = 0;
     for (int i = 0; i < n; i++) {
         const ps_learned_server_t *learned =
             PsServerModels_Find(models, slots[i].server);
         if (!learned || !PsServerModel_IsKnown(&learned->model)) {
             return;
         }
-        speeds += 1.0 / get_plain_ms(learned);
+        double ms = get_plain_ms(learned);
+        speeds += 1.0 / ms;
+        shortest = MIN(shortest, ms);
+        longest = MAX(longest, ms);
+    }
+    if (longest < EVEN_RATIO * shortest) {
+        return;
     }
     int missing = 0;
     int fastest = 0;
