--- a/src/allocator.c
+++ b/src/allocator.c
@@ -34,6 +34,7 @@
     g_array_free(use->running, TRUE);
     g_array_free(use->waiting, TRUE);
     g_array_free(use->limits, TRUE);
+    PsTeamReports_Finish(&use->teams);
     g_free(use);
 }
 
@@ -229,6 +230,41 @@
     }
 }
 
+// Gives slots one by one to the waiting requests of a rank, by team.
+static void
+give_slots_by_team(ps_team_division_t *division, const GPtrArray *uses,
+                   ps_team_reports_t *const *reports, int64_t rank,
+                   const ps_slot_count_t *slots, int *free_slots, int n)
+{
+    int server;
+    int taker;
+    while ((server = find_freest(free_slots, slots, n)) >= 0 &&
+           (taker = PsTeamDivision_TakeNext(division, reports, (int)uses->len,
+                                            (uint32_t)rank)) >= 0) {
+        free_slots[server]--;
+        add_slot(uses->pdata[taker], slots[server].server);
+    }
+}
+
+// Gives slots to all waiting requests by rank and team.
+static void
+give_slots_to_teams(ps_team_division_t *division, const GPtrArray *uses,
+                    const ps_slot_count_t *slots, int *free_slots, int n,
+                    int64_t now_ms)
+{
+    ps_team_reports_t **reports = g_new(ps_team_reports_t *, uses->len);
+    for (guint i = 0; i < uses->len; i++) {
+        reports[i] = &((ps_service_use_t *)uses->pdata[i])->teams;
+    }
+    PsTeamDivision_StartRound(division, reports, (int)uses->len, now_ms);
+    int64_t rank = -1;
+    while ((rank = find_next_rank(uses, rank)) >= 0) {
+        give_slots_by_team(division, uses, reports, rank, slots, free_slots,
+                           n);
+    }
+    g_free(reports);
+}
+
 // Gives the remaining free slots to all daemons in turn, so that a new request
 // finds a slot at once.
 static void
@@ -401,6 +437,7 @@
     *allocator = (ps_allocator_t){0};
     allocator->reporters = new_name_table(free_reporter);
     allocator->team_quotas = new_name_table(g_free);
+    allocator->team_divisions = new_name_table(g_free);
     allocator->server_buckets =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     PsOutliers_Init(&allocator->outliers);
@@ -411,6 +448,7 @@
 {
     g_hash_table_destroy(allocator->reporters);
     g_hash_table_destroy(allocator->team_quotas);
+    g_hash_table_destroy(allocator->team_divisions);
     g_hash_table_destroy(allocator->server_buckets);
     PsOutliers_Finish(&allocator->outliers);
 }
@@ -424,6 +462,7 @@
         use->running = g_array_new(FALSE, FALSE, sizeof(ps_slot_count_t));
         use->waiting = g_array_new(FALSE, FALSE, sizeof(ps_waiting_count_t));
         use->limits = g_array_new(FALSE, FALSE, sizeof(ps_slot_count_t));
+        PsTeamReports_Init(&use->teams);
         g_hash_table_insert(reporter->services,
                             g_memdup2(service, sizeof *service), use);
     }
@@ -458,6 +497,7 @@
         ps_service_use_t *use = value;
         g_array_set_size(use->running, 0);
         g_array_set_size(use->waiting, 0);
+        g_array_set_size(use->teams.waiting, 0);
     }
     return reporter;
 }
@@ -652,6 +692,23 @@
     return sum;
 }
 
+ps_team_division_t *
+PsAllocator_GetTeamDivision(ps_allocator_t *allocator,
+                            const ps_name_t *service)
+{
+    if (!allocator->has_team_shares) {
+        return NULL;
+    }
+    ps_team_division_t *division =
+        g_hash_table_lookup(allocator->team_divisions, service);
+    if (!division) {
+        division = g_new0(ps_team_division_t, 1);
+        g_hash_table_insert(allocator->team_divisions,
+                            g_memdup2(service, sizeof *service), division);
+    }
+    return division;
+}
+
 void
 PsAllocator_DivideSlots(ps_allocator_t *allocator, const ps_name_t *service,
                         const ps_slot_count_t *slots, int n_slots,
@@ -677,8 +734,14 @@
         }
     }
     withhold_outliers(allocator, uses, slots, free_slots, n_slots, now_ms);
+    ps_team_division_t *division =
+        PsAllocator_GetTeamDivision(allocator, service);
+    if (division) {
+        give_slots_to_teams(division, uses, slots, free_slots, n_slots,
+                            now_ms);
+    }
     int64_t rank = -1;
-    while ((rank = find_next_rank(uses, rank)) >= 0) {
+    while (!division && (rank = find_next_rank(uses, rank)) >= 0) {
         give_slots_to_rank(allocator, uses, rank, slots, free_slots, n_slots);
     }
     spread_free_slots(allocator, uses, slots, free_slots, n_slots);
--- a/src/allocator.h
+++ b/src/allocator.h
@@ -23,6 +23,7 @@
 #include "rate_bucket.h"
 #include "scheduler.h"
 #include "store_events.h"
+#include "team_division.h"
 
 #define PS_REPORT_MAX_AGE_MS 500 /* daemons with older reports get nothing */
 
@@ -42,6 +43,7 @@
                         has any */
     GArray *waiting; /* ps_waiting_count_t: waiting requests of each rank */
     GArray *limits;  /* ps_slot_count_t, set by PsAllocator_DivideSlots() */
+    ps_team_reports_t teams; /* the same requests by team */
     bool is_brittle; /* a server has told the daemon that it is brittle */
 } ps_service_use_t;
 
@@ -91,6 +93,8 @@
     ps_outliers_t outliers;
     GHashTable *server_buckets; /* hash of a server with a limit to its
                                    ps_server_bucket_t */
+    GHashTable *team_divisions; /* service to ps_team_division_t */
+    bool has_team_shares;       /* slots are divided by team within a rank */
     double window_s;            /* of the quotas, seconds */
     int64_t started_ms;       /* usage before then is unknown, except what was
                                  stored; 0: all usage is known */
@@ -226,6 +230,13 @@
 int PsAllocator_CountRunning(ps_allocator_t *allocator,
                              const ps_name_t *service, int64_t now_ms);
 
+/**
+ * PsAllocator_GetTeamDivision() - Finds or adds the division of a service by
+ * team; NULL: slots are not divided by team.
+ */
+ps_team_division_t *PsAllocator_GetTeamDivision(ps_allocator_t *allocator,
+                                                const ps_name_t *service);
+
 /**
  * PsAllocator_DivideSlots() - Computes each daemon's limits for one service.
  * @slots: slots of each server
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -7,6 +7,7 @@
 #include "events_log.h"
 #include "gateway.h"
 #include "origin_lookups.h"
+#include "team_messages.h"
 
 // A member that has sent nothing for this long is named silent in grants.
 #define SILENT_MS 700
@@ -122,6 +123,8 @@
                                         (int)use_message->waiting[k]->count};
             g_array_append_val(use->waiting, count);
         }
+        PsTeamMessages_HandleReport(allocator, &service, use_message, use,
+                                    now_ms);
         handle_server_limits(sharing, reporter, use_message, &service, now_ms);
         ps_dispatcher_t *dispatcher =
             PsGateway_FindDispatcher(sharing->gateway, &service);
@@ -250,6 +253,8 @@
     if (dispatcher->scheduler.is_engine) {
         estimate_waits(sharing, dispatcher, now_ms);
     }
+    PsTeamMessages_StartRound(&sharing->allocator, &dispatcher->name,
+                              sharing->gateway->catalog, now_ms);
     PsAllocator_DivideSlots(&sharing->allocator, &dispatcher->name, slots, n,
                             members, now_ms);
     g_free(slots);
@@ -318,9 +323,10 @@
 }
 
 static void
-add_service_grants(const ps_sharing_t *sharing, Ps__ShareGrant *grant,
+add_service_grants(ps_sharing_t *sharing, Ps__ShareGrant *grant,
                    ps_reporter_t *reporter, int64_t now_ms)
 {
+    ps_allocator_t *allocator = &sharing->allocator;
     bool is_own = PsName_IsEqual(&reporter->name, &sharing->peers.self);
     grant->services =
         g_new0(Ps__ServiceGrant *, g_hash_table_size(reporter->services) + 1);
@@ -330,6 +336,8 @@
     g_hash_table_iter_init(&each, reporter->services);
     while (g_hash_table_iter_next(&each, &key, &value)) {
         Ps__ServiceGrant *service = make_service_grant(key, value);
+        PsTeamMessages_AddToGrant(allocator, key, service, reporter->round,
+                                  now_ms);
         const ps_dispatcher_t *dispatcher =
             PsGateway_FindDispatcher(sharing->gateway, key);
         if (dispatcher) {
@@ -414,6 +422,7 @@
         for (size_t k = 0; k < each->n_waits; k++) {
             g_free(each->waits[k]);
         }
+        PsTeamMessages_FreeInGrant(each);
         g_free(each->waits);
         g_free(each->limits);
         g_free(each->server_limits);
@@ -538,6 +547,8 @@
 void
 PsAllocatorRounds_Run(ps_sharing_t *sharing, int64_t now_ms)
 {
+    sharing->allocator.has_team_shares =
+        sharing->gateway->settings.gateway.has_team_shares;
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, sharing->gateway->dispatchers);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -10,6 +10,7 @@
 #include "origin_lookups.h"
 #include "response_headers.h"
 #include "server_notices.h"
+#include "team_shares.h"
 
 // Longest time that the request for a stream, or the retry of any request,
 // waits for a backend server. Callers disconnect from a stream that has been
@@ -369,8 +370,11 @@
                  exchange->inbound.request_id.data, "reason", reason,
                  "waiting", (int)scheduler->waiting.length, "tier", task->tier,
                  "retry_after_ms", (json_int_t)retry_after_ms);
-    // Retry-After is at most a quarter of the time that the caller has left.
-    refuse_request(exchange, 503, CLAMP(left_ms / 4, 1, retry_after_ms),
+    // Retry-After is at most a quarter of the time that the caller has left; a
+    // planned return has its own bounds.
+    int64_t after_max_ms =
+        scheduler->has_planned_returns ? retry_after_ms : left_ms / 4;
+    refuse_request(exchange, 503, CLAMP(after_max_ms, 1, retry_after_ms),
                    reason);
 }
 
@@ -744,6 +748,27 @@
 
 /* ---- Admission -------------------------------------------------------- */
 
+// Sets by whom and when the request was asked for first, as far as the
+// settings use it. How long ago that was is known from the time that the
+// caller has left.
+static void
+set_asking_times(ps_exchange_t *exchange, int64_t now_ms)
+{
+    const ps_gateway_settings_t *settings =
+        &exchange->gateway->settings.gateway;
+    ps_task_t *task = &exchange->task;
+    task->deadline_ms = exchange->deadline_ms;
+    task->first_asked_ms = now_ms;
+    if (settings->has_planned_returns || settings->has_team_shares) {
+        task->first_asked_ms = PsReturnPlan_GetFirstAskedMs(
+            exchange->route->timeout_ms, exchange->inbound.time_left_ms,
+            now_ms);
+    }
+    if (settings->has_team_shares && exchange->team) {
+        task->team = PsTeamShares_HashTeam(&exchange->team->name);
+    }
+}
+
 static void
 init_task(ps_exchange_t *exchange, int64_t now_ms)
 {
@@ -759,8 +784,11 @@
     task->user = exchange;
     task->is_generation = route->is_generation;
     task->arrived_ms = now_ms;
+    set_asking_times(exchange, now_ms);
     task->objective_ms =
-        now_ms +
+        (exchange->gateway->settings.gateway.has_planned_returns
+             ? task->first_asked_ms
+             : now_ms) +
         (route->target_latency_ms > 0 ? route->target_latency_ms : limit_ms);
     int64_t wait_max_ms = route->is_stream
                               ? STREAM_WAIT_MAX_MS
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &ps__server_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__team_count__init
+                     (Ps__TeamCount         *message)
+{
+  static const Ps__TeamCount init_value = PS__TEAM_COUNT__INIT;
+  *message = init_value;
+}
+size_t ps__team_count__get_packed_size
+                     (const Ps__TeamCount *message)
+{
+  assert(message->base.descriptor == &ps__team_count__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__team_count__pack
+                     (const Ps__TeamCount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__team_count__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__team_count__pack_to_buffer
+                     (const Ps__TeamCount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__team_count__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__TeamCount *
+       ps__team_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__TeamCount *)
+     protobuf_c_message_unpack (&ps__team_count__descriptor,
+                                allocator, len, data);
+}
+void   ps__team_count__free_unpacked
+                     (Ps__TeamCount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__team_count__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__service_use__init
                      (Ps__ServiceUse         *message)
 {
@@ -1177,6 +1222,96 @@
   assert(message->base.descriptor == &ps__rank_wait__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__team_state__init
+                     (Ps__TeamState         *message)
+{
+  static const Ps__TeamState init_value = PS__TEAM_STATE__INIT;
+  *message = init_value;
+}
+size_t ps__team_state__get_packed_size
+                     (const Ps__TeamState *message)
+{
+  assert(message->base.descriptor == &ps__team_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__team_state__pack
+                     (const Ps__TeamState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__team_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__team_state__pack_to_buffer
+                     (const Ps__TeamState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__team_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__TeamState *
+       ps__team_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__TeamState *)
+     protobuf_c_message_unpack (&ps__team_state__descriptor,
+                                allocator, len, data);
+}
+void   ps__team_state__free_unpacked
+                     (Ps__TeamState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__team_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ps__team_states__init
+                     (Ps__TeamStates         *message)
+{
+  static const Ps__TeamStates init_value = PS__TEAM_STATES__INIT;
+  *message = init_value;
+}
+size_t ps__team_states__get_packed_size
+                     (const Ps__TeamStates *message)
+{
+  assert(message->base.descriptor == &ps__team_states__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__team_states__pack
+                     (const Ps__TeamStates *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__team_states__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__team_states__pack_to_buffer
+                     (const Ps__TeamStates *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__team_states__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__TeamStates *
+       ps__team_states__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__TeamStates *)
+     protobuf_c_message_unpack (&ps__team_states__descriptor,
+                                allocator, len, data);
+}
+void   ps__team_states__free_unpacked
+                     (Ps__TeamStates *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__team_states__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__service_grant__init
                      (Ps__ServiceGrant         *message)
 {
@@ -3544,7 +3679,84 @@
   (ProtobufCMessageInit) ps__server_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ps__team_count__field_descriptors[4] =
+{
+  {
+    "rank",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamCount, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamCount, team),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamCount, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamCount, started),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__team_count__field_indices_by_name[] = {
+  2,   /* field[2] = count */
+  0,   /* field[0] = rank */
+  3,   /* field[3] = started */
+  1,   /* field[1] = team */
+};
+static const ProtobufCIntRange ps__team_count__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ps__team_count__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.TeamCount",
+  "TeamCount",
+  "Ps__TeamCount",
+  "ps",
+  sizeof(Ps__TeamCount),
+  4,
+  ps__team_count__field_descriptors,
+  ps__team_count__field_indices_by_name,
+  1,  ps__team_count__number_ranges,
+  (ProtobufCMessageInit) ps__team_count__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[9] =
 {
   {
     "service",
@@ -3630,20 +3842,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waiting_teams",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceUse, n_waiting_teams),
+    offsetof(Ps__ServiceUse, waiting_teams),
+    &ps__team_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running_teams",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__ServiceUse, n_running_teams),
+    offsetof(Ps__ServiceUse, running_teams),
+    &ps__team_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_use__field_indices_by_name[] = {
   5,   /* field[5] = brittle */
   3,   /* field[3] = outcomes */
   1,   /* field[1] = running */
+  8,   /* field[8] = running_teams */
   4,   /* field[4] = server_limits */
   0,   /* field[0] = service */
   6,   /* field[6] = started */
   2,   /* field[2] = waiting */
+  7,   /* field[7] = waiting_teams */
 };
-static const ProtobufCIntRange ps__service_use__number_ranges[1 + 1] =
+static const ProtobufCIntRange ps__service_use__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 9, 7 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ps__service_use__descriptor =
 {
@@ -3653,10 +3892,10 @@
   "Ps__ServiceUse",
   "ps",
   sizeof(Ps__ServiceUse),
-  7,
+  9,
   ps__service_use__field_descriptors,
   ps__service_use__field_indices_by_name,
-  1,  ps__service_use__number_ranges,
+  2,  ps__service_use__number_ranges,
   (ProtobufCMessageInit) ps__service_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3995,7 +4234,109 @@
   (ProtobufCMessageInit) ps__rank_wait__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ps__team_state__field_descriptors[3] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamState, team),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counter",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__TeamState, counter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waits",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__TeamState, n_waits),
+    offsetof(Ps__TeamState, waits),
+    &ps__rank_wait__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__team_state__field_indices_by_name[] = {
+  1,   /* field[1] = counter */
+  0,   /* field[0] = team */
+  2,   /* field[2] = waits */
+};
+static const ProtobufCIntRange ps__team_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ps__team_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.TeamState",
+  "TeamState",
+  "Ps__TeamState",
+  "ps",
+  sizeof(Ps__TeamState),
+  3,
+  ps__team_state__field_descriptors,
+  ps__team_state__field_indices_by_name,
+  1,  ps__team_state__number_ranges,
+  (ProtobufCMessageInit) ps__team_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__team_states__field_descriptors[1] =
+{
+  {
+    "teams",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__TeamStates, n_teams),
+    offsetof(Ps__TeamStates, teams),
+    &ps__team_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__team_states__field_indices_by_name[] = {
+  0,   /* field[0] = teams */
+};
+static const ProtobufCIntRange ps__team_states__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ps__team_states__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.TeamStates",
+  "TeamStates",
+  "Ps__TeamStates",
+  "ps",
+  sizeof(Ps__TeamStates),
+  1,
+  ps__team_states__field_descriptors,
+  ps__team_states__field_indices_by_name,
+  1,  ps__team_states__number_ranges,
+  (ProtobufCMessageInit) ps__team_states__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[7] =
 {
   {
     "service",
@@ -4069,6 +4410,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "team_states",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServiceGrant, team_states),
+    &ps__team_states__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_grant__field_indices_by_name[] = {
   3,   /* field[3] = brittle */
@@ -4076,12 +4429,14 @@
   1,   /* field[1] = limits */
   2,   /* field[2] = server_limits */
   0,   /* field[0] = service */
+  6,   /* field[6] = team_states */
   4,   /* field[4] = waits */
 };
-static const ProtobufCIntRange ps__service_grant__number_ranges[1 + 1] =
+static const ProtobufCIntRange ps__service_grant__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 8, 6 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ps__service_grant__descriptor =
 {
@@ -4091,10 +4446,10 @@
   "Ps__ServiceGrant",
   "ps",
   sizeof(Ps__ServiceGrant),
-  6,
+  7,
   ps__service_grant__field_descriptors,
   ps__service_grant__field_indices_by_name,
-  1,  ps__service_grant__number_ranges,
+  2,  ps__service_grant__number_ranges,
   (ProtobufCMessageInit) ps__service_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -36,11 +36,14 @@
 typedef struct Ps__WaitingCount Ps__WaitingCount;
 typedef struct Ps__ServerOutcomes Ps__ServerOutcomes;
 typedef struct Ps__ServerLimit Ps__ServerLimit;
+typedef struct Ps__TeamCount Ps__TeamCount;
 typedef struct Ps__ServiceUse Ps__ServiceUse;
 typedef struct Ps__TeamUse Ps__TeamUse;
 typedef struct Ps__ContentCrash Ps__ContentCrash;
 typedef struct Ps__ShareReport Ps__ShareReport;
 typedef struct Ps__RankWait Ps__RankWait;
+typedef struct Ps__TeamState Ps__TeamState;
+typedef struct Ps__TeamStates Ps__TeamStates;
 typedef struct Ps__ServiceGrant Ps__ServiceGrant;
 typedef struct Ps__TeamGrant Ps__TeamGrant;
 typedef struct Ps__ServerNews Ps__ServerNews;
@@ -552,6 +555,31 @@
     , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Waiting and started, or running requests of one team.
+ */
+struct  Ps__TeamCount
+{
+  ProtobufCMessage base;
+  /*
+   * 0 for running requests
+   */
+  uint32_t rank;
+  /*
+   * PsTeamShares_HashTeam()
+   */
+  uint32_t team;
+  uint32_t count;
+  /*
+   * since the last report
+   */
+  uint32_t started;
+};
+#define PS__TEAM_COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__team_count__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 struct  Ps__ServiceUse
 {
   ProtobufCMessage base;
@@ -579,10 +607,24 @@
    * a server of it has told the sender that it falls over when it
    */
   protobuf_c_boolean brittle;
+  /*
+   * has to reject too many requests
+   * Both only while requests of the service wait anywhere:
+   */
+  /*
+   * or started since the last report
+   */
+  size_t n_waiting_teams;
+  Ps__TeamCount **waiting_teams;
+  /*
+   * not in each report
+   */
+  size_t n_running_teams;
+  Ps__TeamCount **running_teams;
 };
 #define PS__SERVICE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 struct  Ps__TeamUse
@@ -686,6 +728,42 @@
     , 0, 0 }
 
 
+/*
+ * How much service a team has had, and how long its new requests would wait.
+ */
+struct  Ps__TeamState
+{
+  ProtobufCMessage base;
+  uint32_t team;
+  /*
+   * milliseconds of a slot above the lowest
+   */
+  uint32_t counter;
+  /*
+   * of the ranks in which its requests wait
+   */
+  size_t n_waits;
+  Ps__RankWait **waits;
+};
+#define PS__TEAM_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__team_state__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+struct  Ps__TeamStates
+{
+  ProtobufCMessage base;
+  /*
+   * whose requests wait
+   */
+  size_t n_teams;
+  Ps__TeamState **teams;
+};
+#define PS__TEAM_STATES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__team_states__descriptor) \
+    , 0,NULL }
+
+
 /*
  * What one daemon may use until the next grant.
  */
@@ -716,10 +794,14 @@
    * the sender knows them
    */
   protobuf_c_boolean has_waits;
+  /*
+   * while requests wait; not in each grant
+   */
+  Ps__TeamStates *team_states;
 };
 #define PS__SERVICE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0, NULL }
 
 
 struct  Ps__TeamGrant
@@ -1360,6 +1442,25 @@
 void   ps__server_limit__free_unpacked
                      (Ps__ServerLimit *message,
                       ProtobufCAllocator *allocator);
+/* Ps__TeamCount methods */
+void   ps__team_count__init
+                     (Ps__TeamCount         *message);
+size_t ps__team_count__get_packed_size
+                     (const Ps__TeamCount   *message);
+size_t ps__team_count__pack
+                     (const Ps__TeamCount   *message,
+                      uint8_t             *out);
+size_t ps__team_count__pack_to_buffer
+                     (const Ps__TeamCount   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__TeamCount *
+       ps__team_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__team_count__free_unpacked
+                     (Ps__TeamCount *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ServiceUse methods */
 void   ps__service_use__init
                      (Ps__ServiceUse         *message);
@@ -1455,6 +1556,44 @@
 void   ps__rank_wait__free_unpacked
                      (Ps__RankWait *message,
                       ProtobufCAllocator *allocator);
+/* Ps__TeamState methods */
+void   ps__team_state__init
+                     (Ps__TeamState         *message);
+size_t ps__team_state__get_packed_size
+                     (const Ps__TeamState   *message);
+size_t ps__team_state__pack
+                     (const Ps__TeamState   *message,
+                      uint8_t             *out);
+size_t ps__team_state__pack_to_buffer
+                     (const Ps__TeamState   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__TeamState *
+       ps__team_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__team_state__free_unpacked
+                     (Ps__TeamState *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__TeamStates methods */
+void   ps__team_states__init
+                     (Ps__TeamStates         *message);
+size_t ps__team_states__get_packed_size
+                     (const Ps__TeamStates   *message);
+size_t ps__team_states__pack
+                     (const Ps__TeamStates   *message,
+                      uint8_t             *out);
+size_t ps__team_states__pack_to_buffer
+                     (const Ps__TeamStates   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__TeamStates *
+       ps__team_states__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__team_states__free_unpacked
+                     (Ps__TeamStates *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ServiceGrant methods */
 void   ps__service_grant__init
                      (Ps__ServiceGrant         *message);
@@ -1691,6 +1830,9 @@
 typedef void (*Ps__ServerLimit_Closure)
                  (const Ps__ServerLimit *message,
                   void *closure_data);
+typedef void (*Ps__TeamCount_Closure)
+                 (const Ps__TeamCount *message,
+                  void *closure_data);
 typedef void (*Ps__ServiceUse_Closure)
                  (const Ps__ServiceUse *message,
                   void *closure_data);
@@ -1706,6 +1848,12 @@
 typedef void (*Ps__RankWait_Closure)
                  (const Ps__RankWait *message,
                   void *closure_data);
+typedef void (*Ps__TeamState_Closure)
+                 (const Ps__TeamState *message,
+                  void *closure_data);
+typedef void (*Ps__TeamStates_Closure)
+                 (const Ps__TeamStates *message,
+                  void *closure_data);
 typedef void (*Ps__ServiceGrant_Closure)
                  (const Ps__ServiceGrant *message,
                   void *closure_data);
@@ -1761,11 +1909,14 @@
 extern const ProtobufCMessageDescriptor ps__waiting_count__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_outcomes__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_limit__descriptor;
+extern const ProtobufCMessageDescriptor ps__team_count__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__content_crash__descriptor;
 extern const ProtobufCMessageDescriptor ps__share_report__descriptor;
 extern const ProtobufCMessageDescriptor ps__rank_wait__descriptor;
+extern const ProtobufCMessageDescriptor ps__team_state__descriptor;
+extern const ProtobufCMessageDescriptor ps__team_states__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_news__descriptor;
--- a/src/return_plan.h
+++ b/src/return_plan.h
@@ -9,26 +9,37 @@
 #ifndef PS_RETURN_PLAN_H
 #define PS_RETURN_PLAN_H
 
-#include "rank_rates.h"
+#include <stdint.h>
 
 #define PS_RETRY_AFTER_MAX_MS 10000 /* longest Retry-After */
+#define PS_RETURN_LINES_MAX 64      /* ranks and teams planned separately */
 
 /**
- * struct ps_refusal - What is known of a request that is refused.
+ * struct ps_return_request - What is known of a request that is refused.
  */
-typedef struct ps_refusal {
-    uint32_t rank;
+typedef struct ps_return_request {
+    uint32_t rank;        /* that it will have when it returns */
+    uint32_t team;        /* hash; 0: teams are not told apart */
     double wait_ms;       /* estimated wait of a new request of the rank */
     double starts_per_s;  /* of the rank, at this daemon */
-    int64_t time_left_ms; /* that the caller waits for its answer */
-} ps_refusal_t;
+    int64_t time_left_ms; /* that the caller waits for its answer; 0: not
+                             known */
+} ps_return_request_t;
+
+/**
+ * struct ps_return_line - Returns promised to one team in one rank.
+ */
+typedef struct ps_return_line {
+    uint32_t rank;
+    uint32_t team;
+    double next_ms; /* earliest time of the next return to promise */
+} ps_return_line_t;
 
 /**
- * struct ps_return_plan - Promised returns of each rank. All zero: none.
+ * struct ps_return_plan - Promised returns of one service. All zero: none.
  */
 typedef struct ps_return_plan {
-    uint32_t ranks[PS_RANKS_MAX];
-    double next_ms[PS_RANKS_MAX]; /* time of the next return to promise */
+    ps_return_line_t lines[PS_RETURN_LINES_MAX];
     int n;
     uint32_t random_state;
 } ps_return_plan_t;
@@ -36,9 +47,14 @@
 /**
  * PsReturnPlan_Promise() - Returns the Retry-After for a refused request, in
  * milliseconds, and counts the return.
+ *
+ * It is at most PS_RETRY_AFTER_MAX_MS and a third of the time that the caller
+ * has left. No slot is kept for the return: the request is ordered like any
+ * other of its rank when it arrives.
  */
 int64_t PsReturnPlan_Promise(ps_return_plan_t *plan,
-                             const ps_refusal_t *refusal, int64_t now_ms);
+                             const ps_return_request_t *request,
+                             int64_t now_ms);
 
 /**
  * PsReturnPlan_GetFirstAskedMs() - Returns when a request's caller first
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -1,33 +1,17 @@
-/* scheduler.c - Order of the queue, early refusal and choice of a server. */
+/* scheduler.c - Choice of a server, starts and ends of requests. */
 #include "scheduler.h"
 
 #include <math.h>
 #include <string.h>
 
 #include "even_shares.h"
+#include "waiting.h"
 
-#define RATE_INITIAL                                                          \
-    3.0               /* starts in PS_RANK_RATE_DECAY_MS, assumed at first */
-#define RATE_MIN 0.05 /* the same, assumed at least */
 #define RUN_TIME_DECAY 0.97       /* weight kept by older times at a server */
 #define RUN_TIME_INITIAL_MS 1000  /* assumed at first */
 #define FIRST_EVENT_DECAY 0.95    /* weight kept by older times */
 #define FIRST_EVENT_INITIAL_MS 80 /* assumed at first */
 
-// A task is refused if its first event is expected later than this after its
-// objective.
-#define LATENESS_MAX_MS 400.0
-
-// The same for a new task, where the wait is known for all daemons: the
-// inaccuracy of the estimate.
-#define FLEET_LATENESS_MAX_MS 50.0
-
-#define RETRY_AFTER_MIN_MS 400.0 /* shortest Retry-After */
-
-// Longest Retry-After. Callers wait for at most a third of the time that they
-// have left.
-#define RETRY_AFTER_MAX_MS 4000.0
-
 #define EJECTED_RATIO_MAX 0.34 /* of a service's servers, rounded up */
 #define EJECT_OUTCOMES_MIN 3.0 /* outcomes before a failure rate counts */
 #define EJECT_RATE_EXCESS 0.25 /* failure rate above the other servers' */
@@ -296,45 +280,14 @@
     return best;
 }
 
-// Tells whether a task would miss its objective even if it were started now.
-static bool
-is_late(const ps_scheduler_t *scheduler, const ps_task_t *task, int64_t now_ms)
-{
-    return (double)now_ms + scheduler->mean_first_event_ms >
-           (double)task->objective_ms;
-}
-
-// Returns a task's rank: by tier, and within a tier late tasks last.
-static uint32_t
-get_rank(const ps_scheduler_t *scheduler, const ps_task_t *task,
-         int64_t now_ms)
-{
-    return (uint32_t)MAX(task->tier, 0) * 2 +
-           (is_late(scheduler, task, now_ms) ? 1 : 0);
-}
-
-// Returns a rank's start rate, decayed to now; ranks that no longer fit in the
-// table share its last entry.
-static ps_rank_rate_t *
-get_rank_rate(ps_scheduler_t *scheduler, uint32_t rank, int64_t now_ms)
-{
-    return PsRankRates_Get(&scheduler->rates, rank, RATE_INITIAL, now_ms);
-}
-
 // Takes a task from the queue, if it is there, and a slot at a server for it,
 // and has it sent. Its prompt parts count as cached at the server from now on.
 static void
 start_task(ps_scheduler_t *scheduler, ps_task_t *task, ps_backend_t *backend,
            int64_t now_ms)
 {
-    if (task->is_waiting) {
-        g_queue_unlink(&scheduler->waiting, &task->link);
-        task->is_waiting = false;
-    }
-    uint32_t rank = get_rank(scheduler, task, now_ms);
-    ps_rank_rate_t *rate = get_rank_rate(scheduler, rank, now_ms);
-    rate->starts += 1.0;
-    scheduler->unreported_starts[rate - scheduler->rates.rates]++;
+    PsWaiting_Remove(scheduler, task);
+    PsWaiting_CountStart(scheduler, task, now_ms);
     PsBackend_Ref(backend);
     task->backend = backend;
     task->started_ms = now_ms;
@@ -355,176 +308,6 @@
     scheduler->events->start(scheduler, task);
 }
 
-/* ---- Waiting and refusing --------------------------------------------- */
-
-// Tells whether @left is to be served before @right.
-static bool
-comes_before(const ps_scheduler_t *scheduler, const ps_task_t *left,
-             const ps_task_t *right, int64_t now_ms)
-{
-    if (left->tier != right->tier) {
-        return left->tier < right->tier;
-    }
-    bool left_late = is_late(scheduler, left, now_ms);
-    bool right_late = is_late(scheduler, right, now_ms);
-    if (left_late != right_late) {
-        return right_late;
-    }
-    return left->arrived_ms < right->arrived_ms;
-}
-
-// Estimates how many tasks this daemon can start per millisecond: those that
-// end while all its slots are in use, or what a server's limit leaves it.
-static double
-get_start_rate(const ps_scheduler_t *scheduler)
-{
-    double run_ms = MAX(scheduler->mean_run_ms, 1.0);
-    double rate = 0;
-    int slots = 0;
-    bool is_any_limited = false;
-    for (guint i = 0; i < scheduler->backends->len; i++) {
-        const ps_backend_t *backend = scheduler->backends->pdata[i];
-        if (backend->registration.is_leaving) {
-            continue;
-        }
-        if (PsServerLimit_IsLimited(&backend->limit)) {
-            is_any_limited = true;
-            rate += PsServerLimit_GetShare(&backend->limit) / 1000.0;
-        }
-        else {
-            slots += backend->slot_limit;
-        }
-    }
-    rate += slots / run_ms;
-    return MAX(rate, is_any_limited ? RATE_MIN / PS_RANK_RATE_DECAY_MS
-                                    : 0.5 / run_ms);
-}
-
-// Returns for how long all servers that take new work have asked for a pause.
-static int64_t
-get_pause_left(const ps_scheduler_t *scheduler, int64_t now_ms)
-{
-    int64_t left_ms = INT64_MAX;
-    for (guint i = 0; i < scheduler->backends->len; i++) {
-        const ps_backend_t *backend = scheduler->backends->pdata[i];
-        if (!backend->registration.is_leaving) {
-            left_ms = MIN(left_ms, MAX(backend->paused_until_ms - now_ms, 0));
-        }
-    }
-    return left_ms == INT64_MAX ? 0 : left_ms;
-}
-
-// Returns a Retry-After in milliseconds: RETRY_AFTER_MIN_MS, or until a server
-// ends its pause, plus twice the time that the queue takes to drain, varied at
-// random by up to a quarter so that callers do not retry all at once.
-static int64_t
-get_retry_after(ps_scheduler_t *scheduler, int64_t now_ms)
-{
-    double wait = 2.0 * scheduler->waiting.length / get_start_rate(scheduler);
-    wait += (double)get_pause_left(scheduler, now_ms);
-    // Linear congruential generator; its upper 24 bits are used.
-    scheduler->random_state = scheduler->random_state * 1664525U + 1013904223U;
-    double spread = 0.75 + 0.5 * (scheduler->random_state >> 8) / 16777216.0;
-    return (int64_t)CLAMP((RETRY_AFTER_MIN_MS + wait) * spread,
-                          RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-}
-
-static void
-refuse_task(ps_scheduler_t *scheduler, ps_task_t *task, const char *reason,
-            int64_t now_ms)
-{
-    if (task->is_waiting) {
-        g_queue_unlink(&scheduler->waiting, &task->link);
-        task->is_waiting = false;
-    }
-    scheduler->events->refuse(scheduler, task,
-                              get_retry_after(scheduler, now_ms), reason);
-}
-
-// Refuses all waiting tasks of lower tiers than @tier. Called before a new
-// task of that tier is refused, so that it is not refused while one of a lower
-// tier waits.
-static void
-refuse_lower_tiers(ps_scheduler_t *scheduler, int tier, int64_t now_ms)
-{
-    GList *next;
-    for (GList *l = scheduler->waiting.head; l; l = next) {
-        next = l->next;
-        ps_task_t *task = l->data;
-        if (task->tier > tier) {
-            refuse_task(scheduler, task, "gave way to a higher tier", now_ms);
-        }
-    }
-}
-
-// Tells whether a task's first event is expected more than LATENESS_MAX_MS
-// after its objective or, if that is later, after the time at which it would
-// come if the task were started now.
-static bool
-would_be_too_late(ps_scheduler_t *scheduler, const ps_task_t *task,
-                  int64_t now_ms)
-{
-    uint32_t rank = get_rank(scheduler, task, now_ms);
-    double wait = PsScheduler_EstimateWait(scheduler, rank, now_ms);
-    double due = MAX((double)task->objective_ms,
-                     (double)now_ms + scheduler->mean_first_event_ms);
-    return (double)now_ms + wait + scheduler->mean_first_event_ms >
-           due + LATENESS_MAX_MS;
-}
-
-// Tells whether a new task would be late for its objective, as all daemons'
-// tasks of its rank are: what is on time goes first then, so that it would
-// wait in vain.
-static bool
-would_be_late_in_fleet(ps_scheduler_t *scheduler, const ps_task_t *task,
-                       int64_t now_ms)
-{
-    if (now_ms >= scheduler->fleet_waits_until_ms ||
-        is_late(scheduler, task, now_ms)) {
-        return false;
-    }
-    uint32_t rank = get_rank(scheduler, task, now_ms);
-    double wait = PsScheduler_EstimateWait(scheduler, rank, now_ms);
-    return (double)now_ms + wait + scheduler->mean_first_event_ms >
-           (double)task->objective_ms + FLEET_LATENESS_MAX_MS;
-}
-
-// Refuses a new task if its first event would come too late; returns whether
-// it did.
-static bool
-refuse_if_too_late(ps_scheduler_t *scheduler, ps_task_t *task, int64_t now_ms)
-{
-    if (!would_be_too_late(scheduler, task, now_ms) &&
-        !would_be_late_in_fleet(scheduler, task, now_ms)) {
-        return false;
-    }
-    refuse_lower_tiers(scheduler, task->tier, now_ms);
-    refuse_task(scheduler, task, "would wait past its objective", now_ms);
-    return true;
-}
-
-// Refuses tasks that have reached their wait deadline. A task that has become
-// late is checked once, and refused if its first event would come too late.
-static void
-refuse_overdue(ps_scheduler_t *scheduler, int64_t now_ms)
-{
-    GList *next;
-    for (GList *l = scheduler->waiting.head; l; l = next) {
-        next = l->next;
-        ps_task_t *task = l->data;
-        if (now_ms >= task->wait_deadline_ms) {
-            refuse_task(scheduler, task, "waited too long", now_ms);
-        }
-        else if (!task->was_found_late && is_late(scheduler, task, now_ms)) {
-            task->was_found_late = true;
-            if (would_be_too_late(scheduler, task, now_ms)) {
-                refuse_task(scheduler, task, "too late for its objective",
-                            now_ms);
-            }
-        }
-    }
-}
-
 // Returns the first task in serving order that a server can take, and that
 // server in @backend; NULL: none.
 static ps_task_t *
@@ -534,7 +317,7 @@
     ps_task_t *best = NULL;
     for (GList *l = scheduler->waiting.head; l; l = l->next) {
         ps_task_t *task = l->data;
-        if (best && !comes_before(scheduler, task, best, now_ms)) {
+        if (best && !PsWaiting_ComesBefore(scheduler, task, best, now_ms)) {
             continue;
         }
         ps_backend_t *found = find_best_backend(scheduler, task, now_ms);
@@ -570,6 +353,7 @@
                          .service = *service,
                          .n_daemons = 1,
                          .random_state = seed,
+                         .return_plan = {.random_state = seed},
                          .mean_run_ms = RUN_TIME_INITIAL_MS,
                          .mean_first_event_ms = FIRST_EVENT_INITIAL_MS};
     scheduler->backends = g_ptr_array_new();
@@ -629,67 +413,6 @@
     set_even_shares(scheduler);
 }
 
-int
-PsScheduler_CountWaiting(const ps_scheduler_t *scheduler,
-                         ps_waiting_count_t *counts, int max, int64_t now_ms)
-{
-    int n = 0;
-    for (const GList *l = scheduler->waiting.head; l; l = l->next) {
-        const ps_task_t *task = l->data;
-        uint32_t rank = get_rank(scheduler, task, now_ms);
-        n = PsWaitingCounts_Add(counts, n, max, rank, 1);
-    }
-    return n;
-}
-
-int
-PsScheduler_TakeStarts(ps_scheduler_t *scheduler, ps_waiting_count_t *counts)
-{
-    int n = 0;
-    for (int i = 0; i < scheduler->rates.n; i++) {
-        if (scheduler->unreported_starts[i] > 0) {
-            counts[n++] =
-                (ps_waiting_count_t){scheduler->rates.rates[i].rank,
-                                     (int)scheduler->unreported_starts[i]};
-            scheduler->unreported_starts[i] = 0;
-        }
-    }
-    return n;
-}
-
-void
-PsScheduler_SetFleetWaits(ps_scheduler_t *scheduler,
-                          const ps_rank_wait_t *waits, int n, int64_t until_ms)
-{
-    scheduler->n_fleet_waits = MIN(n, PS_RANKS_MAX);
-    memcpy(scheduler->fleet_waits, waits,
-           (size_t)scheduler->n_fleet_waits * sizeof *waits);
-    scheduler->fleet_waits_until_ms = until_ms;
-}
-
-double
-PsScheduler_EstimateWait(ps_scheduler_t *scheduler, uint32_t rank,
-                         int64_t now_ms)
-{
-    if (now_ms < scheduler->fleet_waits_until_ms) {
-        for (int i = 0; i < scheduler->n_fleet_waits; i++) {
-            if (scheduler->fleet_waits[i].rank == rank) {
-                return scheduler->fleet_waits[i].ms;
-            }
-        }
-        return 0;
-    }
-    int ahead = 0;
-    for (const GList *l = scheduler->waiting.head; l; l = l->next) {
-        ahead += get_rank(scheduler, l->data, now_ms) == rank ? 1 : 0;
-    }
-    if (ahead == 0) {
-        return 0;
-    }
-    ps_rank_rate_t *rate = get_rank_rate(scheduler, rank, now_ms);
-    return ahead * PS_RANK_RATE_DECAY_MS / MAX(rate->starts, RATE_MIN);
-}
-
 bool
 PsScheduler_HasVersion(const ps_scheduler_t *scheduler, uint64_t version)
 {
@@ -714,17 +437,18 @@
         }
     }
     if (scheduler->backends->len == 0) {
-        refuse_task(scheduler, task, "no backend server is known", now_ms);
+        PsWaiting_Refuse(scheduler, task, "no backend server is known",
+                         now_ms);
         return;
     }
-    if (now_ms + get_pause_left(scheduler, now_ms) > task->wait_deadline_ms) {
-        refuse_task(scheduler, task, "all servers have asked for a pause",
-                    now_ms);
+    if (now_ms + PsWaiting_GetPauseLeft(scheduler, now_ms) >
+        task->wait_deadline_ms) {
+        PsWaiting_Refuse(scheduler, task, "all servers have asked for a pause",
+                         now_ms);
         return;
     }
-    if (!refuse_if_too_late(scheduler, task, now_ms)) {
-        task->is_waiting = true;
-        g_queue_push_tail_link(&scheduler->waiting, &task->link);
+    if (!PsWaiting_RefuseIfTooLate(scheduler, task, now_ms)) {
+        PsWaiting_Add(scheduler, task, now_ms);
         PsScheduler_Run(scheduler, now_ms);
     }
 }
@@ -732,10 +456,7 @@
 void
 PsScheduler_Withdraw(ps_scheduler_t *scheduler, ps_task_t *task)
 {
-    if (task->is_waiting) {
-        g_queue_unlink(&scheduler->waiting, &task->link);
-        task->is_waiting = false;
-    }
+    PsWaiting_Remove(scheduler, task);
 }
 
 void
@@ -859,6 +580,7 @@
     if (PsScheduler_IsBrittle(scheduler, now_ms)) {
         note_room(scheduler, task, result, now_ms);
     }
+    PsWaiting_CountEnd(scheduler, task, now_ms);
     backend->running--;
     task->backend = NULL;
     record_result(scheduler, backend, result, now_ms);
@@ -892,7 +614,7 @@
         return;
     }
     scheduler->is_running = true;
-    refuse_overdue(scheduler, now_ms);
+    PsWaiting_RefuseOverdue(scheduler, now_ms);
     while (scheduler->waiting.length > 0 &&
            has_any_free_slot(scheduler, now_ms)) {
         ps_backend_t *backend = NULL;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -4,7 +4,9 @@
  * Each daemon has one scheduler for each service and decides alone, within
  * its slot limits at the backend servers. Waiting requests are ordered
  * strictly by tier; within a tier, requests that can still meet their
- * objective come first, and the late ones form a rank of their own. Load
+ * objective come first, and the late ones form a rank of their own. Within a
+ * rank they are ordered by arrival, or by team and the time at which their
+ * callers first asked. Load
  * pattern: bursts to twice the capacity, on servers of unequal speed. Does no
  * I/O; all times are passed in, in milliseconds of one clock.
  */
@@ -15,6 +17,8 @@
 
 #include "backend.h"
 #include "rank_rates.h"
+#include "return_plan.h"
+#include "team_order.h"
 
 #define PS_TASK_PARTS_MAX 8 /* prompt parts recorded for one request */
 #define PS_TASK_TRIED_MAX 4 /* servers recorded as tried by one request */
@@ -43,7 +47,11 @@
     int tier;           /* 0 is served first */
     bool is_generation; /* prompt for a model engine, placed where parts of
                            it are cached */
+    uint32_t team;      /* PsTeamShares_HashTeam(); 0: none */
     int64_t arrived_ms;
+    int64_t first_asked_ms; /* when its caller asked for the first time; 0: at
+                               @arrived_ms */
+    int64_t deadline_ms;    /* for which its caller waits; 0: not known */
     int64_t objective_ms; /* time by which a stream's first event, or else the
                              whole answer, should have come */
     int64_t wait_deadline_ms; /* refused if it still waits then */
@@ -60,6 +68,8 @@
     /* set by the scheduler */
     bool is_waiting;
     bool was_found_late; /* could not meet its objective while it waited */
+    double charged_ms;   /* charged to the team when it was started; 0: it is
+                            not at a server, or teams are not counted */
     GList link;
     ps_backend_t *backend;  /* NULL: not at a server */
     int64_t started_ms;     /* sent to @backend */
@@ -111,8 +121,11 @@
     ps_rank_wait_t fleet_waits[PS_RANKS_MAX]; /* told by the allocator */
     int n_fleet_waits;
     int64_t fleet_waits_until_ms; /* they are too old then */
-    double mean_run_ms;           /* moving average of times at a server */
-    double mean_first_event_ms;   /* moving average of times to first event */
+    ps_team_order_t team_order;
+    ps_return_plan_t return_plan;
+    bool has_planned_returns;   /* Retry-After comes from @return_plan */
+    double mean_run_ms;         /* moving average of times at a server */
+    double mean_first_event_ms; /* moving average of times to first event */
     uint32_t random_state;
     bool has_brittle_server;  /* one has told this daemon so */
     int64_t brittle_told_ms;  /* when the allocator last said that there is
@@ -273,6 +286,16 @@
                              ps_waiting_count_t *counts, int max,
                              int64_t now_ms);
 
+/**
+ * PsScheduler_CountTeams() - Counts the waiting tasks of each rank and team,
+ * and the starts since the last call. Runs only with the order of teams.
+ * @counts: receives at most PS_TEAM_COUNTS_MAX counts
+ *
+ * Return: number of counts.
+ */
+int PsScheduler_CountTeams(ps_scheduler_t *scheduler, ps_team_count_t *counts,
+                           int64_t now_ms);
+
 /**
  * PsScheduler_TakeStarts() - Lists how many tasks of each rank were started
  * since the last call.
--- a/src/settings.c
+++ b/src/settings.c
@@ -96,6 +96,10 @@
      "false", 0, 0},
     {"gateway", "cpu_share", SETTING_REAL, FIELD(gateway.cpu_share), "1", 0,
      1024},
+    {"gateway", "team_shares", SETTING_FLAG, FIELD(gateway.has_team_shares),
+     "false", 0, 0},
+    {"gateway", "planned_returns", SETTING_FLAG,
+     FIELD(gateway.has_planned_returns), "false", 0, 0},
 };
 
 static const unit_t duration_units[] = {
--- a/src/settings.h
+++ b/src/settings.h
@@ -40,6 +40,10 @@
                                deployment has run before */
     double cpu_share;       /* [gateway] cpu_share, processor share of this
                                daemon, in cores */
+    bool has_team_shares;   /* [gateway] team_shares, scarce slots are shared
+                               fairly among teams */
+    bool has_planned_returns; /* [gateway] planned_returns, refused callers
+                                 are told to return when there is room */
 } ps_gateway_settings_t;
 
 /**
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -9,6 +9,7 @@
 #include "events_log.h"
 #include "gateway.h"
 #include "origin_lookups.h"
+#include "team_messages.h"
 
 // Interval between reports. It grows with the number of daemons, to bound the
 // allocator's load.
@@ -265,6 +266,7 @@
     n = PsScheduler_TakeStarts(&dispatcher->scheduler, ranks);
     use->started = make_rank_counts(ranks, n);
     use->n_started = (size_t)n;
+    PsTeamMessages_AddToReport(use, dispatcher, round, now_ms);
     return use;
 }
 
@@ -283,6 +285,7 @@
     g_free(use->running);
     free_rank_counts(use->waiting, use->n_waiting);
     free_rank_counts(use->started, use->n_started);
+    PsTeamMessages_FreeInReport(use);
     g_free(use->outcomes);
     g_free(use->server_limits);
     g_free(use);
@@ -332,6 +335,7 @@
     g_hash_table_iter_init(&each, gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         ps_dispatcher_t *dispatcher = value;
+        PsTeamMessages_ApplySettings(dispatcher, &gateway->settings.gateway);
         report.services[report.n_services++] =
             make_service_use(dispatcher, report.round, now_ms);
     }
@@ -421,6 +425,8 @@
     if (grant->has_waits) {
         apply_waits(&dispatcher->scheduler, grant, now_ms);
     }
+    PsTeamMessages_HandleGrant(&dispatcher->scheduler, grant,
+                               now_ms + GRANT_TTL_MS);
     PsScheduler_Run(&dispatcher->scheduler, now_ms);
 }
 
