--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -288,6 +288,8 @@
 {
     PsWaiting_Remove(scheduler, task);
     PsWaiting_CountStart(scheduler, task, now_ms);
+    scheduler->n_started++;
+    scheduler->granted_left = MAX(scheduler->granted_left - 1, 0);
     PsBackend_Ref(backend);
     task->backend = backend;
     task->started_ms = now_ms;
@@ -429,7 +431,8 @@
 PsScheduler_Submit(ps_scheduler_t *scheduler, ps_task_t *task, int64_t now_ms)
 {
     task->link = (GList){.data = task};
-    if (scheduler->waiting.length == 0) {
+    if (scheduler->waiting.length == 0 &&
+        !PsWaiting_MustYield(scheduler, task, now_ms)) {
         ps_backend_t *backend = find_best_backend(scheduler, task, now_ms);
         if (backend) {
             start_task(scheduler, task, backend, now_ms);
@@ -619,10 +622,41 @@
            has_any_free_slot(scheduler, now_ms)) {
         ps_backend_t *backend = NULL;
         ps_task_t *task = find_next(scheduler, &backend, now_ms);
-        if (!task) {
+        if (!task || PsWaiting_MustYield(scheduler, task, now_ms)) {
             break;
         }
         start_task(scheduler, task, backend, now_ms);
     }
     scheduler->is_running = false;
 }
+
+void
+PsScheduler_NoteReport(ps_scheduler_t *scheduler, uint64_t round)
+{
+    int running = 0;
+    for (guint i = 0; i < scheduler->backends->len; i++) {
+        running += ((ps_backend_t *)scheduler->backends->pdata[i])->running;
+    }
+    scheduler->report_notes[round % PS_REPORT_NOTES_MAX] =
+        (ps_report_note_t){running, scheduler->n_started};
+}
+
+// Slots that have become free since the report are in the limits, too, but
+// were not granted for the tasks that wait here; what was started since has
+// used its slots up.
+void
+PsScheduler_TakeGrant(ps_scheduler_t *scheduler, uint64_t round,
+                      int64_t now_ms)
+{
+    const ps_report_note_t *note =
+        &scheduler->report_notes[round % PS_REPORT_NOTES_MAX];
+    int limits = 0;
+    for (guint i = 0; i < scheduler->backends->len; i++) {
+        limits +=
+            ((ps_backend_t *)scheduler->backends->pdata[i])->slot_limit;
+    }
+    int started = (int)(scheduler->n_started - note->n_started);
+    scheduler->granted_left = MAX(limits - note->running - started, 0);
+    PsScheduler_Run(scheduler, now_ms);
+    scheduler->granted_left = 0;
+}
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -21,6 +21,7 @@
 #include "team_order.h"
 
 #define PS_TASK_PARTS_MAX 8 /* prompt parts recorded for one request */
+#define PS_REPORT_NOTES_MAX 64 /* reports for which grants are expected */
 #define PS_TASK_TRIED_MAX 4 /* servers recorded as tried by one request */
 
 struct ps_scheduler;
@@ -89,6 +90,14 @@
     double ms;
 } ps_rank_wait_t;
 
+/**
+ * struct ps_report_note - What ran when a report was made.
+ */
+typedef struct ps_report_note {
+    int running;
+    uint64_t n_started; /* tasks, up to then */
+} ps_report_note_t;
+
 /**
  * struct ps_scheduler_events - Callbacks of a scheduler.
  * @start: send the task to its backend server now
@@ -135,6 +144,10 @@
                                  read no events; 0: none */
     bool has_granted_limits;  /* slot limits come from the allocator; false:
                                  from even shares */
+    int granted_left; /* free slots of the grant that is being taken, for any
+                         task that waits here */
+    ps_report_note_t report_notes[PS_REPORT_NOTES_MAX]; /* by round */
+    uint64_t n_started; /* tasks, since the start */
     bool is_running; /* PsScheduler_Run() is active; stops it from re-entry */
 } ps_scheduler_t;
 
@@ -270,6 +283,19 @@
  */
 void PsScheduler_Run(ps_scheduler_t *scheduler, int64_t now_ms);
 
+/**
+ * PsScheduler_NoteReport() - Notes what ran when a report was made.
+ * @round: of the report
+ */
+void PsScheduler_NoteReport(ps_scheduler_t *scheduler, uint64_t round);
+
+/**
+ * PsScheduler_TakeGrant() - Runs after the slot limits of a grant were set.
+ * @round: of the report that it answers
+ */
+void PsScheduler_TakeGrant(ps_scheduler_t *scheduler, uint64_t round,
+                           int64_t now_ms);
+
 /**
  * PsScheduler_UseEvenShares() - Replaces the granted slot limits by even
  * shares.
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -427,7 +427,7 @@
     }
     PsTeamMessages_HandleGrant(&dispatcher->scheduler, grant,
                                now_ms + GRANT_TTL_MS);
-    PsScheduler_Run(&dispatcher->scheduler, now_ms);
+    PsScheduler_TakeGrant(&dispatcher->scheduler, round, now_ms);
 }
 
 // Applies changes of servers and members that the allocator has read from the
--- a/src/team_messages.c
+++ b/src/team_messages.c
@@ -67,6 +67,7 @@
     if (!order->is_enabled) {
         return;
     }
+    PsScheduler_NoteReport(scheduler, round);
     // Starts are taken in any case, so that old ones aren't reported later.
     ps_team_count_t counts[PS_TEAM_COUNTS_MAX];
     int n = PsScheduler_CountTeams(scheduler, counts, now_ms);
--- a/src/team_order.c
+++ b/src/team_order.c
@@ -64,7 +64,7 @@
 
 void
 PsTeamOrder_RaiseIdle(ps_team_order_t *order, uint32_t team, double lowest,
-                      int64_t now_ms)
+                      double run_ms, int64_t now_ms)
 {
     double counter = PsTeamShares_GetCounter(&order->own, team);
     if (counter < lowest) {
@@ -72,6 +72,8 @@
         PsTeamShares_AddService(&order->own, team,
                                 (lowest - counter) * share->weight, now_ms);
     }
+    PsTeamShares_BoundLeads(&order->own, lowest < 0 ? counter : lowest,
+                            run_ms);
 }
 
 // The other daemons are assumed to start as many: each keeps to the same
--- a/src/team_order.h
+++ b/src/team_order.h
@@ -80,10 +80,11 @@
 /**
  * PsTeamOrder_RaiseIdle() - Raises the own counter of a team whose first
  * request waits now.
- * @lowest: counter of the teams with waiting requests
+ * @lowest: counter of the teams with waiting requests; negative: none waits
+ * @run_ms: mean time at a server
  */
 void PsTeamOrder_RaiseIdle(ps_team_order_t *order, uint32_t team,
-                           double lowest, int64_t now_ms);
+                           double lowest, double run_ms, int64_t now_ms);
 
 /**
  * PsTeamOrder_CountStart() - Counts a start.
--- a/src/team_shares.c
+++ b/src/team_shares.c
@@ -18,6 +18,11 @@
 // fleet_waits.c.
 #define STARTS_MIN 2.0
 
+// Most requests by which a team's counter may be ahead of the lowest one. The
+// others are served first within it. A team that was noisy for long has made
+// up for it within a second.
+#define LEAD_MAX_RUNS 16.0
+
 // Entries of teams without requests for this long may be used for others.
 #define TEAM_IDLE_MS 60000
 
@@ -41,15 +46,15 @@
     return MAX(run_ms, RUN_MIN_MS);
 }
 
-// Returns the lowest counter of the teams that had waiting requests in the
-// last round.
+// Returns the lowest counter of the teams that have waiting requests in this
+// round, or had some in the last one; infinity: none.
 static double
-get_lowest(const ps_team_shares_t *shares)
+get_lowest(const ps_team_shares_t *shares, bool is_last_round)
 {
     double lowest = INFINITY;
     for (int i = 0; i < shares->n; i++) {
         const ps_team_share_t *each = &shares->teams[i];
-        if (each->was_waiting) {
+        if (is_last_round ? each->was_waiting : each->is_waiting) {
             lowest = MIN(lowest, PsTeamShares_GetKey(shares, each));
         }
     }
@@ -67,6 +72,21 @@
     return PS_TEAM_SHARES_MAX;
 }
 
+// Returns the starts of a rank and of worse ones: their slots would go to the
+// better rank if more of it waited.
+static double
+get_starts(const ps_rank_rates_t *rates, uint32_t rank, int64_t now_ms)
+{
+    double starts = 0;
+    for (int i = 0; i < rates->n; i++) {
+        if (rates->rates[i].rank >= rank) {
+            starts +=
+                PsRankRates_GetStarts(rates, rates->rates[i].rank, now_ms);
+        }
+    }
+    return starts;
+}
+
 // Learns the mean time at a server from how many run and how many are started.
 static void
 learn_run_time(ps_team_shares_t *shares, int64_t now_ms)
@@ -75,11 +95,7 @@
     for (int i = 0; i < shares->n; i++) {
         running += shares->teams[i].running;
     }
-    double starts = 0;
-    for (int i = 0; i < shares->rates.n; i++) {
-        starts += PsRankRates_GetStarts(&shares->rates,
-                                        shares->rates.rates[i].rank, now_ms);
-    }
+    double starts = get_starts(&shares->rates, 0, now_ms);
     if (running > 0 && starts >= STARTS_MIN) {
         double run_ms = running * PS_RANK_RATE_DECAY_MS / starts;
         shares->run_ms = shares->run_ms > 0 ? shares->run_ms * RUN_DECAY +
@@ -210,17 +226,28 @@
 void
 PsTeamShares_RaiseIdle(ps_team_shares_t *shares)
 {
-    double lowest = get_lowest(shares);
-    if (isinf(lowest)) {
-        return;
-    }
+    double lowest = get_lowest(shares, true);
     for (int i = 0; i < shares->n; i++) {
         ps_team_share_t *each = &shares->teams[i];
         double missing = lowest - PsTeamShares_GetKey(shares, each);
-        if (each->is_waiting && !each->was_waiting && missing > 0) {
+        if (each->is_waiting && !each->was_waiting && missing > 0 &&
+            !isinf(lowest)) {
             each->served_ms += missing;
         }
     }
+    PsTeamShares_BoundLeads(shares, get_lowest(shares, false),
+                            get_run_ms(shares));
+}
+
+void
+PsTeamShares_BoundLeads(ps_team_shares_t *shares, double lowest, double run_ms)
+{
+    double highest = lowest + LEAD_MAX_RUNS * run_ms;
+    for (int i = 0; i < shares->n; i++) {
+        ps_team_share_t *each = &shares->teams[i];
+        double excess = PsTeamShares_GetKey(shares, each) - highest;
+        each->served_ms -= MAX(excess, 0.0);
+    }
 }
 
 void
@@ -278,12 +305,12 @@
         double lead = key - PsTeamShares_GetKey(shares, other);
         ahead += CLAMP(lead * other->weight / run_ms, 0.0, counts[i].count);
     }
-    double starts = PsRankRates_GetStarts(&shares->rates, rank, now_ms);
+    double starts = get_starts(&shares->rates, rank, now_ms);
     double wait = ahead * PS_RANK_RATE_DECAY_MS / MAX(starts, STARTS_MIN);
     if (is_below_share(shares, share)) {
         return wait;
     }
-    double own_starts = PsRankRates_GetStarts(&share->rates, rank, now_ms);
+    double own_starts = get_starts(&share->rates, rank, now_ms);
     return MAX(wait,
                own * PS_RANK_RATE_DECAY_MS / MAX(own_starts, STARTS_MIN));
 }
--- a/src/team_shares.h
+++ b/src/team_shares.h
@@ -122,10 +122,19 @@
 /**
  * PsTeamShares_RaiseIdle() - Raises the counters of teams that have waiting
  * requests in this round and had none in the last one to the lowest counter of
- * the teams that had, so that they have no credit for that time.
+ * the teams that had, so that they have no credit for that time. Bounds the
+ * leads over the lowest counter of the teams that wait.
  */
 void PsTeamShares_RaiseIdle(ps_team_shares_t *shares);
 
+/**
+ * PsTeamShares_BoundLeads() - Lowers counters that are far above @lowest: what
+ * a team has had while others didn't use it is no debt.
+ * @run_ms: mean time at a server
+ */
+void PsTeamShares_BoundLeads(ps_team_shares_t *shares, double lowest,
+                             double run_ms);
+
 /**
  * PsTeamShares_AddService() - Counts service that a team has received.
  * @slot_ms: milliseconds of a slot; negative: it was charged too much before
--- a/src/waiting.c
+++ b/src/waiting.c
@@ -58,16 +58,13 @@
 }
 
 // Returns the lowest own counter of the teams with waiting tasks; negative:
-// none waits, or one of @team does.
+// none waits.
 static double
-get_lowest_counter(const ps_scheduler_t *scheduler, uint32_t team)
+get_lowest_counter(const ps_scheduler_t *scheduler)
 {
     double lowest = -1;
     for (const GList *l = scheduler->waiting.head; l; l = l->next) {
         const ps_task_t *task = l->data;
-        if (task->team == team) {
-            return -1;
-        }
         double counter =
             PsTeamShares_GetCounter(&scheduler->team_order.own, task->team);
         lowest = lowest < 0 ? counter : MIN(lowest, counter);
@@ -186,14 +183,21 @@
     }
 }
 
+// Tells whether a task waits as long as it may: its caller has come back, and
+// would hardly do so again. It goes behind all that can be on time.
+static bool
+must_be_kept(const ps_scheduler_t *scheduler, const ps_task_t *task)
+{
+    return scheduler->has_planned_returns && is_returning(task);
+}
+
 // Tells whether a task that can't be on time is to be refused early, since
-// others of its tier that can be are waiting: its caller has time to come back
-// now. One that has come back waits as long as it may: it is the last attempt
-// of its caller.
+// others of its tier that can be are waiting: its caller has the more time to
+// come back.
 static bool
 must_give_way(ps_scheduler_t *scheduler, const ps_task_t *task, int64_t now_ms)
 {
-    if (!scheduler->has_planned_returns || is_returning(task)) {
+    if (!scheduler->has_planned_returns) {
         return false;
     }
     uint32_t rank = (uint32_t)MAX(task->tier, 0) * 2;
@@ -265,6 +269,28 @@
     return get_order_ms(left) < get_order_ms(right);
 }
 
+bool
+PsWaiting_MustYield(const ps_scheduler_t *scheduler, const ps_task_t *task,
+                    int64_t now_ms)
+{
+    const ps_team_order_t *order = &scheduler->team_order;
+    if (scheduler->granted_left > 0 || !scheduler->has_granted_limits ||
+        !PsTeamOrder_IsTold(order, now_ms)) {
+        return false;
+    }
+    uint32_t rank = get_rank(scheduler, task, now_ms);
+    double key = PsTeamOrder_GetKey(order, task->team, now_ms);
+    for (int i = 0; i < order->n_waits; i++) {
+        const ps_team_wait_t *each = &order->waits[i];
+        double other = PsTeamOrder_GetKey(order, each->team, now_ms);
+        if (each->rank < rank ||
+            (each->rank == rank && other + scheduler->mean_run_ms < key)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 int64_t
 PsWaiting_GetPauseLeft(const ps_scheduler_t *scheduler, int64_t now_ms)
 {
@@ -282,9 +308,9 @@
 PsWaiting_Add(ps_scheduler_t *scheduler, ps_task_t *task, int64_t now_ms)
 {
     if (scheduler->team_order.is_enabled) {
-        double lowest = get_lowest_counter(scheduler, task->team);
+        double lowest = get_lowest_counter(scheduler);
         PsTeamOrder_RaiseIdle(&scheduler->team_order, task->team, lowest,
-                              now_ms);
+                              scheduler->mean_run_ms, now_ms);
     }
     task->is_waiting = true;
     g_queue_push_tail_link(&scheduler->waiting, &task->link);
@@ -341,8 +367,9 @@
 PsWaiting_RefuseIfTooLate(ps_scheduler_t *scheduler, ps_task_t *task,
                           int64_t now_ms)
 {
-    if (!would_be_too_late(scheduler, task, now_ms) &&
-        !would_be_late_in_fleet(scheduler, task, now_ms)) {
+    if (must_be_kept(scheduler, task) ||
+        (!would_be_too_late(scheduler, task, now_ms) &&
+         !would_be_late_in_fleet(scheduler, task, now_ms))) {
         return false;
     }
     refuse_lower_tiers(scheduler, task->tier, now_ms);
@@ -363,8 +390,9 @@
         else if (!task->was_found_late &&
                  PsWaiting_IsLate(scheduler, task, now_ms)) {
             task->was_found_late = true;
-            if (would_be_too_late(scheduler, task, now_ms) ||
-                must_give_way(scheduler, task, now_ms)) {
+            if (!must_be_kept(scheduler, task) &&
+                (would_be_too_late(scheduler, task, now_ms) ||
+                 must_give_way(scheduler, task, now_ms))) {
                 PsWaiting_Refuse(scheduler, task, "too late for its objective",
                                  now_ms);
             }
--- a/src/waiting.h
+++ b/src/waiting.h
@@ -22,6 +22,18 @@
                            const ps_task_t *left, const ps_task_t *right,
                            int64_t now_ms);
 
+/**
+ * PsWaiting_MustYield() - Tells whether a slot that has become free here is to
+ * be left to the allocator, since requests wait at other daemons that are to
+ * be served before this task.
+ *
+ * Slots of a grant are for the tasks that wait here. Without this a daemon
+ * would go on using its own slots for late tasks, or for a team that has had
+ * more than its share, while others wait for a slot elsewhere.
+ */
+bool PsWaiting_MustYield(const ps_scheduler_t *scheduler,
+                         const ps_task_t *task, int64_t now_ms);
+
 /**
  * PsWaiting_GetPauseLeft() - Returns for how long all servers that take new
  * work have asked for a pause.
--- a/tests/test_team_shares.cpp
+++ b/tests/test_team_shares.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 
@@ -102,6 +103,7 @@
         settings.has_team_shares = load.has_shares;
         settings.has_planned_returns = load.has_plan;
         MakeCatalog();
+        servers.resize(load.n_servers);
         daemons.resize(load.n_daemons);
         for (size_t i = 0; i < daemons.size(); i++) {
             Daemon &daemon = daemons[i];
@@ -184,6 +186,11 @@
         int64_t run_ms;
         int attempts = 0;
         int kind; // of its caller, if these are mixed
+        size_t server;
+    };
+    struct Server {
+        int running = 0;
+        std::deque<Request *> waiting;
     };
     struct Allocator {
         ps_allocator_t allocator;
@@ -206,14 +213,28 @@
     {
         Site *site = ((Daemon *)scheduler->user)->site;
         auto *request = (Request *)task->user;
-        site->Send(request->run_ms < site->load.prefill_ms
-                       ? request->run_ms
-                       : site->load.prefill_ms,
-                   [site, request, scheduler] {
-                       PsScheduler_HandleEvent(scheduler, &request->task, 8,
-                                               site->now);
-                   });
-        site->Send(request->run_ms, [site, request] { site->End(request); });
+        auto *daemon = (Daemon *)scheduler->user;
+        const auto at = std::find(daemon->backends.begin(),
+                                  daemon->backends.end(), task->backend);
+        request->server = (size_t)(at - daemon->backends.begin());
+        site->servers[request->server].waiting.push_back(request);
+        site->RunServer(request->server);
+    }
+    // A server queues what is more than its slots.
+    void
+    RunServer(size_t index)
+    {
+        Server &server = servers[index];
+        while (server.running < load.slots && !server.waiting.empty()) {
+            Request *request = server.waiting.front();
+            server.waiting.pop_front();
+            server.running++;
+            Send(load.prefill_ms, [this, request] {
+                PsScheduler_HandleEvent(request->daemon->Get(), &request->task,
+                                        8, now);
+            });
+            Send(request->run_ms, [this, request] { End(request); });
+        }
     }
     static void
     OnRefuse(ps_scheduler_t *scheduler, ps_task_t *task, int64_t retry_ms,
@@ -249,6 +270,8 @@
     void
     End(Request *request)
     {
+        servers[request->server].running--;
+        RunServer(request->server);
         const ps_task_t &task = request->task;
         Served &served = result.teams[request->team];
         const bool is_on_time =
@@ -474,7 +497,8 @@
         ps__service_grant__pack(&grant, (uint8_t *)packed.data());
         PsTeamMessages_FreeInGrant(&grant);
         result.bytes += packed.size();
-        Send(kMessageMs, [this, &daemon, granted, waits, packed] {
+        Send(kMessageMs, [this, &daemon, granted, waits, packed,
+                          round = reporter->round] {
             ps_scheduler_t *scheduler = daemon.Get();
             daemon.granted_ms = now;
             PsScheduler_SetFleetWaits(scheduler, waits.data(),
@@ -488,7 +512,7 @@
                 nullptr, packed.size(), (const uint8_t *)packed.data());
             PsTeamMessages_HandleGrant(scheduler, message, now + kGrantMs);
             ps__service_grant__free_unpacked(message, nullptr);
-            PsScheduler_Run(scheduler, now);
+            PsScheduler_TakeGrant(scheduler, round, now);
         });
     }
 
@@ -503,6 +527,7 @@
     int64_t interval_ms;
     int n_gone = 0;
     std::vector<Daemon> daemons;
+    std::vector<Server> servers;
     std::multimap<int64_t, std::function<void()>> messages;
     Allocator allocators[2] = {};
     Result result;
