--- a/src/exchange.c
+++ b/src/exchange.c
@@ -360,16 +360,43 @@
     send_request(exchange, now_ms);
 }
 
+// Logs the inputs of a refusal; by team, and how long ago the caller first
+// asked, if these count.
+static void
+log_refusal(const ps_exchange_t *exchange, const ps_scheduler_t *scheduler,
+            int64_t retry_after_ms, const char *reason)
+{
+    const ps_task_t *task = &exchange->task;
+    const char *id = exchange->inbound.request_id.data;
+    int waiting = (int)scheduler->waiting.length;
+    int64_t now_ms = PsClock_Now();
+    const ps_team_order_t *order = &scheduler->team_order;
+    if (!order->is_enabled && !scheduler->has_planned_returns) {
+        PsEvents_Add("request.refuse", "{s:s,s:s,s:i,s:i,s:I}", "id", id,
+                     "reason", reason, "waiting", waiting, "tier", task->tier,
+                     "retry_after_ms", (json_int_t)retry_after_ms);
+        return;
+    }
+    PsEvents_Add("request.refuse", "{s:s,s:s,s:i,s:i,s:I,s:s,s:I,s:b,s:I,s:I}",
+                 "id", id, "reason", reason, "waiting", waiting, "tier",
+                 task->tier, "retry_after_ms", (json_int_t)retry_after_ms,
+                 "team", exchange->team ? exchange->team->name.data : "",
+                 "asked_ms_ago", (json_int_t)(now_ms - task->first_asked_ms),
+                 "told", (int)PsTeamOrder_IsTold(order, now_ms),
+                 "team_wait_ms",
+                 (json_int_t)PsTeamOrder_GetWait(
+                     order, (uint32_t)MAX(task->tier, 0) * 2, task->team),
+                 "counter_ms",
+                 (json_int_t)PsTeamOrder_GetKey(order, task->team, now_ms));
+}
+
 static void
 on_refuse(ps_scheduler_t *scheduler, ps_task_t *task, int64_t retry_after_ms,
           const char *reason)
 {
     ps_exchange_t *exchange = task->user;
     int64_t left_ms = exchange->deadline_ms - PsClock_Now();
-    PsEvents_Add("request.refuse", "{s:s,s:s,s:i,s:i,s:I}", "id",
-                 exchange->inbound.request_id.data, "reason", reason,
-                 "waiting", (int)scheduler->waiting.length, "tier", task->tier,
-                 "retry_after_ms", (json_int_t)retry_after_ms);
+    log_refusal(exchange, scheduler, retry_after_ms, reason);
     // Retry-After is at most a quarter of the time that the caller has left; a
     // planned return has its own bounds.
     int64_t after_max_ms =
@@ -760,9 +787,14 @@
     task->deadline_ms = exchange->deadline_ms;
     task->first_asked_ms = now_ms;
     if (settings->has_planned_returns || settings->has_team_shares) {
-        task->first_asked_ms = PsReturnPlan_GetFirstAskedMs(
-            exchange->route->timeout_ms, exchange->inbound.time_left_ms,
-            now_ms);
+        const ps_route_t *route = exchange->route;
+        int64_t left_ms = exchange->inbound.time_left_ms;
+        int64_t limit_ms =
+            PsDeadlinesSeen_Add(&exchange->gateway->deadlines_seen,
+                                PsTeamShares_HashTeam(&route->name),
+                                route->timeout_ms, left_ms, now_ms);
+        task->first_asked_ms =
+            PsReturnPlan_GetFirstAskedMs(limit_ms, left_ms, now_ms);
     }
     if (settings->has_team_shares && exchange->team) {
         task->team = PsTeamShares_HashTeam(&exchange->team->name);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -461,6 +461,35 @@
     }
 }
 
+// Prints, for each service, the callers that came back after a refusal, those
+// that were refused again, and the teams whose requests wait at any daemon.
+static void
+print_returns(const ps_gateway_t *gateway, ps_buf_t *out)
+{
+    static const char returned[] = "pearstair_returned_total";
+    static const char refused[] = "pearstair_returned_refused_total";
+    static const char teams[] = "pearstair_teams_waiting";
+    PsBuf_AppendFormat(out,
+                       "# TYPE %s counter\n# TYPE %s counter\n"
+                       "# TYPE %s gauge\n",
+                       returned, refused, teams);
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->dispatchers);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_dispatcher_t *dispatcher = value;
+        const ps_scheduler_t *scheduler = &dispatcher->scheduler;
+        const ps_team_order_t *order = &scheduler->team_order;
+        bool is_told = PsTeamOrder_IsTold(order, PsClock_Now());
+        print_service_metric(out, returned, &dispatcher->name,
+                             (double)scheduler->n_returned);
+        print_service_metric(out, refused, &dispatcher->name,
+                             (double)scheduler->n_returned_refused);
+        print_service_metric(out, teams, &dispatcher->name,
+                             is_told ? order->n_told : 0);
+    }
+}
+
 static void
 count_limited(void *count, ps_backend_t *backend)
 {
@@ -521,6 +550,10 @@
     print_metric(&out, "pearstair_carried_refused_total",
                  (double)gateway->forward_server.refused);
     print_retry_budgets(gateway, &out);
+    if (gateway->settings.gateway.has_team_shares ||
+        gateway->settings.gateway.has_planned_returns) {
+        print_returns(gateway, &out);
+    }
     PsHistogram_Print(&stats->wait_latency, "pearstair_wait_milliseconds",
                       &out);
     PsHistogram_Print(&stats->first_event_latency,
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -167,7 +167,8 @@
     int64_t started_ms;
     bool is_shutting_down;
     int64_t shutdown_started_ms;
-    bool has_stopped_requests; /* the grace period is nearly over */
+    bool has_stopped_requests;          /* the grace period is nearly over */
+    ps_deadlines_seen_t deadlines_seen; /* by the callers of each route */
     ps_gateway_stats_t stats;
 } ps_gateway_t;
 
--- a/src/return_plan.c
+++ b/src/return_plan.c
@@ -13,6 +13,9 @@
 // together.
 #define JITTER_RATIO 0.25
 
+// Length of a window in which the longest time left of a route is noted.
+#define SEEN_WINDOW_MS 5000
+
 /* ---- Internal functions ----------------------------------------------- */
 
 // Finds or adds a line; replaces the one with the oldest promise if there are
@@ -57,8 +60,45 @@
     return (plan->random_state >> 8) / 16777216.0;
 }
 
+// Finds or adds a route; NULL: there are too many.
+static ps_deadline_seen_t *
+get_seen(ps_deadlines_seen_t *seen, uint32_t route)
+{
+    for (int i = 0; i < seen->n; i++) {
+        if (seen->routes[i].route == route) {
+            return &seen->routes[i];
+        }
+    }
+    if (seen->n == PS_RETURN_LINES_MAX) {
+        return NULL;
+    }
+    ps_deadline_seen_t *added = &seen->routes[seen->n++];
+    *added = (ps_deadline_seen_t){.route = route};
+    return added;
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
+int64_t
+PsDeadlinesSeen_Add(ps_deadlines_seen_t *seen, uint32_t route,
+                    int64_t time_limit_ms, int64_t time_left_ms,
+                    int64_t now_ms)
+{
+    ps_deadline_seen_t *each = get_seen(seen, route);
+    if (!each || time_limit_ms <= 0 || time_left_ms <= 0) {
+        return 0;
+    }
+    int64_t window = now_ms / SEEN_WINDOW_MS;
+    if (window != each->window) {
+        each->longest_ms[1] =
+            window == each->window + 1 ? each->longest_ms[0] : 0;
+        each->longest_ms[0] = 0;
+        each->window = window;
+    }
+    each->longest_ms[0] = MAX(each->longest_ms[0], time_left_ms);
+    return MIN(MAX(each->longest_ms[0], each->longest_ms[1]), time_limit_ms);
+}
+
 int64_t
 PsReturnPlan_Promise(ps_return_plan_t *plan,
                      const ps_return_request_t *request, int64_t now_ms)
--- a/src/return_plan.h
+++ b/src/return_plan.h
@@ -44,6 +44,35 @@
     uint32_t random_state;
 } ps_return_plan_t;
 
+/**
+ * struct ps_deadline_seen - The longest time left that callers of a route have
+ * named, in the current window and the one before.
+ */
+typedef struct ps_deadline_seen {
+    uint32_t route; /* hash of its name */
+    int64_t window; /* number of the current window */
+    int64_t longest_ms[2];
+} ps_deadline_seen_t;
+
+/**
+ * struct ps_deadlines_seen - Of all routes. All zero: none was named.
+ */
+typedef struct ps_deadlines_seen {
+    ps_deadline_seen_t routes[PS_RETURN_LINES_MAX];
+    int n;
+} ps_deadlines_seen_t;
+
+/**
+ * PsDeadlinesSeen_Add() - Notes how long a caller waits, and returns the
+ * longest time lately named on its route, at most the route's time limit.
+ *
+ * Callers of a route who all wait for less than its time limit are not taken
+ * for ones that return.
+ */
+int64_t PsDeadlinesSeen_Add(ps_deadlines_seen_t *seen, uint32_t route,
+                            int64_t time_limit_ms, int64_t time_left_ms,
+                            int64_t now_ms);
+
 /**
  * PsReturnPlan_Promise() - Returns the Retry-After for a refused request, in
  * milliseconds, and counts the return.
@@ -59,7 +88,7 @@
 /**
  * PsReturnPlan_GetFirstAskedMs() - Returns when a request's caller first
  * asked, by the time that it has used of the route's time limit.
- * @time_limit_ms: of the route; 0: not set
+ * @time_limit_ms: PsDeadlinesSeen_Add(); 0: not known
  * @time_left_ms: named by the caller; 0: not named
  */
 int64_t PsReturnPlan_GetFirstAskedMs(int64_t time_limit_ms,
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -431,6 +431,8 @@
 PsScheduler_Submit(ps_scheduler_t *scheduler, ps_task_t *task, int64_t now_ms)
 {
     task->link = (GList){.data = task};
+    bool is_first = task->n_tried == 0;
+    scheduler->n_returned += is_first && PsWaiting_IsReturning(task) ? 1 : 0;
     if (scheduler->waiting.length == 0 &&
         !PsWaiting_MustYield(scheduler, task, now_ms)) {
         ps_backend_t *backend = find_best_backend(scheduler, task, now_ms);
@@ -652,8 +654,7 @@
         &scheduler->report_notes[round % PS_REPORT_NOTES_MAX];
     int limits = 0;
     for (guint i = 0; i < scheduler->backends->len; i++) {
-        limits +=
-            ((ps_backend_t *)scheduler->backends->pdata[i])->slot_limit;
+        limits += ((ps_backend_t *)scheduler->backends->pdata[i])->slot_limit;
     }
     int started = (int)(scheduler->n_started - note->n_started);
     scheduler->granted_left = MAX(limits - note->running - started, 0);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -20,9 +20,9 @@
 #include "return_plan.h"
 #include "team_order.h"
 
-#define PS_TASK_PARTS_MAX 8 /* prompt parts recorded for one request */
+#define PS_TASK_PARTS_MAX 8    /* prompt parts recorded for one request */
 #define PS_REPORT_NOTES_MAX 64 /* reports for which grants are expected */
-#define PS_TASK_TRIED_MAX 4 /* servers recorded as tried by one request */
+#define PS_TASK_TRIED_MAX 4    /* servers recorded as tried by one request */
 
 struct ps_scheduler;
 
@@ -132,9 +132,11 @@
     int64_t fleet_waits_until_ms; /* they are too old then */
     ps_team_order_t team_order;
     ps_return_plan_t return_plan;
-    bool has_planned_returns;   /* Retry-After comes from @return_plan */
-    double mean_run_ms;         /* moving average of times at a server */
-    double mean_first_event_ms; /* moving average of times to first event */
+    uint64_t n_returned;         /* tasks whose callers came back */
+    uint64_t n_returned_refused; /* of these, refused again */
+    bool has_planned_returns;    /* Retry-After comes from @return_plan */
+    double mean_run_ms;          /* moving average of times at a server */
+    double mean_first_event_ms;  /* moving average of times to first event */
     uint32_t random_state;
     bool has_brittle_server;  /* one has told this daemon so */
     int64_t brittle_told_ms;  /* when the allocator last said that there is
--- a/src/team_order.c
+++ b/src/team_order.c
@@ -31,7 +31,7 @@
     for (int i = 0; i < order->n_waits; i++) {
         order->waits[i] = waits[i];
     }
-    order->is_any_told = n_states > 0;
+    order->n_told = order->n_states;
     order->told_until_ms = until_ms;
 }
 
@@ -120,7 +120,7 @@
                         int64_t now_ms)
 {
     return n_waiting > 0 ||
-           (PsTeamOrder_IsTold(order, now_ms) && order->is_any_told);
+           (PsTeamOrder_IsTold(order, now_ms) && order->n_told > 0);
 }
 
 int
--- a/src/team_order.h
+++ b/src/team_order.h
@@ -42,8 +42,7 @@
     ps_team_wait_t waits[PS_TEAM_COUNTS_MAX];
     int n_waits;
     int64_t told_until_ms; /* states and waits are too old then */
-    bool is_any_told;      /* the last told states have a team, so that
-                              requests wait somewhere */
+    int n_told;            /* teams with waiting requests, as last told */
     ps_team_shares_t own;  /* by this daemon's own starts */
     ps_team_count_t starts[PS_TEAM_COUNTS_MAX]; /* since the last report */
     int n_starts;
--- a/src/waiting.c
+++ b/src/waiting.c
@@ -51,12 +51,6 @@
     return task->first_asked_ms > 0 ? task->first_asked_ms : task->arrived_ms;
 }
 
-static bool
-is_returning(const ps_task_t *task)
-{
-    return task->arrived_ms - get_order_ms(task) > RETURN_MIN_MS;
-}
-
 // Returns the lowest own counter of the teams with waiting tasks; negative:
 // none waits.
 static double
@@ -188,7 +182,7 @@
 static bool
 must_be_kept(const ps_scheduler_t *scheduler, const ps_task_t *task)
 {
-    return scheduler->has_planned_returns && is_returning(task);
+    return scheduler->has_planned_returns && PsWaiting_IsReturning(task);
 }
 
 // Tells whether a task that can't be on time is to be refused early, since
@@ -269,6 +263,12 @@
     return get_order_ms(left) < get_order_ms(right);
 }
 
+bool
+PsWaiting_IsReturning(const ps_task_t *task)
+{
+    return task->arrived_ms - get_order_ms(task) > RETURN_MIN_MS;
+}
+
 bool
 PsWaiting_MustYield(const ps_scheduler_t *scheduler, const ps_task_t *task,
                     int64_t now_ms)
@@ -357,6 +357,7 @@
                  const char *reason, int64_t now_ms)
 {
     PsWaiting_Remove(scheduler, task);
+    scheduler->n_returned_refused += PsWaiting_IsReturning(task) ? 1 : 0;
     int64_t retry_after_ms = scheduler->has_planned_returns
                                  ? promise_return(scheduler, task, now_ms)
                                  : get_retry_after(scheduler, now_ms);
--- a/src/waiting.h
+++ b/src/waiting.h
@@ -22,6 +22,12 @@
                            const ps_task_t *left, const ps_task_t *right,
                            int64_t now_ms);
 
+/**
+ * PsWaiting_IsReturning() - Tells whether a task's caller has been refused
+ * before and has come back, as far as that is known.
+ */
+bool PsWaiting_IsReturning(const ps_task_t *task);
+
 /**
  * PsWaiting_MustYield() - Tells whether a slot that has become free here is to
  * be left to the allocator, since requests wait at other daemons that are to
--- a/tests/run_one.sh
+++ b/tests/run_one.sh
@@ -26,6 +26,7 @@
 gw_cut_off | gw_cut_off_broken) GW_LINKS="1 2 3 4 5 6" GW_DAEMONS=6 GW_RUNNERS=6 ;;
 gw_cut_off_faults) GW_LINKS="1 2 3" GW_DAEMONS=6 GW_RUNNERS=12 GW_HEARTBEAT_MS=2000 ;; # registrations last 6 s
 gw_brittle_faults | gw_brittle_store) GW_LINKS="1 2 3" GW_DAEMONS=6 GW_RUNNERS=10 RUNNER_BRITTLE=3 RUNNER_QUEUE=2 RUNNER_WORK_MS=200 ;;
+gw_team_shares) GW_RUNNERS=4 GW_SLOTS=4 RUNNER_WORK_MS=100 RUNNER_QUEUE=24 ;;
 gw_many_daemons) GW_DAEMONS=60 GW_RUNNERS=4 GW_SLOTS=6 ;;
 gw_brittle) GW_DAEMONS=6 GW_RUNNERS=10 RUNNER_BRITTLE=3 RUNNER_QUEUE=2 RUNNER_WORK_MS=200 ;;
 gw_leaving) GW_SLOTS=32 ;; # enough slots when streams take longer on a slow VM
