Count requests of daemons that name no teams in proportion

During a rolling update the requests of older daemons are those of all teams: they count as one team's with the weight of all, with their running requests. A stream that its caller takes up keeps its objective from its arrival.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -786,7 +786,10 @@
     ps_task_t *task = &exchange->task;
     task->deadline_ms = exchange->deadline_ms;
     task->first_asked_ms = now_ms;
-    if (settings->has_planned_returns || settings->has_team_shares) {
+    // A stream that its caller takes up has begun: it doesn't come late.
+    bool is_taken_up = !PsName_IsEmpty(&exchange->last_event_id);
+    if ((settings->has_planned_returns || settings->has_team_shares) &&
+        !is_taken_up) {
         const ps_route_t *route = exchange->route;
         int64_t left_ms = exchange->inbound.time_left_ms;
         int64_t limit_ms =
@@ -796,8 +799,10 @@
         task->first_asked_ms =
             PsReturnPlan_GetFirstAskedMs(limit_ms, left_ms, now_ms);
     }
-    if (settings->has_team_shares && exchange->team) {
-        task->team = PsTeamShares_HashTeam(&exchange->team->name);
+    if (settings->has_team_shares) {
+        const ps_name_t none = {0};
+        task->team = PsTeamShares_HashTeam(
+            exchange->team ? &exchange->team->name : &none);
     }
 }
 
--- a/src/team_messages.c
+++ b/src/team_messages.c
@@ -97,6 +97,24 @@
                              (int)MIN(message->started, COUNT_MAX)};
 }
 
+// Takes the requests of a daemon that names no teams as those of one team.
+static void
+take_unnamed(const Ps__ServiceUse *message, ps_service_use_t *use,
+             int64_t now_ms)
+{
+    for (size_t i = 0; i < message->n_waiting; i++) {
+        ps_team_count_t count = {
+            message->waiting[i]->rank, PS_TEAM_UNNAMED,
+            (int)MIN(message->waiting[i]->count, COUNT_MAX), 0};
+        g_array_append_val(use->teams.waiting, count);
+    }
+    ps_team_count_t running = {0, PS_TEAM_UNNAMED, 0, 0};
+    for (size_t i = 0; i < message->n_running; i++) {
+        running.count += (int)MIN(message->running[i]->count, COUNT_MAX);
+    }
+    PsTeamReports_SetRunning(&use->teams, &running, 1, now_ms);
+}
+
 void
 PsTeamMessages_HandleReport(ps_allocator_t *allocator,
                             const ps_name_t *service,
@@ -121,12 +139,9 @@
             &division->shares, message->started[i]->rank,
             (int)MIN(message->started[i]->count, COUNT_MAX), now_ms);
     }
-    for (size_t i = 0; i < message->n_waiting && message->n_waiting_teams == 0;
-         i++) {
-        ps_team_count_t count = {
-            message->waiting[i]->rank, 0,
-            (int)MIN(message->waiting[i]->count, COUNT_MAX), 0};
-        g_array_append_val(use->teams.waiting, count);
+    if (message->n_waiting_teams == 0 && message->n_waiting > 0) {
+        take_unnamed(message, use, now_ms);
+        return;
     }
     ps_team_count_t running[PS_TEAM_COUNTS_MAX];
     int n = (int)MIN(message->n_running_teams, PS_TEAM_COUNTS_MAX);
@@ -156,9 +171,12 @@
     return n > 0 ? sum / n : 0.0;
 }
 
+// Daemons that name no teams have requests of all teams.
 static void
 set_weights(ps_team_shares_t *shares, const ps_catalog_t *catalog)
 {
+    PsTeamShares_SetWeight(shares, PS_TEAM_UNNAMED,
+                           MAX(catalog->teams->len, 1));
     const double means[] = {get_mean_rate(catalog, false),
                             get_mean_rate(catalog, true)};
     for (guint i = 0; i < catalog->teams->len; i++) {
--- a/src/team_shares.h
+++ b/src/team_shares.h
@@ -22,12 +22,14 @@
     64 /* teams counted separately; others share one                          \
         */
 
+#define PS_TEAM_UNNAMED 0 /* requests of daemons that name no teams */
+
 /**
  * struct ps_team_count - Number of requests of one rank and team.
  */
 typedef struct ps_team_count {
     uint32_t rank; /* 0 for running requests */
-    uint32_t team; /* PsTeamShares_HashTeam(); 0: not named */
+    uint32_t team; /* PsTeamShares_HashTeam(), or PS_TEAM_UNNAMED */
     int count;
     int started; /* since the last report */
 } ps_team_count_t;
--- a/tests/test_team_shares.cpp
+++ b/tests/test_team_shares.cpp
@@ -13,10 +13,10 @@
 
 // The first team is the noisy one.
 Result
-RunAndPrint(const char *what, Load load, bool is_on)
+RunAndPrint(const char *what, Load load, bool is_on, bool is_alone = false)
 {
-    load.has_shares = is_on;
-    load.has_plan = is_on;
+    load.has_shares = is_alone ? load.has_shares : is_on;
+    load.has_plan = is_alone ? load.has_plan : is_on;
     const Result result = Site(load).Run();
     const Served noisy = result.Sum(0, 1);
     const Served others = result.Sum(1, result.teams.size());
@@ -86,6 +86,25 @@
     }
 }
 
+// Each setting is of use without the other one.
+TEST(TeamShares, EachSettingAlone)
+{
+    for (int n : {30, 94}) {
+        Load load = {.n_daemons = n,
+                     .n_servers = 60,
+                     .teams = MakeTeams(7),
+                     .ratio = 1.2};
+        const Result off = RunAndPrint("neither", load, false);
+        load.has_shares = true;
+        const Result shares = RunAndPrint("team_shares", load, true, true);
+        load.has_shares = false;
+        load.has_plan = true;
+        const Result plan = RunAndPrint("planned_returns", load, true, true);
+        EXPECT_GE(GetOnTime(shares), GetOnTime(off) + 0.1) << n;
+        EXPECT_GE(plan.GetValue(), off.GetValue()) << n;
+    }
+}
+
 // The noisy team's tier is below or above that of half of the others.
 TEST(TeamShares, TiersComeBeforeTeams)
 {
@@ -344,9 +363,19 @@
     Ps__ServiceUse message = PS__SERVICE_USE__INIT;
     message.waiting = counts;
     message.n_waiting = 1;
+    Ps__ServerCount running = PS__SERVER_COUNT__INIT;
+    running.server = 1;
+    running.count = 5;
+    Ps__ServerCount *all_running[] = {&running};
+    message.running = all_running;
+    message.n_running = 1;
     PsTeamMessages_HandleReport(&allocator, &service, &message, use, kStart);
     const ps_slot_count_t slots[] = {{1, 2}};
     PsAllocator_DivideSlots(&allocator, &service, slots, 1, 1, kStart);
+    const ps_team_division_t *division =
+        PsAllocator_GetTeamDivision(&allocator, &service);
+    EXPECT_EQ(PsTeamShares_Find(&division->shares, PS_TEAM_UNNAMED)->running,
+              5);
     ASSERT_EQ(use->limits->len, 1u);
     EXPECT_EQ(g_array_index(use->limits, ps_slot_count_t, 0).count, 2);
     PsAllocator_Finish(&allocator);
