--- a/src/waiting.c
+++ b/src/waiting.c
@@ -182,7 +182,8 @@
 static bool
 must_be_kept(const ps_scheduler_t *scheduler, const ps_task_t *task)
 {
-    return scheduler->has_planned_returns && PsWaiting_IsReturning(task);
+    return scheduler->has_planned_returns && PsWaiting_IsReturning(task) &&
+           PsWaiting_IsLate(scheduler, task, task->arrived_ms);
 }
 
 // Tells whether a task that can't be on time is to be refused early, since
