--- a/src/waiting.c
+++ b/src/waiting.c
@@ -1,9 +1,6 @@
 /* waiting.c - Order of the queue, estimated waits and early refusal. */
 #include "waiting.h"
 
-#include <math.h>
-#include <string.h>
-
 #define RATE_INITIAL                                                          \
     3.0               /* starts in PS_RANK_RATE_DECAY_MS, assumed at first */
 #define RATE_MIN 0.05 /* the same, assumed at least */
@@ -449,8 +446,9 @@
                           const ps_rank_wait_t *waits, int n, int64_t until_ms)
 {
     scheduler->n_fleet_waits = MIN(n, PS_RANKS_MAX);
-    memcpy(scheduler->fleet_waits, waits,
-           (size_t)scheduler->n_fleet_waits * sizeof *waits);
+    for (int i = 0; i < scheduler->n_fleet_waits; i++) {
+        scheduler->fleet_waits[i] = waits[i];
+    }
     scheduler->fleet_waits_until_ms = until_ms;
 }
 
--- a/tests/test_team_shares.cpp
+++ b/tests/test_team_shares.cpp
@@ -137,8 +137,11 @@
 // gets no more slots than the one with answers of 10.
 TEST(TeamShares, UnequalWorkIsCountedInSlotTime)
 {
-    Load load = {
-        .n_servers = 60, .teams = MakeTeams(7), .ratio = 1.5, .for_ms = 20000};
+    Load load = {.n_servers = 60,
+                 .teams = MakeTeams(7),
+                 .ratio = 1.5,
+                 .for_ms = 20000,
+                 .callers_after_ms = 30000};
     load.teams[0] = {.rate = 0.7, .events = 480};
     load.teams[1] = {.rate = 33, .events = 10};
     RunAndPrint("answers of 480 and 10 events", load, false);
