--- a/src/allocator.h
+++ b/src/allocator.h
@@ -25,6 +25,7 @@
 #include "scheduler.h"
 #include "slot_order.h"
 #include "store_events.h"
+#include "team_division.h"
 
 #define PS_REPORT_MAX_AGE_MS 500 /* daemons with older reports get nothing */
 
@@ -36,6 +37,7 @@
                         has any */
     GArray *waiting; /* ps_waiting_count_t: waiting requests of each rank */
     GArray *limits;  /* ps_slot_count_t, set by PsAllocator_DivideSlots() */
+    ps_team_reports_t teams; /* the same requests by team */
     bool is_brittle; /* a server has told the daemon that it is brittle */
     uint64_t told_paces; /* version of the last pace told to the daemon */
 } ps_service_use_t;
@@ -89,6 +91,8 @@
     GHashTable *server_buckets; /* hash of a server with a limit to its
                                    ps_server_bucket_t */
     ps_server_models_t models;  /* empty unless switched on */
+    GHashTable *team_divisions; /* service to ps_team_division_t */
+    bool has_team_shares;       /* slots are divided by team within a rank */
     double window_s;            /* of the quotas, seconds */
     int64_t started_ms;       /* usage before then is unknown, except what was
                                  stored; 0: all usage is known */
@@ -238,6 +242,13 @@
 int PsAllocator_CountRunning(ps_allocator_t *allocator,
                              const ps_name_t *service, int64_t now_ms);
 
+/**
+ * PsAllocator_GetTeamDivision() - Finds or adds the division of a service by
+ * team; NULL: slots are not divided by team.
+ */
+ps_team_division_t *PsAllocator_GetTeamDivision(ps_allocator_t *allocator,
+                                                const ps_name_t *service);
+
 /**
  * PsAllocator_DivideSlots() - Computes each daemon's limits for one service.
  * @slots: slots of each server
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -4,7 +4,9 @@
  * Each daemon has one scheduler for each service and decides alone, within
  * its slot limits at the backend servers. Waiting requests are ordered
  * strictly by tier; within a tier, requests that can still meet their
- * objective come first, and the late ones form a rank of their own. Load
+ * objective come first, and the late ones form a rank of their own. Within a
+ * rank they are ordered by arrival, or by team and the time at which their
+ * callers first asked. Load
  * pattern: bursts to twice the capacity, on servers of unequal speed. Does no
  * I/O; all times are passed in, in milliseconds of one clock.
  */
@@ -15,9 +17,12 @@
 
 #include "backend.h"
 #include "rank_rates.h"
+#include "return_plan.h"
+#include "team_order.h"
 
-#define PS_TASK_PARTS_MAX 8 /* prompt parts recorded for one request */
-#define PS_TASK_TRIED_MAX 4 /* servers recorded as tried by one request */
+#define PS_TASK_PARTS_MAX 8    /* prompt parts recorded for one request */
+#define PS_REPORT_NOTES_MAX 64 /* reports for which grants are expected */
+#define PS_TASK_TRIED_MAX 4    /* servers recorded as tried by one request */
 
 struct ps_scheduler;
 
@@ -43,11 +48,14 @@
     int tier;           /* 0 is served first */
     bool is_generation; /* prompt for a model engine, placed where parts of
                            it are cached */
+    uint32_t team;      /* PsTeamShares_HashTeam(); 0: none */
     int64_t arrived_ms;
+    int64_t first_asked_ms; /* when its caller asked for the first time; 0: at
+                               @arrived_ms */
+    int64_t deadline_ms;    /* for which its caller waits; 0: not known */
     int64_t objective_ms; /* time by which a stream's first event, or else the
                              whole answer, should have come */
     int64_t wait_deadline_ms; /* refused if it still waits then */
-    int64_t deadline_ms;      /* its caller gives up then; 0: not known */
     int64_t gap_target_ms;    /* longest pause between events; 0: not set */
     double prompt_tokens;
     double output_tokens; /* expected */
@@ -62,6 +70,8 @@
     /* set by the scheduler */
     bool is_waiting;
     bool was_found_late; /* could not meet its objective while it waited */
+    double charged_ms;   /* charged to the team when it was started; 0: it is
+                            not at a server, or teams are not counted */
     GList link;
     ps_backend_t *backend;  /* NULL: not at a server */
     int64_t started_ms;     /* sent to @backend */
@@ -82,6 +92,14 @@
     double ms;
 } ps_rank_wait_t;
 
+/**
+ * struct ps_report_note - What ran when a report was made.
+ */
+typedef struct ps_report_note {
+    int running;
+    uint64_t n_started; /* tasks, up to then */
+} ps_report_note_t;
+
 /**
  * struct ps_scheduler_events - Callbacks of a scheduler.
  * @start: send the task to its backend server now
@@ -114,8 +132,13 @@
     ps_rank_wait_t fleet_waits[PS_RANKS_MAX]; /* told by the allocator */
     int n_fleet_waits;
     int64_t fleet_waits_until_ms; /* they are too old then */
-    double mean_run_ms;           /* moving average of times at a server */
-    double mean_first_event_ms;   /* moving average of times to first event */
+    ps_team_order_t team_order;
+    ps_return_plan_t return_plan;
+    uint64_t n_returned;         /* tasks whose callers came back */
+    uint64_t n_returned_refused; /* of these, refused again */
+    bool has_planned_returns;    /* Retry-After comes from @return_plan */
+    double mean_run_ms;          /* moving average of times at a server */
+    double mean_first_event_ms;  /* moving average of times to first event */
     uint32_t random_state;
     bool has_brittle_server;  /* one has told this daemon so */
     int64_t brittle_told_ms;  /* when the allocator last said that there is
@@ -125,6 +148,10 @@
                                  read no events; 0: none */
     bool has_granted_limits;  /* slot limits come from the allocator; false:
                                  from even shares */
+    int granted_left; /* free slots of the grant that is being taken, for any
+                         task that waits here */
+    ps_report_note_t report_notes[PS_REPORT_NOTES_MAX]; /* by round */
+    uint64_t n_started; /* tasks, since the start */
     bool is_running; /* PsScheduler_Run() is active; stops it from re-entry */
     /* learned speeds */
     ps_name_t domain;        /* of this daemon; empty: no server is preferred
@@ -266,6 +293,19 @@
  */
 void PsScheduler_Run(ps_scheduler_t *scheduler, int64_t now_ms);
 
+/**
+ * PsScheduler_NoteReport() - Notes what ran when a report was made.
+ * @round: of the report
+ */
+void PsScheduler_NoteReport(ps_scheduler_t *scheduler, uint64_t round);
+
+/**
+ * PsScheduler_TakeGrant() - Runs after the slot limits of a grant were set.
+ * @round: of the report that it answers
+ */
+void PsScheduler_TakeGrant(ps_scheduler_t *scheduler, uint64_t round,
+                           int64_t now_ms);
+
 /**
  * PsScheduler_UseEvenShares() - Replaces the granted slot limits by even
  * shares.
@@ -282,6 +322,16 @@
                              ps_waiting_count_t *counts, int max,
                              int64_t now_ms);
 
+/**
+ * PsScheduler_CountTeams() - Counts the waiting tasks of each rank and team,
+ * and the starts since the last call. Runs only with the order of teams.
+ * @counts: receives at most PS_TEAM_COUNTS_MAX counts
+ *
+ * Return: number of counts.
+ */
+int PsScheduler_CountTeams(ps_scheduler_t *scheduler, ps_team_count_t *counts,
+                           int64_t now_ms);
+
 /**
  * PsScheduler_TakeStarts() - Lists how many tasks of each rank were started
  * since the last call.
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -11,6 +11,7 @@
 #include "origin_lookups.h"
 #include "pace_messages.h"
 #include "quota_messages.h"
+#include "team_messages.h"
 
 // Interval between reports. It grows with the number of daemons, to bound the
 // allocator's load.
@@ -272,6 +273,7 @@
     if (learned_limits) {
         PsPaceMessages_AddSamples(use, &dispatcher->scheduler, now_ms);
     }
+    PsTeamMessages_AddToReport(use, dispatcher, round, now_ms);
     return use;
 }
 
@@ -291,6 +293,7 @@
     free_rank_counts(use->waiting, use->n_waiting);
     free_rank_counts(use->started, use->n_started);
     PsPaceMessages_FreeSamples(use);
+    PsTeamMessages_FreeInReport(use);
     g_free(use->outcomes);
     g_free(use->server_limits);
     g_free(use);
@@ -340,6 +343,7 @@
     g_hash_table_iter_init(&each, gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         ps_dispatcher_t *dispatcher = value;
+        PsTeamMessages_ApplySettings(dispatcher, &gateway->settings.gateway);
         report.services[report.n_services++] =
             make_service_use(dispatcher, report.round,
                              gateway->settings.gateway.learned_limits, now_ms);
@@ -436,7 +440,9 @@
     if (sharing->gateway->settings.gateway.learned_limits) {
         PsPaceMessages_ApplyPaces(&dispatcher->scheduler, grant, now_ms);
     }
-    PsScheduler_Run(&dispatcher->scheduler, now_ms);
+    PsTeamMessages_HandleGrant(&dispatcher->scheduler, grant,
+                               now_ms + GRANT_TTL_MS);
+    PsScheduler_TakeGrant(&dispatcher->scheduler, round, now_ms);
 }
 
 // Applies changes of servers and members that the allocator has read from the
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -103,6 +103,7 @@
 ${GW_QUOTA_BY_BUCKET:+quota_by_bucket = true}
 ${GW_NO_FIRST_START:+#}first_start = ${GW_FIRST_START:-false}
 ${GW_LEARNED_LIMITS:+learned_limits = true}
+${GW_MORE_SETTINGS:-}
 END
 }
 
