--- a/src/exchange.c
+++ b/src/exchange.c
@@ -840,7 +840,6 @@
              : now_ms) +
         (route->target_latency_ms > 0 ? route->target_latency_ms : limit_ms);
     task->gap_target_ms = route->gap_target_ms;
-    task->deadline_ms = exchange->deadline_ms;
     int64_t wait_max_ms = route->is_stream
                               ? STREAM_WAIT_MAX_MS
                               : (int64_t)((double)limit_ms * PLAIN_WAIT_SHARE);
