--- a/src/slot_order.c
+++ b/src/slot_order.c
@@ -23,9 +23,8 @@
 #define TRIAL_SLOTS 2
 
 // A server without requests whose predicted time is this many times that of
-// the fast ones gets one waiting request as a trial after
-// this time. It doubles with each trial after which the server is still slow,
-// up to the longest.
+// the fast ones gets one request as a trial after this time. It doubles with
+// each trial after which the server is still worse, up to the longest.
 #define TRIAL_RATIO 1.1
 #define TRIAL_INTERVAL_MS 2000
 #define TRIAL_INTERVAL_MAX_MS 16000
