Add the decisions on roll-outs of server versions

rollout.[ch] has the steps and the exposure, rollout_evidence.[ch] the sequential test, rollout_use.[ch] a daemon's part. Nothing uses them yet. Tests in virtual time print false alarms, misses, exposure and the time from the 50th bad answer to the last request.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
     outliers histogram crash_reports abandoned_runs recent_map recent_members \
     rate_bucket server_limit server_room stream_origins server_reach forwarders \
     event_stream version_history overcommit \
-    fleet_waits rank_rates attempts
+    fleet_waits rank_rates attempts rollout rollout_evidence rollout_use
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
@@ -127,7 +127,7 @@
 
 TESTS := test_tables test_pool test_ledger test_contract test_simulation \
     test_gateway test_limits test_mutations test_server_limits test_marks \
-    test_origins test_reach test_fleet
+    test_origins test_reach test_fleet test_rollout
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
