--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,15 @@
     outliers histogram crash_reports abandoned_runs recent_map recent_members \
     rate_bucket server_limit server_room stream_origins server_reach forwarders \
     event_stream version_history overcommit \
-    fleet_waits rank_rates attempts rollout rollout_evidence rollout_use
+    fleet_waits rank_rates attempts rollout rollout_evidence rollout_use \
+    rollout_samples
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
     allocator_rounds changes mark_crashes server_checks origin_lookups \
-    server_notices reach_checks server_path forward_server response_headers
-PLATFORM := endpoints codec dialect_fleet run_gateway store
+    server_notices reach_checks server_path forward_server response_headers \
+    rollout_rounds
+PLATFORM := endpoints codec dialect_fleet run_gateway store store_rollouts
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
 PROGRAMS := $(BUILD)/pearstaird $(BUILD)/pearstairctl $(BUILD)/pearstair-load
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -125,6 +125,10 @@
         handle_server_limits(sharing, reporter, use_message, &service, now_ms);
         ps_dispatcher_t *dispatcher =
             PsGateway_FindDispatcher(sharing->gateway, &service);
+        if (dispatcher) {
+            PsRolloutRounds_HandleUse(dispatcher->rollout, from,
+                                      use_message->rollout, now_ms);
+        }
         for (size_t k = 0; dispatcher && k < use_message->n_started; k++) {
             const Ps__WaitingCount *started = use_message->started[k];
             PsFleetWaits_AddStarts(&dispatcher->fleet_waits, started->rank,
@@ -221,6 +225,50 @@
                           dispatcher->n_waits, dispatcher->waits, now_ms);
 }
 
+static bool gets_most_reports(const ps_sharing_t *sharing, int64_t now_ms);
+
+// Takes the steps of a service's roll-out that are due.
+static void
+run_rollout(ps_sharing_t *sharing, ps_dispatcher_t *dispatcher, int n_daemons,
+            int64_t now_ms)
+{
+    if (!dispatcher->rollout) {
+        return;
+    }
+    ps_rollout_context_t context =
+        PsGateway_GetRolloutContext(sharing->gateway);
+    context.is_allocator =
+        context.is_allocator && gets_most_reports(sharing, now_ms);
+    context.n_daemons = n_daemons;
+    PsRolloutRounds_Run(dispatcher->rollout, &dispatcher->scheduler, &context,
+                        now_ms);
+}
+
+// Tells a service's roll-out how many slots of its target each daemon has got.
+static void
+note_rollout_slots(ps_sharing_t *sharing, const ps_dispatcher_t *dispatcher)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, sharing->allocator.reporters);
+    while (dispatcher->rollout &&
+           g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_reporter_t *reporter = value;
+        const ps_service_use_t *use =
+            g_hash_table_lookup(reporter->services, &dispatcher->name);
+        const GPtrArray *backends = dispatcher->scheduler.backends;
+        int n = 0;
+        for (guint i = 0; use && i < backends->len; i++) {
+            const ps_backend_t *backend = backends->pdata[i];
+            if (backend->version == dispatcher->rollout->target) {
+                n += PsServiceUse_CountGranted(use,
+                                               PsSharing_HashServer(backend));
+            }
+        }
+        PsRolloutRounds_SetFreeSlots(dispatcher->rollout, &reporter->name, n);
+    }
+}
+
 static void
 divide_service(ps_sharing_t *sharing, ps_dispatcher_t *dispatcher,
                int64_t now_ms)
@@ -231,6 +279,7 @@
         is_any_told_brittle(sharing, &dispatcher->name, now_ms);
     int members = (int)g_hash_table_size(sharing->gateway->members);
     double factor = get_slots_factor(sharing, dispatcher, members, now_ms);
+    run_rollout(sharing, dispatcher, members, now_ms);
     int n = 0;
     for (guint i = 0; i < backends->len; i++) {
         const ps_backend_t *backend = backends->pdata[i];
@@ -241,7 +290,10 @@
                 ? MAX(backend->limit.notice.rate, PS_SERVER_RATE_MIN)
                 : PS_SERVER_RATE_NONE,
             now_ms);
-        if (!backend->registration.is_leaving) {
+        if (!backend->registration.is_leaving &&
+            PsRolloutRounds_GrantsSlots(dispatcher->rollout,
+                                        &dispatcher->scheduler, backend,
+                                        now_ms)) {
             slots[n].server = server;
             slots[n++].count =
                 (int)(backend->registration.slots * factor + 0.5);
@@ -252,6 +304,7 @@
     }
     PsAllocator_DivideSlots(&sharing->allocator, &dispatcher->name, slots, n,
                             members, now_ms);
+    note_rollout_slots(sharing, dispatcher);
     g_free(slots);
 }
 
@@ -336,6 +389,8 @@
             add_limits_to_grant(service, dispatcher, value, is_own, now_ms);
             service->brittle = dispatcher->is_brittle;
             add_waits_to_grant(service, dispatcher);
+            service->rollout = PsRolloutRounds_MakeGrant(
+                dispatcher->rollout, &reporter->name, now_ms);
         }
         grant->services[grant->n_services++] = service;
     }
@@ -414,6 +469,7 @@
         for (size_t k = 0; k < each->n_waits; k++) {
             g_free(each->waits[k]);
         }
+        PsRolloutRounds_FreeGrant(each->rollout);
         g_free(each->waits);
         g_free(each->limits);
         g_free(each->server_limits);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -758,6 +758,7 @@
     ps_task_t *task = &exchange->task;
     task->user = exchange;
     task->is_generation = route->is_generation;
+    task->route = XXH32(route->name.data, route->name.len, 0);
     task->arrived_ms = now_ms;
     task->objective_ms =
         now_ms +
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -339,6 +339,78 @@
     gateway->sharing.is_stored_usage_empty = false;
 }
 
+static ps_rollout_round_t *
+get_rollout(ps_gateway_t *gateway, const ps_name_t *service)
+{
+    ps_dispatcher_t *dispatcher = PsGateway_GetDispatcher(gateway, service);
+    if (!dispatcher->rollout) {
+        dispatcher->rollout = PsRolloutRounds_New();
+    }
+    return dispatcher->rollout;
+}
+
+static void
+on_rollout_changed(void *user, const ps_rollout_object_t *object)
+{
+    ps_rollout_round_t *round = get_rollout(user, &object->service);
+    PsRolloutRounds_HandleObject(
+        round, &PsGateway_GetDispatcher(user, &object->service)->scheduler,
+        object);
+}
+
+static void
+on_rollout_removed(void *user, const ps_name_t *service)
+{
+    ps_dispatcher_t *dispatcher = PsGateway_FindDispatcher(user, service);
+    if (dispatcher && dispatcher->rollout) {
+        PsRolloutRounds_HandleRemoval(dispatcher->rollout,
+                                      &dispatcher->scheduler);
+    }
+}
+
+static void
+on_rollouts_listed(void *user, GHashTable *names)
+{
+    ps_gateway_t *gateway = user;
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, gateway->dispatchers);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        ps_dispatcher_t *dispatcher = value;
+        if (!g_hash_table_contains(names, &dispatcher->name)) {
+            on_rollout_removed(gateway, &dispatcher->name);
+        }
+    }
+}
+
+static void
+on_rollout_status_written(void *user, const ps_name_t *service,
+                          ps_store_result_t result,
+                          const ps_rollout_object_t *object)
+{
+    ps_rollout_round_t *round = get_rollout(user, service);
+    PsRolloutRounds_HandleStatusWritten(
+        round, &PsGateway_GetDispatcher(user, service)->scheduler, result,
+        object, PsClock_Now());
+}
+
+static void
+on_rollout_record_read(void *user, const ps_rollout_record_t *record)
+{
+    ps_rollout_context_t context = PsGateway_GetRolloutContext(user);
+    PsRolloutRounds_HandleRecordRead(get_rollout(user, &record->service),
+                                     &context, record, PsClock_Now());
+}
+
+static void
+on_rollout_record_written(void *user, const ps_name_t *service,
+                          ps_store_result_t result, uint64_t revision)
+{
+    ps_rollout_context_t context = PsGateway_GetRolloutContext(user);
+    PsRolloutRounds_HandleRecordWritten(get_rollout(user, service), &context,
+                                        result, revision, PsClock_Now());
+}
+
 /* ---- Backend servers -------------------------------------------------- */
 
 // Notes which versions a service has servers of.
@@ -458,6 +530,7 @@
             PsRetryBudget_GetUse(&dispatcher->retry_budget, PsClock_Now());
         print_service_metric(out, allowed, &dispatcher->name, use.allowed);
         print_service_metric(out, counted, &dispatcher->name, use.retries);
+        PsRolloutRounds_PrintMetrics(dispatcher->rollout, out);
     }
 }
 
@@ -552,7 +625,9 @@
     gpointer value;
     g_hash_table_iter_init(&each, gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
-        PsScheduler_Run(&((ps_dispatcher_t *)value)->scheduler, now_ms);
+        ps_scheduler_t *scheduler = &((ps_dispatcher_t *)value)->scheduler;
+        PsRolloutRounds_UpdateVersions(scheduler, now_ms);
+        PsScheduler_Run(scheduler, now_ms);
     }
 }
 
@@ -800,7 +875,13 @@
         .state_saved = on_state_saved,
         .unavailable = on_store_unavailable,
         .available = on_store_available,
-        .restored = on_store_restored};
+        .restored = on_store_restored,
+        .rollout_changed = on_rollout_changed,
+        .rollout_removed = on_rollout_removed,
+        .rollouts_listed = on_rollouts_listed,
+        .rollout_status_written = on_rollout_status_written,
+        .rollout_record_read = on_rollout_record_read,
+        .rollout_record_written = on_rollout_record_written};
     return &events;
 }
 
@@ -925,12 +1006,25 @@
     dispatcher->name = *service;
     PsScheduler_Init(&dispatcher->scheduler, PsExchange_GetSchedulerEvents(),
                      gateway, service, (uint32_t)gateway->self.incarnation);
+    dispatcher->scheduler.rollout.is_on =
+        gateway->settings.gateway.rollout_exposure > 0;
     PsRetryBudget_Init(&dispatcher->retry_budget, gateway->started_ms);
     g_hash_table_insert(gateway->dispatchers, &dispatcher->name, dispatcher);
     divide_among_daemons(gateway);
     return dispatcher;
 }
 
+ps_rollout_context_t
+PsGateway_GetRolloutContext(ps_gateway_t *gateway)
+{
+    return (ps_rollout_context_t){
+        .store_ops = gateway->store_ops,
+        .settings = &gateway->settings.gateway,
+        .catalog = gateway->catalog,
+        .is_allocator = PsName_IsEqual(&gateway->sharing.allocator_name,
+                                       &gateway->self.name)};
+}
+
 void
 PsGateway_ForEachBackend(const ps_gateway_t *gateway,
                          void (*visit)(void *user, ps_backend_t *backend),
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -27,6 +27,7 @@
 #include "reach_checks.h"
 #include "recent_members.h"
 #include "retry_budget.h"
+#include "rollout_rounds.h"
 #include "scheduler.h"
 #include "settings.h"
 #include "sharing.h"
@@ -50,7 +51,8 @@
     int n_waits;
     int n_ended; /* requests that have ended at servers, by the reports since
                     the last round */
-    int tokens_per_event; /* output tokens in an event of a stream */
+    ps_rollout_round_t *rollout; /* the service's order; NULL: none */
+    int tokens_per_event;        /* output tokens in an event of a stream */
 } ps_dispatcher_t;
 
 /**
@@ -110,6 +112,10 @@
  * @set_poll_rate: sets how often the store is polled
  * @get_era: returns a number that rises when the store is restored from an
  *           older copy; 0: not known
+ * @write_rollout_status: writes an order's status unless the order has changed
+ * @read_rollout_record: reads the record of a service's order
+ * @write_rollout_record: adds the record if its revision is 0, or replaces the
+ *                        one of its revision
  */
 typedef struct ps_store_ops {
     void (*remove_member)(const struct ps_store_ops *ops,
@@ -122,6 +128,12 @@
                      bool members);
     void (*set_poll_rate)(const struct ps_store_ops *ops, ps_poll_rate_t rate);
     uint64_t (*get_era)(const struct ps_store_ops *ops);
+    void (*write_rollout_status)(const struct ps_store_ops *ops,
+                                 const ps_rollout_object_t *object);
+    void (*read_rollout_record)(const struct ps_store_ops *ops,
+                                const ps_name_t *service);
+    void (*write_rollout_record)(const struct ps_store_ops *ops,
+                                 const ps_rollout_record_t *record);
 } ps_store_ops_t;
 
 /**
@@ -280,6 +292,12 @@
  */
 int PsGateway_CountQuotaDaemons(ps_gateway_t *gateway, int64_t now_ms);
 
+/**
+ * PsGateway_GetRolloutContext() - Returns what roll-outs need of this daemon,
+ * without the number of daemons.
+ */
+ps_rollout_context_t PsGateway_GetRolloutContext(ps_gateway_t *gateway);
+
 /**
  * PsGateway_LogServerLimit() - Logs a limit that was learned, has changed or
  * has ended.
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -952,6 +952,96 @@
   assert(message->base.descriptor == &ps__server_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__rollout_answer__init
+                     (Ps__RolloutAnswer         *message)
+{
+  static const Ps__RolloutAnswer init_value = PS__ROLLOUT_ANSWER__INIT;
+  *message = init_value;
+}
+size_t ps__rollout_answer__get_packed_size
+                     (const Ps__RolloutAnswer *message)
+{
+  assert(message->base.descriptor == &ps__rollout_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__rollout_answer__pack
+                     (const Ps__RolloutAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__rollout_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__rollout_answer__pack_to_buffer
+                     (const Ps__RolloutAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__rollout_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__RolloutAnswer *
+       ps__rollout_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__RolloutAnswer *)
+     protobuf_c_message_unpack (&ps__rollout_answer__descriptor,
+                                allocator, len, data);
+}
+void   ps__rollout_answer__free_unpacked
+                     (Ps__RolloutAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__rollout_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ps__rollout_use__init
+                     (Ps__RolloutUse         *message)
+{
+  static const Ps__RolloutUse init_value = PS__ROLLOUT_USE__INIT;
+  *message = init_value;
+}
+size_t ps__rollout_use__get_packed_size
+                     (const Ps__RolloutUse *message)
+{
+  assert(message->base.descriptor == &ps__rollout_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__rollout_use__pack
+                     (const Ps__RolloutUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__rollout_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__rollout_use__pack_to_buffer
+                     (const Ps__RolloutUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__rollout_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__RolloutUse *
+       ps__rollout_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__RolloutUse *)
+     protobuf_c_message_unpack (&ps__rollout_use__descriptor,
+                                allocator, len, data);
+}
+void   ps__rollout_use__free_unpacked
+                     (Ps__RolloutUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__rollout_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__service_use__init
                      (Ps__ServiceUse         *message)
 {
@@ -1177,6 +1267,51 @@
   assert(message->base.descriptor == &ps__rank_wait__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ps__rollout_grant__init
+                     (Ps__RolloutGrant         *message)
+{
+  static const Ps__RolloutGrant init_value = PS__ROLLOUT_GRANT__INIT;
+  *message = init_value;
+}
+size_t ps__rollout_grant__get_packed_size
+                     (const Ps__RolloutGrant *message)
+{
+  assert(message->base.descriptor == &ps__rollout_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ps__rollout_grant__pack
+                     (const Ps__RolloutGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ps__rollout_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ps__rollout_grant__pack_to_buffer
+                     (const Ps__RolloutGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ps__rollout_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ps__RolloutGrant *
+       ps__rollout_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ps__RolloutGrant *)
+     protobuf_c_message_unpack (&ps__rollout_grant__descriptor,
+                                allocator, len, data);
+}
+void   ps__rollout_grant__free_unpacked
+                     (Ps__RolloutGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ps__rollout_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ps__service_grant__init
                      (Ps__ServiceGrant         *message)
 {
@@ -3544,7 +3679,213 @@
   (ProtobufCMessageInit) ps__server_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ps__rollout_answer__field_descriptors[5] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutAnswer, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutAnswer, route),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sample",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutAnswer, sample),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bucket",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutAnswer, bucket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutAnswer, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__rollout_answer__field_indices_by_name[] = {
+  3,   /* field[3] = bucket */
+  1,   /* field[1] = route */
+  2,   /* field[2] = sample */
+  0,   /* field[0] = server */
+  4,   /* field[4] = target */
+};
+static const ProtobufCIntRange ps__rollout_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ps__rollout_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.RolloutAnswer",
+  "RolloutAnswer",
+  "Ps__RolloutAnswer",
+  "ps",
+  sizeof(Ps__RolloutAnswer),
+  5,
+  ps__rollout_answer__field_descriptors,
+  ps__rollout_answer__field_indices_by_name,
+  1,  ps__rollout_answer__number_ranges,
+  (ProtobufCMessageInit) ps__rollout_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__rollout_use__field_descriptors[7] =
+{
+  {
+    "order",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutUse, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "arrived",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutUse, arrived),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutUse, sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running_old",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutUse, running_old),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutUse, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_answer",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutUse, first_answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ps__RolloutUse, n_answers),
+    offsetof(Ps__RolloutUse, answers),
+    &ps__rollout_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__rollout_use__field_indices_by_name[] = {
+  6,   /* field[6] = answers */
+  1,   /* field[1] = arrived */
+  5,   /* field[5] = first_answer */
+  0,   /* field[0] = order */
+  3,   /* field[3] = running_old */
+  2,   /* field[2] = sent */
+  4,   /* field[4] = step */
+};
+static const ProtobufCIntRange ps__rollout_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor ps__rollout_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.RolloutUse",
+  "RolloutUse",
+  "Ps__RolloutUse",
+  "ps",
+  sizeof(Ps__RolloutUse),
+  7,
+  ps__rollout_use__field_descriptors,
+  ps__rollout_use__field_indices_by_name,
+  1,  ps__rollout_use__number_ranges,
+  (ProtobufCMessageInit) ps__rollout_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__service_use__field_descriptors[8] =
 {
   {
     "service",
@@ -3630,20 +3971,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollout",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServiceUse, rollout),
+    &ps__rollout_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_use__field_indices_by_name[] = {
   5,   /* field[5] = brittle */
   3,   /* field[3] = outcomes */
+  7,   /* field[7] = rollout */
   1,   /* field[1] = running */
   4,   /* field[4] = server_limits */
   0,   /* field[0] = service */
   6,   /* field[6] = started */
   2,   /* field[2] = waiting */
 };
-static const ProtobufCIntRange ps__service_use__number_ranges[1 + 1] =
+static const ProtobufCIntRange ps__service_use__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 11, 7 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ps__service_use__descriptor =
 {
@@ -3653,10 +4008,10 @@
   "Ps__ServiceUse",
   "ps",
   sizeof(Ps__ServiceUse),
-  7,
+  8,
   ps__service_use__field_descriptors,
   ps__service_use__field_indices_by_name,
-  1,  ps__service_use__number_ranges,
+  2,  ps__service_use__number_ranges,
   (ProtobufCMessageInit) ps__service_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3995,7 +4350,123 @@
   (ProtobufCMessageInit) ps__rank_wait__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ps__rollout_grant__field_descriptors[7] =
+{
+  {
+    "order",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutGrant, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutGrant, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutGrant, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutGrant, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done_in_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutGrant, done_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_routes",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ps__RolloutGrant, n_held_routes),
+    offsetof(Ps__RolloutGrant, held_routes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ps__RolloutGrant, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ps__rollout_grant__field_indices_by_name[] = {
+  4,   /* field[4] = done_in_ms */
+  5,   /* field[5] = held_routes */
+  3,   /* field[3] = limit */
+  0,   /* field[0] = order */
+  6,   /* field[6] = removed */
+  2,   /* field[2] = step */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange ps__rollout_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor ps__rollout_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ps.RolloutGrant",
+  "RolloutGrant",
+  "Ps__RolloutGrant",
+  "ps",
+  sizeof(Ps__RolloutGrant),
+  7,
+  ps__rollout_grant__field_descriptors,
+  ps__rollout_grant__field_indices_by_name,
+  1,  ps__rollout_grant__number_ranges,
+  (ProtobufCMessageInit) ps__rollout_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ps__service_grant__field_descriptors[7] =
 {
   {
     "service",
@@ -4069,19 +4540,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollout",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ps__ServiceGrant, rollout),
+    &ps__rollout_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ps__service_grant__field_indices_by_name[] = {
   3,   /* field[3] = brittle */
   5,   /* field[5] = has_waits */
   1,   /* field[1] = limits */
+  6,   /* field[6] = rollout */
   2,   /* field[2] = server_limits */
   0,   /* field[0] = service */
   4,   /* field[4] = waits */
 };
-static const ProtobufCIntRange ps__service_grant__number_ranges[1 + 1] =
+static const ProtobufCIntRange ps__service_grant__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 9, 6 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ps__service_grant__descriptor =
 {
@@ -4091,10 +4576,10 @@
   "Ps__ServiceGrant",
   "ps",
   sizeof(Ps__ServiceGrant),
-  6,
+  7,
   ps__service_grant__field_descriptors,
   ps__service_grant__field_indices_by_name,
-  1,  ps__service_grant__number_ranges,
+  2,  ps__service_grant__number_ranges,
   (ProtobufCMessageInit) ps__service_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -36,11 +36,14 @@
 typedef struct Ps__WaitingCount Ps__WaitingCount;
 typedef struct Ps__ServerOutcomes Ps__ServerOutcomes;
 typedef struct Ps__ServerLimit Ps__ServerLimit;
+typedef struct Ps__RolloutAnswer Ps__RolloutAnswer;
+typedef struct Ps__RolloutUse Ps__RolloutUse;
 typedef struct Ps__ServiceUse Ps__ServiceUse;
 typedef struct Ps__TeamUse Ps__TeamUse;
 typedef struct Ps__ContentCrash Ps__ContentCrash;
 typedef struct Ps__ShareReport Ps__ShareReport;
 typedef struct Ps__RankWait Ps__RankWait;
+typedef struct Ps__RolloutGrant Ps__RolloutGrant;
 typedef struct Ps__ServiceGrant Ps__ServiceGrant;
 typedef struct Ps__TeamGrant Ps__TeamGrant;
 typedef struct Ps__ServerNews Ps__ServerNews;
@@ -552,6 +555,76 @@
     , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * What one answer has shown in a roll-out.
+ */
+struct  Ps__RolloutAnswer
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the backend server's name
+   */
+  uint32_t server;
+  /*
+   * hash of its name
+   */
+  uint32_t route;
+  /*
+   * ps_rollout_sample_t
+   */
+  uint32_t sample;
+  /*
+   * of a time
+   */
+  uint32_t bucket;
+  /*
+   * the server has the target version
+   */
+  protobuf_c_boolean target;
+};
+#define PS__ROLLOUT_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__rollout_answer__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * A daemon's part in a roll-out, since it learnt of the order.
+ */
+struct  Ps__RolloutUse
+{
+  ProtobufCMessage base;
+  uint64_t order;
+  /*
+   * requests
+   */
+  uint64_t arrived;
+  /*
+   * of these, sent to the target version
+   */
+  uint64_t sent;
+  /*
+   * requests at servers of other versions
+   */
+  uint32_t running_old;
+  /*
+   * ps_rollout_step_t, as the daemon knows it
+   */
+  uint32_t step;
+  /*
+   * number of the first one of these
+   */
+  uint64_t first_answer;
+  /*
+   * since the last report
+   */
+  size_t n_answers;
+  Ps__RolloutAnswer **answers;
+};
+#define PS__ROLLOUT_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__rollout_use__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
 struct  Ps__ServiceUse
 {
   ProtobufCMessage base;
@@ -579,10 +652,17 @@
    * a server of it has told the sender that it falls over when it
    */
   protobuf_c_boolean brittle;
+  /*
+   * has to reject too many requests
+   */
+  /*
+   * while an order is in force
+   */
+  Ps__RolloutUse *rollout;
 };
 #define PS__SERVICE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL }
 
 
 struct  Ps__TeamUse
@@ -686,6 +766,44 @@
     , 0, 0 }
 
 
+/*
+ * What a daemon is to know of an order.
+ */
+struct  Ps__RolloutGrant
+{
+  ProtobufCMessage base;
+  uint64_t order;
+  /*
+   * hash of service and version
+   */
+  uint64_t target;
+  /*
+   * ps_rollout_step_t
+   */
+  uint32_t step;
+  /*
+   * RolloutUse.sent may grow to it
+   */
+  uint64_t limit;
+  /*
+   * until the old servers may stop
+   */
+  uint32_t done_in_ms;
+  /*
+   * go to the old version for now
+   */
+  size_t n_held_routes;
+  uint32_t *held_routes;
+  /*
+   * the order is
+   */
+  protobuf_c_boolean removed;
+};
+#define PS__ROLLOUT_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__rollout_grant__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0 }
+
+
 /*
  * What one daemon may use until the next grant.
  */
@@ -716,10 +834,14 @@
    * the sender knows them
    */
   protobuf_c_boolean has_waits;
+  /*
+   * while there is an order
+   */
+  Ps__RolloutGrant *rollout;
 };
 #define PS__SERVICE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0, NULL }
 
 
 struct  Ps__TeamGrant
@@ -1360,6 +1482,44 @@
 void   ps__server_limit__free_unpacked
                      (Ps__ServerLimit *message,
                       ProtobufCAllocator *allocator);
+/* Ps__RolloutAnswer methods */
+void   ps__rollout_answer__init
+                     (Ps__RolloutAnswer         *message);
+size_t ps__rollout_answer__get_packed_size
+                     (const Ps__RolloutAnswer   *message);
+size_t ps__rollout_answer__pack
+                     (const Ps__RolloutAnswer   *message,
+                      uint8_t             *out);
+size_t ps__rollout_answer__pack_to_buffer
+                     (const Ps__RolloutAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__RolloutAnswer *
+       ps__rollout_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__rollout_answer__free_unpacked
+                     (Ps__RolloutAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__RolloutUse methods */
+void   ps__rollout_use__init
+                     (Ps__RolloutUse         *message);
+size_t ps__rollout_use__get_packed_size
+                     (const Ps__RolloutUse   *message);
+size_t ps__rollout_use__pack
+                     (const Ps__RolloutUse   *message,
+                      uint8_t             *out);
+size_t ps__rollout_use__pack_to_buffer
+                     (const Ps__RolloutUse   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__RolloutUse *
+       ps__rollout_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__rollout_use__free_unpacked
+                     (Ps__RolloutUse *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ServiceUse methods */
 void   ps__service_use__init
                      (Ps__ServiceUse         *message);
@@ -1455,6 +1615,25 @@
 void   ps__rank_wait__free_unpacked
                      (Ps__RankWait *message,
                       ProtobufCAllocator *allocator);
+/* Ps__RolloutGrant methods */
+void   ps__rollout_grant__init
+                     (Ps__RolloutGrant         *message);
+size_t ps__rollout_grant__get_packed_size
+                     (const Ps__RolloutGrant   *message);
+size_t ps__rollout_grant__pack
+                     (const Ps__RolloutGrant   *message,
+                      uint8_t             *out);
+size_t ps__rollout_grant__pack_to_buffer
+                     (const Ps__RolloutGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__RolloutGrant *
+       ps__rollout_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__rollout_grant__free_unpacked
+                     (Ps__RolloutGrant *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ServiceGrant methods */
 void   ps__service_grant__init
                      (Ps__ServiceGrant         *message);
@@ -1691,6 +1870,12 @@
 typedef void (*Ps__ServerLimit_Closure)
                  (const Ps__ServerLimit *message,
                   void *closure_data);
+typedef void (*Ps__RolloutAnswer_Closure)
+                 (const Ps__RolloutAnswer *message,
+                  void *closure_data);
+typedef void (*Ps__RolloutUse_Closure)
+                 (const Ps__RolloutUse *message,
+                  void *closure_data);
 typedef void (*Ps__ServiceUse_Closure)
                  (const Ps__ServiceUse *message,
                   void *closure_data);
@@ -1706,6 +1891,9 @@
 typedef void (*Ps__RankWait_Closure)
                  (const Ps__RankWait *message,
                   void *closure_data);
+typedef void (*Ps__RolloutGrant_Closure)
+                 (const Ps__RolloutGrant *message,
+                  void *closure_data);
 typedef void (*Ps__ServiceGrant_Closure)
                  (const Ps__ServiceGrant *message,
                   void *closure_data);
@@ -1761,11 +1949,14 @@
 extern const ProtobufCMessageDescriptor ps__waiting_count__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_outcomes__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_limit__descriptor;
+extern const ProtobufCMessageDescriptor ps__rollout_answer__descriptor;
+extern const ProtobufCMessageDescriptor ps__rollout_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__content_crash__descriptor;
 extern const ProtobufCMessageDescriptor ps__share_report__descriptor;
 extern const ProtobufCMessageDescriptor ps__rank_wait__descriptor;
+extern const ProtobufCMessageDescriptor ps__rollout_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_news__descriptor;
--- a/src/rollout_use.c
+++ b/src/rollout_use.c
@@ -29,6 +29,12 @@
         }
         return;
     }
+    if (use->order != 0 && use->target != target &&
+        use->step != PS_ROLLOUT_DONE) {
+        use->blocked = use->target;
+    }
+    use->blocked = use->blocked == target ? 0 : use->blocked;
+    use->is_removed = false;
     use->order = order;
     use->target = target;
     use->step = step;
@@ -44,6 +50,15 @@
     g_array_set_size(use->answers, 0);
 }
 
+void
+PsRolloutUse_HandleRemoval(ps_rollout_use_t *use)
+{
+    use->is_removed = true;
+    if (use->step < PS_ROLLOUT_DONE) {
+        use->step = PS_ROLLOUT_BACK;
+    }
+}
+
 void
 PsRolloutUse_SetLimit(ps_rollout_use_t *use, uint64_t limit, int64_t until_ms)
 {
@@ -86,6 +101,10 @@
         }
     }
     use->n_versions = kept;
+    if (use->is_removed && kept <= 1) {
+        use->order = 0;
+        use->is_removed = false;
+    }
 }
 
 // Tells whether servers of another version than this one take new work.
@@ -145,6 +164,9 @@
     if (!use->is_on) {
         return true;
     }
+    if (version == use->blocked && has_other_version(use, version)) {
+        return false;
+    }
     if (use->order == 0) {
         return !is_held(use, version, now_ms);
     }
--- a/src/rollout_use.h
+++ b/src/rollout_use.h
@@ -55,6 +55,11 @@
     GArray *answers;       /* ps_rollout_answer_t */
     uint64_t first_answer; /* number of the first one in @answers */
     uint64_t next_report;  /* number of the next one to report */
+    uint64_t reported_to;  /* hash of the name of the allocator that gets them
+                            */
+    uint64_t blocked; /* target of an earlier order that was not done; 0: none
+                       */
+    bool is_removed;  /* the order was removed */
     ps_known_version_t versions[PS_ROLLOUT_VERSIONS_MAX];
     int n_versions;
 } ps_rollout_use_t;
@@ -69,6 +74,12 @@
 void PsRolloutUse_SetOrder(ps_rollout_use_t *use, uint64_t order,
                            uint64_t target, ps_rollout_step_t step);
 
+/**
+ * PsRolloutUse_HandleRemoval() - The order was removed. A target that was not
+ * done stays unused as long as there are servers of another version.
+ */
+void PsRolloutUse_HandleRemoval(ps_rollout_use_t *use);
+
 /**
  * PsRolloutUse_SetLimit() - Permits requests to the target.
  * @limit: of @sent
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "even_shares.h"
+#include "rollout_samples.h"
 
 #define RATE_INITIAL                                                          \
     3.0               /* starts in PS_RANK_RATE_DECAY_MS, assumed at first */
@@ -57,6 +58,10 @@
 // equal speed.
 #define LOAD_COST_MS 4.0
 
+// Taken from the cost of a server of a roll-out's target, as far as requests
+// may go there. More than any cost.
+#define ROLLOUT_PREFERENCE_MS 1e9
+
 /* ---- Even shares ------------------------------------------------------ */
 
 static gint
@@ -273,6 +278,21 @@
            task->output_tokens * token_ms * 0.25 + load_ms;
 }
 
+// Returns what a roll-out needs to know of a task that may go to a server.
+static ps_rollout_request_t
+get_rollout_request(const ps_scheduler_t *scheduler, const ps_task_t *task,
+                    const ps_backend_t *backend, int64_t now_ms)
+{
+    ps_rollout_request_t request = {task->route, scheduler->mean_run_ms};
+    if (task->is_generation && PsRolloutUse_IsRunning(&scheduler->rollout)) {
+        request.run_ms =
+            predict_first_event(backend, task, task->prompt_tokens, now_ms) +
+            task->output_tokens * PsSpeed_GetStepMs(&backend->token_interval,
+                                                    backend->running + 1.0);
+    }
+    return request;
+}
+
 // Returns the server of least cost that has a free slot and was not tried yet;
 // NULL: none.
 static ps_backend_t *
@@ -287,7 +307,16 @@
             was_tried(task, backend) || !has_version(task, backend)) {
             continue;
         }
+        ps_rollout_request_t request =
+            get_rollout_request(scheduler, task, backend, now_ms);
+        if (!PsRolloutUse_MayPlace(&scheduler->rollout, &request,
+                                   backend->version, now_ms)) {
+            continue;
+        }
         double cost = predict_cost(backend, task, now_ms);
+        if (PsRolloutUse_Prefers(&scheduler->rollout, backend->version)) {
+            cost -= ROLLOUT_PREFERENCE_MS;
+        }
         if (cost < lowest) {
             lowest = cost;
             best = backend;
@@ -340,6 +369,7 @@
     task->started_ms = now_ms;
     task->last_event_ms = now_ms;
     task->first_event_ms = 0;
+    task->n_events = 0;
     task->prefill_tokens = get_prefill_tokens(backend, task, now_ms);
     task->prefill_backlog_tokens =
         backend->pending_prefill_tokens + task->prefill_tokens;
@@ -351,6 +381,7 @@
     }
     backend->running++;
     PsServerLimit_CountStart(&backend->limit, now_ms);
+    PsRolloutUse_AddStart(&scheduler->rollout, backend->version);
     backend->pending_prefill_tokens += task->prefill_tokens;
     scheduler->events->start(scheduler, task);
 }
@@ -580,6 +611,7 @@
 PsScheduler_Finish(ps_scheduler_t *scheduler)
 {
     g_ptr_array_unref(scheduler->backends);
+    PsRolloutUse_Finish(&scheduler->rollout);
 }
 
 void
@@ -706,6 +738,9 @@
 PsScheduler_Submit(ps_scheduler_t *scheduler, ps_task_t *task, int64_t now_ms)
 {
     task->link = (GList){.data = task};
+    if (task->n_tried == 0) {
+        PsRolloutUse_AddArrival(&scheduler->rollout);
+    }
     if (scheduler->waiting.length == 0) {
         ps_backend_t *backend = find_best_backend(scheduler, task, now_ms);
         if (backend) {
@@ -746,6 +781,7 @@
     if (task->first_event_ms == 0) {
         double ms = (double)(now_ms - task->started_ms);
         task->first_event_ms = now_ms;
+        PsRolloutSamples_AddFirstEvent(scheduler, task, ms);
         backend->unreported_outcomes.good++;
         backend->pending_prefill_tokens =
             MAX(backend->pending_prefill_tokens - task->prefill_tokens, 0.0);
@@ -763,6 +799,7 @@
         PsSpeed_AddStep(&backend->token_interval, backend->running, step, 0.2);
     }
     task->last_event_ms = now_ms;
+    PsRolloutSamples_AddEvent(scheduler, task, now_ms);
 }
 
 void
@@ -842,6 +879,7 @@
                ps_task_result_t result, int64_t now_ms)
 {
     ps_backend_t *backend = task->backend;
+    PsRolloutSamples_AddEnd(scheduler, task, result, now_ms);
     if (task->first_event_ms == 0) {
         backend->pending_prefill_tokens =
             MAX(backend->pending_prefill_tokens - task->prefill_tokens, 0.0);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -15,6 +15,7 @@
 
 #include "backend.h"
 #include "rank_rates.h"
+#include "rollout_use.h"
 
 #define PS_TASK_PARTS_MAX 8 /* prompt parts recorded for one request */
 #define PS_TASK_TRIED_MAX 4 /* servers recorded as tried by one request */
@@ -55,6 +56,7 @@
     uint32_t part_tokens[PS_TASK_PARTS_MAX]; /* of each part alone */
     uint64_t version; /* of the servers that can run it, as in ps_backend_t;
                          0: any */
+    uint32_t route;   /* hash of its name */
     int n_tried;
     uint32_t tried[PS_TASK_TRIED_MAX]; /* instance_id of servers tried */
     /* set by the scheduler */
@@ -64,6 +66,7 @@
     ps_backend_t *backend;  /* NULL: not at a server */
     int64_t started_ms;     /* sent to @backend */
     int64_t first_event_ms; /* time of the first event; 0: none yet */
+    int n_events;           /* of the stream at @backend */
     int64_t last_event_ms;  /* time of the latest event; @started_ms before the
                                first */
     double prefill_tokens;  /* prompt tokens that the server has not cached */
@@ -122,6 +125,7 @@
                                  read no events; 0: none */
     bool has_granted_limits;  /* slot limits come from the allocator; false:
                                  from even shares */
+    ps_rollout_use_t rollout; /* which versions may be used */
     bool is_running; /* PsScheduler_Run() is active; stops it from re-entry */
 } ps_scheduler_t;
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -94,6 +94,12 @@
      0, 1000000000},
     {"gateway", "first_start", SETTING_FLAG, FIELD(gateway.is_first_start),
      "false", 0, 0},
+    {"gateway", "rollout_exposure", SETTING_REAL,
+     FIELD(gateway.rollout_exposure), "0", 0, 1},
+    {"gateway", "rollout_slack", SETTING_REAL, FIELD(gateway.rollout_slack),
+     "50", 0, 1000000},
+    {"gateway", "rollback_ms", SETTING_REAL, FIELD(gateway.rollback_ms),
+     "5000", 100, 3600000},
     {"gateway", "cpu_share", SETTING_REAL, FIELD(gateway.cpu_share), "1", 0,
      1024},
 };
--- a/src/settings.h
+++ b/src/settings.h
@@ -22,24 +22,30 @@
                                     daemons are taken; empty: none are */
     double revoke_ms;            /* [gateway] revoke_ms, longest time that a
                                     removed API key is still accepted */
-    double grace_s;         /* [gateway] grace_s, longest graceful shutdown */
-    int64_t address_ttl_ms; /* [gateway] address_life, how long callers may
-                               keep an answer of the directory */
-    double retry_ratio;     /* [gateway] retry_ratio, retries per request */
-    double retry_window_s;  /* [gateway] retry_window, in which retries and
-                               requests are counted */
-    double retry_slack;     /* [gateway] retry_slack, retries in a window in
-                               addition, over all daemons */
-    double quota_window_s;  /* [gateway] quota_window, in which usage is
-                               summed */
-    double quota_overage;   /* [gateway] quota_overage, fraction of a quota by
-                               which it may be exceeded */
-    double quota_slack;     /* [gateway] quota_slack, units by which a quota
-                               may be exceeded in addition */
-    bool is_first_start;    /* [gateway] first_start, no daemon of the
-                               deployment has run before */
-    double cpu_share;       /* [gateway] cpu_share, processor share of this
-                               daemon, in cores */
+    double grace_s;          /* [gateway] grace_s, longest graceful shutdown */
+    int64_t address_ttl_ms;  /* [gateway] address_life, how long callers may
+                                keep an answer of the directory */
+    double retry_ratio;      /* [gateway] retry_ratio, retries per request */
+    double retry_window_s;   /* [gateway] retry_window, in which retries and
+                                requests are counted */
+    double retry_slack;      /* [gateway] retry_slack, retries in a window in
+                                addition, over all daemons */
+    double quota_window_s;   /* [gateway] quota_window, in which usage is
+                                summed */
+    double quota_overage;    /* [gateway] quota_overage, fraction of a quota by
+                                which it may be exceeded */
+    double quota_slack;      /* [gateway] quota_slack, units by which a quota
+                                may be exceeded in addition */
+    bool is_first_start;     /* [gateway] first_start, no daemon of the
+                                deployment has run before */
+    double rollout_exposure; /* [gateway] rollout_exposure, share of requests
+                                that may go to a version that isn't known to
+                                be good; 0: roll-outs are off */
+    double rollout_slack; /* [gateway] rollout_slack, requests in addition */
+    double rollback_ms;   /* [gateway] rollback_ms, longest time from the 50th
+                             bad answer to the last request */
+    double cpu_share;     /* [gateway] cpu_share, processor share of this
+                             daemon, in cores */
 } ps_gateway_settings_t;
 
 /**
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -234,7 +234,8 @@
 // Returns a service's part of the report: running requests and outcomes by
 // server, and waiting requests by rank. Freed with free_service_use().
 static Ps__ServiceUse *
-make_service_use(ps_dispatcher_t *dispatcher, uint64_t round, int64_t now_ms)
+make_service_use(ps_dispatcher_t *dispatcher, const ps_name_t *allocator,
+                 uint64_t round, int64_t now_ms)
 {
     Ps__ServiceUse *use = g_new(Ps__ServiceUse, 1);
     ps__service_use__init(use);
@@ -265,6 +266,7 @@
     n = PsScheduler_TakeStarts(&dispatcher->scheduler, ranks);
     use->started = make_rank_counts(ranks, n);
     use->n_started = (size_t)n;
+    use->rollout = PsRolloutRounds_MakeUse(&dispatcher->scheduler, allocator);
     return use;
 }
 
@@ -285,6 +287,7 @@
     free_rank_counts(use->started, use->n_started);
     g_free(use->outcomes);
     g_free(use->server_limits);
+    PsRolloutRounds_FreeUse(use->rollout);
     g_free(use);
 }
 
@@ -332,8 +335,8 @@
     g_hash_table_iter_init(&each, gateway->dispatchers);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         ps_dispatcher_t *dispatcher = value;
-        report.services[report.n_services++] =
-            make_service_use(dispatcher, report.round, now_ms);
+        report.services[report.n_services++] = make_service_use(
+            dispatcher, &sharing->allocator_name, report.round, now_ms);
     }
     add_team_uses(sharing, &report, now_ms);
     report.crashes = PsMarkCrashes_MakeMessages(
@@ -421,6 +424,8 @@
     if (grant->has_waits) {
         apply_waits(&dispatcher->scheduler, grant, now_ms);
     }
+    PsRolloutRounds_ApplyGrant(&dispatcher->scheduler, grant->rollout,
+                               GRANT_TTL_MS, now_ms);
     PsScheduler_Run(&dispatcher->scheduler, now_ms);
 }
 
--- a/src/store_events.h
+++ b/src/store_events.h
@@ -67,6 +67,52 @@
                                  when it was written */
 } ps_stored_state_t;
 
+/**
+ * enum ps_rollout_state - State of an order, as its status says.
+ */
+typedef enum ps_rollout_state {
+    PS_ROLLOUT_STATE_NONE, /* no status, or one of another target */
+    PS_ROLLOUT_STATE_RUNNING,
+    PS_ROLLOUT_STATE_DONE,
+    PS_ROLLOUT_STATE_ROLLED_BACK
+} ps_rollout_state_t;
+
+/**
+ * struct ps_rollout_object - An operator's order to move a service's traffic
+ * to another version.
+ */
+typedef struct ps_rollout_object {
+    ps_name_t service;
+    ps_name_t target;    /* version */
+    int64_t duration_ms; /* 0: malformed */
+    ps_rollout_state_t state;
+    uint64_t revision;
+} ps_rollout_object_t;
+
+/**
+ * struct ps_rollout_record - How far the allocator has got with an order.
+ */
+typedef struct ps_rollout_record {
+    ps_name_t service;
+    ps_name_t target;
+    uint64_t order;
+    int64_t started_unix_ms;
+    int step; /* ps_rollout_step_t */
+    uint64_t arrived;
+    uint64_t sent;
+    uint64_t answers;
+    uint64_t revision; /* of its object; 0: there is none */
+} ps_rollout_record_t;
+
+/**
+ * enum ps_store_result - How a conditional write has ended.
+ */
+typedef enum ps_store_result {
+    PS_STORE_WRITTEN,
+    PS_STORE_CONFLICT, /* the object has changed since */
+    PS_STORE_FAILED    /* not known whether it was written */
+} ps_store_result_t;
+
 /**
  * struct ps_store_events - Handlers of the store's events.
  * @catalog_changed: there is a newer configuration; the handler owns a
@@ -86,6 +132,14 @@
  * @available: the store answers again
  * @restored: the store has come back from an older copy: what was written to
  * it lately is gone until its writers write it again
+ * @rollout_changed: an order was added or changed, or has another status
+ * @rollout_removed: the order of a service was removed
+ * @rollouts_listed: like @servers_listed, of orders
+ * @rollout_status_written: a write of an order's status has ended; @object is
+ *                          the order after it, NULL if it isn't known
+ * @rollout_record_read: a record was read; its revision is 0 if there is none
+ * @rollout_record_written: a write of a record has ended; @revision is its new
+ *                          one
  */
 typedef struct ps_store_events {
     void (*catalog_changed)(void *user, ps_catalog_t *catalog);
@@ -102,6 +156,16 @@
     void (*unavailable)(void *user, const char *reason);
     void (*available)(void *user);
     void (*restored)(void *user);
+    void (*rollout_changed)(void *user, const ps_rollout_object_t *object);
+    void (*rollout_removed)(void *user, const ps_name_t *service);
+    void (*rollouts_listed)(void *user, GHashTable *names);
+    void (*rollout_status_written)(void *user, const ps_name_t *service,
+                                   ps_store_result_t result,
+                                   const ps_rollout_object_t *object);
+    void (*rollout_record_read)(void *user, const ps_rollout_record_t *record);
+    void (*rollout_record_written)(void *user, const ps_name_t *service,
+                                   ps_store_result_t result,
+                                   uint64_t revision);
 } ps_store_events_t;
 
 #endif
