--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -100,6 +100,7 @@
 retry_window = $GW_RETRY_WINDOW_S
 retry_slack = $GW_RETRY_SLACK
 ${GW_NO_FIRST_START:+#}first_start = ${GW_FIRST_START:-false}
+${GW_ROLLOUT_EXPOSURE:+rollout_exposure = $GW_ROLLOUT_EXPOSURE}
 END
 }
 
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -7,7 +7,10 @@
  * that it can cut off the daemons that read the store there. Under
  * /pearstair/objects/KIND: GET lists the objects (those with a name after
  * afterRev), GET with watch and waitMs waits for changes after the revision
- * watch, POST adds an object; GET, PUT and DELETE of /NAME. Objects of kind
+ * watch, POST adds an object; GET, PUT and DELETE of /NAME; PUT of
+ * /NAME/status replaces its status. A write that names a revision, in its
+ * metadata or in the query, other than the object's gets status 409 with the
+ * object. Objects of kind
  * "servers" that are not written for REGISTRATION_TTL_MS, or for what the
  * switch registration_ttl_ms says, are removed. POST /switch sets faults: down
  * (status 503), slow_ms (delay of each request), hang (requests wait; watches
@@ -236,6 +239,37 @@
     return result;
 }
 
+// Replaces an object's status.
+static enum MHD_Result
+write_status(standin_request_t *request, const char *kind, const char *key,
+             json_t *status)
+{
+    json_t *object = json_copy(g_tree_lookup(objects, key));
+    json_t *meta = json_copy(json_object_get(object, "metadata"));
+    revision++;
+    json_object_set_new(meta, "revision", json_integer(revision));
+    json_object_set_new(object, "metadata", meta);
+    json_object_set(object, "status", status);
+    add_change(kind, object, false);
+    g_tree_replace(objects, g_strdup(key), object);
+    return send_object(request, 200, object);
+}
+
+// Tells whether a write names another revision than the object has.
+static bool
+names_other_revision(standin_request_t *request, const json_t *body,
+                     const json_t *object)
+{
+    int64_t named = Standin_GetQueryNumber(request, "revision", 0);
+    const json_t *meta = json_object_get(body, "metadata");
+    if (named == 0) {
+        named = json_integer_value(json_object_get(meta, "revision"));
+    }
+    meta = json_object_get(object, "metadata");
+    return object && named != 0 &&
+           named != json_integer_value(json_object_get(meta, "revision"));
+}
+
 typedef struct object_list {
     const char *kind;
     const char *after;
@@ -385,9 +419,10 @@
 static enum MHD_Result
 handle_object(standin_request_t *request)
 {
-    char **parts = g_strsplit(request->path + strlen(OBJECTS_PATH), "/", 2);
+    char **parts = g_strsplit(request->path + strlen(OBJECTS_PATH), "/", 3);
     const char *kind = parts[0];
     const char *name = parts[0] ? parts[1] : NULL;
+    bool is_status = name && parts[2] && strcmp(parts[2], "status") == 0;
     json_t *body = json_loadb(request->body.data ? request->body.data : "",
                               request->body.len, 0, NULL);
     json_t *spec = json_object_get(body, "spec");
@@ -399,20 +434,21 @@
     if (strcmp(request->method, "POST") == 0 && spec && new_name) {
         result = write_object(request, kind, new_name, spec, true);
     }
+    else if (strcmp(request->method, "GET") != 0 &&
+             names_other_revision(request, body, object)) {
+        result = send_object(request, 409, object);
+    }
+    else if (strcmp(request->method, "PUT") == 0 && is_status && object &&
+             json_object_get(body, "status")) {
+        result =
+            write_status(request, kind, key, json_object_get(body, "status"));
+    }
     else if (strcmp(request->method, "PUT") == 0 && spec && name) {
         result = write_object(request, kind, name, spec, false);
     }
     else if (strcmp(request->method, "DELETE") == 0 && object) {
-        int64_t expected = Standin_GetQueryNumber(request, "revision", 0);
-        int64_t actual = json_integer_value(
-            json_object_get(json_object_get(object, "metadata"), "revision"));
-        if (expected != 0 && expected != actual) {
-            result = send_object(request, 409, object);
-        }
-        else {
-            remove_object(key, kind);
-            result = Standin_SendText(request, 200, "{}", NULL);
-        }
+        remove_object(key, kind);
+        result = Standin_SendText(request, 200, "{}", NULL);
     }
     else if (strcmp(request->method, "GET") != 0 || (name && !object)) {
         result = Standin_SendText(request, 404, "{}", NULL);
