--- a/src/rollout.c
+++ b/src/rollout.c
@@ -3,8 +3,8 @@
 
 #include <math.h>
 
-// Part of the exposure that is used before the last step. The rest pays for
-// the last step, in which all requests go to the target.
+// Part of the exposure that is used before the last step, at least. The rest
+// pays for the last step, in which all requests go to the target.
 #define CANARY_SHARE 0.45
 
 // Part of the slack that is never granted: it covers grants of a second
@@ -192,6 +192,22 @@
     return rollout->rate * (RATE_RISE - rollout->order.exposure) * ms;
 }
 
+// Returns how many requests the last step needs: those that follow the ones
+// that run at old servers now, and all after `done`.
+static double
+get_last_cost(const ps_rollout_t *rollout)
+{
+    double running = 0;
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, rollout->daemons);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        running += ((const ps_rollout_daemon_t *)value)->running_old;
+    }
+    return RATE_RISE * running +
+           get_done_cost(rollout, PsRollout_GetDoneTime(rollout));
+}
+
 // Returns what may be granted now without exceeding the bound of the step.
 // @part: of all daemons that report here
 static double
@@ -201,19 +217,18 @@
     uint64_t sent;
     uint64_t granted;
     count_requests(rollout, &arrived, &sent, &granted);
-    double share = rollout->order.exposure;
-    double slack = rollout->order.slack * (1 - SLACK_RESERVE) * part;
+    double bound = rollout->order.exposure * (double)arrived +
+                   rollout->order.slack * (1 - SLACK_RESERVE) * part;
+    double most = bound;
     if (rollout->step == PS_ROLLOUT_CANARY) {
-        share *= CANARY_SHARE;
-        slack *= CANARY_SHARE;
+        most =
+            MAX(CANARY_SHARE * bound, bound - get_last_cost(rollout) * part);
     }
-    double reserve =
-        rollout->step == PS_ROLLOUT_LAST
-            ? get_done_cost(rollout,
-                            MAX(now_ms, PsRollout_GetDoneTime(rollout))) *
-                  part
-            : 0;
-    return share * (double)arrived + slack - (double)granted - reserve;
+    else if (rollout->step == PS_ROLLOUT_LAST) {
+        int64_t done_ms = MAX(now_ms, PsRollout_GetDoneTime(rollout));
+        most -= get_done_cost(rollout, done_ms) * part;
+    }
+    return most - (double)granted;
 }
 
 static bool
