--- a/src/rollout_evidence.c
+++ b/src/rollout_evidence.c
@@ -27,7 +27,7 @@
 // Thresholds of the sums of log-likelihood ratios; calibrated in
 // tests/test_rollout.cpp. Slow answers follow each other more than failures.
 #define FAILURE_THRESHOLD 12.0
-#define TIME_THRESHOLD 16.0
+#define TIME_THRESHOLD 14.0
 
 // Part of the threshold that is too much at the end of a step: evidence at one
 // time is more certain than the highest of all times.
@@ -41,6 +41,12 @@
 #define EXCESS_SIGMAS 4.0
 #define EXCESS_TIME_SIGMAS 6.0
 
+// Evidence that slow answers of one server may add within a window, and their
+// excess: servers have slow periods of 600 ms.
+#define SLOW_WINDOW_MS 700
+#define SLOW_WINDOW_EVIDENCE 3.5
+#define SLOW_WINDOW_EXCESS 3.0
+
 // Part of the target's servers, those with most evidence, that do not count:
 // single servers may be sick. The part of sick servers of the old version is
 // added.
@@ -49,14 +55,20 @@
 
 #define ALTERNATIVES 3 /* rates of bad answers that are tested for */
 
-static const double alternatives[ALTERNATIVES] = {0.08, 0.22, 0.5};
+// Of failures, and of slow answers: the target's servers are fully loaded, so
+// that a few more of their answers are slow.
+static const double failure_rates[ALTERNATIVES] = {0.08, 0.22, 0.5};
+static const double slow_rates[ALTERNATIVES] = {0.12, 0.25, 0.5};
 
 /* What is known of one server in one series. */
 typedef struct server_stats {
     bool is_target;
     double evidence[ALTERNATIVES];
-    double excess;   /* bad answers beyond those of the old version */
-    double variance; /* of @excess, if the versions are equal */
+    double excess;     /* bad answers beyond those of the old version */
+    double variance;   /* of @excess, if the versions are equal */
+    int64_t window_ms; /* since when its evidence is bounded */
+    double evidence_max[ALTERNATIVES]; /* in the window */
+    double excess_max;
 } server_stats_t;
 
 /* Samples of one kind of one route. */
@@ -171,18 +183,44 @@
     return CLAMP(share, P0_MIN, 0.9);
 }
 
+// Bounds what slow answers of a server add in a short time.
+static void
+bound_window(server_stats_t *stats, int64_t now_ms)
+{
+    bool is_new = now_ms - stats->window_ms >= SLOW_WINDOW_MS;
+    stats->window_ms = is_new ? now_ms : stats->window_ms;
+    if (is_new) {
+        stats->excess_max = stats->excess + SLOW_WINDOW_EXCESS;
+    }
+    stats->excess = MIN(stats->excess, stats->excess_max);
+    for (int i = 0; i < ALTERNATIVES; i++) {
+        if (is_new) {
+            stats->evidence_max[i] = stats->evidence[i] + SLOW_WINDOW_EVIDENCE;
+        }
+        stats->evidence[i] = MIN(stats->evidence[i], stats->evidence_max[i]);
+    }
+}
+
 // Adds a sample to a server's evidence: the log-likelihood ratio of more bad
 // answers than the old version has.
 static void
-add_evidence(server_stats_t *stats, double p0, bool is_bad)
+add_evidence(server_stats_t *stats, double p0, bool is_time, bool is_bad,
+             int64_t now_ms)
 {
+    const double *rates = is_time ? slow_rates : failure_rates;
+    if (is_time) {
+        bound_window(stats, now_ms);
+    }
     stats->excess += (is_bad ? 1 : 0) - p0;
     stats->variance += p0 * (1 - p0);
     for (int i = 0; i < ALTERNATIVES; i++) {
-        double p1 = MIN(p0 + alternatives[i], P_MAX);
+        double p1 = MIN(p0 + rates[i], P_MAX);
         double step = is_bad ? log(p1 / p0) : log((1 - p1) / (1 - p0));
         stats->evidence[i] = MAX(stats->evidence[i] + step, SERVER_FLOOR);
     }
+    if (is_time) {
+        bound_window(stats, now_ms);
+    }
 }
 
 static int
@@ -328,14 +366,15 @@
 // own route: those of one route may be too few for a verdict.
 static void
 add_to_all_routes(ps_rollout_evidence_t *evidence,
-                  const ps_rollout_answer_t *answer, double p0, bool is_bad)
+                  const ps_rollout_answer_t *answer, double p0, bool is_bad,
+                  int64_t now_ms)
 {
     ps_rollout_sample_t sample = answer->sample == PS_ROLLOUT_TOTAL
                                      ? PS_ROLLOUT_FIRST_EVENT
                                      : answer->sample;
     series_t *all = get_series(evidence, 0, sample);
     add_evidence(get_server(all, answer->server, answer->is_target), p0,
-                 is_bad);
+                 all->is_time, is_bad, now_ms);
     if (answer->is_target && is_bad) {
         check_evidence(evidence, all);
     }
@@ -375,11 +414,11 @@
         return;
     }
     add_evidence(get_server(series, answer->server, answer->is_target), p0,
-                 is_bad);
+                 series->is_time, is_bad, now_ms);
     if (answer->is_target && is_bad) {
         check_evidence(evidence, series);
     }
-    add_to_all_routes(evidence, answer, p0, is_bad);
+    add_to_all_routes(evidence, answer, p0, is_bad, now_ms);
 }
 
 // Counts the requests of each route that have begun at the target.
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -149,6 +149,18 @@
         outcome.step = told_final;
         outcome.evidence = rollout.evidence.highest;
         outcome.share = share;
+        if (getenv("ROLLOUT_SHOW") &&
+            (outcome.step == PS_ROLLOUT_BACK) == (setup.kind == kGood)) {
+            const ps_rollout_evidence_t &found = rollout.evidence;
+            printf("seed %u: %s after %lld ms, route %u, sample %d, %llu bad "
+                   "of %llu, expected %.1f, evidence %.2f, share %.2f\n",
+                   setup.seed, outcome.reason.c_str(),
+                   (long long)outcome.ended_ms, found.bad_route,
+                   (int)found.bad_sample,
+                   (unsigned long long)found.bad_answers,
+                   (unsigned long long)found.answers, found.expected_bad,
+                   found.highest, share);
+        }
         return outcome;
     }
 
