--- a/src/rollout.c
+++ b/src/rollout.c
@@ -368,10 +368,8 @@
 }
 
 void
-PsRollout_HandleStep(ps_rollout_t *rollout, const ps_name_t *name,
-                     ps_rollout_step_t step)
+PsRollout_HandleStep(ps_rollout_t *rollout, ps_rollout_step_t step)
 {
-    PsRollout_GetDaemon(rollout, name)->is_last = step >= PS_ROLLOUT_LAST;
     if (step == PS_ROLLOUT_BACK) {
         PsRollout_RollBack(rollout, "another allocator has rolled it back");
     }
@@ -413,24 +411,6 @@
     }
 }
 
-// Tells whether all daemons that report know of the last step and none has
-// requests at old servers.
-static bool
-has_moved(const ps_rollout_t *rollout, int64_t now_ms)
-{
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, rollout->daemons);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const ps_rollout_daemon_t *daemon = value;
-        if (is_fresh(daemon, now_ms) &&
-            (!daemon->is_last || daemon->running_old > 0)) {
-            return false;
-        }
-    }
-    return true;
-}
-
 static bool
 has_verdict(const ps_rollout_t *rollout)
 {
@@ -479,7 +459,7 @@
     if (rollout->n_new == 0) {
         PsRollout_RollBack(rollout, "no server has the target version");
     }
-    else if (left >= 0 && (is_due || has_moved(rollout, now_ms))) {
+    else if (left >= 0 && is_due) {
         if (check_end_of_step(rollout)) {
             return;
         }
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -55,7 +55,6 @@
     uint64_t next_answer; /* number of the next sample that counts */
     int running_old;      /* its requests at servers of other versions */
     int free_slots;       /* granted at servers of the target */
-    bool is_last;         /* it knows of PS_ROLLOUT_LAST */
     double weight;        /* decayed number of requests */
     double credit;        /* fraction of a request that it may send */
 } ps_rollout_daemon_t;
@@ -117,8 +116,7 @@
  * PsRollout_HandleStep() - Takes the step that a daemon knows of, from this or
  * another allocator. A roll-back by another one holds.
  */
-void PsRollout_HandleStep(ps_rollout_t *rollout, const ps_name_t *name,
-                          ps_rollout_step_t step);
+void PsRollout_HandleStep(ps_rollout_t *rollout, ps_rollout_step_t step);
 
 /**
  * PsRollout_HandleAnswer() - Takes a sample; rolls back if the target has
--- a/src/rollout_rounds.c
+++ b/src/rollout_rounds.c
@@ -82,8 +82,12 @@
                             const ps_scheduler_t *scheduler,
                             const ps_backend_t *backend, int64_t now_ms)
 {
+    const ps_rollout_use_t *use = &scheduler->rollout;
+    if (PsRolloutUse_IsExcluded(use, backend->version, now_ms)) {
+        return false;
+    }
     if (!round || round->phase != PS_ROLLOUT_ACTIVE ||
-        backend->version != round->target) {
+        !PsRolloutUse_Prefers(use, backend->version)) {
         return true;
     }
     return PsRollout_IsInUse(&round->rollout,
@@ -406,7 +410,8 @@
     PsRollout_Run(rollout, now_ms);
     PsRollout_Divide(rollout, context->n_daemons, now_ms);
     log_step(round, context);
-    if (!round->is_removed && !rollout->is_written) {
+    if (!round->is_removed) {
+        // A store that was restored may have an older status.
         write_status(round, context, states[rollout->step], now_ms);
         write_record(round, context, now_ms);
     }
@@ -457,7 +462,7 @@
     ps_rollout_t *rollout = &round->rollout;
     PsRollout_HandleUse(rollout, from, use->arrived, use->sent,
                         (int)MIN(use->running_old, INT32_MAX), now_ms);
-    PsRollout_HandleStep(rollout, from, (ps_rollout_step_t)use->step);
+    PsRollout_HandleStep(rollout, (ps_rollout_step_t)use->step);
     ps_rollout_daemon_t *daemon = PsRollout_GetDaemon(rollout, from);
     for (size_t i = 0; i < use->n_answers; i++) {
         const Ps__RolloutAnswer *each = use->answers[i];
--- a/src/rollout_use.c
+++ b/src/rollout_use.c
@@ -157,28 +157,32 @@
 }
 
 bool
-PsRolloutUse_MayPlace(const ps_rollout_use_t *use,
-                      const ps_rollout_request_t *request, uint64_t version,
-                      int64_t now_ms)
+PsRolloutUse_IsExcluded(const ps_rollout_use_t *use, uint64_t version,
+                        int64_t now_ms)
 {
-    if (!use->is_on) {
-        return true;
-    }
-    if (version == use->blocked && has_other_version(use, version)) {
+    if (!use->is_on || !has_other_version(use, version)) {
         return false;
     }
     if (use->order == 0) {
-        return !is_held(use, version, now_ms);
+        return version == use->blocked || is_held(use, version, now_ms);
     }
     bool is_target = version == use->target;
-    if (use->step == PS_ROLLOUT_BACK) {
-        return !is_target;
-    }
-    if (use->step == PS_ROLLOUT_DONE) {
-        // The old servers stop without draining.
-        return is_target || !has_other_version(use, version);
+    // At PS_ROLLOUT_DONE the old servers stop without draining.
+    return version == use->blocked ||
+           (use->step == PS_ROLLOUT_BACK && is_target) ||
+           (use->step == PS_ROLLOUT_DONE && !is_target);
+}
+
+bool
+PsRolloutUse_MayPlace(const ps_rollout_use_t *use,
+                      const ps_rollout_request_t *request, uint64_t version,
+                      int64_t now_ms)
+{
+    if (PsRolloutUse_IsExcluded(use, version, now_ms)) {
+        return false;
     }
-    return !is_target || !has_other_version(use, version) ||
+    return !PsRolloutUse_Prefers(use, version) ||
+           !has_other_version(use, version) ||
            (use->sent < use->limit && now_ms < use->limit_until_ms &&
             is_chosen(use, request, now_ms));
 }
@@ -186,7 +190,7 @@
 bool
 PsRolloutUse_Prefers(const ps_rollout_use_t *use, uint64_t version)
 {
-    return PsRolloutUse_IsRunning(use) && version == use->target;
+    return use->is_on && PsRolloutUse_IsRunning(use) && version == use->target;
 }
 
 bool
--- a/src/rollout_use.h
+++ b/src/rollout_use.h
@@ -105,6 +105,13 @@
                            const ps_rollout_request_t *request,
                            uint64_t version, int64_t now_ms);
 
+/**
+ * PsRolloutUse_IsExcluded() - Tells whether servers of this version get no
+ * requests at all for now.
+ */
+bool PsRolloutUse_IsExcluded(const ps_rollout_use_t *use, uint64_t version,
+                             int64_t now_ms);
+
 /**
  * PsRolloutUse_Prefers() - Tells whether a server of this version comes before
  * others: one of the target, as far as requests may be sent there.
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -477,7 +477,7 @@
         const ps_name_t &name = daemons[message.daemon].name;
         PsRollout_HandleUse(&rollout, &name, message.arrived, message.sent,
                             message.running_old, now);
-        PsRollout_HandleStep(&rollout, &name, message.step);
+        PsRollout_HandleStep(&rollout, message.step);
         ps_rollout_daemon_t *known = PsRollout_GetDaemon(&rollout, &name);
         for (size_t i = 0; i < message.answers.size(); i++) {
             if (message.first + i >= known->next_answer) {
@@ -770,4 +770,95 @@
     }
 }
 
+// A daemon that knows two versions.
+class Use : public ::testing::Test {
+  protected:
+    Use()
+    {
+        use.is_on = true;
+        SetVersions({kOld, kTarget}, kStart);
+    }
+    ~Use() override { PsRolloutUse_Finish(&use); }
+    void SetVersions(std::vector<uint64_t> versions, int64_t now_ms)
+    {
+        PsRolloutUse_SetVersions(&use, versions.data(), (int)versions.size(),
+                                 now_ms);
+    }
+    bool MayPlace(uint64_t version, int64_t now_ms = kStart)
+    {
+        return PsRolloutUse_MayPlace(&use, &request, version, now_ms);
+    }
+    ps_rollout_use_t use = {};
+    ps_rollout_request_t request = {7, 100};
+};
+
+// Guards against requests to the target without the allocator's word.
+TEST_F(Use, UnsureDaemonSendsToOldVersionOnly)
+{
+    PsRolloutUse_SetOrder(&use, 1, kTarget, PS_ROLLOUT_CANARY);
+    EXPECT_TRUE(MayPlace(kOld));
+    EXPECT_FALSE(MayPlace(kTarget)) << "nothing is granted yet";
+    PsRolloutUse_SetLimit(&use, 1, kStart + 400);
+    EXPECT_TRUE(MayPlace(kTarget));
+    EXPECT_FALSE(MayPlace(kTarget, kStart + 400)) << "the grant is over";
+    PsRolloutUse_AddStart(&use, kTarget);
+    EXPECT_FALSE(MayPlace(kTarget)) << "the limit is used up";
+    EXPECT_TRUE(MayPlace(kOld));
+}
+
+// Guards against a step that goes back, and requests after a final one.
+TEST_F(Use, FinalStepStays)
+{
+    PsRolloutUse_SetOrder(&use, 1, kTarget, PS_ROLLOUT_BACK);
+    PsRolloutUse_SetOrder(&use, 1, kTarget, PS_ROLLOUT_CANARY);
+    PsRolloutUse_SetLimit(&use, 100, kStart + 400);
+    EXPECT_FALSE(MayPlace(kTarget));
+    EXPECT_TRUE(MayPlace(kOld));
+    PsRolloutUse_SetOrder(&use, 2, kTarget, PS_ROLLOUT_DONE);
+    EXPECT_TRUE(MayPlace(kTarget));
+    EXPECT_FALSE(MayPlace(kOld)) << "the old servers stop";
+    SetVersions({kOld}, kStart);
+    EXPECT_TRUE(MayPlace(kOld)) << "there are no others";
+}
+
+// Guards against requests to a new version before its order is known, and to
+// the target of an order that was changed or removed.
+TEST_F(Use, VersionsWithoutOrder)
+{
+    EXPECT_TRUE(MayPlace(kTarget)) << "it was there when this daemon began";
+    SetVersions({kOld}, kStart);
+    SetVersions({kOld, kTarget}, kStart + 5000);
+    EXPECT_FALSE(MayPlace(kTarget, kStart + 5000));
+    EXPECT_TRUE(MayPlace(kOld, kStart + 5000));
+    EXPECT_FALSE(MayPlace(33, kStart + 5000)) << "not seen yet";
+    EXPECT_TRUE(MayPlace(kTarget, kStart + 15000)) << "no order has come";
+    PsRolloutUse_SetOrder(&use, 1, kTarget, PS_ROLLOUT_CANARY);
+    PsRolloutUse_SetOrder(&use, 2, 33, PS_ROLLOUT_CANARY);
+    EXPECT_FALSE(MayPlace(kTarget, kStart + 15000)) << "the target before";
+    PsRolloutUse_HandleRemoval(&use);
+    EXPECT_FALSE(MayPlace(33, kStart + 15000));
+    EXPECT_TRUE(MayPlace(kOld, kStart + 15000));
+}
+
+// Guards against any change of placement where roll-outs are off.
+TEST_F(Use, NothingChangesWhenOff)
+{
+    use.is_on = false;
+    SetVersions({kOld}, kStart);
+    EXPECT_TRUE(MayPlace(kTarget));
+    EXPECT_FALSE(PsRolloutUse_Prefers(&use, kTarget));
+}
+
+// In the last step only requests that would outlast the old servers go to the
+// target, so that the exposure covers as many of them as possible.
+TEST_F(Use, LastStepTakesLongRequests)
+{
+    PsRolloutUse_SetOrder(&use, 1, kTarget, PS_ROLLOUT_LAST);
+    PsRolloutUse_SetLimit(&use, 100, kStart + 400);
+    use.done_ms = kStart + 1000;
+    EXPECT_FALSE(MayPlace(kTarget));
+    request.run_ms = 1000;
+    EXPECT_TRUE(MayPlace(kTarget));
+}
+
 }
