Need own answers for a verdict, and count restored requests once

In a run with 40% failures and the allocator killed, the next one took over 34 answers from the record, got 6 of its own as daemons had ejected the servers, and wrote done. Answers of the record count no more, and few answers are enough only with little traffic.

--- a/src/rollout.c
+++ b/src/rollout.c
@@ -21,8 +21,10 @@
 #define LAST_MAX_MS 3000
 #define LAST_SHARE_MAX 0.3
 
-// Answers of the target that a verdict needs. With little traffic fewer will
-// do if no more of them were bad than the old version's.
+// Answers of the target that a verdict needs. Fewer will do if no more of them
+// were bad than the old version's, and traffic is so little that the exposure
+// does not cover more than twice the usual number. With more traffic, few
+// answers show that daemons hardly get any from the target's servers.
 #define ANSWERS_MIN 40
 #define ANSWERS_FEW 5
 
@@ -108,6 +110,11 @@
                     int64_t now_ms)
 {
     ps_rollout_daemon_t *daemon = PsRollout_GetDaemon(rollout, name);
+    if (daemon->reported_ms == 0) {
+        // The record of the last allocator counts these, too.
+        rollout->restored_arrived -= MIN(rollout->restored_arrived, arrived);
+        rollout->restored_sent -= MIN(rollout->restored_sent, sent);
+    }
     if (arrived < daemon->arrived || sent < daemon->sent) {
         // A killed daemon may have used all that it was granted.
         rollout->gone_sent += MAX(daemon->sent, daemon->limit);
@@ -127,15 +134,10 @@
 }
 
 void
-PsRollout_Restore(ps_rollout_t *rollout, uint64_t arrived, uint64_t sent,
-                  uint64_t answers)
+PsRollout_Restore(ps_rollout_t *rollout, uint64_t arrived, uint64_t sent)
 {
-    uint64_t known_sent = PsRollout_CountSent(rollout);
-    uint64_t known_arrived = PsRollout_CountArrived(rollout);
-    rollout->gone_sent += sent > known_sent ? sent - known_sent : 0;
-    rollout->gone_arrived +=
-        arrived > known_arrived ? arrived - known_arrived : 0;
-    rollout->evidence.answers = MAX(rollout->evidence.answers, answers);
+    rollout->restored_arrived = arrived;
+    rollout->restored_sent = sent;
 }
 
 // Sums what all daemons have got, sent, and may have sent by now.
@@ -143,9 +145,9 @@
 count_requests(const ps_rollout_t *rollout, uint64_t *arrived, uint64_t *sent,
                uint64_t *granted)
 {
-    *arrived = rollout->gone_arrived;
-    *sent = rollout->gone_sent;
-    *granted = rollout->gone_sent;
+    *arrived = rollout->gone_arrived + rollout->restored_arrived;
+    *sent = rollout->gone_sent + rollout->restored_sent;
+    *granted = *sent;
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, rollout->daemons);
@@ -287,8 +289,10 @@
     double weights = expire_grants(rollout, &n_fresh, now_ms);
     double part = MIN((double)n_fresh / MAX(n_daemons, 1), 1.0);
     double stock = get_stock(rollout, part, now_ms);
-    if (rollout->step >= PS_ROLLOUT_DONE || stock < 1 || weights <= 0 ||
-        must_save_up(rollout, stock, now_ms)) {
+    // The first daemons that report don't get all.
+    bool are_few = 2 * n_fresh < n_daemons;
+    if (rollout->step >= PS_ROLLOUT_DONE || stock < 1 || are_few ||
+        weights <= 0 || must_save_up(rollout, stock, now_ms)) {
         return;
     }
     rollout->released_ms = now_ms;
@@ -416,8 +420,11 @@
 {
     const ps_rollout_evidence_t *evidence = &rollout->evidence;
     double most = evidence->expected_bad + 1.5 * sqrt(evidence->expected_bad);
+    double bound =
+        rollout->order.exposure * (double)PsRollout_CountArrived(rollout) +
+        rollout->order.slack;
     return evidence->answers >= ANSWERS_MIN ||
-           (evidence->answers >= ANSWERS_FEW &&
+           (bound < 2 * ANSWERS_MIN && evidence->answers >= ANSWERS_FEW &&
             (double)evidence->bad_answers <= MAX(most, 1.0));
 }
 
@@ -441,7 +448,7 @@
     else if (left_ms <= 0) {
         PsRollout_RollBack(rollout, rollout->n_new == 0
                                         ? "no server has the target version"
-                                        : "too little traffic for a verdict");
+                                        : "too few answers for a verdict");
     }
 }
 
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -71,6 +71,8 @@
     ps_rollout_evidence_t evidence;
     uint64_t gone_sent; /* by daemons that are not in @daemons */
     uint64_t gone_arrived;
+    uint64_t restored_sent; /* of a record, by daemons that haven't reported */
+    uint64_t restored_arrived;
     double rate; /* requests per millisecond over all daemons */
     uint64_t rated_arrivals;
     int64_t rated_ms;
@@ -91,10 +93,9 @@
 /**
  * PsRollout_Restore() - Takes the counts of a record of another allocator.
  *
- * What daemons report counts within them: the larger sum holds.
+ * What a daemon reports first is part of them.
  */
-void PsRollout_Restore(ps_rollout_t *rollout, uint64_t arrived, uint64_t sent,
-                       uint64_t answers);
+void PsRollout_Restore(ps_rollout_t *rollout, uint64_t arrived, uint64_t sent);
 
 /**
  * PsRollout_GetDaemon() - Finds or adds a daemon; owned by the roll-out.
--- a/src/rollout_evidence.c
+++ b/src/rollout_evidence.c
@@ -26,8 +26,8 @@
 
 // Thresholds of the sums of log-likelihood ratios; calibrated in
 // tests/test_rollout.cpp. Slow answers follow each other more than failures.
-#define FAILURE_THRESHOLD 12.0
-#define TIME_THRESHOLD 14.0
+#define FAILURE_THRESHOLD 11.0
+#define TIME_THRESHOLD 12.0
 
 // Part of the threshold that is too much at the end of a step: evidence at one
 // time is more certain than the highest of all times.
@@ -39,7 +39,7 @@
 // have 50 for 5 s only.
 #define EXCESS_MIN 25.0
 #define EXCESS_SIGMAS 4.0
-#define EXCESS_TIME_SIGMAS 6.0
+#define EXCESS_TIME_SIGMAS 5.0
 
 // Evidence that slow answers of one server may add within a window, and their
 // excess: servers have slow periods of 600 ms.
@@ -58,7 +58,7 @@
 // Of failures, and of slow answers: the target's servers are fully loaded, so
 // that a few more of their answers are slow.
 static const double failure_rates[ALTERNATIVES] = {0.08, 0.22, 0.5};
-static const double slow_rates[ALTERNATIVES] = {0.12, 0.25, 0.5};
+static const double slow_rates[ALTERNATIVES] = {0.1, 0.25, 0.5};
 
 /* What is known of one server in one series. */
 typedef struct server_stats {
--- a/src/rollout_rounds.c
+++ b/src/rollout_rounds.c
@@ -137,8 +137,7 @@
                                 .slack = settings->rollout_slack};
     order.limit_ms = order.started_ms + round->object.duration_ms;
     PsRollout_Init(&round->rollout, &order, now_ms);
-    PsRollout_Restore(&round->rollout, record->arrived, record->sent,
-                      record->answers);
+    PsRollout_Restore(&round->rollout, record->arrived, record->sent);
     round->phase = PS_ROLLOUT_ACTIVE;
     round->logged_step = PS_ROLLOUT_CANARY;
     PsEvents_Add("rollout.start", "{s:s,s:s,s:I,s:I,s:I,s:I}", "service",
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -210,7 +210,7 @@
     int64_t next_record_ms = 0;
     int64_t write_due_ms = 0;
     int64_t last_write_ms = 0;
-    uint64_t record_arrived = 0, record_sent = 0, record_answers = 0;
+    uint64_t record_arrived = 0, record_sent = 0;
     ps_rollout_step_t told_final = PS_ROLLOUT_CANARY;
     bool is_old_gone = false;
     int slot_offset = 0;
@@ -240,8 +240,7 @@
                                     50};
         PsRollout_Init(&rollout, &order, at_ms);
         if (is_next) {
-            PsRollout_Restore(&rollout, record_arrived, record_sent,
-                              record_answers);
+            PsRollout_Restore(&rollout, record_arrived, record_sent);
             for (Daemon &daemon : daemons) {
                 daemon.use.next_report = daemon.use.first_answer;
             }
@@ -529,7 +528,6 @@
             next_record_ms = now + 500;
             record_arrived = PsRollout_CountArrived(&rollout);
             record_sent = PsRollout_CountSent(&rollout);
-            record_answers = rollout.evidence.answers;
         }
         for (size_t i = 0; i < daemons.size(); i++) {
             Message grant = {};
@@ -629,12 +627,13 @@
     std::map<std::string, int> reasons;
 };
 
-// Runs 200 seeds, or as many as ROLLOUT_SEEDS says, and prints the shares.
+// Runs this many seeds, or as many as ROLLOUT_SEEDS says, and prints the
+// shares. ROLLOUT_SHOW prints a line for each false alarm and miss.
 Summary
-RunSeeds(Trial setup, const char *title)
+RunSeeds(Trial setup, const char *title, int n_seeds = 50)
 {
     const char *text = getenv("ROLLOUT_SEEDS");
-    int seeds = text ? atoi(text) : 200;
+    int seeds = text ? atoi(text) : n_seeds;
     Summary sum;
     for (int i = 1; i <= seeds; i++) {
         setup.seed = (unsigned)i * 7919;
@@ -763,10 +762,12 @@
         Trial trial;
         trial.daemons = daemons;
         trial.has_slow_servers = true;
-        RunSeeds(trial, "(slow servers)");
+        Summary slow = RunSeeds(trial, "(slow servers)");
+        EXPECT_LE(slow.back, slow.runs * 0.04);
         trial.has_slow_servers = false;
         trial.has_sick_server = true;
-        RunSeeds(trial, "(sick server)");
+        Summary sick = RunSeeds(trial, "(sick server)");
+        EXPECT_LE(sick.back, sick.runs * 0.04);
     }
 }
 
