--- a/tests/run_one.sh
+++ b/tests/run_one.sh
@@ -19,7 +19,7 @@
 gw_server_limit_faults | gw_server_pause | gw_store_back) GW_RUNNERS=6 GW_DAEMONS=4 ;;
 gw_server_pause_shorter) GW_LINKS=1 GW_RUNNERS=6 ;;
 gw_server_notices_lapse) GW_RUNNERS=6 ;;
-gw_rollout | gw_rollout_orders) GW_RUNNERS=6 GW_ROLLOUT_EXPOSURE=0.1 ;;
+gw_rollout | gw_rollout_orders | gw_rollout_faults) GW_RUNNERS=6 GW_ROLLOUT_EXPOSURE=0.1 GW_REVOKE_MS=60000 ;; # keys stay valid while the store is down
 gw_server_pause_paths) GW_LINKS="1 2 3 4 5 6" GW_RUNNERS=6 GW_DAEMONS=6 ;;
 gw_server_leaving) GW_RUNNERS=6 GW_DAEMONS=4 GW_REVOKE_MS=60000 ;; # keys stay valid while the store is down
 gw_crashing_part_faults) GW_RUNNERS=12 GW_DAEMONS=4 GW_HEARTBEAT_MS=2000 ;;
