--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -246,6 +246,7 @@
             }
         }
         rollout.write_ms = 70;
+        write_due_ms = 0; // the last allocator's write was lost with it
         has_allocator = true;
         next_allocator_ms = at_ms;
     }
