--- a/Makefile
+++ b/Makefile
@@ -15,20 +15,22 @@
 KERNEL := status str request forecast prefix_cache speed marks suspects queue rules \
     rule_kinds settings config server pool estimate place_finish \
     place_baseline ids ledger owner members entry clock catalog quota \
-    quota_share quota_pool quota_pools quota_division retry_budget backend even_shares backend_registry scheduler allocator \
-    outliers histogram crash_reports abandoned_runs recent_map recent_members \
+    quota_share quota_pool quota_pools quota_division retry_budget backend \
+    even_shares backend_registry scheduler allocator outliers \
+    histogram crash_reports abandoned_runs recent_map recent_members \
     rate_bucket server_limit server_room stream_origins server_reach forwarders \
     event_stream version_history overcommit address_choice fleet_waits \
     rank_rates attempts placement task_samples server_model server_models \
     concurrency_limit slot_order waiting team_shares team_order team_division \
-    return_plan
+    return_plan rollout rollout_evidence rollout_use rollout_samples
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
     allocator_rounds changes mark_crashes server_checks origin_lookups \
     server_notices reach_checks server_path forward_server response_headers \
-    pace_messages quota_messages quota_admission team_messages
-PLATFORM := endpoints codec dialect_fleet run_gateway store
+    pace_messages quota_messages quota_admission team_messages \
+    rollout_rounds
+PLATFORM := endpoints codec dialect_fleet run_gateway store store_rollouts
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
 PROGRAMS := $(BUILD)/pearstaird $(BUILD)/pearstairctl $(BUILD)/pearstair-load
@@ -131,7 +133,7 @@
 TESTS := test_tables test_pool test_ledger test_contract test_simulation \
     test_gateway test_limits test_mutations test_server_limits test_marks \
     test_origins test_reach test_fleet test_addresses test_server_model \
-    test_quota_fleet test_team_shares
+    test_quota_fleet test_team_shares test_rollout
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -131,6 +131,10 @@
         PsPaceMessages_HandleSamples(&allocator->models, use_message, now_ms);
         ps_dispatcher_t *dispatcher =
             PsGateway_FindDispatcher(sharing->gateway, &service);
+        if (dispatcher) {
+            PsRolloutRounds_HandleUse(dispatcher->rollout, from,
+                                      use_message->rollout, now_ms);
+        }
         for (size_t k = 0; dispatcher && k < use_message->n_started; k++) {
             const Ps__WaitingCount *started = use_message->started[k];
             PsFleetWaits_AddStarts(&dispatcher->fleet_waits, started->rank,
@@ -228,6 +232,50 @@
                           dispatcher->n_waits, dispatcher->waits, now_ms);
 }
 
+static bool gets_most_reports(const ps_sharing_t *sharing, int64_t now_ms);
+
+// Takes the steps of a service's roll-out that are due.
+static void
+run_rollout(ps_sharing_t *sharing, ps_dispatcher_t *dispatcher, int n_daemons,
+            int64_t now_ms)
+{
+    if (!dispatcher->rollout) {
+        return;
+    }
+    ps_rollout_context_t context =
+        PsGateway_GetRolloutContext(sharing->gateway);
+    context.is_allocator =
+        context.is_allocator && gets_most_reports(sharing, now_ms);
+    context.n_daemons = n_daemons;
+    PsRolloutRounds_Run(dispatcher->rollout, &dispatcher->scheduler, &context,
+                        now_ms);
+}
+
+// Tells a service's roll-out how many slots of its target each daemon has got.
+static void
+note_rollout_slots(ps_sharing_t *sharing, const ps_dispatcher_t *dispatcher)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, sharing->allocator.reporters);
+    while (dispatcher->rollout &&
+           g_hash_table_iter_next(&each, NULL, &value)) {
+        const ps_reporter_t *reporter = value;
+        const ps_service_use_t *use =
+            g_hash_table_lookup(reporter->services, &dispatcher->name);
+        const GPtrArray *backends = dispatcher->scheduler.backends;
+        int n = 0;
+        for (guint i = 0; use && i < backends->len; i++) {
+            const ps_backend_t *backend = backends->pdata[i];
+            if (backend->version == dispatcher->rollout->target) {
+                n += PsServiceUse_CountGranted(use,
+                                               PsSharing_HashServer(backend));
+            }
+        }
+        PsRolloutRounds_SetFreeSlots(dispatcher->rollout, &reporter->name, n);
+    }
+}
+
 static void
 divide_service(ps_sharing_t *sharing, ps_dispatcher_t *dispatcher,
                int64_t now_ms)
@@ -238,6 +286,7 @@
         is_any_told_brittle(sharing, &dispatcher->name, now_ms);
     int members = (int)g_hash_table_size(sharing->gateway->members);
     double factor = get_slots_factor(sharing, dispatcher, members, now_ms);
+    run_rollout(sharing, dispatcher, members, now_ms);
     int n = 0;
     for (guint i = 0; i < backends->len; i++) {
         const ps_backend_t *backend = backends->pdata[i];
@@ -250,7 +299,10 @@
             now_ms);
         PsPaceMessages_SetServer(&sharing->allocator.models, server, backend,
                                  dispatcher->scheduler.is_engine, now_ms);
-        if (!backend->registration.is_leaving) {
+        if (!backend->registration.is_leaving &&
+            PsRolloutRounds_GrantsSlots(dispatcher->rollout,
+                                        &dispatcher->scheduler, backend,
+                                        now_ms)) {
             slots[n].server = server;
             slots[n++].count =
                 (int)(backend->registration.slots * factor + 0.5);
@@ -266,6 +318,7 @@
                               sharing->gateway->catalog, now_ms);
     PsAllocator_DivideSlots(&sharing->allocator, &dispatcher->name, slots, n,
                             members, now_ms);
+    note_rollout_slots(sharing, dispatcher);
     g_free(slots);
 }
 
@@ -355,6 +408,8 @@
             add_waits_to_grant(service, dispatcher);
             PsPaceMessages_AddPaces(service, &sharing->allocator.models,
                                     &dispatcher->scheduler, value);
+            service->rollout = PsRolloutRounds_MakeGrant(
+                dispatcher->rollout, &reporter->name, now_ms);
         }
         grant->services[grant->n_services++] = service;
     }
@@ -438,6 +493,7 @@
         }
         PsPaceMessages_FreePaces(each);
         PsTeamMessages_FreeInGrant(each);
+        PsRolloutRounds_FreeGrant(each->rollout);
         g_free(each->waits);
         g_free(each->limits);
         g_free(each->server_limits);
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -38,6 +38,8 @@
 typedef struct Ps__ServerLimit Ps__ServerLimit;
 typedef struct Ps__ServerSample Ps__ServerSample;
 typedef struct Ps__TeamCount Ps__TeamCount;
+typedef struct Ps__RolloutAnswer Ps__RolloutAnswer;
+typedef struct Ps__RolloutUse Ps__RolloutUse;
 typedef struct Ps__ServiceUse Ps__ServiceUse;
 typedef struct Ps__TeamUse Ps__TeamUse;
 typedef struct Ps__ContentCrash Ps__ContentCrash;
@@ -46,6 +48,7 @@
 typedef struct Ps__ServerPace Ps__ServerPace;
 typedef struct Ps__TeamState Ps__TeamState;
 typedef struct Ps__TeamStates Ps__TeamStates;
+typedef struct Ps__RolloutGrant Ps__RolloutGrant;
 typedef struct Ps__ServiceGrant Ps__ServiceGrant;
 typedef struct Ps__TeamGrant Ps__TeamGrant;
 typedef struct Ps__ServerNews Ps__ServerNews;
@@ -626,6 +629,76 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * What one answer has shown in a roll-out.
+ */
+struct  Ps__RolloutAnswer
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the backend server's name
+   */
+  uint32_t server;
+  /*
+   * hash of its name
+   */
+  uint32_t route;
+  /*
+   * ps_rollout_sample_t
+   */
+  uint32_t sample;
+  /*
+   * of a time
+   */
+  uint32_t bucket;
+  /*
+   * the server has the target version
+   */
+  protobuf_c_boolean target;
+};
+#define PS__ROLLOUT_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__rollout_answer__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * A daemon's part in a roll-out, since it learnt of the order.
+ */
+struct  Ps__RolloutUse
+{
+  ProtobufCMessage base;
+  uint64_t order;
+  /*
+   * requests
+   */
+  uint64_t arrived;
+  /*
+   * of these, sent to the target version
+   */
+  uint64_t sent;
+  /*
+   * requests at servers of other versions
+   */
+  uint32_t running_old;
+  /*
+   * ps_rollout_step_t, as the daemon knows it
+   */
+  uint32_t step;
+  /*
+   * number of the first one of these
+   */
+  uint64_t first_answer;
+  /*
+   * since the last report
+   */
+  size_t n_answers;
+  Ps__RolloutAnswer **answers;
+};
+#define PS__ROLLOUT_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__rollout_use__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
 struct  Ps__ServiceUse
 {
   ProtobufCMessage base;
@@ -674,10 +747,14 @@
    */
   size_t n_running_teams;
   Ps__TeamCount **running_teams;
+  /*
+   * while an order is in force
+   */
+  Ps__RolloutUse *rollout;
 };
 #define PS__SERVICE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, NULL }
 
 
 struct  Ps__TeamUse
@@ -887,6 +964,44 @@
     , 0,NULL }
 
 
+/*
+ * What a daemon is to know of an order.
+ */
+struct  Ps__RolloutGrant
+{
+  ProtobufCMessage base;
+  uint64_t order;
+  /*
+   * hash of service and version
+   */
+  uint64_t target;
+  /*
+   * ps_rollout_step_t
+   */
+  uint32_t step;
+  /*
+   * RolloutUse.sent may grow to it
+   */
+  uint64_t limit;
+  /*
+   * until the old servers may stop
+   */
+  uint32_t done_in_ms;
+  /*
+   * go to the old version for now
+   */
+  size_t n_held_routes;
+  uint32_t *held_routes;
+  /*
+   * the order is
+   */
+  protobuf_c_boolean removed;
+};
+#define PS__ROLLOUT_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ps__rollout_grant__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0 }
+
+
 /*
  * What one daemon may use until the next grant.
  */
@@ -926,10 +1041,14 @@
    * while requests wait; not in each grant
    */
   Ps__TeamStates *team_states;
+  /*
+   * while there is an order
+   */
+  Ps__RolloutGrant *rollout;
 };
 #define PS__SERVICE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ps__service_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, NULL, NULL }
 
 
 struct  Ps__TeamGrant
@@ -1630,6 +1749,44 @@
 void   ps__team_count__free_unpacked
                      (Ps__TeamCount *message,
                       ProtobufCAllocator *allocator);
+/* Ps__RolloutAnswer methods */
+void   ps__rollout_answer__init
+                     (Ps__RolloutAnswer         *message);
+size_t ps__rollout_answer__get_packed_size
+                     (const Ps__RolloutAnswer   *message);
+size_t ps__rollout_answer__pack
+                     (const Ps__RolloutAnswer   *message,
+                      uint8_t             *out);
+size_t ps__rollout_answer__pack_to_buffer
+                     (const Ps__RolloutAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__RolloutAnswer *
+       ps__rollout_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__rollout_answer__free_unpacked
+                     (Ps__RolloutAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Ps__RolloutUse methods */
+void   ps__rollout_use__init
+                     (Ps__RolloutUse         *message);
+size_t ps__rollout_use__get_packed_size
+                     (const Ps__RolloutUse   *message);
+size_t ps__rollout_use__pack
+                     (const Ps__RolloutUse   *message,
+                      uint8_t             *out);
+size_t ps__rollout_use__pack_to_buffer
+                     (const Ps__RolloutUse   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__RolloutUse *
+       ps__rollout_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__rollout_use__free_unpacked
+                     (Ps__RolloutUse *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ServiceUse methods */
 void   ps__service_use__init
                      (Ps__ServiceUse         *message);
@@ -1782,6 +1939,25 @@
 void   ps__team_states__free_unpacked
                      (Ps__TeamStates *message,
                       ProtobufCAllocator *allocator);
+/* Ps__RolloutGrant methods */
+void   ps__rollout_grant__init
+                     (Ps__RolloutGrant         *message);
+size_t ps__rollout_grant__get_packed_size
+                     (const Ps__RolloutGrant   *message);
+size_t ps__rollout_grant__pack
+                     (const Ps__RolloutGrant   *message,
+                      uint8_t             *out);
+size_t ps__rollout_grant__pack_to_buffer
+                     (const Ps__RolloutGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Ps__RolloutGrant *
+       ps__rollout_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ps__rollout_grant__free_unpacked
+                     (Ps__RolloutGrant *message,
+                      ProtobufCAllocator *allocator);
 /* Ps__ServiceGrant methods */
 void   ps__service_grant__init
                      (Ps__ServiceGrant         *message);
@@ -2024,6 +2200,12 @@
 typedef void (*Ps__TeamCount_Closure)
                  (const Ps__TeamCount *message,
                   void *closure_data);
+typedef void (*Ps__RolloutAnswer_Closure)
+                 (const Ps__RolloutAnswer *message,
+                  void *closure_data);
+typedef void (*Ps__RolloutUse_Closure)
+                 (const Ps__RolloutUse *message,
+                  void *closure_data);
 typedef void (*Ps__ServiceUse_Closure)
                  (const Ps__ServiceUse *message,
                   void *closure_data);
@@ -2048,6 +2230,9 @@
 typedef void (*Ps__TeamStates_Closure)
                  (const Ps__TeamStates *message,
                   void *closure_data);
+typedef void (*Ps__RolloutGrant_Closure)
+                 (const Ps__RolloutGrant *message,
+                  void *closure_data);
 typedef void (*Ps__ServiceGrant_Closure)
                  (const Ps__ServiceGrant *message,
                   void *closure_data);
@@ -2105,6 +2290,8 @@
 extern const ProtobufCMessageDescriptor ps__server_limit__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_sample__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_count__descriptor;
+extern const ProtobufCMessageDescriptor ps__rollout_answer__descriptor;
+extern const ProtobufCMessageDescriptor ps__rollout_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_use__descriptor;
 extern const ProtobufCMessageDescriptor ps__content_crash__descriptor;
@@ -2113,6 +2300,7 @@
 extern const ProtobufCMessageDescriptor ps__server_pace__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_state__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_states__descriptor;
+extern const ProtobufCMessageDescriptor ps__rollout_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__service_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__team_grant__descriptor;
 extern const ProtobufCMessageDescriptor ps__server_news__descriptor;
--- a/src/placement.c
+++ b/src/placement.c
@@ -38,6 +38,10 @@
 // that between two whose estimates differ by noise.
 #define DOMAIN_SHARE 0.15
 
+// Taken from the cost of a server of a roll-out's target, as far as requests
+// may go there. More than any cost.
+#define ROLLOUT_PREFERENCE_MS 1e9
+
 /* ---- Free slots ------------------------------------------------------- */
 
 static bool
@@ -228,6 +232,20 @@
            cost->lateness_ms + cost->deadline_ms + cost->domain_ms;
 }
 
+// Returns what a roll-out needs to know of a task that may go to a server.
+static ps_rollout_request_t
+get_rollout_request(const ps_scheduler_t *scheduler, const ps_task_t *task,
+                    const ps_backend_t *backend, int64_t now_ms)
+{
+    ps_rollout_request_t request = {task->route, scheduler->mean_run_ms};
+    if (task->is_generation && PsRolloutUse_IsRunning(&scheduler->rollout)) {
+        ps_placement_prediction_t prediction =
+            PsPlacement_Predict(scheduler, backend, task, now_ms);
+        request.run_ms = prediction.first_event_ms + prediction.output_ms;
+    }
+    return request;
+}
+
 ps_backend_t *
 PsPlacement_FindBest(const ps_scheduler_t *scheduler, const ps_task_t *task,
                      int64_t now_ms)
@@ -240,9 +258,18 @@
             was_tried(task, backend) || !has_version(task, backend)) {
             continue;
         }
+        ps_rollout_request_t request =
+            get_rollout_request(scheduler, task, backend, now_ms);
+        if (!PsRolloutUse_MayPlace(&scheduler->rollout, &request,
+                                   backend->version, now_ms)) {
+            continue;
+        }
         ps_placement_cost_t cost =
             PsPlacement_GetCost(scheduler, backend, task, now_ms);
         double sum = add_terms(&cost);
+        if (PsRolloutUse_Prefers(&scheduler->rollout, backend->version)) {
+            sum -= ROLLOUT_PREFERENCE_MS;
+        }
         if (sum < lowest) {
             lowest = sum;
             best = backend;
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -6,6 +6,7 @@
 
 #include "even_shares.h"
 #include "placement.h"
+#include "rollout_samples.h"
 #include "task_samples.h"
 #include "waiting.h"
 
@@ -158,6 +159,7 @@
     task->started_ms = now_ms;
     task->last_event_ms = now_ms;
     task->first_event_ms = 0;
+    task->n_events = 0;
     task->was_made_late = false;
     task->prefill_tokens = PsPlacement_GetPrefillTokens(backend, task, now_ms);
     task->prefill_backlog_tokens =
@@ -170,6 +172,7 @@
     }
     backend->running++;
     PsServerLimit_CountStart(&backend->limit, now_ms);
+    PsRolloutUse_AddStart(&scheduler->rollout, backend->version);
     backend->pending_prefill_tokens += task->prefill_tokens;
     scheduler->events->start(scheduler, task);
 }
@@ -231,6 +234,7 @@
 PsScheduler_Finish(ps_scheduler_t *scheduler)
 {
     g_ptr_array_unref(scheduler->backends);
+    PsRolloutUse_Finish(&scheduler->rollout);
 }
 
 void
@@ -298,6 +302,9 @@
     task->link = (GList){.data = task};
     bool is_first = task->n_tried == 0;
     scheduler->n_returned += is_first && PsWaiting_IsReturning(task) ? 1 : 0;
+    if (is_first) {
+        PsRolloutUse_AddArrival(&scheduler->rollout);
+    }
     if (scheduler->waiting.length == 0 &&
         !PsWaiting_MustYield(scheduler, task, now_ms)) {
         ps_backend_t *backend = PsPlacement_FindBest(scheduler, task, now_ms);
@@ -338,6 +345,7 @@
     if (task->first_event_ms == 0) {
         double ms = (double)(now_ms - task->started_ms);
         task->first_event_ms = now_ms;
+        PsRolloutSamples_AddFirstEvent(scheduler, task, ms);
         backend->unreported_outcomes.good++;
         backend->pending_prefill_tokens =
             MAX(backend->pending_prefill_tokens - task->prefill_tokens, 0.0);
@@ -356,6 +364,7 @@
         PsSpeed_AddStep(&backend->token_interval, backend->running, step, 0.2);
     }
     task->last_event_ms = now_ms;
+    PsRolloutSamples_AddEvent(scheduler, task, now_ms);
 }
 
 void
@@ -436,6 +445,7 @@
 {
     ps_backend_t *backend = task->backend;
     PsTaskSamples_HandleEnd(scheduler, task, result, now_ms);
+    PsRolloutSamples_AddEnd(scheduler, task, result, now_ms);
     if (task->first_event_ms == 0) {
         backend->pending_prefill_tokens =
             MAX(backend->pending_prefill_tokens - task->prefill_tokens, 0.0);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -19,6 +19,7 @@
 #include "rank_rates.h"
 #include "return_plan.h"
 #include "team_order.h"
+#include "rollout_use.h"
 
 #define PS_TASK_PARTS_MAX 8    /* prompt parts recorded for one request */
 #define PS_REPORT_NOTES_MAX 64 /* reports for which grants are expected */
@@ -65,6 +66,7 @@
     uint32_t part_tokens[PS_TASK_PARTS_MAX]; /* of each part alone */
     uint64_t version; /* of the servers that can run it, as in ps_backend_t;
                          0: any */
+    uint32_t route;   /* hash of its name */
     int n_tried;
     uint32_t tried[PS_TASK_TRIED_MAX]; /* instance_id of servers tried */
     /* set by the scheduler */
@@ -76,6 +78,7 @@
     ps_backend_t *backend;  /* NULL: not at a server */
     int64_t started_ms;     /* sent to @backend */
     int64_t first_event_ms; /* time of the first event; 0: none yet */
+    int n_events;           /* of the stream at @backend */
     int64_t last_event_ms;  /* time of the latest event; @started_ms before the
                                first */
     bool was_made_late;     /* by its server: the first event or a pause */
@@ -151,7 +154,8 @@
     int granted_left; /* free slots of the grant that is being taken, for any
                          task that waits here */
     ps_report_note_t report_notes[PS_REPORT_NOTES_MAX]; /* by round */
-    uint64_t n_started; /* tasks, since the start */
+    uint64_t n_started;       /* tasks, since the start */
+    ps_rollout_use_t rollout; /* which versions may be used */
     bool is_running; /* PsScheduler_Run() is active; stops it from re-entry */
     /* learned speeds */
     ps_name_t domain;        /* of this daemon; empty: no server is preferred
--- a/src/settings.h
+++ b/src/settings.h
@@ -51,6 +51,12 @@
                                fairly among teams */
     bool has_planned_returns; /* [gateway] planned_returns, refused callers
                                  are told to return when there is room */
+    double rollout_exposure;  /* [gateway] rollout_exposure, share of requests
+                                 that may go to a version that isn't known to
+                                 be good; 0: roll-outs are off */
+    double rollout_slack; /* [gateway] rollout_slack, requests in addition */
+    double rollback_ms;   /* [gateway] rollback_ms, longest time from the 50th
+                             bad answer to the last request */
 } ps_gateway_settings_t;
 
 /**
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -238,8 +238,8 @@
 // Returns a service's part of the report: running requests and outcomes by
 // server, and waiting requests by rank. Freed with free_service_use().
 static Ps__ServiceUse *
-make_service_use(ps_dispatcher_t *dispatcher, uint64_t round,
-                 bool learned_limits, int64_t now_ms)
+make_service_use(ps_dispatcher_t *dispatcher, const ps_name_t *allocator,
+                 uint64_t round, bool learned_limits, int64_t now_ms)
 {
     Ps__ServiceUse *use = g_new(Ps__ServiceUse, 1);
     ps__service_use__init(use);
@@ -274,6 +274,7 @@
         PsPaceMessages_AddSamples(use, &dispatcher->scheduler, now_ms);
     }
     PsTeamMessages_AddToReport(use, dispatcher, round, now_ms);
+    use->rollout = PsRolloutRounds_MakeUse(&dispatcher->scheduler, allocator);
     return use;
 }
 
@@ -296,6 +297,7 @@
     PsTeamMessages_FreeInReport(use);
     g_free(use->outcomes);
     g_free(use->server_limits);
+    PsRolloutRounds_FreeUse(use->rollout);
     g_free(use);
 }
 
@@ -344,9 +346,9 @@
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         ps_dispatcher_t *dispatcher = value;
         PsTeamMessages_ApplySettings(dispatcher, &gateway->settings.gateway);
-        report.services[report.n_services++] =
-            make_service_use(dispatcher, report.round,
-                             gateway->settings.gateway.learned_limits, now_ms);
+        report.services[report.n_services++] = make_service_use(
+            dispatcher, &sharing->allocator_name, report.round,
+            gateway->settings.gateway.learned_limits, now_ms);
     }
     bool has_claims = PsQuotaAdmission_AddUses(sharing, &report, now_ms);
     if (!has_claims) {
@@ -443,6 +445,9 @@
     PsTeamMessages_HandleGrant(&dispatcher->scheduler, grant,
                                now_ms + GRANT_TTL_MS);
     PsScheduler_TakeGrant(&dispatcher->scheduler, round, now_ms);
+    PsRolloutRounds_ApplyGrant(&dispatcher->scheduler, grant->rollout,
+                               GRANT_TTL_MS, now_ms);
+    PsScheduler_Run(&dispatcher->scheduler, now_ms);
 }
 
 // Applies changes of servers and members that the allocator has read from the
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -3,9 +3,10 @@
 #
 # GW_DAEMONS, GW_RUNNERS, GW_SLOTS (of each backend server) and RIG_PORT can be
 # set beforehand; so can GW_STORE, GW_REVOKE_MS and GW_GRACE_S, settings of the
-# daemons, GW_LEARNED_LIMITS and GW_QUOTA_BY_BUCKET (claims to quotas), which switch
-# these on, and GW_VERSION, the first version of the configuration. The
-# daemons that GW_LINKS lists each reach the backend servers through a proxy of their own.
+# daemons, GW_LEARNED_LIMITS, GW_QUOTA_BY_BUCKET (claims to quotas) and
+# GW_ROLLOUT_EXPOSURE, which switch these on, GW_MORE_SETTINGS, further lines of
+# [gateway], and GW_VERSION, the first version of the configuration. The daemons that
+# GW_LINKS lists each reach the backend servers through a proxy of their own.
 
 GW_DAEMONS=${GW_DAEMONS:-3}
 GW_RUNNERS=${GW_RUNNERS:-3}
@@ -104,6 +105,7 @@
 ${GW_NO_FIRST_START:+#}first_start = ${GW_FIRST_START:-false}
 ${GW_LEARNED_LIMITS:+learned_limits = true}
 ${GW_MORE_SETTINGS:-}
+${GW_ROLLOUT_EXPOSURE:+rollout_exposure = $GW_ROLLOUT_EXPOSURE}
 END
 }
 
