--- a/Makefile
+++ b/Makefile
@@ -19,12 +19,13 @@
     outliers histogram crash_reports abandoned_runs recent_map recent_members \
     rate_bucket server_limit server_room stream_origins server_reach forwarders \
     event_stream version_history overcommit \
-    fleet_waits rank_rates attempts
+    fleet_waits rank_rates attempts memory_budget answer
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
     allocator_rounds changes mark_crashes server_checks origin_lookups \
-    server_notices reach_checks server_path forward_server response_headers
+    server_notices reach_checks server_path forward_server response_headers \
+    answer_relay
 PLATFORM := endpoints codec dialect_fleet run_gateway store
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
@@ -127,7 +128,7 @@
 
 TESTS := test_tables test_pool test_ledger test_contract test_simulation \
     test_gateway test_limits test_mutations test_server_limits test_marks \
-    test_origins test_reach test_fleet
+    test_origins test_reach test_fleet test_flow
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
@@ -160,6 +161,10 @@
     $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
+$(BUILD)/test_flow: $(BUILD)/tests/test_flow.o $(DAEMON_OBJS) \
+    $(KERNEL_OBJS)
+	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
+
 $(BUILD)/test_simulation: $(BUILD)/tests/test_simulation.o \
     $(BUILD)/tests/simulation.o $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -4,11 +4,10 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "answer_relay.h"
 #include "clock.h"
-#include "event_stream.h"
 #include "events_log.h"
 #include "origin_lookups.h"
-#include "response_headers.h"
 #include "server_notices.h"
 
 // Longest time that the request for a stream, or the retry of any request,
@@ -37,14 +36,6 @@
 #define IDLE_MAX_S 1
 #define IDLE_MAX_RETRYABLE_S 3
 
-#define BODY_MAX                                                              \
-    (16 * 1024 * 1024)          /* most bytes of a response, if no stream */
-#define EVENT_MAX (1024 * 1024) /* most bytes of one event of a stream */
-
-// A part of a prompt that crashes servers does so when they begin to write the
-// answer, at most this long after the first event.
-#define PART_CRASH_MAX_MS 1000
-
 // Longest time that other daemons are asked for the version that began a
 // stream.
 #define ORIGIN_WAIT_MAX_MS 300
@@ -55,6 +46,7 @@
 
 // Retry-After values, by reason.
 #define RETRY_OTHER_DAEMON_MS 20 /* another daemon can serve it at once */
+#define RETRY_NO_MEMORY_MS 200   /* another daemon may have room at once */
 #define RETRY_REJECTED_MS 300   /* servers that reject are full for a moment */
 #define RETRY_OVER_QUOTA_MS 200 /* the allocator's next rounds grant more */
 
@@ -87,9 +79,6 @@
 static void
 free_exchange(ps_exchange_t *exchange)
 {
-    if (exchange->request) {
-        exchange->request->user = NULL;
-    }
     if (exchange->is_transferring) {
         PsTransfer_Cancel(&exchange->gateway->http_client,
                           &exchange->transfer);
@@ -100,7 +89,10 @@
         PsRetryBudget_Release(&exchange->dispatcher->retry_budget);
     }
     g_queue_unlink(&exchange->gateway->exchanges, &exchange->link);
-    PsBuf_Finish(&exchange->body);
+    PsAnswerRelay_Release(exchange);
+    if (exchange->request) {
+        exchange->request->user = NULL;
+    }
     if (exchange->marks) {
         g_array_unref(exchange->marks);
     }
@@ -114,12 +106,12 @@
 {
     PsHistogram_Add(&exchange->gateway->stats.total_latency,
                     (double)(PsClock_Now() - exchange->arrived_ms));
-    PsEvents_Add("request.end", "{s:s,s:i,s:s,s:s,s:i,s:I,s:i}", "id",
+    PsEvents_Add("request.end", "{s:s,s:i,s:s,s:s,s:i,s:I,s:i,s:i}", "id",
                  exchange->inbound.request_id.data, "status", status,
                  "outcome", outcome, "reason", reason, "sends",
                  exchange->sends, "ms",
                  (json_int_t)(PsClock_Now() - exchange->arrived_ms), "events",
-                 (int)exchange->n_events);
+                 (int)exchange->n_events, "pauses", exchange->answer.n_pauses);
 }
 
 // Sends a response of the gateway itself and ends the exchange.
@@ -148,26 +140,27 @@
     free_exchange(exchange);
 }
 
-// Ends a stream that the caller is already receiving before its last event.
+// Ends an answer that the caller is already receiving before its end.
 static void
-cut_stream(ps_exchange_t *exchange, const char *reason)
+cut_answer(ps_exchange_t *exchange, ps_answer_cut_t cut, const char *reason)
 {
     exchange->gateway->stats.failed++;
-    log_end(exchange, 200, "cut", reason);
-    PsHttpRequest_EndStream(exchange->request, false);
+    log_end(exchange, (int)exchange->request->status, "cut", reason);
+    PsAnswerRelay_Cut(exchange, cut);
     free_exchange(exchange);
 }
 
 // Ends the exchange without a backend server's answer. This alone promises
 // callers that a request has not run and will not, by @refusal. A request that
-// may have run gets @failure, which promises nothing.
+// may have run gets @failure, which promises nothing. An answer that has begun
+// is cut for the reason @cut.
 static void
 end_unanswered(ps_exchange_t *exchange, unsigned int refusal,
                unsigned int failure, int64_t retry_after_ms,
-               const char *reason)
+               ps_answer_cut_t cut, const char *reason)
 {
     if (exchange->is_relaying) {
-        cut_stream(exchange, reason);
+        cut_answer(exchange, cut, reason);
     }
     else if (PsAttempts_GetRan(&exchange->attempts) != PS_RAN_NO) {
         exchange->gateway->stats.failed++;
@@ -185,15 +178,8 @@
 refuse_request(ps_exchange_t *exchange, unsigned int status,
                int64_t retry_after_ms, const char *reason)
 {
-    end_unanswered(exchange, status, 502, retry_after_ms, reason);
-}
-
-static void
-copy_headers(ps_exchange_t *exchange, unsigned int status, bool is_stream)
-{
-    PsHttpRequest_PrepareResponse(exchange->request, status, NULL, is_stream);
-    PsResponseHeaders_Relay(exchange->gateway->dialect, &exchange->transfer,
-                            exchange->request);
+    end_unanswered(exchange, status, 502, retry_after_ms, PS_ANSWER_CUT_SERVER,
+                   reason);
 }
 
 /* ---- Sending ---------------------------------------------------------- */
@@ -268,7 +254,7 @@
                                                 on_data, on_done};
     const ps_backend_t *backend = exchange->task.backend;
     exchange->has_response_head = false;
-    PsBuf_Clear(&exchange->body);
+    PsAnswerRelay_Reset(exchange);
     PsTransfer_Init(&exchange->transfer, &events, exchange);
     exchange->is_transferring = true;
     ps_outbound_request_t outbound = {
@@ -284,6 +270,7 @@
         .method = exchange->request->method.data,
         .target = exchange->request->path.data,
         .body = PsBuf_View(&exchange->request->body),
+        .keeps_body = true,
         .timeout_ms = 0,
         .must_not_resend = true,
         .idle_max_s = may_retry(exchange) ? IDLE_MAX_RETRYABLE_S : IDLE_MAX_S};
@@ -374,82 +361,18 @@
                    reason);
 }
 
-/* ---- Events of a stream ----------------------------------------------- */
-
-// Returns for how long a server has been sending events of a stream, in
-// milliseconds.
-static int64_t
-get_writing_time(const ps_task_t *task)
-{
-    return task->first_event_ms > 0
-               ? task->last_event_ms - task->first_event_ms
-               : 0;
-}
-
-// Tells whether a part of the prompt can still be what ends the server.
-static bool
-has_just_begun(const ps_exchange_t *exchange)
-{
-    return get_writing_time(&exchange->task) <= PART_CRASH_MAX_MS;
-}
+/* ---- The backend server's response ------------------------------------ */
 
 static ps_lost_run_t
 get_lost_run(const ps_exchange_t *exchange)
 {
     return (ps_lost_run_t){.marks = exchange->marks,
-                           .has_just_begun = has_just_begun(exchange),
+                           .has_just_begun =
+                               PsAnswerRelay_HasJustBegun(exchange),
                            .is_trial = exchange->is_trial,
                            .server = &exchange->task.backend->registration};
 }
 
-// Relays complete events only, so that another backend server can resume the
-// stream after the last one.
-static void
-relay_events(ps_exchange_t *exchange)
-{
-    int64_t now_ms = PsClock_Now();
-    ps_str_t data = PsBuf_View(&exchange->body);
-    size_t relayed = 0;
-    size_t end;
-    while ((end = PsEventStream_FindEnd(data, relayed)) > 0) {
-        ps_str_t event = {data.data + relayed, end - relayed};
-        PsEventStream_ParseId(event, &exchange->last_event_id);
-        exchange->task.version = exchange->task.backend->version;
-        if (exchange->n_events++ == 0) {
-            if (may_retry(exchange)) {
-                PsOriginLookups_Record(exchange->gateway,
-                                       &exchange->inbound.request_id,
-                                       exchange->task.version, now_ms);
-            }
-            PsHistogram_Add(&exchange->gateway->stats.first_event_latency,
-                            (double)(now_ms - exchange->arrived_ms));
-        }
-        bool had_just_begun = has_just_begun(exchange);
-        PsScheduler_HandleEvent(
-            &exchange->dispatcher->scheduler, &exchange->task,
-            exchange->dispatcher->tokens_per_event, now_ms);
-        if (had_just_begun && !has_just_begun(exchange)) {
-            PsMarkCrashes_AddSoundParts(&exchange->gateway->mark_crashes,
-                                        exchange->marks, now_ms);
-        }
-        relayed = end;
-    }
-    if (relayed > 0) {
-        PsHttpRequest_WriteStream(exchange->request,
-                                  (ps_str_t){data.data, relayed});
-        PsBuf_RemoveFront(&exchange->body, relayed);
-    }
-}
-
-/* ---- The backend server's response ------------------------------------ */
-
-static bool
-is_stream_response(const ps_exchange_t *exchange)
-{
-    return exchange->route->is_stream && exchange->transfer.status == 200 &&
-           exchange->reply == PS_REPLY_ANSWER;
-}
-
 static void
 on_headers(ps_transfer_t *transfer)
 {
@@ -472,9 +395,23 @@
         exchange->path.has_mismatch = true;
         transfer->is_aborted = true;
     }
-    else if (is_stream_response(exchange) && !exchange->is_relaying) {
-        exchange->is_relaying = true;
-        copy_headers(exchange, (unsigned int)transfer->status, true);
+    PsAnswerRelay_HandleHead(exchange);
+}
+
+static bool take_retry(ps_exchange_t *exchange, ps_task_result_t result,
+                       int64_t now_ms);
+
+// No more of the answer is held. A failure is given up if the request can be
+// sent again now.
+static void
+decide_held(ps_exchange_t *exchange)
+{
+    if (exchange->transfer.status >= 500 &&
+        take_retry(exchange, PS_TASK_FAILED, PsClock_Now())) {
+        exchange->transfer.is_aborted = true;
+    }
+    else {
+        PsAnswerRelay_StartPassing(exchange);
     }
 }
 
@@ -482,42 +419,23 @@
 on_data(ps_transfer_t *transfer, const char *data, size_t len)
 {
     ps_exchange_t *exchange = transfer->user;
-    PsBuf_Append(&exchange->body, data, len);
-    if (is_stream_response(exchange)) {
-        relay_events(exchange);
+    PsAnswerRelay_HandleData(exchange, (ps_str_t){data, len});
+    if (PsAnswerRelay_IsHoldFull(exchange) && !transfer->is_aborted) {
+        decide_held(exchange);
     }
-    size_t len_max = is_stream_response(exchange) ? EVENT_MAX : BODY_MAX;
-    transfer->is_aborted = exchange->body.len > len_max;
 }
 
 static void
 relay_response(ps_exchange_t *exchange)
 {
-    unsigned int status = (unsigned int)exchange->transfer.status;
     exchange->gateway->stats.answered++;
-    log_end(exchange, (int)status, "answered",
+    log_end(exchange, (int)exchange->transfer.status, "answered",
             "relayed the backend server's answer");
-    if (exchange->is_relaying) {
-        PsHttpRequest_EndStream(exchange->request, true);
-    }
-    else {
-        copy_headers(exchange, status, false);
-        PsHttpRequest_SendResponse(exchange->request,
-                                   PsBuf_View(&exchange->body));
-    }
+    PsAnswerRelay_SendWhole(exchange);
     close_transfer(exchange);
     free_exchange(exchange);
 }
 
-// Tells whether a status promises callers that the request has not run. One
-// that a backend server gives without saying that it has not run the request
-// counts as a failure of the server, and is not relayed.
-static bool
-promises_not_run(long status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 // Reserves a retry in the service's budget, and logs what the budget knew.
 static bool
 reserve_retry(ps_exchange_t *exchange, int64_t now_ms)
@@ -581,54 +499,12 @@
 {
     bool has_no_event =
         exchange->n_events == 0 && PsName_IsEmpty(&exchange->last_event_id);
-    return is_stream_response(exchange) &&
+    return exchange->answer.handling == PS_ANSWER_EVENTS &&
            (exchange->body.len > 0 ||
             (has_no_event &&
              exchange->path.ops->ends_with_connection(&exchange->transfer)));
 }
 
-// Tells whether the whole response to this request was received.
-static bool
-is_complete(const ps_exchange_t *exchange, ps_transfer_result_t result)
-{
-    return result == PS_TRANSFER_COMPLETE && exchange->has_response_head &&
-           exchange->reply == PS_REPLY_ANSWER;
-}
-
-// Tells whether the connection was lost while the backend server may have run
-// the request: before the response, or within it, as a stream's head comes
-// before the request has run.
-static bool
-was_cut_by_server(const ps_exchange_t *exchange, ps_transfer_result_t result)
-{
-    return result == PS_TRANSFER_INCOMPLETE &&
-           !exchange->transfer.is_aborted &&
-           (!exchange->has_response_head ||
-            exchange->reply == PS_REPLY_ANSWER);
-}
-
-static ps_task_result_t
-get_task_result(const ps_exchange_t *exchange, ps_transfer_result_t result)
-{
-    if (result == PS_TRANSFER_NOT_SENT) {
-        return PS_TASK_UNREACHABLE;
-    }
-    if (exchange->has_response_head && exchange->reply == PS_REPLY_NOT_RUN) {
-        bool is_paused =
-            exchange->task.backend->paused_until_ms > PsClock_Now();
-        return is_paused ? PS_TASK_PAUSED : PS_TASK_REJECTED;
-    }
-    if (exchange->has_response_head &&
-        exchange->reply == PS_REPLY_WRONG_SERVER) {
-        return PS_TASK_WRONG_SERVER;
-    }
-    long status = exchange->transfer.status;
-    return is_complete(exchange, result) && status < 500 &&
-                   !promises_not_run(status)
-               ? PS_TASK_SUCCEEDED
-               : PS_TASK_FAILED;
-}
-
 // Tells whether no backend server has run an attempt that ended so, nor will.
 static bool
 shows_not_run(ps_task_result_t result)
@@ -669,14 +545,15 @@
     }
     ps_name_t content = PsMark_Format(get_content(exchange));
     ps_name_t parts = PsMark_FormatParts(exchange->marks);
-    PsEvents_Add(
-        "content.lost_connection", "{s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:i}", "id",
-        exchange->inbound.request_id.data, "content", content.data, "parts",
-        parts.data, "server", server->name.data, "response_began",
-        (int)exchange->has_response_head, "events", (int)exchange->n_events,
-        "writing_ms", (json_int_t)get_writing_time(&exchange->task), "crashes",
-        PsSuspects_GetCrashes(&crashes->suspects, get_content(exchange),
-                              now_ms));
+    PsEvents_Add("content.lost_connection",
+                 "{s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:i}", "id",
+                 exchange->inbound.request_id.data, "content", content.data,
+                 "parts", parts.data, "server", server->name.data,
+                 "response_began", (int)exchange->has_response_head, "events",
+                 (int)exchange->n_events, "writing_ms",
+                 (json_int_t)PsAnswerRelay_GetWritingTime(exchange), "crashes",
+                 PsSuspects_GetCrashes(&crashes->suspects,
+                                       get_content(exchange), now_ms));
 }
 
 static const char *
@@ -690,6 +567,8 @@
         return "server rejected it";
     case PS_TASK_WRONG_SERVER:
         return "another server answered";
+    case PS_TASK_CANCELLED:
+        return "server cut an answer that the caller reads slowly";
     default:
         return "server failed";
     }
@@ -702,9 +581,13 @@
     int64_t now_ms = PsClock_Now();
     bool is_broken_off =
         result == PS_TRANSFER_COMPLETE && was_broken_off(exchange);
+    exchange->path.is_own_cut = PsAnswer_IsOwnCut(
+        result, transfer->is_aborted, exchange->answer.longest_pause_ms);
     result = exchange->path.ops->finish(&exchange->path, transfer, result,
                                         is_broken_off, now_ms);
-    ps_task_result_t task_result = get_task_result(exchange, result);
+    ps_answer_facts_t facts = PsAnswerRelay_GetFacts(exchange, result);
+    ps_answer_verdict_t verdict = PsAnswer_Judge(&facts);
+    ps_task_result_t task_result = verdict.task_result;
     PsAttempts_HandleEnd(&exchange->attempts, shows_not_run(task_result));
     if (result == PS_TRANSFER_NOT_SENT && take_next_path(exchange, now_ms)) {
         return;
@@ -712,32 +595,28 @@
     if (task_result != PS_TASK_SUCCEEDED) {
         log_failure(exchange, task_result);
     }
-    if (was_cut_by_server(exchange, result)) {
+    if (verdict.is_lost) {
         count_lost_connection(exchange, now_ms);
     }
     else if (task_result == PS_TASK_SUCCEEDED) {
         PsMarkCrashes_AddCompleted(&exchange->gateway->mark_crashes,
                                    exchange->marks, now_ms);
     }
-    bool is_relayable = exchange->is_relaying
-                            ? is_stream_response(exchange)
-                            : !promises_not_run(transfer->status);
-    bool is_response = is_complete(exchange, result) && is_relayable;
     PsScheduler_EndTask(&exchange->dispatcher->scheduler, &exchange->task,
                         task_result, now_ms);
-    if (task_result == PS_TASK_SUCCEEDED && is_response) {
+    if (task_result == PS_TASK_SUCCEEDED && verdict.is_whole) {
         relay_response(exchange);
     }
-    else if (take_retry(exchange, task_result, now_ms)) {
+    else if (verdict.may_repeat && take_retry(exchange, task_result, now_ms)) {
         close_transfer(exchange);
         send_retry(exchange, get_failure_reason(task_result), now_ms);
     }
-    else if (is_response) {
+    else if (verdict.is_whole) {
         relay_response(exchange);
     }
     else {
         close_transfer(exchange);
-        refuse_request(exchange, 503, RETRY_REJECTED_MS,
+        end_unanswered(exchange, 503, 502, RETRY_REJECTED_MS, verdict.cut,
                        get_failure_reason(task_result));
     }
 }
@@ -1014,7 +893,6 @@
     exchange->arrived_ms = now_ms;
     exchange->link.data = exchange;
     request->user = exchange;
-    PsBuf_Init(&exchange->body);
     g_queue_push_tail_link(&gateway->exchanges, &exchange->link);
     gateway->stats.requests++;
     bool is_valid =
@@ -1023,6 +901,14 @@
         refuse_request(exchange, 413, 0, "body is too large");
         return;
     }
+    if (request->is_over_budget) {
+        bool can_ever =
+            PsMemoryBudget_CanEverHold(&gateway->memory, request->body_length);
+        refuse_request(exchange, can_ever ? 503 : 413,
+                       can_ever ? RETRY_NO_MEMORY_MS : 0,
+                       "no memory for the request");
+        return;
+    }
     if (!is_valid || request->is_malformed) {
         refuse_request(exchange, 400, 0, "malformed request");
         return;
@@ -1091,9 +977,12 @@
 PsExchange_HandleDisconnect(ps_exchange_t *exchange)
 {
     int64_t now_ms = PsClock_Now();
-    exchange->request = NULL;
     exchange->gateway->stats.caller_disconnects++;
-    log_end(exchange, 0, "left", "caller closed the connection");
+    bool is_idle = exchange->request->is_timed_out;
+    log_end(exchange, 0, "left",
+            is_idle ? "caller read nothing for the idle timeout"
+                    : "caller closed the connection");
+    exchange->request = NULL;
     withdraw(exchange, now_ms);
     free_exchange(exchange);
 }
@@ -1132,7 +1021,7 @@
 {
     withdraw(exchange, now_ms);
     end_unanswered(exchange, 503, 502, RETRY_OTHER_DAEMON_MS,
-                   "this daemon is ending");
+                   PS_ANSWER_CUT_ENDING, "this daemon is ending");
 }
 
 bool
@@ -1151,14 +1040,20 @@
     }
     if (now_ms >= exchange->deadline_ms) {
         withdraw(exchange, now_ms);
-        end_unanswered(exchange, 503, 504, 0, "time is over");
+        end_unanswered(exchange, 503, 504, 0, PS_ANSWER_CUT_TIME,
+                       "time is over");
         return true;
     }
     if (!exchange->is_transferring ||
+        PsAnswerRelay_IsUnread(exchange, now_ms) ||
         !PsScheduler_IsSilent(&exchange->dispatcher->scheduler,
                               &exchange->task, now_ms)) {
         return false;
     }
+    // A plain answer that comes is not silent, and nothing can replace it.
+    if (exchange->is_relaying && exchange->answer.handling == PS_ANSWER_PASS) {
+        return false;
+    }
     exchange->path.ops->handle_silence(&exchange->path, now_ms);
     return move_from_silent_server(exchange, now_ms);
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -8,10 +8,25 @@
 #ifndef PS_EXCHANGE_H
 #define PS_EXCHANGE_H
 
+#include "answer.h"
 #include "attempts.h"
 #include "gateway.h"
 #include "server_path.h"
 
+/**
+ * struct ps_answer - The answer of the current transfer, and how it is paced.
+ */
+typedef struct ps_answer {
+    ps_answer_handling_t handling;
+    uint64_t n_bytes;         /* received */
+    size_t counted;           /* bytes of the exchange's body in the budget */
+    bool is_too_long;         /* closed for a bound */
+    int n_pauses;             /* of reading, in all attempts */
+    int64_t paused_ms;        /* since when it is not read; 0: it is */
+    int64_t resumed_ms;       /* end of the last pause; 0: none yet */
+    int64_t longest_pause_ms; /* of the ended pauses */
+} ps_answer_t;
+
 /**
  * struct ps_exchange - One request in progress.
  */
@@ -38,8 +53,10 @@
     bool has_reserved_retry; /* a retry that is not sent yet */
     ps_reply_t reply;        /* valid with @has_response_head */
     bool has_response_head;  /* of the current transfer */
-    bool is_relaying;        /* a stream's headers have gone to the caller */
-    ps_buf_t body; /* response body, or a stream's incomplete event */
+    ps_answer_t answer;
+    bool is_relaying; /* an answer's headers have gone to the caller */
+    ps_buf_t
+        body; /* held part of the answer, or a stream's incomplete event */
     ps_name_t last_event_id; /* of the last event relayed; before, of the one
                                 after which the caller resumes the stream */
     uint32_t n_events;       /* events relayed */
--- a/src/forward_server.c
+++ b/src/forward_server.c
@@ -17,11 +17,6 @@
 // been idle.
 #define IDLE_MAX_S 1
 
-// Bytes of an answer that wait for the other daemon, above which no more are
-// read from the server, and below which they are again.
-#define UNSENT_MAX (64 * 1024)
-#define UNSENT_LOW (16 * 1024)
-
 /* ---- Types ------------------------------------------------------------ */
 
 typedef struct forward {
@@ -33,6 +28,8 @@
     ps_transfer_t transfer;
     bool has_response_head;
     int64_t started_ms;
+    int64_t paused_ms;        // start of the last pause of reading
+    int64_t longest_pause_ms; // of the ended pauses
     GList link;
 } forward_t;
 
@@ -71,6 +68,7 @@
 {
     g_queue_unlink(&forward->forwarding->forwards, &forward->link);
     if (forward->request) {
+        PsHttpRequest_NotifyBelow(forward->request, 0, NULL);
         forward->request->user = NULL;
     }
     PsTransfer_Finish(&forward->transfer);
@@ -114,18 +112,38 @@
                              &forward->request_id, forward->started_ms,
                              now_ms);
     }
-    PsHttpRequest_PrepareResponse(forward->request,
-                                  (unsigned int)transfer->status, NULL, true);
+    uint64_t length = PsTransfer_GetLength(transfer);
+    PsHttpRequest_PrepareStream(forward->request,
+                                (unsigned int)transfer->status,
+                                length > 0 ? length : PS_HTTP_LENGTH_UNKNOWN);
     copy_response_headers(forward);
 }
 
+// The other daemon has read most of what was unsent.
+static void
+on_unsent_low(ps_http_request_t *request)
+{
+    forward_t *forward = request->user;
+    if (forward && forward->transfer.is_paused) {
+        forward->longest_pause_ms =
+            MAX(forward->longest_pause_ms, PsClock_Now() - forward->paused_ms);
+        PsTransfer_SetPaused(&forward->transfer, false);
+    }
+}
+
 static void
 on_data(ps_transfer_t *transfer, const char *data, size_t len)
 {
     forward_t *forward = transfer->user;
+    ps_gateway_t *gateway = forward->forwarding->gateway;
     PsHttpRequest_WriteStream(forward->request, (ps_str_t){data, len});
-    if (forward->request->unsent.len > UNSENT_MAX) {
+    size_t mark = PsMemoryBudget_GetAnswerMark(&gateway->memory);
+    if (PsHttpRequest_GetUnsent(forward->request) > mark &&
+        !transfer->is_paused) {
+        forward->paused_ms = PsClock_Now();
+        gateway->stats.pauses++;
         PsTransfer_SetPaused(transfer, true);
+        PsHttpRequest_NotifyBelow(forward->request, mark / 4, on_unsent_low);
     }
 }
 
@@ -145,7 +163,9 @@
         PsReachChecks_HandleUnopened(&gateway->reach_checks, forward->backend,
                                      transfer->is_refused, now_ms);
     }
-    else if (result == PS_TRANSFER_INCOMPLETE) {
+    else if (result == PS_TRANSFER_INCOMPLETE &&
+             !PsAnswer_IsOwnCut(result, transfer->is_aborted,
+                                forward->longest_pause_ms)) {
         PsReachChecks_HandleLost(&gateway->reach_checks, forward->backend,
                                  now_ms);
     }
@@ -255,6 +275,11 @@
     int64_t now_ms = PsClock_Now();
     forward_order_t order;
     ps_inbound_request_t inbound;
+    if (request->is_over_budget) {
+        refuse(forwarding, request, PS_FORWARD_REFUSED,
+               "no memory for the request");
+        return;
+    }
     if (request->is_malformed || request->is_too_large ||
         !parse_order(PsHttpRequest_GetHeader(request, PS_FORWARD_HEADER),
                      &order) ||
@@ -286,6 +311,7 @@
                                       .url = url.data,
                                       .target = request->path.data,
                                       .body = PsBuf_View(&request->body),
+                                      .keeps_body = true,
                                       .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                                       .must_not_resend = true,
                                       .idle_max_s = IDLE_MAX_S};
@@ -320,9 +346,11 @@
     if (PsName_IsEmpty(address)) {
         return PS_OK;
     }
-    return PsHttpServer_Init(&forwarding->server, &events, forwarding,
-                             gateway->loop, address,
-                             gateway->caller_server.body_max);
+    ps_status_t status = PsHttpServer_Init(&forwarding->server, &events,
+                                           forwarding, gateway->loop, address,
+                                           gateway->caller_server.body_max);
+    PsHttpServer_SetBudget(&forwarding->server, &gateway->memory);
+    return status;
 }
 
 void
@@ -331,20 +359,6 @@
     PsHttpServer_Finish(&forwarding->server);
 }
 
-void
-PsForwardServer_Run(ps_forward_server_t *forwarding)
-{
-    GList *next;
-    for (GList *l = forwarding->forwards.head; l; l = next) {
-        next = l->next;
-        forward_t *forward = l->data;
-        if (forward->transfer.is_paused &&
-            forward->request->unsent.len < UNSENT_LOW) {
-            PsTransfer_SetPaused(&forward->transfer, false);
-        }
-    }
-}
-
 // Gives up a request that is carried.
 static void
 stop_forward(forward_t *forward)
--- a/src/forward_server.h
+++ b/src/forward_server.h
@@ -40,12 +40,6 @@
                                  struct ps_gateway *gateway);
 void PsForwardServer_Finish(ps_forward_server_t *forwarding);
 
-/**
- * PsForwardServer_Run() - Reads on from servers whose answers had filled the
- * buffers. To be called at each tick.
- */
-void PsForwardServer_Run(ps_forward_server_t *forwarding);
-
 /**
  * PsForwardServer_Stop() - Gives up all requests that are carried, because
  * this daemon's process ends, and says of each whether it was sent to its
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -433,6 +433,10 @@
         return;
     }
     exchange->request = NULL;
+    // What the server still sends is read for its events only.
+    if (exchange->is_transferring && exchange->transfer.is_paused) {
+        PsTransfer_SetPaused(&exchange->transfer, false);
+    }
     PsLog_Info("route", "The caller of %s has disconnected.",
                exchange->call.request.ticket.data);
     if (PsEntry_HandleDisconnect(&frontend->daemon->entry, &exchange->call,
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -14,6 +14,7 @@
 #define PAUSE_MS 300 /* longer without a tick: this daemon was paused */
 
 // Largest body in bytes until a configuration sets another limit.
+#define MEMORY_LOG_MS 1000 /* between lines on the memory's level */
 #define DEFAULT_BODY_MAX (8 * 1024 * 1024)
 
 // The API keys of a configuration are relied on until this long before
@@ -461,6 +462,33 @@
     }
 }
 
+static void
+print_memory(const ps_gateway_t *gateway, ps_buf_t *out)
+{
+    static const char *const uses[PS_MEMORY_USES] = {"request_body", "answer",
+                                                     "overhead"};
+    const ps_memory_budget_t *memory = &gateway->memory;
+    PsBuf_AppendC(out, "# TYPE pearstair_bytes_held gauge\n");
+    for (int i = 0; i < PS_MEMORY_USES; i++) {
+        PsBuf_AppendFormat(out, "pearstair_bytes_held{use=\"%s\"} %zu\n",
+                           uses[i], memory->held[i]);
+    }
+    print_metric(out, "pearstair_bytes_held_max", (double)memory->most_held);
+    print_metric(out, "pearstair_bytes_limit", (double)memory->limit);
+    print_metric(out, "pearstair_memory_refused_total",
+                 (double)memory->n_refused);
+    print_metric(out, "pearstair_answer_pauses_total",
+                 (double)gateway->stats.pauses);
+    PsBuf_AppendC(out, "# TYPE pearstair_answers_cut_total counter\n");
+    for (int i = 0; i < PS_ANSWER_CUTS; i++) {
+        PsBuf_AppendFormat(out,
+                           "pearstair_answers_cut_total{reason=\"%s\"} "
+                           "%" G_GUINT64_FORMAT "\n",
+                           PsAnswer_GetCutName((ps_answer_cut_t)i),
+                           gateway->stats.cuts[i]);
+    }
+}
+
 static void
 count_limited(void *count, ps_backend_t *backend)
 {
@@ -520,6 +548,7 @@
                  (double)gateway->forward_server.carried);
     print_metric(&out, "pearstair_carried_refused_total",
                  (double)gateway->forward_server.refused);
+    print_memory(gateway, &out);
     print_retry_budgets(gateway, &out);
     PsHistogram_Print(&stats->wait_latency, "pearstair_wait_milliseconds",
                       &out);
@@ -658,6 +687,27 @@
     PsForwardServer_Stop(&gateway->forward_server);
 }
 
+// Logs how much of the memory budget is used when its level has changed, at
+// most once a second.
+static void
+log_memory(ps_gateway_t *gateway, int64_t now_ms)
+{
+    const ps_memory_budget_t *memory = &gateway->memory;
+    int level = PsMemoryBudget_GetLevel(memory);
+    if (level == gateway->memory_level ||
+        now_ms - gateway->memory_logged_ms < MEMORY_LOG_MS) {
+        return;
+    }
+    gateway->memory_level = level;
+    gateway->memory_logged_ms = now_ms;
+    PsEvents_Add(
+        "memory.level", "{s:i,s:I,s:I,s:I,s:I,s:I}", "level", level,
+        "request_body", (json_int_t)memory->held[PS_MEMORY_REQUEST_BODY],
+        "answer", (json_int_t)memory->held[PS_MEMORY_ANSWER], "overhead",
+        (json_int_t)memory->held[PS_MEMORY_OVERHEAD], "limit",
+        (json_int_t)memory->limit, "refused", (json_int_t)memory->n_refused);
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -671,7 +721,7 @@
         gateway->store_ops->read_now(gateway->store_ops, false, true, false);
     }
     PsReachChecks_Run(&gateway->reach_checks, now_ms);
-    PsForwardServer_Run(&gateway->forward_server);
+    log_memory(gateway, now_ms);
     PsSharing_Run(&gateway->sharing, now_ms);
     update_poll_rate(gateway, now_ms);
     run_dispatchers(gateway, now_ms);
@@ -695,6 +745,8 @@
     ps_status_t status =
         PsHttpServer_Init(&gateway->caller_server, &caller_events, gateway,
                           loop, &settings->caller_address, DEFAULT_BODY_MAX);
+    PsMemoryBudget_Init(&gateway->memory, settings->gateway.memory_mb);
+    PsHttpServer_SetBudget(&gateway->caller_server, &gateway->memory);
     if (status == PS_OK) {
         status = PsHttpServer_Init(&gateway->readiness_server,
                                    readiness_events, gateway, loop,
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -11,6 +11,7 @@
 
 #include <ev.h>
 
+#include "answer.h"
 #include "backend_registry.h"
 #include "catalog.h"
 #include "changes.h"
@@ -22,6 +23,7 @@
 #include "histogram.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "memory_budget.h"
 #include "overcommit.h"
 #include "quota.h"
 #include "reach_checks.h"
@@ -65,13 +67,15 @@
     uint64_t sends;              /* attempts, first ones and retries */
     uint64_t forwarded;          /* attempts by way of another daemon */
     uint64_t retries;
-    uint64_t refused_retries;    /* over the retry budget */
-    uint64_t lost_connections;   /* before the end of a response */
-    uint64_t banned_requests;    /* refused for their marks' crashes */
-    uint64_t taken_up_streams;   /* resumed by their callers */
-    uint64_t unknown_origins;    /* of these, refused as it isn't known which
-                                    version began them */
-    ps_histogram_t wait_latency; /* arrival to first send */
+    uint64_t refused_retries;      /* over the retry budget */
+    uint64_t lost_connections;     /* before the end of a response */
+    uint64_t banned_requests;      /* refused for their marks' crashes */
+    uint64_t taken_up_streams;     /* resumed by their callers */
+    uint64_t unknown_origins;      /* of these, refused as it isn't known which
+                                      version began them */
+    uint64_t pauses;               /* of reading from servers */
+    uint64_t cuts[PS_ANSWER_CUTS]; /* answers that broke off, by reason */
+    ps_histogram_t wait_latency;   /* arrival to first send */
     ps_histogram_t first_event_latency; /* arrival to a stream's first event */
     ps_histogram_t total_latency;       /* arrival to the end */
 } ps_gateway_stats_t;
@@ -131,6 +135,9 @@
     ps_settings_t settings;
     struct ev_loop *loop;
     const ps_dialect_t *dialect;
+    ps_memory_budget_t memory; /* of callers' and other daemons' requests */
+    int memory_level;          /* as logged last */
+    int64_t memory_logged_ms;
     ps_http_client_t http_client;
     ps_http_server_t caller_server;
     ps_http_server_t readiness_server;
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -321,7 +321,10 @@
                     strcmp(request->method, "PUT") == 0;
     if (request->body.len > 0) {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)request->body.len);
-        curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, request->body.data);
+        curl_easy_setopt(easy,
+                         request->keeps_body ? CURLOPT_POSTFIELDS
+                                             : CURLOPT_COPYPOSTFIELDS,
+                         request->body.data);
     }
     else if (has_body) {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, 0L);
@@ -422,6 +425,24 @@
            !PsTransfer_GetHeader(transfer, "Transfer-Encoding").data;
 }
 
+uint64_t
+PsTransfer_GetLength(const ps_transfer_t *transfer)
+{
+    ps_str_t text = PsTransfer_GetHeader(transfer, "Content-Length");
+    if (!text.data || text.len == 0 || text.len > 18 ||
+        PsTransfer_GetHeader(transfer, "Transfer-Encoding").data) {
+        return UINT64_MAX;
+    }
+    uint64_t length = 0;
+    for (size_t i = 0; i < text.len; i++) {
+        if (!g_ascii_isdigit(text.data[i])) {
+            return UINT64_MAX;
+        }
+        length = length * 10 + (uint64_t)(text.data[i] - '0');
+    }
+    return length;
+}
+
 ps_str_t
 PsTransfer_GetHeader(const ps_transfer_t *transfer, const char *name)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -75,7 +75,8 @@
  * @method: HTTP method
  * @url: full URL
  * @target: request target sent in place of the URL's path; NULL: the path
- * @body: copied; empty: none
+ * @body: empty: none
+ * @keeps_body: @body stays in place until the transfer ends, and is not copied
  * @timeout_ms: for the whole transfer; 0: none
  * @connect_timeout_ms: to open a connection; 0: the client's default
  * @has_own_connection: uses a new connection and closes it afterwards
@@ -90,6 +91,7 @@
     const char *url;
     const char *target;
     ps_str_t body;
+    bool keeps_body;
     int64_t timeout_ms;
     int64_t connect_timeout_ms;
     bool has_own_connection;
@@ -153,6 +155,12 @@
  */
 bool PsTransfer_EndsWithConnection(const ps_transfer_t *transfer);
 
+/**
+ * PsTransfer_GetLength() - Returns the response's Content-Length, or
+ * UINT64_MAX if it has none that gives its length.
+ */
+uint64_t PsTransfer_GetLength(const ps_transfer_t *transfer);
+
 /**
  * PsTransfer_GetHeader() - Returns a header of the response.
  * @name: compared without regard to case
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -14,6 +15,36 @@
 #define DISCONNECT_CHECK_S 0.2 /* between checks of suspended connections */
 #define STREAM_READ_MAX (16 * 1024) /* bytes of a stream read at a time */
 
+// Bytes that an open request needs beside its body and answer: buffers of
+// libmicrohttpd and curl. Measured with 1,000 slow readers, see
+// docs/MEASUREMENTS.md.
+#define REQUEST_OVERHEAD (24 * 1024)
+
+// Read bytes at the start of the unsent ones are removed when there are as
+// many, so that moving the others costs little.
+#define UNSENT_MOVE_MIN (32 * 1024)
+
+/* ---- Memory ----------------------------------------------------------- */
+
+static void
+count_bytes(ps_http_request_t *request, ps_memory_use_t use, size_t bytes)
+{
+    PsMemoryBudget_Set(request->server->budget, use, &request->counted[use],
+                       bytes);
+}
+
+// Appends without doubling the buffer as PsBuf_Append() does.
+static void
+append_tightly(ps_buf_t *buf, const char *data, size_t len)
+{
+    size_t needed = buf->len + len + 1;
+    if (needed > buf->cap) {
+        buf->cap = (needed + needed / 4 + 4095) & ~(size_t)4095;
+        buf->data = g_realloc(buf->data, buf->cap);
+    }
+    PsBuf_Append(buf, data, len);
+}
+
 /* ---- Streams ---------------------------------------------------------- */
 
 // Stops the library from polling the connection and from calling back for it,
@@ -39,6 +70,39 @@
     }
 }
 
+static void
+drop_unsent(ps_http_request_t *request)
+{
+    PsBuf_Finish(&request->unsent);
+    request->unsent_start = 0;
+    count_bytes(request, PS_MEMORY_ANSWER, 0);
+}
+
+static void
+take_unsent(ps_http_request_t *request, char *out, size_t n)
+{
+    ps_buf_t *unsent = &request->unsent;
+    memcpy(out, unsent->data + request->unsent_start, n);
+    request->unsent_start += n;
+    if (request->unsent_start == unsent->len) {
+        drop_unsent(request);
+    }
+    else if (request->unsent_start >= UNSENT_MOVE_MIN &&
+             request->unsent_start >= unsent->len / 2) {
+        PsBuf_RemoveFront(unsent, request->unsent_start);
+        request->unsent_start = 0;
+    }
+}
+
+// Tells whether the stream's next bytes would complete it for the caller while
+// it has not ended well.
+static bool
+holds_last_byte(const ps_http_request_t *request)
+{
+    return request->written == request->length &&
+           (!request->is_stream_ended || request->is_truncated);
+}
+
 // The library calls this for the next bytes of a stream. It returns 0 and
 // suspends the connection when there are none yet.
 static ssize_t
@@ -46,10 +110,18 @@
 {
     (void)position;
     ps_http_request_t *request = user;
-    size_t n = MIN(request->unsent.len, max);
+    size_t n_unsent = PsHttpRequest_GetUnsent(request);
+    if (n_unsent > 0 && holds_last_byte(request)) {
+        n_unsent--;
+    }
+    size_t n = MIN(n_unsent, max);
     if (n > 0) {
-        memcpy(out, request->unsent.data, n);
-        PsBuf_RemoveFront(&request->unsent, n);
+        take_unsent(request, out, n);
+        if (request->on_low && n_unsent - n <= request->low_mark) {
+            void (*on_low)(ps_http_request_t *) = request->on_low;
+            request->on_low = NULL;
+            on_low(request);
+        }
         return (ssize_t)n;
     }
     if (request->is_truncated) {
@@ -74,6 +146,7 @@
     request->method = PsName_FromC(method);
     request->link.data = request;
     g_queue_push_tail_link(&server->requests, &request->link);
+    count_bytes(request, PS_MEMORY_OVERHEAD, REQUEST_OVERHEAD);
     return request;
 }
 
@@ -133,20 +206,88 @@
     return result;
 }
 
+// Accepts a body as far as its Content-Length tells its size, and counts it at
+// once: a body that was accepted is not refused half way.
+static bool
+accept_body(ps_http_request_t *request)
+{
+    ps_http_server_t *server = request->server;
+    const char *text = PsHttpRequest_GetHeader(request, "Content-Length");
+    uint64_t length = text ? strtoull(text, NULL, 10) : 0;
+    if (!server->budget || length > server->body_max) {
+        return true;
+    }
+    request->body_length = (size_t)length;
+    if (!PsMemoryBudget_CanHold(server->budget, request->body_length)) {
+        server->budget->n_refused++;
+        return false;
+    }
+    count_bytes(request, PS_MEMORY_REQUEST_BODY, request->body_length);
+    return true;
+}
+
+static void
+drop_body(ps_http_request_t *request)
+{
+    PsBuf_Finish(&request->body);
+    count_bytes(request, PS_MEMORY_REQUEST_BODY, 0);
+}
+
+// Counts a body that has grown beyond what was announced, as chunks do.
+static bool
+count_body(ps_http_request_t *request)
+{
+    ps_http_server_t *server = request->server;
+    size_t *counted = &request->counted[PS_MEMORY_REQUEST_BODY];
+    if (!server->budget || request->body.cap <= request->body_length + 1) {
+        return true;
+    }
+    if (request->body.cap > *counted &&
+        !PsMemoryBudget_CanHold(server->budget,
+                                request->body.cap - *counted)) {
+        server->budget->n_refused++;
+        request->body_length = request->body.cap;
+        return false;
+    }
+    count_bytes(request, PS_MEMORY_REQUEST_BODY, request->body.cap);
+    return true;
+}
+
 // Appends to the request body. A body that exceeds body_max is dropped and the
-// request marked as too large.
+// request marked as too large; so is one for which no memory is left.
 static void
 append_body(ps_http_request_t *request, const char *data, size_t len)
 {
+    if (request->is_too_large || request->is_over_budget) {
+        return;
+    }
     if (request->body.len + len > request->server->body_max) {
         request->is_too_large = true;
-        PsBuf_Clear(&request->body);
+        drop_body(request);
+        return;
+    }
+    if (!request->body.data && request->body_length > 0) {
+        request->body.cap = request->body_length + 1;
+        request->body.data = g_malloc(request->body.cap);
     }
-    if (!request->is_too_large) {
-        PsBuf_Append(&request->body, data, len);
+    append_tightly(&request->body, data, len);
+    if (!count_body(request)) {
+        request->is_over_budget = true;
+        drop_body(request);
     }
 }
 
+// Has a request answered before its body is received. The library closes the
+// connection after the response.
+static enum MHD_Result
+refuse_early(ps_http_request_t *request)
+{
+    request->is_over_budget = true;
+    request->is_handed_over = true;
+    request->server->events->request(request->server, request);
+    return request->response ? queue_response(request) : MHD_NO;
+}
+
 // The library calls this several times for a request: after the headers, for
 // each part of the body, at its end, and again when the connection is resumed
 // with a response or, for an aborted request, without one. The request
@@ -165,7 +306,8 @@
     if (PsName_IsEmpty(&request->method)) {
         request->method = PsName_FromC(method);
         request->is_malformed = has_ambiguous_length(request);
-        return MHD_YES;
+        bool is_accepted = request->is_malformed || accept_body(request);
+        return is_accepted ? MHD_YES : refuse_early(request);
     }
     if (*len > 0) {
         if (!request->is_malformed) {
@@ -203,20 +345,21 @@
                      void **state, enum MHD_RequestTerminationCode code)
 {
     (void)connection;
-    (void)code;
     ps_http_server_t *server = user;
     ps_http_request_t *request = *state;
     if (!request) {
         return;
     }
+    request->is_timed_out = code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED;
     report_closed(request);
     g_queue_unlink(&server->requests, &request->link);
     if (request->response) {
         MHD_destroy_response(request->response);
     }
     PsBuf_Finish(&request->path);
-    PsBuf_Finish(&request->body);
-    PsBuf_Finish(&request->unsent);
+    drop_body(request);
+    drop_unsent(request);
+    count_bytes(request, PS_MEMORY_OVERHEAD, 0);
     g_free(request);
     *state = NULL;
 }
@@ -290,6 +433,7 @@
 {
     report_closed(request);
     request->is_truncated = true;
+    request->on_low = NULL;
     if (request->response && !request->is_answered) {
         MHD_destroy_response(request->response);
         request->response = NULL;
@@ -297,8 +441,18 @@
     resume(request);
 }
 
-// The library does not poll a suspended connection, so this checks whether the
-// caller has closed it.
+// Tells whether the library would not notice that the caller has closed the
+// connection: it is suspended, or the library waits until it can send.
+static bool
+needs_check(const ps_http_request_t *request)
+{
+    bool is_sending = request->is_stream && request->is_answered &&
+                      !request->is_stream_ended;
+    return (request->is_suspended || is_sending) && !request->is_closed;
+}
+
+// Checks whether callers have closed connections for which the library does
+// not check that.
 static void
 on_disconnect_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -310,10 +464,10 @@
         next = l->next;
         ps_http_request_t *request = l->data;
         struct pollfd fd = {.fd = get_socket(request), .events = POLLRDHUP};
-        if (request->is_suspended && !request->is_closed &&
-            poll(&fd, 1, 0) == 1 &&
+        if (needs_check(request) && poll(&fd, 1, 0) == 1 &&
             (fd.revents & (POLLRDHUP | POLLHUP | POLLERR))) {
             abort_request(request);
+            drop_unsent(request);
         }
     }
 }
@@ -409,6 +563,12 @@
     server->idle_timeout_s = (unsigned int)((timeout_ms + 999) / 1000);
 }
 
+void
+PsHttpServer_SetBudget(ps_http_server_t *server, ps_memory_budget_t *budget)
+{
+    server->budget = budget;
+}
+
 void
 PsHttpServer_DisableKeepAlive(ps_http_server_t *server)
 {
@@ -475,23 +635,34 @@
     if (request->is_closed || request->is_answered) {
         return;
     }
-    request->status = status;
-    request->is_stream = is_stream;
-    request->response = is_stream ? MHD_create_response_from_callback(
-                                        MHD_SIZE_UNKNOWN, STREAM_READ_MAX,
-                                        read_stream, request, NULL)
-                                  : NULL;
-    if (!is_stream) {
+    if (is_stream) {
+        PsHttpRequest_PrepareStream(request, status, PS_HTTP_LENGTH_UNKNOWN);
+    }
+    else {
+        request->status = status;
         request->response = MHD_create_response_from_buffer(
             0, (void *)"", MHD_RESPMEM_PERSISTENT);
     }
     if (type) {
         PsHttpRequest_AddResponseHeader(request, "Content-Type", type);
     }
-    if (is_stream) {
-        request->is_answered = true;
-        resume(request);
+}
+
+void
+PsHttpRequest_PrepareStream(ps_http_request_t *request, unsigned int status,
+                            uint64_t length)
+{
+    if (request->is_closed || request->is_answered) {
+        return;
     }
+    request->status = status;
+    request->is_stream = true;
+    request->is_answered = true;
+    request->length = length;
+    // MHD_SIZE_UNKNOWN is PS_HTTP_LENGTH_UNKNOWN.
+    request->response = MHD_create_response_from_callback(
+        length, STREAM_READ_MAX, read_stream, request, NULL);
+    resume(request);
 }
 
 void
@@ -534,24 +705,46 @@
 void
 PsHttpRequest_WriteStream(ps_http_request_t *request, ps_str_t data)
 {
-    if (request->is_closed) {
+    if (request->is_closed || request->is_overrun) {
         return;
     }
-    PsBuf_Append(&request->unsent, data.data, data.len);
-    if (request->unsent.len > PS_HTTP_STREAM_BUFFER_MAX) {
-        PsBuf_Clear(&request->unsent);
+    if (PsHttpRequest_GetUnsent(request) + data.len >
+        PS_HTTP_STREAM_BUFFER_MAX) {
+        request->is_overrun = true;
         request->is_truncated = true;
     }
+    else if (data.len > 0) {
+        append_tightly(&request->unsent, data.data, data.len);
+        request->written += data.len;
+        count_bytes(request, PS_MEMORY_ANSWER, request->unsent.cap);
+    }
     resume(request);
 }
 
+size_t
+PsHttpRequest_GetUnsent(const ps_http_request_t *request)
+{
+    return request->unsent.len - request->unsent_start;
+}
+
+void
+PsHttpRequest_NotifyBelow(ps_http_request_t *request, size_t bytes,
+                          void (*on_low)(ps_http_request_t *request))
+{
+    request->low_mark = bytes;
+    request->on_low = on_low;
+}
+
 void
 PsHttpRequest_EndStream(ps_http_request_t *request, bool is_complete)
 {
     if (request->is_closed) {
         return;
     }
+    bool has_length = request->length == PS_HTTP_LENGTH_UNKNOWN ||
+                      request->length == request->written;
     request->is_stream_ended = true;
-    request->is_truncated = !is_complete;
+    request->is_truncated = !is_complete || !has_length || request->is_overrun;
+    request->on_low = NULL;
     resume(request);
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -14,12 +14,16 @@
 #include <glib.h>
 #include <microhttpd.h>
 
+#include "memory_budget.h"
 #include "status.h"
 #include "str.h"
 
-/* Bytes; a stream with more unsent data is truncated */
+/* Bytes; a stream with more unsent data ends there, incomplete. Writers stop
+   before: see PsHttpRequest_NotifyBelow(). */
 #define PS_HTTP_STREAM_BUFFER_MAX (8 * 1024 * 1024)
 
+#define PS_HTTP_LENGTH_UNKNOWN UINT64_MAX /* of a stream */
+
 struct ps_http_server;
 
 /**
@@ -37,22 +41,36 @@
     void *user;           /* for the callbacks */
     bool is_too_large;    /* the body exceeds body_max and was not kept */
     bool is_malformed;    /* its length is ambiguous; the body was not kept */
+    bool is_over_budget;  /* the body was not kept for want of memory */
     bool is_handed_over;  /* the request callback was called */
     bool is_suspended;    /* the library does not poll the connection */
     bool is_answered;     /* a whole response was set, or a stream started */
     bool is_stream;       /* the response is sent with WriteStream() */
     bool is_stream_ended; /* the stream has no more data */
     bool is_truncated;    /* the stream ends with an error */
+    bool is_overrun;      /* the stream has lost bytes; later ones are not
+                             taken */
     bool is_closed;       /* the closed callback was called */
-    ps_buf_t unsent;      /* stream bytes that the library has not read */
-    struct MHD_Response *response; /* prepared; NULL once queued */
-    unsigned int status;           /* HTTP status of the response */
-    GList link;                    /* in the server's requests */
+    bool is_timed_out;    /* closed because the caller was idle for too long */
+    size_t body_length;   /* bytes of the body that are expected, or were
+                             refused for want of memory */
+    ps_buf_t unsent;      /* stream bytes, from @unsent_start on */
+    size_t unsent_start;  /* bytes before it were read by the library */
+    uint64_t length;      /* of the stream, or PS_HTTP_LENGTH_UNKNOWN */
+    uint64_t written;     /* bytes of the stream so far */
+    size_t low_mark;      /* unsent bytes at which @on_low is called */
+    void (*on_low)(struct ps_http_request *request); /* NULL: none */
+    size_t counted[PS_MEMORY_USES]; /* in the server's budget */
+    struct MHD_Response *response;  /* prepared; NULL once queued */
+    unsigned int status;            /* HTTP status of the response */
+    GList link;                     /* in the server's requests */
 } ps_http_request_t;
 
 /**
  * struct ps_http_server_events - Callbacks of a server.
- * @request: a request was received whole; it may be too large or malformed
+ * @request: a request was received whole; it may be too large or malformed.
+ *           One that is over the budget may come without its body, and is to
+ *           be answered at once
  * @closed: the response was sent, the caller disconnected or the server is
  *          stopped; the request must not be used afterwards
  */
@@ -69,6 +87,7 @@
     void *user;
     struct ev_loop *loop;
     struct MHD_Daemon *daemon;   /* the library's server */
+    ps_memory_budget_t *budget;  /* of all requests; NULL: none */
     size_t body_max;             /* bytes of the largest request body */
     unsigned int idle_timeout_s; /* of new connections; 0: 30 s */
     bool is_keep_alive_off;      /* responses close their connections */
@@ -108,6 +127,14 @@
  */
 void PsHttpServer_SetIdleTimeout(ps_http_server_t *server, int64_t timeout_ms);
 
+/**
+ * PsHttpServer_SetBudget() - Counts bodies and unsent bytes in a budget, and
+ * accepts bodies only as far as it has room.
+ * @budget: outlives the server
+ */
+void PsHttpServer_SetBudget(ps_http_server_t *server,
+                            ps_memory_budget_t *budget);
+
 /**
  * PsHttpServer_DisableKeepAlive() - Makes each response close its connection.
  *
@@ -161,6 +188,16 @@
                                    unsigned int status, const char *type,
                                    bool is_stream);
 
+/**
+ * PsHttpRequest_PrepareStream() - Prepares a stream of known length.
+ * @length: bytes, sent as Content-Length, or PS_HTTP_LENGTH_UNKNOWN
+ *
+ * A stream that ends with another length is incomplete. The last byte is not
+ * sent before EndStream().
+ */
+void PsHttpRequest_PrepareStream(ps_http_request_t *request,
+                                 unsigned int status, uint64_t length);
+
 /**
  * PsHttpRequest_AddResponseHeader() - Adds a header to the prepared response.
  *
@@ -179,10 +216,25 @@
  * PsHttpRequest_WriteStream() - Appends data to the response's stream.
  * @data: copied
  *
- * A stream with more than PS_HTTP_STREAM_BUFFER_MAX unsent bytes is truncated.
+ * Of a stream with more than PS_HTTP_STREAM_BUFFER_MAX unsent bytes, those so
+ * far are sent, and it ends as incomplete.
  */
 void PsHttpRequest_WriteStream(ps_http_request_t *request, ps_str_t data);
 
+/**
+ * PsHttpRequest_GetUnsent() - Returns how many bytes of the stream the library
+ * has not read yet.
+ */
+size_t PsHttpRequest_GetUnsent(const ps_http_request_t *request);
+
+/**
+ * PsHttpRequest_NotifyBelow() - Calls a function, once, when there are no more
+ * unsent bytes than this.
+ * @on_low: may write to the stream; NULL: ends the wait
+ */
+void PsHttpRequest_NotifyBelow(ps_http_request_t *request, size_t bytes,
+                               void (*on_low)(ps_http_request_t *request));
+
 /**
  * PsHttpRequest_EndStream() - Ends the response's stream.
  * @is_complete: false: the connection is closed without the last chunk, so
--- a/src/relay.c
+++ b/src/relay.c
@@ -8,8 +8,10 @@
 #include "log.h"
 
 #define ANSWER_MAX (16 * 1024 * 1024) /* bytes kept of a whole answer */
-#define PREEMPT_RETRY_MS 2000         /* Retry-After of a preempted call */
-#define CANCEL_TIMEOUT_MS 2000        /* of a cancel request to a server */
+#define UNSENT_MAX (256 * 1024) /* bytes of a stream; its server is paused */
+#define UNSENT_LOW (64 * 1024)  /* and read on */
+#define PREEMPT_RETRY_MS 2000   /* Retry-After of a preempted call */
+#define CANCEL_TIMEOUT_MS 2000  /* of a cancel request to a server */
 #define EVENT_PREFIX "data:"
 #define EVENT_LAST "[DONE]"
 #define LINE_PREFIX_MAX 64 /* bytes of a stream's line that are parsed */
@@ -139,6 +141,30 @@
     }
 }
 
+// The caller has read most of what was unsent.
+static void
+on_unsent_low(ps_http_request_t *request)
+{
+    ps_caller_exchange_t *exchange = request->user;
+    if (exchange && exchange->is_transferring &&
+        exchange->transfer.is_paused) {
+        PsTransfer_SetPaused(&exchange->transfer, false);
+    }
+}
+
+// Reads no more of the server's answer until the caller has read most of what
+// is unsent.
+static void
+pause_if_unread(ps_caller_exchange_t *exchange)
+{
+    if (PsHttpRequest_GetUnsent(exchange->request) > UNSENT_MAX &&
+        !exchange->transfer.is_paused) {
+        PsTransfer_SetPaused(&exchange->transfer, true);
+        PsHttpRequest_NotifyBelow(exchange->request, UNSENT_LOW,
+                                  on_unsent_low);
+    }
+}
+
 // Passes a stream's bytes on to the caller, except those that were relayed
 // before the stream was resumed.
 static void
@@ -163,6 +189,7 @@
     scan_stream(exchange, data);
     if (exchange->request) {
         PsHttpRequest_WriteStream(exchange->request, data);
+        pause_if_unread(exchange);
     }
 }
 
--- a/src/server_path.c
+++ b/src/server_path.c
@@ -29,6 +29,9 @@
            ps_transfer_result_t result, bool is_broken_off, int64_t now_ms)
 {
     ps_reach_checks_t *reach = &path->gateway->reach_checks;
+    if (path->is_own_cut) {
+        return result;
+    }
     if (result == PS_TRANSFER_NOT_SENT) {
         PsReachChecks_HandleUnopened(reach, path->backend,
                                      transfer->is_refused, now_ms);
@@ -111,6 +114,9 @@
                ps_transfer_result_t result, bool is_broken_off, int64_t now_ms)
 {
     ps_reach_checks_t *reach = &path->gateway->reach_checks;
+    if (path->is_own_cut) {
+        return result;
+    }
     if (is_broken_off) {
         PsReachChecks_HandlePeerLost(reach, path->backend, now_ms);
         return PS_TRANSFER_INCOMPLETE;
--- a/src/server_path.h
+++ b/src/server_path.h
@@ -54,6 +54,8 @@
     ps_name_t tried[PS_PATH_FORWARDERS_MAX]; /* daemons, this one included */
     int n_tried;
     bool has_mismatch; /* something else than the server's answer came */
+    bool is_own_cut;   /* the connection was lost since this daemon had paused
+                          reading; nothing is learned from that */
     ps_name_t url;
 } ps_server_path_t;
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -96,6 +96,8 @@
      "false", 0, 0},
     {"gateway", "cpu_share", SETTING_REAL, FIELD(gateway.cpu_share), "1", 0,
      1024},
+    {"gateway", "memory_mb", SETTING_REAL, FIELD(gateway.memory_mb), "0", 0,
+     1048576},
 };
 
 static const unit_t duration_units[] = {
--- a/src/settings.h
+++ b/src/settings.h
@@ -40,6 +40,8 @@
                                deployment has run before */
     double cpu_share;       /* [gateway] cpu_share, processor share of this
                                daemon, in cores */
+    double memory_mb;       /* [gateway] memory_mb, limit of this process's
+                               memory in MiB; 0: not known */
 } ps_gateway_settings_t;
 
 /**
