--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 PROGRAMS := $(BUILD)/pearstaird $(BUILD)/pearstairctl $(BUILD)/pearstair-load
 STANDINS := $(BUILD)/standin-platform $(BUILD)/standin-engine \
     $(BUILD)/standin-service $(BUILD)/standin-store $(BUILD)/standin-runner \
-    $(BUILD)/standin-callers
+    $(BUILD)/standin-callers $(BUILD)/standin-readers
 
 all: $(PROGRAMS) $(STANDINS)
 
--- a/src/answer_relay.c
+++ b/src/answer_relay.c
@@ -46,7 +46,7 @@
 static void
 append_body(ps_exchange_t *exchange, ps_str_t data)
 {
-    PsBuf_Append(&exchange->body, data.data, data.len);
+    PsBuf_AppendTightly(&exchange->body, data.data, data.len);
     count_body(exchange);
 }
 
@@ -128,12 +128,16 @@
 }
 
 // Relays complete events only, so that another backend server can resume the
-// stream after the last one.
+// stream after the last one. Keeps the start of the next one.
 static void
-relay_events(ps_exchange_t *exchange)
+relay_events(ps_exchange_t *exchange, ps_str_t received)
 {
     int64_t now_ms = PsClock_Now();
-    ps_str_t data = PsBuf_View(&exchange->body);
+    bool has_start = exchange->body.len > 0;
+    if (has_start) {
+        append_body(exchange, received);
+    }
+    ps_str_t data = has_start ? PsBuf_View(&exchange->body) : received;
     size_t relayed = 0;
     size_t end;
     while ((end = PsEventStream_FindEnd(data, relayed)) > 0) {
@@ -141,15 +145,22 @@
         handle_event(exchange, event, now_ms);
         relayed = end;
     }
-    if (relayed == 0) {
-        return;
+    if (relayed > 0) {
+        PsHttpRequest_WriteStream(exchange->request,
+                                  (ps_str_t){data.data, relayed});
+    }
+    if (!has_start && relayed < data.len) {
+        append_body(exchange,
+                    (ps_str_t){data.data + relayed, data.len - relayed});
     }
-    PsHttpRequest_WriteStream(exchange->request,
-                              (ps_str_t){data.data, relayed});
-    PsBuf_RemoveFront(&exchange->body, relayed);
-    if (exchange->body.len == 0) {
+    else if (has_start && relayed == data.len) {
         drop_body(exchange);
     }
+    else if (has_start && relayed > 0) {
+        PsBuf_RemoveFront(&exchange->body, relayed);
+        PsBuf_SetCapacity(&exchange->body, exchange->body.len);
+        count_body(exchange);
+    }
 }
 
 /* ---- Plain answers ---------------------------------------------------- */
@@ -227,8 +238,7 @@
         pass_data(exchange, data);
         break;
     case PS_ANSWER_EVENTS:
-        append_body(exchange, data);
-        relay_events(exchange);
+        relay_events(exchange, data);
         break;
     }
     bool is_event_too_long =
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -1,6 +1,7 @@
 /* gateway.c - Configuration, members, metrics and shutdown of a gateway. */
 #include "gateway.h"
 
+#include <malloc.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -14,7 +15,9 @@
 #define PAUSE_MS 300 /* longer without a tick: this daemon was paused */
 
 // Largest body in bytes until a configuration sets another limit.
-#define MEMORY_LOG_MS 1000 /* between lines on the memory's level */
+#define TRIM_MS 500                /* between returns of free memory */
+#define TRIM_MIN (4 * 1024 * 1024) /* bytes that were freed since a peak */
+#define MEMORY_LOG_MS 1000         /* between lines on the memory's level */
 #define DEFAULT_BODY_MAX (8 * 1024 * 1024)
 
 // The API keys of a configuration are relied on until this long before
@@ -708,6 +711,22 @@
         (json_int_t)memory->limit, "refused", (json_int_t)memory->n_refused);
 }
 
+// Returns free memory to the system after a peak: the heap keeps it otherwise,
+// and the next peak may need it for blocks of another size.
+static void
+trim_memory(ps_gateway_t *gateway, int64_t now_ms)
+{
+    ps_memory_budget_t *memory = &gateway->memory;
+    size_t held = PsMemoryBudget_GetHeld(memory);
+    if (memory->recent_peak < held + TRIM_MIN ||
+        now_ms - gateway->memory_trimmed_ms < TRIM_MS) {
+        return;
+    }
+    malloc_trim(0);
+    memory->recent_peak = held;
+    gateway->memory_trimmed_ms = now_ms;
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -722,6 +741,7 @@
     }
     PsReachChecks_Run(&gateway->reach_checks, now_ms);
     log_memory(gateway, now_ms);
+    trim_memory(gateway, now_ms);
     PsSharing_Run(&gateway->sharing, now_ms);
     update_poll_rate(gateway, now_ms);
     run_dispatchers(gateway, now_ms);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -9,12 +9,14 @@
 #include <strings.h>
 #include <sys/socket.h>
 
-#define CONNECT_TIMEOUT_MS 1000L   /* to open a TCP connection */
-#define UNACKED_TIMEOUT_MS 2000    /* for the TCP ACK of sent bytes */
-#define KEEPALIVE_IDLE_S 1         /* idle time before the first probe */
-#define KEEPALIVE_INTERVAL_S 1     /* between probes */
-#define KEEPALIVE_PROBES 2         /* unanswered probes before a close */
-#define IDLE_CONNECTIONS_MAX 1024L /* idle connections kept */
+#define CONNECT_TIMEOUT_MS 1000L         /* to open a TCP connection */
+#define UNACKED_TIMEOUT_MS 2000          /* for the TCP ACK of sent bytes */
+#define KEEPALIVE_IDLE_S 1               /* idle time before the first probe */
+#define KEEPALIVE_INTERVAL_S 1           /* between probes */
+#define KEEPALIVE_PROBES 2               /* unanswered probes before a close */
+#define IDLE_CONNECTIONS_MAX 1024L       /* idle connections kept */
+#define KERNEL_UNREAD_BYTES (256 * 1024) /* for what is not read yet */
+#define READ_BUFFER_BYTES 8192L /* of a transfer; kept for each paused one */
 
 /* ---- Types ------------------------------------------------------------ */
 
@@ -142,6 +144,8 @@
     const int interval = KEEPALIVE_INTERVAL_S;
     const int probes = KEEPALIVE_PROBES;
     const unsigned int unacked_timeout_ms = UNACKED_TIMEOUT_MS;
+    const int unread = KERNEL_UNREAD_BYTES;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &unread, sizeof unread);
     setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
@@ -368,6 +372,7 @@
         curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request->target);
     }
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, READ_BUFFER_BYTES);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,12 +14,18 @@
 #define IDLE_TIMEOUT_S 30 /* seconds without data on a connection */
 #define CONNECTION_MEMORY_MAX (32 * 1024) /* bytes; limits the headers */
 #define DISCONNECT_CHECK_S 0.2 /* between checks of suspended connections */
-#define STREAM_READ_MAX (16 * 1024) /* bytes of a stream read at a time */
 
-// Bytes that an open request needs beside its body and answer: buffers of
-// libmicrohttpd and curl. Measured with 1,000 slow readers, see
-// docs/MEASUREMENTS.md.
-#define REQUEST_OVERHEAD (24 * 1024)
+// Bytes of a connection that the kernel keeps beside those in flight.
+#define KERNEL_UNSENT_MAX (128 * 1024)
+
+// Bytes of a stream read at a time. The library keeps as many for each
+// connection.
+#define STREAM_READ_MAX (4 * 1024)
+
+// Bytes counted for an open request beside its body and answer. Measured with
+// 1,000 requests: buffers of libmicrohttpd and curl take 46 KiB, and some 50
+// KiB more when the answer is paused at the lowest mark (docs/MEASUREMENTS.md).
+#define REQUEST_OVERHEAD (96 * 1024)
 
 // Read bytes at the start of the unsent ones are removed when there are as
 // many, so that moving the others costs little.
@@ -33,18 +40,6 @@
                        bytes);
 }
 
-// Appends without doubling the buffer as PsBuf_Append() does.
-static void
-append_tightly(ps_buf_t *buf, const char *data, size_t len)
-{
-    size_t needed = buf->len + len + 1;
-    if (needed > buf->cap) {
-        buf->cap = (needed + needed / 4 + 4095) & ~(size_t)4095;
-        buf->data = g_realloc(buf->data, buf->cap);
-    }
-    PsBuf_Append(buf, data, len);
-}
-
 /* ---- Streams ---------------------------------------------------------- */
 
 // Stops the library from polling the connection and from calling back for it,
@@ -91,6 +86,8 @@
              request->unsent_start >= unsent->len / 2) {
         PsBuf_RemoveFront(unsent, request->unsent_start);
         request->unsent_start = 0;
+        PsBuf_SetCapacity(unsent, unsent->len);
+        count_bytes(request, PS_MEMORY_ANSWER, unsent->cap);
     }
 }
 
@@ -114,7 +111,7 @@
     if (n_unsent > 0 && holds_last_byte(request)) {
         n_unsent--;
     }
-    size_t n = MIN(n_unsent, max);
+    size_t n = MIN(n_unsent, MIN(max, STREAM_READ_MAX));
     if (n > 0) {
         take_unsent(request, out, n);
         if (request->on_low && n_unsent - n <= request->low_mark) {
@@ -146,7 +143,6 @@
     request->method = PsName_FromC(method);
     request->link.data = request;
     g_queue_push_tail_link(&server->requests, &request->link);
-    count_bytes(request, PS_MEMORY_OVERHEAD, REQUEST_OVERHEAD);
     return request;
 }
 
@@ -222,6 +218,7 @@
         server->budget->n_refused++;
         return false;
     }
+    count_bytes(request, PS_MEMORY_OVERHEAD, REQUEST_OVERHEAD);
     count_bytes(request, PS_MEMORY_REQUEST_BODY, request->body_length);
     return true;
 }
@@ -239,7 +236,7 @@
 {
     ps_http_server_t *server = request->server;
     size_t *counted = &request->counted[PS_MEMORY_REQUEST_BODY];
-    if (!server->budget || request->body.cap <= request->body_length + 1) {
+    if (!server->budget || request->body.len <= request->body_length) {
         return true;
     }
     if (request->body.cap > *counted &&
@@ -267,10 +264,9 @@
         return;
     }
     if (!request->body.data && request->body_length > 0) {
-        request->body.cap = request->body_length + 1;
-        request->body.data = g_malloc(request->body.cap);
+        PsBuf_SetCapacity(&request->body, request->body_length);
     }
-    append_tightly(&request->body, data, len);
+    PsBuf_AppendTightly(&request->body, data, len);
     if (!count_body(request)) {
         request->is_over_budget = true;
         drop_body(request);
@@ -472,6 +468,20 @@
     }
 }
 
+// Keeps the kernel from holding megabytes for a caller that reads slowly,
+// which the budget does not count.
+static void
+limit_kernel_buffer(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    const int bytes = KERNEL_UNSENT_MAX;
+    if (info) {
+        setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes,
+                   sizeof bytes);
+    }
+}
+
 // Sets the idle timeout of a new connection.
 static void
 on_connection_change(void *user, struct MHD_Connection *connection,
@@ -479,6 +489,9 @@
 {
     (void)state;
     ps_http_server_t *server = user;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        limit_kernel_buffer(connection);
+    }
     if (code == MHD_CONNECTION_NOTIFY_STARTED && server->idle_timeout_s > 0) {
         MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
                                   server->idle_timeout_s);
@@ -714,7 +727,7 @@
         request->is_truncated = true;
     }
     else if (data.len > 0) {
-        append_tightly(&request->unsent, data.data, data.len);
+        PsBuf_AppendTightly(&request->unsent, data.data, data.len);
         request->written += data.len;
         count_bytes(request, PS_MEMORY_ANSWER, request->unsent.cap);
     }
--- a/src/memory_budget.c
+++ b/src/memory_budget.c
@@ -10,17 +10,20 @@
 
 // Part of the process's memory that the budget may use, less what the process
 // needs without requests. The rest covers fragmentation of the heap.
-#define USABLE_SHARE 0.75
-#define IDLE_MEMORY_MB 16
+#define USABLE_SHARE 0.7
+#define IDLE_MEMORY_MB 14
 #define USABLE_SHARE_MIN 0.25
 
-// A body may take one part in so many of what is left.
+// Bodies may use this part of the budget, and one body one part in so many of
+// what is left.
+#define BODY_SHARE 0.5
 #define BODY_PARTS 4
 
-// By level. A server cuts answers that stay unread, so that much is buffered
-// while there is room. 16 KiB is one read of the HTTP client.
+// By level: an eighth, a quarter and a half of the budget are used. A server
+// cuts answers that stay unread, so that much is buffered while there is room.
+// 8 KiB is one read of the HTTP client.
 static const size_t answer_marks[PS_MEMORY_LEVELS] = {1024 * 1024, 256 * 1024,
-                                                      64 * 1024, 16 * 1024};
+                                                      64 * 1024, 8 * 1024};
 static const size_t event_maxima[PS_MEMORY_LEVELS] = {1024 * 1024, 1024 * 1024,
                                                       256 * 1024, 64 * 1024};
 
@@ -56,26 +59,42 @@
     return sum;
 }
 
+static size_t
+get_body_limit(const ps_memory_budget_t *budget)
+{
+    return (size_t)((double)budget->limit * BODY_SHARE);
+}
+
 bool
 PsMemoryBudget_CanHold(const ps_memory_budget_t *budget, size_t bytes)
 {
     size_t held = PsMemoryBudget_GetHeld(budget);
-    return held < budget->limit &&
-           bytes <= (budget->limit - held) / BODY_PARTS;
+    size_t held_bodies = budget->held[PS_MEMORY_REQUEST_BODY];
+    size_t body_limit = get_body_limit(budget);
+    if (held >= budget->limit || bytes == 0) {
+        return held < budget->limit;
+    }
+    size_t left =
+        MIN(budget->limit - held, body_limit - MIN(body_limit, held_bodies));
+    return bytes <= left / BODY_PARTS;
 }
 
 bool
 PsMemoryBudget_CanEverHold(const ps_memory_budget_t *budget, size_t bytes)
 {
-    return bytes <= budget->limit / BODY_PARTS;
+    return bytes <= get_body_limit(budget) / BODY_PARTS;
 }
 
 int
 PsMemoryBudget_GetLevel(const ps_memory_budget_t *budget)
 {
-    size_t step = budget->limit / PS_MEMORY_LEVELS + 1;
-    return (int)MIN(PsMemoryBudget_GetHeld(budget) / step,
-                    (size_t)PS_MEMORY_LEVELS - 1);
+    size_t held = PsMemoryBudget_GetHeld(budget);
+    int level = 0;
+    while (level < PS_MEMORY_LEVELS - 1 &&
+           held >= budget->limit >> (PS_MEMORY_LEVELS - 1 - level)) {
+        level++;
+    }
+    return level;
 }
 
 size_t
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -33,6 +33,7 @@
     size_t limit; /* bytes of all uses */
     size_t held[PS_MEMORY_USES];
     size_t most_held;   /* at a time, of all uses */
+    size_t recent_peak; /* likewise; lowered by the user */
     uint64_t n_refused; /* requests that were not accepted */
 } ps_memory_budget_t;
 
--- a/src/pearstaird.c
+++ b/src/pearstaird.c
@@ -1,4 +1,5 @@
 /* pearstaird.c - Main program of the daemon. */
+#include <malloc.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,6 +8,9 @@
 #include "log.h"
 #include "run_gateway.h"
 
+#define MMAP_THRESHOLD (64 * 1024)   /* bytes of a buffer */
+#define TRIM_THRESHOLD (1024 * 1024) /* free bytes at the heap's end */
+
 #define EXIT_BAD_SETTINGS 2 /* settings or command line are not valid */
 
 /* ---- Globals ---------------------------------------------------------- */
@@ -50,12 +54,23 @@
     }
 }
 
+// Has large buffers returned to the system when they are freed. By default,
+// the C library raises the size from which it does so to that of the largest
+// one freed, and the heap then keeps the memory of bodies and answers.
+static void
+return_memory(void)
+{
+    mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD);
+    mallopt(M_TRIM_THRESHOLD, TRIM_THRESHOLD);
+}
+
 /* ---- Program ---------------------------------------------------------- */
 
 int
 main(int argc, char **argv)
 {
     parse_arguments(&argc, &argv);
+    return_memory();
     ps_settings_t settings;
     if (PsSettings_Load(&settings, settings_path) != PS_OK) {
         fprintf(stderr, "pearstaird: %s\n", PsStatus_LastMessage());
--- a/src/str.c
+++ b/src/str.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#define BUF_PAGE 4096
 #define BUF_FIRST_CAP 256 /* fewest bytes allocated for a buffer */
 
 /* ---- Views ------------------------------------------------------------ */
@@ -128,6 +129,27 @@
     buf->data[buf->len] = '\0';
 }
 
+// Rounds up to whole pages, so that buffers of many lengths fragment the heap
+// less.
+void
+PsBuf_SetCapacity(ps_buf_t *buf, size_t bytes)
+{
+    buf->cap = (MAX(bytes, buf->len) / BUF_PAGE + 1) * BUF_PAGE;
+    buf->data = g_realloc(buf->data, buf->cap);
+    buf->data[buf->len] = '\0';
+}
+
+// Lets the buffer grow by an eighth, where PsBuf_Append() doubles it.
+void
+PsBuf_AppendTightly(ps_buf_t *buf, const void *data, size_t len)
+{
+    size_t needed = buf->len + len;
+    if (needed >= buf->cap) {
+        PsBuf_SetCapacity(buf, needed + needed / 8);
+    }
+    PsBuf_Append(buf, data, len);
+}
+
 void
 PsBuf_AppendC(ps_buf_t *buf, const char *text)
 {
--- a/src/str.h
+++ b/src/str.h
@@ -60,6 +60,8 @@
 void PsBuf_Init(ps_buf_t *buf);   /* allocates nothing */
 void PsBuf_Finish(ps_buf_t *buf); /* frees the memory */
 void PsBuf_Append(ps_buf_t *buf, const void *data, size_t len);
+void PsBuf_AppendTightly(ps_buf_t *buf, const void *data, size_t len);
+void PsBuf_SetCapacity(ps_buf_t *buf, size_t bytes); /* at least its length */
 void PsBuf_AppendC(ps_buf_t *buf, const char *text);
 void PsBuf_AppendFormat(ps_buf_t *buf, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -3,8 +3,8 @@
 #
 # GW_DAEMONS, GW_RUNNERS, GW_SLOTS (of each backend server) and RIG_PORT can be
 # set beforehand; so can GW_STORE, GW_REVOKE_MS and GW_GRACE_S, settings of the
-# daemons, and GW_VERSION, the first version of the configuration. The
-# daemons that GW_LINKS lists each reach the backend servers through a proxy of their own.
+# daemons, GW_MEMORY_MB, their memory_mb, and GW_VERSION, the first version of the
+# configuration. The daemons that GW_LINKS lists each reach the backend servers through a proxy of their own.
 
 GW_DAEMONS=${GW_DAEMONS:-3}
 GW_RUNNERS=${GW_RUNNERS:-3}
@@ -99,6 +99,7 @@
 retry_ratio = $GW_RETRY_RATIO
 retry_window = $GW_RETRY_WINDOW_S
 retry_slack = $GW_RETRY_SLACK
+${GW_MEMORY_MB:+memory_mb = $GW_MEMORY_MB}
 ${GW_NO_FIRST_START:+#}first_start = ${GW_FIRST_START:-false}
 END
 }
--- a/tests/standins/common.c
+++ b/tests/standins/common.c
@@ -165,3 +165,9 @@
         (long)((ms - 1000.0 * (time_t)(ms / 1000.0)) * 1e6)};
     nanosleep(&wait, NULL);
 }
+
+char
+Standin_GetPatternByte(uint64_t position)
+{
+    return (char)('a' + (position + position / 4099) % 26);
+}
--- a/tests/standins/common.h
+++ b/tests/standins/common.h
@@ -94,4 +94,10 @@
 int64_t Standin_GetTimeMs(void);
 void Standin_SleepMs(double ms);
 
+/**
+ * Standin_GetPatternByte() - Returns the byte at a position of a long body, so
+ * that a missing or repeated part shows.
+ */
+char Standin_GetPatternByte(uint64_t position);
+
 #endif
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -24,6 +24,11 @@
  *     connection, also where a stream is cut
  * empty: a stream without chunks ends before its first event
  * endless: a stream's first event has no end.
+ * A plain answer for a path with "/bytes-N" has N bytes, with "/chunks-N" N
+ * bytes without a Content-Length, with "/endless" no end; for "/fails" its
+ * status is 500 besides. The events of a stream with "/pad-N" have N bytes
+ * more and come without pauses; "/endless" is as the switch. unread_s=S has
+ * the server cut answers of which nothing could be sent for S seconds.
  * forged=1 adds a header to all answers that says, as another daemon would,
  * that nothing was sent.
  * The switch brittle=N adds the header Server-Brittle to all answers: when it
@@ -65,7 +70,6 @@
 #define CRASH "CRASH"        /* ends the process */
 #define STOP "STOP"          /* stops the process */
 #define CRASHING_PART "dead" /* first digits of a part's ID */
-#define EVENT_BYTES_MAX 200  /* bytes of one event */
 
 typedef struct stream {
     char id[128];
@@ -77,6 +81,8 @@
     bool is_silent;
     bool is_unframed;  /* it ends with its connection */
     bool is_endless;   /* its first event has no end */
+    int pad;           /* bytes more of each event; -1: none, with pauses */
+    char *event;       /* the next one */
     size_t bytes_sent; /* of the next event */
 } stream_t;
 
@@ -103,7 +109,8 @@
 static int64_t unframed_percent;
 static int64_t empty_percent;
 static int64_t endless_percent;
-static char limit_text[64];       /* of Server-Limit; empty: no such header */
+static int64_t unread_s;    /* 0: answers that are not read are not cut */
+static char limit_text[64]; /* of Server-Limit; empty: no such header */
 static char retry_after_text[64]; /* of Retry-After, likewise */
 static char next_pause_text[64]; /* of the next Retry-After; empty: that one */
 static int64_t says_leaving;
@@ -241,26 +248,31 @@
     if (stream->next_event > stream->last_event) {
         return MHD_CONTENT_READER_END_OF_STREAM;
     }
-    char event[EVENT_BYTES_MAX];
-    int len = snprintf(event, sizeof event, "id: %d\ndata: %s %d %s\n\n",
-                       stream->next_event, stream->id, stream->next_event,
-                       server_version);
+    if (!stream->event) {
+        stream->event = g_strdup_printf(
+            "id: %d\ndata: %s %d %s%*s\n\n", stream->next_event, stream->id,
+            stream->next_event, server_version, MAX(stream->pad, 0), "");
+    }
+    const char *event = stream->event;
+    size_t len = strlen(event);
     if (stream->next_event == stream->cut_event && stream->bytes_sent > 0) {
         return stream->is_unframed ? MHD_CONTENT_READER_END_OF_STREAM
                                    : MHD_CONTENT_READER_END_WITH_ERROR;
     }
-    if (stream->bytes_sent == 0) {
+    if (stream->bytes_sent == 0 && stream->pad < 0) {
         Standin_SleepMs(EVENT_INTERVAL_MS);
     }
-    size_t n = MIN((size_t)len - stream->bytes_sent, max);
+    size_t n = MIN(len - stream->bytes_sent, max);
     if (stream->next_event == stream->cut_event) {
         n = MIN(n, 7);
     }
     memcpy(out, event + stream->bytes_sent, n);
     stream->bytes_sent += n;
-    if (stream->bytes_sent == (size_t)len) {
+    if (stream->bytes_sent == len) {
         stream->bytes_sent = 0;
         stream->next_event++;
+        g_free(stream->event);
+        stream->event = NULL;
     }
     return (ssize_t)n;
 }
@@ -271,7 +283,67 @@
     pthread_mutex_lock(&lock);
     n_running--;
     pthread_mutex_unlock(&lock);
-    g_free(user);
+    stream_t *stream = user;
+    g_free(stream->event);
+    g_free(stream);
+}
+
+// Returns the number that follows this text in the path; -1: it has none.
+static int64_t
+get_path_number(const standin_request_t *request, const char *text)
+{
+    const char *found = strstr(request->path, text);
+    return found ? strtoll(found + strlen(text), NULL, 10) : -1;
+}
+
+static void
+set_unread_limit(const standin_request_t *request)
+{
+    if (unread_s > 0) {
+        MHD_set_connection_option(request->connection,
+                                  MHD_CONNECTION_OPTION_TIMEOUT,
+                                  (unsigned int)unread_s);
+    }
+}
+
+static ssize_t
+read_pattern(void *user, uint64_t position, char *out, size_t max)
+{
+    int64_t size = *(const int64_t *)user;
+    if (size >= 0 && position >= (uint64_t)size) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    size_t n = size >= 0
+                   ? (size_t)MIN((uint64_t)max, (uint64_t)size - position)
+                   : max;
+    for (size_t i = 0; i < n; i++) {
+        out[i] = Standin_GetPatternByte(position + i);
+    }
+    return (ssize_t)n;
+}
+
+// Sends a plain answer with a long body if the path asks for one.
+static bool
+send_long(standin_request_t *request, const char *id, const char *stamp,
+          enum MHD_Result *result)
+{
+    int64_t size = get_path_number(request, "/bytes-");
+    bool has_length = size >= 0;
+    size = has_length ? size : get_path_number(request, "/chunks-");
+    if (size < 0 && !strstr(request->path, "/endless")) {
+        return false;
+    }
+    int64_t *body = g_new(int64_t, 1);
+    *body = size;
+    struct MHD_Response *response = MHD_create_response_from_callback(
+        has_length ? (uint64_t)size : MHD_SIZE_UNKNOWN, 16 * 1024,
+        read_pattern, body, g_free);
+    MHD_add_response_header(response, "Request-Id", id);
+    MHD_add_response_header(response, "Response-Stamp", stamp);
+    unsigned status = strstr(request->path, "/fails") ? 500 : 200;
+    *result = MHD_queue_response(request->connection, status, response);
+    MHD_destroy_response(response);
+    return true;
 }
 
 static enum MHD_Result
@@ -284,6 +356,8 @@
     g_strlcpy(stream->id, id, sizeof stream->id);
     stream->last_event = comma ? MAX(atoi(comma + 1) / 5, 1) : 5;
     stream->next_event = last_event ? atoi(last_event) + 1 : 1;
+    stream->pad = (int)get_path_number(request, "/pad-");
+    set_unread_limit(request);
     const char *crash = get_crash(request);
     if (!crash) {
         stream->cut_event =
@@ -298,7 +372,8 @@
     }
     struct MHD_Response *response = MHD_create_response_from_callback(
         MHD_SIZE_UNKNOWN, 1024, read_stream, stream, free_stream);
-    stream->is_endless = !crash && should_inject(endless_percent);
+    stream->is_endless = !crash && (should_inject(endless_percent) ||
+                                    strstr(request->path, "/endless") != NULL);
     bool is_empty = should_inject(empty_percent);
     stream->is_unframed = is_empty || should_inject(unframed_percent);
     stream->last_event = is_empty ? 0 : stream->last_event;
@@ -377,7 +452,11 @@
         "Response-Stamp", stamp};
     add_own_headers(headers, 4);
     enum MHD_Result result = MHD_NO;
-    if (!should_inject(cut_percent)) {
+    set_unread_limit(request);
+    if (send_long(request, id, stamp, &result)) {
+        // Its end frees no slot here: it is counted as ended.
+    }
+    else if (!should_inject(cut_percent)) {
         unsigned status =
             should_inject(error_percent) ? (unsigned)error_status : 200;
         result = Standin_SendText(request, status, text, headers);
@@ -548,6 +627,7 @@
             Standin_GetQueryNumber(request, "empty", empty_percent);
         endless_percent =
             Standin_GetQueryNumber(request, "endless", endless_percent);
+        unread_s = Standin_GetQueryNumber(request, "unread_s", unread_s);
         return Standin_SendText(request, 200, "{}", NULL);
     }
     if (strcmp(request->path, "/counts") == 0) {
