--- a/src/http_server.c
+++ b/src/http_server.c
@@ -722,7 +722,8 @@
         return;
     }
     if (PsHttpRequest_GetUnsent(request) + data.len >
-        PS_HTTP_STREAM_BUFFER_MAX) {
+            PS_HTTP_STREAM_BUFFER_MAX ||
+        data.len > request->length - request->written) {
         request->is_overrun = true;
         request->is_truncated = true;
     }
--- a/src/server_path.c
+++ b/src/server_path.c
@@ -30,7 +30,7 @@
 {
     ps_reach_checks_t *reach = &path->gateway->reach_checks;
     if (path->is_own_cut) {
-        return result;
+        return PS_TRANSFER_INCOMPLETE;
     }
     if (result == PS_TRANSFER_NOT_SENT) {
         PsReachChecks_HandleUnopened(reach, path->backend,
@@ -115,7 +115,7 @@
 {
     ps_reach_checks_t *reach = &path->gateway->reach_checks;
     if (path->is_own_cut) {
-        return result;
+        return PS_TRANSFER_INCOMPLETE;
     }
     if (is_broken_off) {
         PsReachChecks_HandlePeerLost(reach, path->backend, now_ms);
