--- a/src/answer_relay.c
+++ b/src/answer_relay.c
@@ -94,7 +94,8 @@
                      (json_int_t)(PsClock_Now() - exchange->arrived_ms));
     }
     PsTransfer_SetPaused(transfer, true);
-    PsHttpRequest_NotifyBelow(exchange->request, mark / 4, on_unsent_low);
+    PsHttpRequest_NotifyBelow(exchange->request,
+                              PsMemoryBudget_GetLowMark(mark), on_unsent_low);
 }
 
 /* ---- Events of a stream ----------------------------------------------- */
--- a/src/answer_relay.h
+++ b/src/answer_relay.h
@@ -3,8 +3,8 @@
  * caller reads.
  *
  * When the caller reads more slowly than the server sends, reading from the
- * server is paused above a mark of unsent bytes and goes on below a quarter of
- * it. How an answer ends is decided by answer.h.
+ * server is paused above a mark of unsent bytes and goes on below a lower one.
+ * How an answer ends is decided by answer.h.
  */
 #ifndef PS_ANSWER_RELAY_H
 #define PS_ANSWER_RELAY_H
--- a/src/forward_server.c
+++ b/src/forward_server.c
@@ -143,7 +143,8 @@
         forward->paused_ms = PsClock_Now();
         gateway->stats.pauses++;
         PsTransfer_SetPaused(transfer, true);
-        PsHttpRequest_NotifyBelow(forward->request, mark / 4, on_unsent_low);
+        PsHttpRequest_NotifyBelow(
+            forward->request, PsMemoryBudget_GetLowMark(mark), on_unsent_low);
     }
 }
 
--- a/src/memory_budget.c
+++ b/src/memory_budget.c
@@ -19,6 +19,10 @@
 #define BODY_SHARE 0.5
 #define BODY_PARTS 4
 
+// A paused server is read on when so much of the mark is free. Longer pauses
+// would make servers cut answers of callers that read steadily.
+#define READ_ON_BYTES ((size_t)64 * 1024)
+
 // By level: an eighth, a quarter and a half of the budget are used. A server
 // cuts answers that stay unread, so that much is buffered while there is room.
 // 8 KiB is one read of the HTTP client.
@@ -103,6 +107,12 @@
     return answer_marks[PsMemoryBudget_GetLevel(budget)];
 }
 
+size_t
+PsMemoryBudget_GetLowMark(size_t mark)
+{
+    return MAX(mark / 2, mark - MIN(mark, READ_ON_BYTES));
+}
+
 size_t
 PsMemoryBudget_GetEventMax(const ps_memory_budget_t *budget)
 {
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -84,6 +84,13 @@
  */
 size_t PsMemoryBudget_GetAnswerMark(const ps_memory_budget_t *budget);
 
+/**
+ * PsMemoryBudget_GetLowMark() - Returns at how many unsent bytes a paused
+ * server is read on.
+ * @mark: above which it was paused
+ */
+size_t PsMemoryBudget_GetLowMark(size_t mark);
+
 /**
  * PsMemoryBudget_GetEventMax() - Returns the largest event of a stream. It is
  * lower when more of the budget is used, as an event is held until it is
--- a/tests/standins/readers.c
+++ b/tests/standins/readers.c
@@ -7,7 +7,9 @@
  * request on each with the id PREFIX-N, BODY_BYTES of body at BODY_RATE bytes
  * a second, and reads RATE bytes a second of the answer. A rate of 0 means as
  * fast as possible, a RATE of -1 that nothing is read. TOKENS is the maximum
- * number of output tokens that the request names; 0: none is named. After
+ * number of output tokens that the request names; 0: none is named. With
+ * READERS_STALL_S in the environment, nothing is read for so long after the
+ * first bytes. After
  * SECONDS all connections are closed. Prints how many answers were whole, cut,
  * refused (status 429 or 503), failed (another status than 200), closed
  * without a status, or still open; how many had a gap or a wrong byte, judged
@@ -26,7 +28,7 @@
 
 #include "common.h"
 
-#define WINDOW_BYTES (16 * 1024)
+#define WINDOW_BYTES (64 * 1024)
 #define TICK_MS 10
 #define READ_MAX (64 * 1024)
 
@@ -62,6 +64,7 @@
 static int64_t body_bytes;
 static double body_rate;
 static bool is_stream;
+static double stall_s;
 static char block[READ_MAX];
 
 static void
@@ -206,6 +209,9 @@
 static void
 read_more(caller_t *caller, double passed_s)
 {
+    if (caller->n_read > 0 && passed_s < stall_s) {
+        return;
+    }
     while (caller->fd >= 0 && rate >= 0) {
         int64_t due = rate > 0 ? (int64_t)(passed_s * rate) : INT64_MAX;
         int64_t allowed = due - caller->n_read;
@@ -220,6 +226,9 @@
         if (n > 0) {
             caller->n_read += n;
             take_bytes(caller, block, (size_t)n);
+            if (passed_s < stall_s) {
+                return;
+            }
         }
         if (n <= 0 || caller->is_whole) {
             close_caller(caller);
@@ -294,6 +303,8 @@
     double seconds = atof(argv[3]);
     body_bytes = atoll(argv[7]);
     body_rate = atof(argv[8]);
+    const char *stall = getenv("READERS_STALL_S");
+    stall_s = stall ? atof(stall) : 0;
     is_stream = strstr(argv[5], "/stream/") != NULL;
     callers = g_new0(caller_t, (size_t)count);
     int64_t start_ms = Standin_GetTimeMs();
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -59,6 +59,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "common.h"
@@ -296,14 +297,21 @@
     return found ? strtoll(found + strlen(text), NULL, 10) : -1;
 }
 
+// Has an answer cut that is not read, beyond what a small send buffer holds.
 static void
 set_unread_limit(const standin_request_t *request)
 {
-    if (unread_s > 0) {
-        MHD_set_connection_option(request->connection,
-                                  MHD_CONNECTION_OPTION_TIMEOUT,
-                                  (unsigned int)unread_s);
+    if (unread_s == 0) {
+        return;
     }
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    const int buffer = 64 * 1024;
+    setsockopt(info->connect_fd, SOL_SOCKET, SO_SNDBUF, &buffer,
+               sizeof buffer);
+    MHD_set_connection_option(request->connection,
+                              MHD_CONNECTION_OPTION_TIMEOUT,
+                              (unsigned int)unread_s);
 }
 
 static ssize_t
