--- a/src/team_shares.h
+++ b/src/team_shares.h
@@ -14,8 +14,9 @@
 
 #include "str.h"
 
-#define PS_TEAM_SHARES_MAX 64 /* teams counted separately; others share one   \
-                               */
+#define PS_TEAM_SHARES_MAX                                                    \
+    64 /* teams counted separately; others share one                          \
+        */
 
 /**
  * struct ps_team_shares - Counters of all teams of one service.
