--- a/src/http_server.c
+++ b/src/http_server.c
@@ -24,7 +24,8 @@
 
 // Bytes counted for an open request beside its body and answer. Measured with
 // 1,000 requests: buffers of libmicrohttpd and curl take 46 KiB, and some 50
-// KiB more when the answer is paused at the lowest mark (docs/MEASUREMENTS.md).
+// KiB more when the answer is paused at the lowest mark
+// (docs/MEASUREMENTS.md).
 #define REQUEST_OVERHEAD (96 * 1024)
 
 // Read bytes at the start of the unsent ones are removed when there are as
