Move request bodies out of http_server.c; return memory after libraries freed it

After 687 slow readers had left, 93 MiB stayed resident, since free memory was returned before the libraries had freed theirs; it is returned once more 1.5 s later.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
     config_edit admin daemon events_log gateway exchange sharing \
     allocator_rounds changes mark_crashes server_checks origin_lookups \
     server_notices reach_checks server_path forward_server response_headers \
-    answer_relay
+    answer_relay request_body
 PLATFORM := endpoints codec dialect_fleet run_gateway store
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -15,9 +15,11 @@
 #define PAUSE_MS 300 /* longer without a tick: this daemon was paused */
 
 // Largest body in bytes until a configuration sets another limit.
-#define TRIM_MS 500                /* between returns of free memory */
-#define TRIM_MIN (4 * 1024 * 1024) /* bytes that were freed since a peak */
-#define MEMORY_LOG_MS 1000         /* between lines on the memory's level */
+#define TRIM_MS 1500 /* between returns of free memory */
+#define TRIM_PART                                                             \
+    4 /* a fall by this part of the memory's limit has it                     \
+         returned */
+#define MEMORY_LOG_MS 1000 /* between lines on the memory's level */
 #define DEFAULT_BODY_MAX (8 * 1024 * 1024)
 
 // The API keys of a configuration are relied on until this long before
@@ -712,19 +714,22 @@
 }
 
 // Returns free memory to the system after a peak: the heap keeps it otherwise,
-// and the next peak may need it for blocks of another size.
+// and the next peak may need it for blocks of another size. Does so once more
+// a little later, when the libraries have freed what they need no more.
 static void
 trim_memory(ps_gateway_t *gateway, int64_t now_ms)
 {
     ps_memory_budget_t *memory = &gateway->memory;
     size_t held = PsMemoryBudget_GetHeld(memory);
-    if (memory->recent_peak < held + TRIM_MIN ||
-        now_ms - gateway->memory_trimmed_ms < TRIM_MS) {
+    bool has_fallen = memory->recent_peak - held > memory->limit / TRIM_PART;
+    if (now_ms < gateway->memory_trim_ms ||
+        (!has_fallen && !gateway->must_trim_again)) {
         return;
     }
     malloc_trim(0);
     memory->recent_peak = held;
-    gateway->memory_trimmed_ms = now_ms;
+    gateway->must_trim_again = has_fallen;
+    gateway->memory_trim_ms = now_ms + TRIM_MS;
 }
 
 static void
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -138,7 +138,8 @@
     ps_memory_budget_t memory; /* of callers' and other daemons' requests */
     int memory_level;          /* as logged last */
     int64_t memory_logged_ms;
-    int64_t memory_trimmed_ms; /* when free memory was returned last */
+    int64_t memory_trim_ms; /* free memory is not returned before */
+    bool must_trim_again;
     ps_http_client_t http_client;
     ps_http_server_t caller_server;
     ps_http_server_t readiness_server;
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -5,10 +5,10 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#include "request_body.h"
 #include "settings.h"
 
 #define IDLE_TIMEOUT_S 30 /* seconds without data on a connection */
@@ -22,27 +22,20 @@
 // connection.
 #define STREAM_READ_MAX (4 * 1024)
 
-// Bytes counted for an open request beside its body and answer. Measured with
-// 1,000 requests: buffers of libmicrohttpd and curl take 46 KiB, and some 50
-// KiB more when the answer is paused at the lowest mark
-// (docs/MEASUREMENTS.md).
-#define REQUEST_OVERHEAD (96 * 1024)
-
 // Read bytes at the start of the unsent ones are removed when there are as
 // many, so that moving the others costs little.
 #define UNSENT_MOVE_MIN (32 * 1024)
 
-/* ---- Memory ----------------------------------------------------------- */
+/* ---- Streams ---------------------------------------------------------- */
 
 static void
-count_bytes(ps_http_request_t *request, ps_memory_use_t use, size_t bytes)
+count_unsent(ps_http_request_t *request)
 {
-    PsMemoryBudget_Set(request->server->budget, use, &request->counted[use],
-                       bytes);
+    PsMemoryBudget_Set(request->server->budget, PS_MEMORY_ANSWER,
+                       &request->counted[PS_MEMORY_ANSWER],
+                       request->unsent.cap);
 }
 
-/* ---- Streams ---------------------------------------------------------- */
-
 // Stops the library from polling the connection and from calling back for it,
 // until resume().
 static void
@@ -71,7 +64,7 @@
 {
     PsBuf_Finish(&request->unsent);
     request->unsent_start = 0;
-    count_bytes(request, PS_MEMORY_ANSWER, 0);
+    count_unsent(request);
 }
 
 static void
@@ -88,7 +81,7 @@
         PsBuf_RemoveFront(unsent, request->unsent_start);
         request->unsent_start = 0;
         PsBuf_SetCapacity(unsent, unsent->len);
-        count_bytes(request, PS_MEMORY_ANSWER, unsent->cap);
+        count_unsent(request);
     }
 }
 
@@ -203,77 +196,6 @@
     return result;
 }
 
-// Accepts a body as far as its Content-Length tells its size, and counts it at
-// once: a body that was accepted is not refused half way.
-static bool
-accept_body(ps_http_request_t *request)
-{
-    ps_http_server_t *server = request->server;
-    const char *text = PsHttpRequest_GetHeader(request, "Content-Length");
-    uint64_t length = text ? strtoull(text, NULL, 10) : 0;
-    if (!server->budget || length > server->body_max) {
-        return true;
-    }
-    request->body_length = (size_t)length;
-    if (!PsMemoryBudget_CanHold(server->budget, request->body_length)) {
-        server->budget->n_refused++;
-        return false;
-    }
-    count_bytes(request, PS_MEMORY_OVERHEAD, REQUEST_OVERHEAD);
-    count_bytes(request, PS_MEMORY_REQUEST_BODY, request->body_length);
-    return true;
-}
-
-static void
-drop_body(ps_http_request_t *request)
-{
-    PsBuf_Finish(&request->body);
-    count_bytes(request, PS_MEMORY_REQUEST_BODY, 0);
-}
-
-// Counts a body that has grown beyond what was announced, as chunks do.
-static bool
-count_body(ps_http_request_t *request)
-{
-    ps_http_server_t *server = request->server;
-    size_t *counted = &request->counted[PS_MEMORY_REQUEST_BODY];
-    if (!server->budget || request->body.len <= request->body_length) {
-        return true;
-    }
-    if (request->body.cap > *counted &&
-        !PsMemoryBudget_CanHold(server->budget,
-                                request->body.cap - *counted)) {
-        server->budget->n_refused++;
-        request->body_length = request->body.cap;
-        return false;
-    }
-    count_bytes(request, PS_MEMORY_REQUEST_BODY, request->body.cap);
-    return true;
-}
-
-// Appends to the request body. A body that exceeds body_max is dropped and the
-// request marked as too large; so is one for which no memory is left.
-static void
-append_body(ps_http_request_t *request, const char *data, size_t len)
-{
-    if (request->is_too_large || request->is_over_budget) {
-        return;
-    }
-    if (request->body.len + len > request->server->body_max) {
-        request->is_too_large = true;
-        drop_body(request);
-        return;
-    }
-    if (!request->body.data && request->body_length > 0) {
-        PsBuf_SetCapacity(&request->body, request->body_length);
-    }
-    PsBuf_AppendTightly(&request->body, data, len);
-    if (!count_body(request)) {
-        request->is_over_budget = true;
-        drop_body(request);
-    }
-}
-
 // Has a request answered before its body is received. The library closes the
 // connection after the response.
 static enum MHD_Result
@@ -303,12 +225,13 @@
     if (PsName_IsEmpty(&request->method)) {
         request->method = PsName_FromC(method);
         request->is_malformed = has_ambiguous_length(request);
-        bool is_accepted = request->is_malformed || accept_body(request);
+        bool is_accepted =
+            request->is_malformed || PsRequestBody_Accept(request);
         return is_accepted ? MHD_YES : refuse_early(request);
     }
     if (*len > 0) {
         if (!request->is_malformed) {
-            append_body(request, data, *len);
+            PsRequestBody_Append(request, data, *len);
         }
         *len = 0;
         return MHD_YES;
@@ -354,9 +277,8 @@
         MHD_destroy_response(request->response);
     }
     PsBuf_Finish(&request->path);
-    drop_body(request);
+    PsRequestBody_Finish(request);
     drop_unsent(request);
-    count_bytes(request, PS_MEMORY_OVERHEAD, 0);
     g_free(request);
     *state = NULL;
 }
@@ -731,7 +653,7 @@
     else if (data.len > 0) {
         PsBuf_AppendTightly(&request->unsent, data.data, data.len);
         request->written += data.len;
-        count_bytes(request, PS_MEMORY_ANSWER, request->unsent.cap);
+        count_unsent(request);
     }
     resume(request);
 }
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -491,6 +491,10 @@
     size_t at = 0;
     size_t most_unsent = 0;
     RunUntil([&] {
+        if (caller.n_closed > 0) {
+            caller.Read(kMiB);
+            return caller.HasLastChunk();
+        }
         while (at < text.size() &&
                PsHttpRequest_GetUnsent(request) < 64 * 1024) {
             PsHttpRequest_WriteStream(request, ToStr(text.substr(at, 8192)));
