--- a/src/gateway.c
+++ b/src/gateway.c
@@ -692,15 +692,16 @@
     PsForwardServer_Stop(&gateway->forward_server);
 }
 
-// Logs how much of the memory budget is used when its level has changed, at
-// most once a second.
+// Logs how much of the memory budget is used when its level has changed, and
+// each second while it is the highest: under such load lines may be dropped.
 static void
 log_memory(ps_gateway_t *gateway, int64_t now_ms)
 {
     const ps_memory_budget_t *memory = &gateway->memory;
     int level = PsMemoryBudget_GetLevel(memory);
-    if (level == gateway->memory_level ||
-        now_ms - gateway->memory_logged_ms < MEMORY_LOG_MS) {
+    bool is_due =
+        level != gateway->memory_level || level == PS_MEMORY_LEVELS - 1;
+    if (!is_due || now_ms - gateway->memory_logged_ms < MEMORY_LOG_MS) {
         return;
     }
     gateway->memory_level = level;
--- a/tests/runs/gw_slow_readers.sh
+++ b/tests/runs/gw_slow_readers.sh
@@ -44,11 +44,20 @@
 [ "$(curl -s "http://$(gw_metrics 3)/" | awk '/answers_cut_total.*unread/ { print $NF }')" = 1 ] && echo "the cut is counted as unread"
 echo "lost connections counted: $(count_lines '"content.lost_connection","id":"[sp]cut')"
 
-# Callers leave while their servers are paused
-read_answers "callers that leave" 2 4 100000 2 /stream/pad-6000 gone 7000
+# Callers leave while their servers are paused, also by way of another daemon
+gw_cut_off reset 1
+sleep 2
+export READERS_LEAVE_S=2
+read_answers "callers that leave" 2 4 100000 20 /stream/pad-6000 gone 7000
+read_answers "callers that leave, forwarded" 1 2 100000 20 /once/bytes-8000000 fgone
+unset READERS_LEAVE_S
 sleep 0.5
+echo "callers seen to leave: $(count_lines '"request.end","id":"f*gone-.*"left"')"
 echo "running at servers half a second later: $(count_running)"
 
+gw_cut_off clear 1
+sleep 2
+
 # Answers without end
 read_answers "plain answer without end" 2 1 0 25 /once/endless endless
 read_answers "failure without end" 3 1 0 20 /safe/fails/endless fails
--- a/tests/standins/readers.c
+++ b/tests/standins/readers.c
@@ -9,7 +9,8 @@
  * fast as possible, a RATE of -1 that nothing is read. TOKENS is the maximum
  * number of output tokens that the request names; 0: none is named. With
  * READERS_STALL_S in the environment, nothing is read for so long after the
- * first bytes. After
+ * first bytes; with READERS_LEAVE_S, all connections are closed after so long,
+ * though the requests name SECONDS as their time limit. Else after
  * SECONDS all connections are closed. Prints how many answers were whole, cut,
  * refused (status 429 or 503), failed (another status than 200), closed
  * without a status, or still open; how many had a gap or a wrong byte, judged
@@ -305,6 +306,8 @@
     body_rate = atof(argv[8]);
     const char *stall = getenv("READERS_STALL_S");
     stall_s = stall ? atof(stall) : 0;
+    const char *leave = getenv("READERS_LEAVE_S");
+    double end_s = leave ? atof(leave) : seconds;
     is_stream = strstr(argv[5], "/stream/") != NULL;
     callers = g_new0(caller_t, (size_t)count);
     int64_t start_ms = Standin_GetTimeMs();
@@ -325,7 +328,7 @@
     }
     int n_open = count;
     double passed_s = 0;
-    while (n_open > 0 && passed_s < seconds) {
+    while (n_open > 0 && passed_s < end_s) {
         passed_s = (double)(Standin_GetTimeMs() - start_ms) / 1000.0;
         n_open = 0;
         for (int i = 0; i < count; i++) {
