--- a/Makefile
+++ b/Makefile
@@ -22,21 +22,22 @@
     event_stream version_history overcommit address_choice fleet_waits \
     rank_rates attempts placement task_samples server_model server_models \
     concurrency_limit slot_order waiting team_shares team_order team_division \
-    return_plan rollout rollout_evidence rollout_use rollout_samples
+    return_plan rollout rollout_evidence rollout_use rollout_samples \
+    memory_budget answer
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
     allocator_rounds changes mark_crashes server_checks origin_lookups \
     server_notices reach_checks server_path forward_server response_headers \
     pace_messages quota_messages quota_admission team_messages \
-    rollout_rounds
+    rollout_rounds answer_relay request_body
 PLATFORM := endpoints codec dialect_fleet run_gateway store store_rollouts
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
 PROGRAMS := $(BUILD)/pearstaird $(BUILD)/pearstairctl $(BUILD)/pearstair-load
 STANDINS := $(BUILD)/standin-platform $(BUILD)/standin-engine \
     $(BUILD)/standin-service $(BUILD)/standin-store $(BUILD)/standin-runner \
-    $(BUILD)/standin-callers
+    $(BUILD)/standin-callers $(BUILD)/standin-readers
 
 all: $(PROGRAMS) $(STANDINS)
 
@@ -133,7 +134,7 @@
 TESTS := test_tables test_pool test_ledger test_contract test_simulation \
     test_gateway test_limits test_mutations test_server_limits test_marks \
     test_origins test_reach test_fleet test_addresses test_server_model \
-    test_quota_fleet test_team_shares test_rollout
+    test_quota_fleet test_team_shares test_rollout test_flow
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
@@ -178,6 +179,9 @@
     $(DAEMON_OBJS) $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
+$(BUILD)/test_flow: $(BUILD)/tests/test_flow.o $(DAEMON_OBJS) $(KERNEL_OBJS)
+	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
+
 $(BUILD)/test_simulation: $(BUILD)/tests/test_simulation.o \
     $(BUILD)/tests/simulation.o $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -9,12 +9,14 @@
 #include <strings.h>
 #include <sys/socket.h>
 
-#define CONNECT_TIMEOUT_MS 1000L   /* to open a TCP connection */
-#define UNACKED_TIMEOUT_MS 2000    /* for the TCP ACK of sent bytes */
-#define KEEPALIVE_IDLE_S 1         /* idle time before the first probe */
-#define KEEPALIVE_INTERVAL_S 1     /* between probes */
-#define KEEPALIVE_PROBES 2         /* unanswered probes before a close */
-#define IDLE_CONNECTIONS_MAX 1024L /* idle connections kept */
+#define CONNECT_TIMEOUT_MS 1000L         /* to open a TCP connection */
+#define UNACKED_TIMEOUT_MS 2000          /* for the TCP ACK of sent bytes */
+#define KEEPALIVE_IDLE_S 1               /* idle time before the first probe */
+#define KEEPALIVE_INTERVAL_S 1           /* between probes */
+#define KEEPALIVE_PROBES 2               /* unanswered probes before a close */
+#define IDLE_CONNECTIONS_MAX 1024L       /* idle connections kept */
+#define KERNEL_UNREAD_BYTES (256 * 1024) /* for what is not read yet */
+#define READ_BUFFER_BYTES 8192L /* of a transfer; kept for each paused one */
 
 /* ---- Types ------------------------------------------------------------ */
 
@@ -142,6 +144,8 @@
     const int interval = KEEPALIVE_INTERVAL_S;
     const int probes = KEEPALIVE_PROBES;
     const unsigned int unacked_timeout_ms = UNACKED_TIMEOUT_MS;
+    const int unread = KERNEL_UNREAD_BYTES;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &unread, sizeof unread);
     setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
@@ -321,7 +325,10 @@
                     strcmp(request->method, "PUT") == 0;
     if (request->body.len > 0) {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)request->body.len);
-        curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, request->body.data);
+        curl_easy_setopt(easy,
+                         request->keeps_body ? CURLOPT_POSTFIELDS
+                                             : CURLOPT_COPYPOSTFIELDS,
+                         request->body.data);
     }
     else if (has_body) {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, 0L);
@@ -365,6 +372,7 @@
         curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request->target);
     }
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, READ_BUFFER_BYTES);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
@@ -422,6 +430,24 @@
            !PsTransfer_GetHeader(transfer, "Transfer-Encoding").data;
 }
 
+uint64_t
+PsTransfer_GetLength(const ps_transfer_t *transfer)
+{
+    ps_str_t text = PsTransfer_GetHeader(transfer, "Content-Length");
+    if (!text.data || text.len == 0 || text.len > 18 ||
+        PsTransfer_GetHeader(transfer, "Transfer-Encoding").data) {
+        return UINT64_MAX;
+    }
+    uint64_t length = 0;
+    for (size_t i = 0; i < text.len; i++) {
+        if (!g_ascii_isdigit(text.data[i])) {
+            return UINT64_MAX;
+        }
+        length = length * 10 + (uint64_t)(text.data[i] - '0');
+    }
+    return length;
+}
+
 ps_str_t
 PsTransfer_GetHeader(const ps_transfer_t *transfer, const char *name)
 {
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -3,19 +3,39 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <strings.h>
 
+#include "request_body.h"
 #include "settings.h"
 
 #define IDLE_TIMEOUT_S 30 /* seconds without data on a connection */
 #define CONNECTION_MEMORY_MAX (32 * 1024) /* bytes; limits the headers */
 #define DISCONNECT_CHECK_S 0.2 /* between checks of suspended connections */
-#define STREAM_READ_MAX (16 * 1024) /* bytes of a stream read at a time */
+
+// Bytes of a connection that the kernel keeps beside those in flight.
+#define KERNEL_UNSENT_MAX (128 * 1024)
+
+// Bytes of a stream read at a time. The library keeps as many for each
+// connection.
+#define STREAM_READ_MAX (4 * 1024)
+
+// Read bytes at the start of the unsent ones are removed when there are as
+// many, so that moving the others costs little.
+#define UNSENT_MOVE_MIN (32 * 1024)
 
 /* ---- Streams ---------------------------------------------------------- */
 
+static void
+count_unsent(ps_http_request_t *request)
+{
+    PsMemoryBudget_Set(request->server->budget, PS_MEMORY_ANSWER,
+                       &request->counted[PS_MEMORY_ANSWER],
+                       request->unsent.cap);
+}
+
 // Stops the library from polling the connection and from calling back for it,
 // until resume().
 static void
@@ -39,6 +59,41 @@
     }
 }
 
+static void
+drop_unsent(ps_http_request_t *request)
+{
+    PsBuf_Finish(&request->unsent);
+    request->unsent_start = 0;
+    count_unsent(request);
+}
+
+static void
+take_unsent(ps_http_request_t *request, char *out, size_t n)
+{
+    ps_buf_t *unsent = &request->unsent;
+    memcpy(out, unsent->data + request->unsent_start, n);
+    request->unsent_start += n;
+    if (request->unsent_start == unsent->len) {
+        drop_unsent(request);
+    }
+    else if (request->unsent_start >= UNSENT_MOVE_MIN &&
+             request->unsent_start >= unsent->len / 2) {
+        PsBuf_RemoveFront(unsent, request->unsent_start);
+        request->unsent_start = 0;
+        PsBuf_SetCapacity(unsent, unsent->len);
+        count_unsent(request);
+    }
+}
+
+// Tells whether the stream's next bytes would complete it for the caller while
+// it has not ended well.
+static bool
+holds_last_byte(const ps_http_request_t *request)
+{
+    return request->written == request->length &&
+           (!request->is_stream_ended || request->is_truncated);
+}
+
 // The library calls this for the next bytes of a stream. It returns 0 and
 // suspends the connection when there are none yet.
 static ssize_t
@@ -46,10 +101,18 @@
 {
     (void)position;
     ps_http_request_t *request = user;
-    size_t n = MIN(request->unsent.len, max);
+    size_t n_unsent = PsHttpRequest_GetUnsent(request);
+    if (n_unsent > 0 && holds_last_byte(request)) {
+        n_unsent--;
+    }
+    size_t n = MIN(n_unsent, MIN(max, STREAM_READ_MAX));
     if (n > 0) {
-        memcpy(out, request->unsent.data, n);
-        PsBuf_RemoveFront(&request->unsent, n);
+        take_unsent(request, out, n);
+        if (request->on_low && n_unsent - n <= request->low_mark) {
+            void (*on_low)(ps_http_request_t *) = request->on_low;
+            request->on_low = NULL;
+            on_low(request);
+        }
         return (ssize_t)n;
     }
     if (request->is_truncated) {
@@ -133,18 +196,15 @@
     return result;
 }
 
-// Appends to the request body. A body that exceeds body_max is dropped and the
-// request marked as too large.
-static void
-append_body(ps_http_request_t *request, const char *data, size_t len)
+// Has a request answered before its body is received. The library closes the
+// connection after the response.
+static enum MHD_Result
+refuse_early(ps_http_request_t *request)
 {
-    if (request->body.len + len > request->server->body_max) {
-        request->is_too_large = true;
-        PsBuf_Clear(&request->body);
-    }
-    if (!request->is_too_large) {
-        PsBuf_Append(&request->body, data, len);
-    }
+    request->is_over_budget = true;
+    request->is_handed_over = true;
+    request->server->events->request(request->server, request);
+    return request->response ? queue_response(request) : MHD_NO;
 }
 
 // The library calls this several times for a request: after the headers, for
@@ -165,11 +225,13 @@
     if (PsName_IsEmpty(&request->method)) {
         request->method = PsName_FromC(method);
         request->is_malformed = has_ambiguous_length(request);
-        return MHD_YES;
+        bool is_accepted =
+            request->is_malformed || PsRequestBody_Accept(request);
+        return is_accepted ? MHD_YES : refuse_early(request);
     }
     if (*len > 0) {
         if (!request->is_malformed) {
-            append_body(request, data, *len);
+            PsRequestBody_Append(request, data, *len);
         }
         *len = 0;
         return MHD_YES;
@@ -203,20 +265,20 @@
                      void **state, enum MHD_RequestTerminationCode code)
 {
     (void)connection;
-    (void)code;
     ps_http_server_t *server = user;
     ps_http_request_t *request = *state;
     if (!request) {
         return;
     }
+    request->is_timed_out = code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED;
     report_closed(request);
     g_queue_unlink(&server->requests, &request->link);
     if (request->response) {
         MHD_destroy_response(request->response);
     }
     PsBuf_Finish(&request->path);
-    PsBuf_Finish(&request->body);
-    PsBuf_Finish(&request->unsent);
+    PsRequestBody_Finish(request);
+    drop_unsent(request);
     g_free(request);
     *state = NULL;
 }
@@ -290,6 +352,7 @@
 {
     report_closed(request);
     request->is_truncated = true;
+    request->on_low = NULL;
     if (request->response && !request->is_answered) {
         MHD_destroy_response(request->response);
         request->response = NULL;
@@ -297,8 +360,18 @@
     resume(request);
 }
 
-// The library does not poll a suspended connection, so this checks whether the
-// caller has closed it.
+// Tells whether the library would not notice that the caller has closed the
+// connection: it is suspended, or the library waits until it can send.
+static bool
+needs_check(const ps_http_request_t *request)
+{
+    bool is_sending = request->is_stream && request->is_answered &&
+                      !request->is_stream_ended;
+    return (request->is_suspended || is_sending) && !request->is_closed;
+}
+
+// Checks whether callers have closed connections for which the library does
+// not check that.
 static void
 on_disconnect_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -310,14 +383,28 @@
         next = l->next;
         ps_http_request_t *request = l->data;
         struct pollfd fd = {.fd = get_socket(request), .events = POLLRDHUP};
-        if (request->is_suspended && !request->is_closed &&
-            poll(&fd, 1, 0) == 1 &&
+        if (needs_check(request) && poll(&fd, 1, 0) == 1 &&
             (fd.revents & (POLLRDHUP | POLLHUP | POLLERR))) {
             abort_request(request);
+            drop_unsent(request);
         }
     }
 }
 
+// Keeps the kernel from holding megabytes for a caller that reads slowly,
+// which the budget does not count.
+static void
+limit_kernel_buffer(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    const int bytes = KERNEL_UNSENT_MAX;
+    if (info) {
+        setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes,
+                   sizeof bytes);
+    }
+}
+
 // Sets the idle timeout of a new connection.
 static void
 on_connection_change(void *user, struct MHD_Connection *connection,
@@ -325,6 +412,9 @@
 {
     (void)state;
     ps_http_server_t *server = user;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        limit_kernel_buffer(connection);
+    }
     if (code == MHD_CONNECTION_NOTIFY_STARTED && server->idle_timeout_s > 0) {
         MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
                                   server->idle_timeout_s);
@@ -409,6 +499,12 @@
     server->idle_timeout_s = (unsigned int)((timeout_ms + 999) / 1000);
 }
 
+void
+PsHttpServer_SetBudget(ps_http_server_t *server, ps_memory_budget_t *budget)
+{
+    server->budget = budget;
+}
+
 void
 PsHttpServer_DisableKeepAlive(ps_http_server_t *server)
 {
@@ -488,23 +584,34 @@
     if (request->is_closed || request->is_answered) {
         return;
     }
-    request->status = status;
-    request->is_stream = is_stream;
-    request->response = is_stream ? MHD_create_response_from_callback(
-                                        MHD_SIZE_UNKNOWN, STREAM_READ_MAX,
-                                        read_stream, request, NULL)
-                                  : NULL;
-    if (!is_stream) {
+    if (is_stream) {
+        PsHttpRequest_PrepareStream(request, status, PS_HTTP_LENGTH_UNKNOWN);
+    }
+    else {
+        request->status = status;
         request->response = MHD_create_response_from_buffer(
             0, (void *)"", MHD_RESPMEM_PERSISTENT);
     }
     if (type) {
         PsHttpRequest_AddResponseHeader(request, "Content-Type", type);
     }
-    if (is_stream) {
-        request->is_answered = true;
-        resume(request);
+}
+
+void
+PsHttpRequest_PrepareStream(ps_http_request_t *request, unsigned int status,
+                            uint64_t length)
+{
+    if (request->is_closed || request->is_answered) {
+        return;
     }
+    request->status = status;
+    request->is_stream = true;
+    request->is_answered = true;
+    request->length = length;
+    // MHD_SIZE_UNKNOWN is PS_HTTP_LENGTH_UNKNOWN.
+    request->response = MHD_create_response_from_callback(
+        length, STREAM_READ_MAX, read_stream, request, NULL);
+    resume(request);
 }
 
 void
@@ -547,24 +654,47 @@
 void
 PsHttpRequest_WriteStream(ps_http_request_t *request, ps_str_t data)
 {
-    if (request->is_closed) {
+    if (request->is_closed || request->is_overrun) {
         return;
     }
-    PsBuf_Append(&request->unsent, data.data, data.len);
-    if (request->unsent.len > PS_HTTP_STREAM_BUFFER_MAX) {
-        PsBuf_Clear(&request->unsent);
+    if (PsHttpRequest_GetUnsent(request) + data.len >
+            PS_HTTP_STREAM_BUFFER_MAX ||
+        data.len > request->length - request->written) {
+        request->is_overrun = true;
         request->is_truncated = true;
     }
+    else if (data.len > 0) {
+        PsBuf_AppendTightly(&request->unsent, data.data, data.len);
+        request->written += data.len;
+        count_unsent(request);
+    }
     resume(request);
 }
 
+size_t
+PsHttpRequest_GetUnsent(const ps_http_request_t *request)
+{
+    return request->unsent.len - request->unsent_start;
+}
+
+void
+PsHttpRequest_NotifyBelow(ps_http_request_t *request, size_t bytes,
+                          void (*on_low)(ps_http_request_t *request))
+{
+    request->low_mark = bytes;
+    request->on_low = on_low;
+}
+
 void
 PsHttpRequest_EndStream(ps_http_request_t *request, bool is_complete)
 {
     if (request->is_closed) {
         return;
     }
+    bool has_length = request->length == PS_HTTP_LENGTH_UNKNOWN ||
+                      request->length == request->written;
     request->is_stream_ended = true;
-    request->is_truncated = !is_complete;
+    request->is_truncated = !is_complete || !has_length || request->is_overrun;
+    request->on_low = NULL;
     resume(request);
 }
--- a/src/settings.c
+++ b/src/settings.c
@@ -112,6 +112,8 @@
      "false", 0, 0},
     {"gateway", "planned_returns", SETTING_FLAG,
      FIELD(gateway.has_planned_returns), "false", 0, 0},
+    {"gateway", "memory_mb", SETTING_REAL, FIELD(gateway.memory_mb), "0", 0,
+     1048576},
 };
 
 static const unit_t duration_units[] = {
--- a/src/settings.h
+++ b/src/settings.h
@@ -57,6 +57,8 @@
     double rollout_slack; /* [gateway] rollout_slack, requests in addition */
     double rollback_ms;   /* [gateway] rollback_ms, longest time from the 50th
                              bad answer to the last request */
+    double memory_mb;     /* [gateway] memory_mb, limit of this process's
+                             memory in MiB; 0: not known */
 } ps_gateway_settings_t;
 
 /**
--- a/tests/gateway_rig.sh
+++ b/tests/gateway_rig.sh
@@ -4,7 +4,7 @@
 # GW_DAEMONS, GW_RUNNERS, GW_SLOTS (of each backend server) and RIG_PORT can be
 # set beforehand; so can GW_STORE, GW_REVOKE_MS and GW_GRACE_S, settings of the
 # daemons, GW_LEARNED_LIMITS, GW_QUOTA_BY_BUCKET (claims to quotas) and
-# GW_ROLLOUT_EXPOSURE, which switch these on, GW_MORE_SETTINGS, further lines of
+# GW_ROLLOUT_EXPOSURE, which switch these on, GW_MEMORY_MB, GW_MORE_SETTINGS, further lines of
 # [gateway], and GW_VERSION, the first version of the configuration. The daemons that
 # GW_LINKS lists each reach the backend servers through a proxy of their own.
 
@@ -102,6 +102,7 @@
 retry_window = $GW_RETRY_WINDOW_S
 retry_slack = $GW_RETRY_SLACK
 ${GW_QUOTA_BY_BUCKET:+quota_by_bucket = true}
+${GW_MEMORY_MB:+memory_mb = $GW_MEMORY_MB}
 ${GW_NO_FIRST_START:+#}first_start = ${GW_FIRST_START:-false}
 ${GW_LEARNED_LIMITS:+learned_limits = true}
 ${GW_MORE_SETTINGS:-}
