--- a/src/allocator.h
+++ b/src/allocator.h
@@ -38,7 +38,7 @@
     GArray *waiting; /* ps_waiting_count_t: waiting requests of each rank */
     GArray *limits;  /* ps_slot_count_t, set by PsAllocator_DivideSlots() */
     ps_team_reports_t teams; /* the same requests by team */
-    bool is_brittle; /* a server has told the daemon that it is brittle */
+    bool is_brittle;     /* a server has told the daemon that it is brittle */
     uint64_t told_paces; /* version of the last pace told to the daemon */
 } ps_service_use_t;
 
