--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
     allocator_rounds changes mark_crashes server_checks origin_lookups \
     server_notices reach_checks server_path forward_server response_headers \
     pace_messages quota_messages quota_admission team_messages \
-    rollout_rounds answer_relay request_body
+    rollout_rounds answer_relay request_body gateway_metrics \
+    gateway_memory exchange_task allocator_choice
 PLATFORM := endpoints codec dialect_fleet run_gateway store store_rollouts
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -1,26 +1,20 @@
 /* gateway.c - Configuration, members, metrics and shutdown of a gateway. */
 #include "gateway.h"
 
-#include <malloc.h>
 #include <string.h>
 #include <xxhash.h>
 
 #include "clock.h"
-#include "counters.h"
 #include "events_log.h"
 #include "exchange.h"
-#include "pace_messages.h"
+#include "gateway_memory.h"
+#include "gateway_metrics.h"
 
 #define TICK_S 0.01 /* period of the gateway's periodic work */
 
 #define PAUSE_MS 300 /* longer without a tick: this daemon was paused */
 
 // Largest body in bytes until a configuration sets another limit.
-#define TRIM_MS 1500 /* between returns of free memory */
-#define TRIM_PART                                                             \
-    4 /* a fall by this part of the memory's limit has it                     \
-         returned */
-#define MEMORY_LOG_MS 1000 /* between lines on the memory's level */
 #define DEFAULT_BODY_MAX (8 * 1024 * 1024)
 
 // The API keys of a configuration are relied on until this long before
@@ -509,197 +503,6 @@
 
 static const ps_http_server_events_t caller_events = {on_request, on_closed};
 
-/* ---- Metrics ---------------------------------------------------------- */
-
-static void
-print_metric(ps_buf_t *out, const char *name, double value)
-{
-    PsBuf_AppendFormat(out, "# TYPE %s %s\n%s %.17g\n", name,
-                       strstr(name, "_total") ? "counter" : "gauge", name,
-                       value);
-}
-
-// Prints a gauge for each service. Names of services are free text, so that
-// quotes and backslashes are escaped.
-static void
-print_service_metric(ps_buf_t *out, const char *name, const ps_name_t *service,
-                     double value)
-{
-    char *label = g_strescape(service->data, NULL);
-    PsBuf_AppendFormat(out, "%s{service=\"%s\"} %.17g\n", name, label, value);
-    g_free(label);
-}
-
-static void
-print_retry_budgets(const ps_gateway_t *gateway, ps_buf_t *out)
-{
-    static const char allowed[] = "pearstair_retries_allowed";
-    static const char counted[] = "pearstair_retries_counted";
-    PsBuf_AppendFormat(out, "# TYPE %s gauge\n# TYPE %s gauge\n", allowed,
-                       counted);
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, gateway->dispatchers);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        ps_dispatcher_t *dispatcher = value;
-        ps_retry_use_t use =
-            PsRetryBudget_GetUse(&dispatcher->retry_budget, PsClock_Now());
-        print_service_metric(out, allowed, &dispatcher->name, use.allowed);
-        print_service_metric(out, counted, &dispatcher->name, use.retries);
-        PsRolloutRounds_PrintMetrics(dispatcher->rollout, out);
-    }
-}
-
-// Prints, for each service, the callers that came back after a refusal, those
-// that were refused again, and the teams whose requests wait at any daemon.
-static void
-print_returns(const ps_gateway_t *gateway, ps_buf_t *out)
-{
-    static const char returned[] = "pearstair_returned_total";
-    static const char refused[] = "pearstair_returned_refused_total";
-    static const char teams[] = "pearstair_teams_waiting";
-    PsBuf_AppendFormat(out,
-                       "# TYPE %s counter\n# TYPE %s counter\n"
-                       "# TYPE %s gauge\n",
-                       returned, refused, teams);
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, gateway->dispatchers);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const ps_dispatcher_t *dispatcher = value;
-        const ps_scheduler_t *scheduler = &dispatcher->scheduler;
-        const ps_team_order_t *order = &scheduler->team_order;
-        bool is_told = PsTeamOrder_IsTold(order, PsClock_Now());
-        print_service_metric(out, returned, &dispatcher->name,
-                             (double)scheduler->n_returned);
-        print_service_metric(out, refused, &dispatcher->name,
-                             (double)scheduler->n_returned_refused);
-        print_service_metric(out, teams, &dispatcher->name,
-                             is_told ? order->n_told : 0);
-    }
-}
-
-static void
-print_memory(const ps_gateway_t *gateway, ps_buf_t *out)
-{
-    static const char *const uses[PS_MEMORY_USES] = {"request_body", "answer",
-                                                     "overhead"};
-    const ps_memory_budget_t *memory = &gateway->memory;
-    PsBuf_AppendC(out, "# TYPE pearstair_bytes_held gauge\n");
-    for (int i = 0; i < PS_MEMORY_USES; i++) {
-        PsBuf_AppendFormat(out, "pearstair_bytes_held{use=\"%s\"} %zu\n",
-                           uses[i], memory->held[i]);
-    }
-    print_metric(out, "pearstair_bytes_held_max", (double)memory->most_held);
-    print_metric(out, "pearstair_bytes_limit", (double)memory->limit);
-    print_metric(out, "pearstair_memory_refused_total",
-                 (double)memory->n_refused);
-    print_metric(out, "pearstair_answer_pauses_total",
-                 (double)gateway->stats.pauses);
-    PsBuf_AppendC(out, "# TYPE pearstair_answers_cut_total counter\n");
-    for (int i = 0; i < PS_ANSWER_CUTS; i++) {
-        PsBuf_AppendFormat(out,
-                           "pearstair_answers_cut_total{reason=\"%s\"} "
-                           "%" G_GUINT64_FORMAT "\n",
-                           PsAnswer_GetCutName((ps_answer_cut_t)i),
-                           gateway->stats.cuts[i]);
-    }
-}
-
-static void
-count_limited(void *count, ps_backend_t *backend)
-{
-    *(int *)count += PsServerLimit_IsLimited(&backend->limit) ? 1 : 0;
-}
-
-static void
-count_lost(void *count, ps_backend_t *backend)
-{
-    *(int *)count += backend->reach.lost_ms > 0 ? 1 : 0;
-}
-
-static void
-on_metrics(ps_http_server_t *server, ps_http_request_t *request)
-{
-    const ps_gateway_t *gateway = server->user;
-    const ps_gateway_stats_t *stats = &gateway->stats;
-    ps_buf_t out;
-    PsBuf_Init(&out);
-    print_metric(&out, "pearstair_requests_total", (double)stats->requests);
-    print_metric(&out, "pearstair_answered_total", (double)stats->answered);
-    print_metric(&out, "pearstair_refused_total", (double)stats->refused);
-    print_metric(&out, "pearstair_failed_total", (double)stats->failed);
-    print_metric(&out, "pearstair_callers_left_total",
-                 (double)stats->caller_disconnects);
-    print_metric(&out, "pearstair_sends_total", (double)stats->sends);
-    print_metric(&out, "pearstair_repeats_total", (double)stats->retries);
-    print_metric(&out, "pearstair_lost_connections_total",
-                 (double)stats->lost_connections);
-    print_metric(&out, "pearstair_contents_suspected",
-                 g_hash_table_size(gateway->mark_crashes.suspects.by_hash));
-    print_metric(&out, "pearstair_content_refused_total",
-                 (double)stats->banned_requests);
-    print_metric(&out, "pearstair_quota_asks_total",
-                 (double)stats->quota_asks);
-    print_metric(&out, "pearstair_quota_refusals_total",
-                 (double)stats->quota_refusals);
-    print_metric(&out, "pearstair_quota_unknown_total",
-                 (double)stats->quota_unknown);
-    print_metric(&out, "pearstair_streams_taken_up_total",
-                 (double)stats->taken_up_streams);
-    print_metric(&out, "pearstair_stream_origins_unknown_total",
-                 (double)stats->unknown_origins);
-    print_metric(&out, "pearstair_connects_total",
-                 (double)gateway->http_client.connects);
-    print_metric(&out, "pearstair_log_dropped_total",
-                 (double)PsEvents_GetDropped());
-    print_metric(&out, "pearstair_in_progress", gateway->exchanges.length);
-    double age_ms = (double)(PsClock_Now() - gateway->catalog_confirmed_ms);
-    print_metric(&out, "pearstair_config_proof_age_milliseconds", age_ms);
-    print_metric(&out, "pearstair_even_shares",
-                 gateway->sharing.uses_even_shares);
-    print_metric(&out, "pearstair_members",
-                 g_hash_table_size(gateway->members));
-    int n_limited = 0;
-    PsGateway_ForEachBackend(gateway, count_limited, &n_limited);
-    print_metric(&out, "pearstair_servers_limited", n_limited);
-    int n_lost = 0;
-    PsGateway_ForEachBackend(gateway, count_lost, &n_lost);
-    print_metric(&out, "pearstair_servers_lost", n_lost);
-    print_metric(&out, "pearstair_forwarded_total", (double)stats->forwarded);
-    print_metric(&out, "pearstair_carried_total",
-                 (double)gateway->forward_server.carried);
-    print_metric(&out, "pearstair_carried_refused_total",
-                 (double)gateway->forward_server.refused);
-    print_memory(gateway, &out);
-    print_retry_budgets(gateway, &out);
-    PsPaceMessages_PrintMetrics(&gateway->sharing.allocator.models, &out);
-    if (gateway->settings.gateway.has_team_shares ||
-        gateway->settings.gateway.has_planned_returns) {
-        print_returns(gateway, &out);
-    }
-    PsHistogram_Print(&stats->wait_latency, "pearstair_wait_milliseconds",
-                      &out);
-    PsHistogram_Print(&stats->first_event_latency,
-                      "pearstair_first_event_milliseconds", &out);
-    PsHistogram_Print(&stats->total_latency, "pearstair_request_milliseconds",
-                      &out);
-    PsHttpRequest_PrepareResponse(request, 200, "text/plain; version=0.0.4",
-                                  false);
-    PsHttpRequest_SendResponse(request, PsBuf_View(&out));
-    PsBuf_Finish(&out);
-}
-
-static void
-on_metrics_closed(ps_http_server_t *server, ps_http_request_t *request)
-{
-    (void)server;
-    (void)request;
-}
-
-static const ps_http_server_events_t metrics_events = {on_metrics,
-                                                       on_metrics_closed};
-
 /* ---- Loop ------------------------------------------------------------- */
 
 static void
@@ -817,47 +620,6 @@
     PsForwardServer_Stop(&gateway->forward_server);
 }
 
-// Logs how much of the memory budget is used when its level has changed, and
-// each second while it is the highest: under such load lines may be dropped.
-static void
-log_memory(ps_gateway_t *gateway, int64_t now_ms)
-{
-    const ps_memory_budget_t *memory = &gateway->memory;
-    int level = PsMemoryBudget_GetLevel(memory);
-    bool is_due =
-        level != gateway->memory_level || level == PS_MEMORY_LEVELS - 1;
-    if (!is_due || now_ms - gateway->memory_logged_ms < MEMORY_LOG_MS) {
-        return;
-    }
-    gateway->memory_level = level;
-    gateway->memory_logged_ms = now_ms;
-    PsEvents_Add(
-        "memory.level", "{s:i,s:I,s:I,s:I,s:I,s:I}", "level", level,
-        "request_body", (json_int_t)memory->held[PS_MEMORY_REQUEST_BODY],
-        "answer", (json_int_t)memory->held[PS_MEMORY_ANSWER], "overhead",
-        (json_int_t)memory->held[PS_MEMORY_OVERHEAD], "limit",
-        (json_int_t)memory->limit, "refused", (json_int_t)memory->n_refused);
-}
-
-// Returns free memory to the system after a peak: the heap keeps it otherwise,
-// and the next peak may need it for blocks of another size. Does so once more
-// a little later, when the libraries have freed what they need no more.
-static void
-trim_memory(ps_gateway_t *gateway, int64_t now_ms)
-{
-    ps_memory_budget_t *memory = &gateway->memory;
-    size_t held = PsMemoryBudget_GetHeld(memory);
-    bool has_fallen = memory->recent_peak - held > memory->limit / TRIM_PART;
-    if (now_ms < gateway->memory_trim_ms ||
-        (!has_fallen && !gateway->must_trim_again)) {
-        return;
-    }
-    malloc_trim(0);
-    memory->recent_peak = held;
-    gateway->must_trim_again = has_fallen;
-    gateway->memory_trim_ms = now_ms + TRIM_MS;
-}
-
 static void
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -871,8 +633,7 @@
         gateway->store_ops->read_now(gateway->store_ops, false, true, false);
     }
     PsReachChecks_Run(&gateway->reach_checks, now_ms);
-    log_memory(gateway, now_ms);
-    trim_memory(gateway, now_ms);
+    PsGatewayMemory_Run(gateway, now_ms);
     PsSharing_Run(&gateway->sharing, now_ms);
     update_poll_rate(gateway, now_ms);
     run_dispatchers(gateway, now_ms);
@@ -909,8 +670,9 @@
                                    &settings->gateway.directory_address, 0);
     }
     if (status == PS_OK) {
-        status = PsHttpServer_Init(&gateway->metrics_server, &metrics_events,
-                                   gateway, loop, &settings->admin_address, 0);
+        status = PsHttpServer_Init(&gateway->metrics_server,
+                                   PsGatewayMetrics_GetEvents(), gateway, loop,
+                                   &settings->admin_address, 0);
     }
     if (status == PS_OK) {
         status = PsForwardServer_Init(&gateway->forward_server, gateway);
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <xxhash.h>
 
+#include "allocator_choice.h"
 #include "allocator_rounds.h"
 #include "clock.h"
 #include "events_log.h"
@@ -24,7 +25,6 @@
 #define RECONNECT_MS 300 /* the connection may have failed silently */
 #define GIVE_UP_MS 900   /* the next candidate becomes the allocator */
 
-#define AVOID_MS 3000          /* time in which a daemon is not chosen again */
 #define CHOICE_INTERVAL_MS 500 /* between checks for a better allocator */
 
 // Age from which an allocator's configuration is stale: two reads of the store
@@ -35,74 +35,6 @@
 
 G_STATIC_ASSERT(PS_SERVER_LIMIT_ROUNDS >= PS_SHARING_ROUNDS_KEPT);
 
-/* ---- Choice of the allocator ------------------------------------------ */
-
-// Returns a member's weight in rendezvous hashing: a hash of its name, scaled
-// to a uniform number between 0 and 1 (53 bits), weighted by the square of its
-// processor share.
-static double
-get_weight(const ps_daemon_info_t *member)
-{
-    uint64_t hash = XXH64(member->name.data, member->name.len, 0);
-    double uniform = ((double)(hash >> 11) + 0.5) / 9007199254740992.0;
-    return MAX(member->cpu_share, 0.01) * MAX(member->cpu_share, 0.01) /
-           -log(uniform);
-}
-
-static bool
-is_avoided(const ps_sharing_t *sharing, const ps_name_t *name, int64_t now_ms)
-{
-    const int64_t *until = g_hash_table_lookup(sharing->avoided, name);
-    return until && now_ms < *until;
-}
-
-// Chooses the member of highest weight that is not avoided.
-static void
-choose_allocator(ps_sharing_t *sharing, int64_t now_ms)
-{
-    const ps_daemon_info_t *best = NULL;
-    double highest = -1;
-    GHashTableIter each;
-    gpointer value;
-    g_hash_table_iter_init(&each, sharing->gateway->members);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const ps_daemon_info_t *member = value;
-        if (get_weight(member) > highest &&
-            !is_avoided(sharing, &member->name, now_ms)) {
-            highest = get_weight(member);
-            best = member;
-        }
-    }
-    if (best && !PsName_IsEqual(&best->name, &sharing->allocator_name)) {
-        PsEvents_Add("sharing.allocator", "{s:s,s:s,s:i}", "name",
-                     best->name.data, "before", sharing->allocator_name.data,
-                     "members",
-                     (int)g_hash_table_size(sharing->gateway->members));
-        // The previous allocator may have saved quota usage that names teams.
-        sharing->is_stored_usage_empty &=
-            PsName_IsEmpty(&sharing->allocator_name);
-        sharing->allocator_name = best->name;
-        sharing->allocator_since_ms = now_ms;
-        PsCrashReports_AddAll(&sharing->gateway->mark_crashes.to_allocator);
-        PsQuotaAdmission_HandleChoice(sharing);
-    }
-}
-
-// Excludes the allocator from the choice for a while and chooses another one.
-static void
-avoid_allocator(ps_sharing_t *sharing, int64_t now_ms)
-{
-    int64_t until = now_ms + AVOID_MS;
-    PsEvents_Add("sharing.silent", "{s:s,s:I}", "allocator",
-                 sharing->allocator_name.data, "last_grant_ms",
-                 (json_int_t)(now_ms - sharing->granted_ms));
-    g_hash_table_replace(
-        sharing->avoided,
-        g_memdup2(&sharing->allocator_name, sizeof sharing->allocator_name),
-        g_memdup2(&until, sizeof until));
-    choose_allocator(sharing, now_ms);
-}
-
 /* ---- Reports ---------------------------------------------------------- */
 
 uint32_t
@@ -486,7 +418,7 @@
 remove_leaving_allocator(ps_sharing_t *sharing, int64_t now_ms)
 {
     ps_name_t name = sharing->allocator_name;
-    avoid_allocator(sharing, now_ms);
+    PsAllocatorChoice_Avoid(sharing, now_ms);
     const ps_daemon_info_t *info =
         g_hash_table_lookup(sharing->gateway->members, &name);
     if (info && !PsName_IsEqual(&name, &sharing->gateway->self.name)) {
@@ -537,7 +469,7 @@
     int64_t own_age_ms = now_ms - sharing->gateway->catalog_confirmed_ms;
     if (grant->config_age_ms > CONFIG_AGE_MAX_MS &&
         own_age_ms < CONFIG_AGE_MAX_MS) {
-        avoid_allocator(sharing, now_ms);
+        PsAllocatorChoice_Avoid(sharing, now_ms);
     }
     sharing->grants_received++;
     bool has_claims = PsQuotaAdmission_HandleGrant(
@@ -656,7 +588,7 @@
         PsPeers_Reconnect(&sharing->peers, &sharing->allocator_name);
     }
     if (waited_ms > GIVE_UP_MS) {
-        avoid_allocator(sharing, now_ms);
+        PsAllocatorChoice_Avoid(sharing, now_ms);
     }
 }
 
@@ -710,7 +642,7 @@
     if (PsName_IsEmpty(&sharing->allocator_name) ||
         now_ms >= sharing->next_choice_ms) {
         sharing->next_choice_ms = now_ms + CHOICE_INTERVAL_MS;
-        choose_allocator(sharing, now_ms);
+        PsAllocatorChoice_Choose(sharing, now_ms);
     }
     check_allocator(sharing, now_ms);
     if (now_ms < sharing->next_round_ms) {
@@ -736,7 +668,7 @@
                              const ps_daemon_info_t *member)
 {
     PsPeers_SetAddress(&sharing->peers, &member->name, &member->peer_address);
-    choose_allocator(sharing, PsClock_Now());
+    PsAllocatorChoice_Choose(sharing, PsClock_Now());
 }
 
 bool
