Serve repeated estimates, scores and lists by one piece of code each

estimate_wait() and PsScheduler_EstimateWait() divided by the start rate in the same way; the allocator's choice and the choice of addresses computed the same rendezvous score; DivideSlots() listed the teams' reports up to three times a round, also without team shares.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
     even_shares backend_registry scheduler allocator outliers \
     histogram crash_reports abandoned_runs recent_map recent_members \
     rate_bucket server_limit server_room stream_origins server_reach forwarders \
-    event_stream version_history overcommit address_choice fleet_waits \
+    event_stream version_history overcommit address_choice rendezvous fleet_waits \
     rank_rates attempts placement task_samples server_model server_models \
     concurrency_limit slot_order waiting team_shares team_order team_division \
     return_plan rollout rollout_evidence rollout_use rollout_samples \
--- a/src/address_choice.c
+++ b/src/address_choice.c
@@ -2,9 +2,9 @@
 #include "address_choice.h"
 
 #include <glib.h>
-#include <math.h>
 #include <stdlib.h>
-#include <xxhash.h>
+
+#include "rendezvous.h"
 
 #define REMOTE_PER_ADDRESSES                                                  \
     4                     /* one address in so many is of another domain */
@@ -12,22 +12,12 @@
 
 /* ---- Internal functions ----------------------------------------------- */
 
-// Returns a number that is exponentially distributed over callers, with the
-// capacity as its rate, so that the lowest ranks form a weighted sample.
-static double
-get_rank(const ps_address_candidate_t *candidate, uint64_t caller)
-{
-    uint64_t hash = XXH64(candidate->name->data, candidate->name->len, caller);
-    double uniform = ((double)(hash >> 11) + 0.5) / 9007199254740992.0;
-    return -log(uniform) / MAX(candidate->capacity, CAPACITY_MIN);
-}
-
 static int
-compare_ranks(const void *left, const void *right)
+compare_scores(const void *left, const void *right)
 {
     const ps_address_candidate_t *a = left;
     const ps_address_candidate_t *b = right;
-    return (a->rank > b->rank) - (a->rank < b->rank);
+    return (a->score < b->score) - (a->score > b->score);
 }
 
 // Adds the first candidates that are in the caller's domain, or are not, until
@@ -52,10 +42,12 @@
 {
     int n_remote = 0;
     for (int i = 0; i < n; i++) {
-        candidates[i].rank = get_rank(&candidates[i], caller);
+        candidates[i].score =
+            PsRendezvous_GetScore(candidates[i].name, caller,
+                                  MAX(candidates[i].capacity, CAPACITY_MIN));
         n_remote += candidates[i].is_local ? 0 : 1;
     }
-    qsort(candidates, (size_t)n, sizeof *candidates, compare_ranks);
+    qsort(candidates, (size_t)n, sizeof *candidates, compare_scores);
     int max_local = max - MIN(max / REMOTE_PER_ADDRESSES, n_remote);
     int picked = add_addresses(candidates, n, true, addresses, 0, max_local);
     return add_addresses(candidates, n, false, addresses, picked, max);
--- a/src/address_choice.h
+++ b/src/address_choice.h
@@ -19,7 +19,7 @@
     const ps_name_t *address;
     bool is_local;   /* in the caller's failure domain */
     double capacity; /* what it can carry, relative to the others */
-    double rank;     /* set by PsAddressChoice_Pick() */
+    double score;    /* set by PsAddressChoice_Pick() */
 } ps_address_candidate_t;
 
 /**
--- a/src/allocator.c
+++ b/src/allocator.c
@@ -181,15 +181,6 @@
     return reports;
 }
 
-static void
-start_team_round(ps_team_division_t *division, const GPtrArray *uses,
-                 int64_t now_ms)
-{
-    ps_team_reports_t **reports = list_team_reports(uses);
-    PsTeamDivision_StartRound(division, reports, (int)uses->len, now_ms);
-    g_free(reports);
-}
-
 // Gives slots one by one to the waiting requests of a rank, by team.
 static void
 give_slots_by_team(ps_team_division_t *division, const GPtrArray *uses,
@@ -208,12 +199,12 @@
 
 // Gives slots to all waiting requests by rank and, with a division by team, by
 // team within a rank.
+// @reports: by team, of each use; not used without a division
 static void
 give_slots_to_waiting(ps_allocator_t *allocator, ps_team_division_t *division,
-                      const GPtrArray *uses, ps_slot_order_t *order,
-                      int *free_slots)
+                      ps_team_reports_t *const *reports, const GPtrArray *uses,
+                      ps_slot_order_t *order, int *free_slots)
 {
-    ps_team_reports_t **reports = list_team_reports(uses);
     int64_t rank = -1;
     while ((rank = find_next_rank(uses, rank)) >= 0) {
         order->is_last_rank = find_next_rank(uses, rank) < 0;
@@ -225,7 +216,6 @@
             give_slots_to_rank(allocator, uses, rank, order, free_slots);
         }
     }
-    g_free(reports);
 }
 
 // Gives the remaining free slots to all daemons in turn, so that a new request
@@ -515,18 +505,22 @@
     withhold_outliers(allocator, uses, slots, free_slots, n_slots, now_ms);
     ps_team_division_t *division =
         PsAllocator_GetTeamDivision(allocator, service);
+    ps_team_reports_t **reports = division ? list_team_reports(uses) : NULL;
     if (division) {
-        start_team_round(division, uses, now_ms);
+        PsTeamDivision_StartRound(division, reports, (int)uses->len, now_ms);
     }
     PsSlotOrder_Withhold(&order, free_slots);
-    give_slots_to_waiting(allocator, division, uses, &order, free_slots);
+    give_slots_to_waiting(allocator, division, reports, uses, &order,
+                          free_slots);
     if (PsSlotOrder_Release(&order, free_slots)) {
-        give_slots_to_waiting(allocator, division, uses, &order, free_slots);
+        give_slots_to_waiting(allocator, division, reports, uses, &order,
+                              free_slots);
     }
     PsSlotOrder_LimitSpare(&order, free_slots, (int)uses->len);
     spread_free_slots(allocator, uses, &order, free_slots);
     allocator->round_robin_offset++;
     PsSlotOrder_NoteStates(&order);
+    g_free(reports);
     PsSlotOrder_Finish(&order);
     g_free(free_slots);
     g_ptr_array_unref(uses);
--- a/src/allocator_choice.c
+++ b/src/allocator_choice.c
@@ -1,27 +1,21 @@
 /* allocator_choice.c - Weighted rendezvous hashing of the allocator. */
 #include "allocator_choice.h"
 
-#include <math.h>
-#include <xxhash.h>
-
 #include "events_log.h"
 #include "gateway.h"
 #include "quota_admission.h"
+#include "rendezvous.h"
 
 #define AVOID_MS 3000 /* time in which a daemon is not chosen again */
 
 /* ---- Internal functions ----------------------------------------------- */
 
-// Returns a member's weight in rendezvous hashing: a hash of its name, scaled
-// to a uniform number between 0 and 1 (53 bits), weighted by the square of its
-// processor share.
+// Returns a member's score, weighted by the square of its processor share.
 static double
-get_weight(const ps_daemon_info_t *member)
+get_score(const ps_daemon_info_t *member)
 {
-    uint64_t hash = XXH64(member->name.data, member->name.len, 0);
-    double uniform = ((double)(hash >> 11) + 0.5) / 9007199254740992.0;
-    return MAX(member->cpu_share, 0.01) * MAX(member->cpu_share, 0.01) /
-           -log(uniform);
+    double share = MAX(member->cpu_share, 0.01);
+    return PsRendezvous_GetScore(&member->name, 0, share * share);
 }
 
 static bool
@@ -43,9 +37,9 @@
     g_hash_table_iter_init(&each, sharing->gateway->members);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         const ps_daemon_info_t *member = value;
-        if (get_weight(member) > highest &&
+        if (get_score(member) > highest &&
             !is_avoided(sharing, &member->name, now_ms)) {
-            highest = get_weight(member);
+            highest = get_score(member);
             best = member;
         }
     }
--- a/src/waiting.c
+++ b/src/waiting.c
@@ -75,6 +75,18 @@
     return 0;
 }
 
+// Estimates how long a task waits behind others of its rank at this daemon.
+static double
+estimate_behind(ps_scheduler_t *scheduler, uint32_t rank, int ahead,
+                int64_t now_ms)
+{
+    if (ahead == 0) {
+        return 0;
+    }
+    ps_rank_rate_t *rate = get_rank_rate(scheduler, rank, now_ms);
+    return ahead * PS_RANK_RATE_DECAY_MS / MAX(rate->starts, RATE_MIN);
+}
+
 // Estimates how long a task of a rank and team waits. Without fleet waits,
 // those of its rank that wait here and go before it count.
 // @task: waiting: it is not ahead of itself, nor are those that came later;
@@ -100,11 +112,7 @@
         ahead +=
             is_ahead && get_rank(scheduler, other, now_ms) == rank ? 1 : 0;
     }
-    if (ahead == 0) {
-        return 0;
-    }
-    ps_rank_rate_t *rate = get_rank_rate(scheduler, rank, now_ms);
-    return ahead * PS_RANK_RATE_DECAY_MS / MAX(rate->starts, RATE_MIN);
+    return estimate_behind(scheduler, rank, ahead, now_ms);
 }
 
 // Estimates how many tasks this daemon can start per millisecond: those that
@@ -481,9 +489,5 @@
     for (const GList *l = scheduler->waiting.head; l; l = l->next) {
         ahead += get_rank(scheduler, l->data, now_ms) == rank ? 1 : 0;
     }
-    if (ahead == 0) {
-        return 0;
-    }
-    ps_rank_rate_t *rate = get_rank_rate(scheduler, rank, now_ms);
-    return ahead * PS_RANK_RATE_DECAY_MS / MAX(rate->starts, RATE_MIN);
+    return estimate_behind(scheduler, rank, ahead, now_ms);
 }
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -463,6 +463,15 @@
     {
         PsScheduler_Submit(&scheduler, task, now);
     }
+    // Late tasks of tier 1 have hardly been started lately then.
+    void
+    StartLateTaskLongAgo()
+    {
+        ps_task_t late = MakeTask(1, 1);
+        Submit(&late);
+        End(&late);
+        now += 5000;
+    }
     void
     End(ps_task_t *task, ps_task_result_t end = PS_TASK_SUCCEEDED)
     {
@@ -596,10 +605,7 @@
 TEST(Scheduler, LoneTaskThatBecomesLateIsNotRefused)
 {
     SchedulerHarness harness(1, 1);
-    ps_task_t late = harness.MakeTask(1, 1);
-    harness.Submit(&late);
-    harness.End(&late);
-    harness.now += 5000;
+    harness.StartLateTaskLongAgo();
     ps_task_t first = harness.MakeTask(0), task;
     harness.Submit(&first);
     task = harness.MakeTask(1, 120, 300);
@@ -617,11 +623,7 @@
 TEST(Scheduler, FailedTaskIsNotRefusedForItsObjective)
 {
     SchedulerHarness harness(2, 1);
-    // Late tasks of the tier were last started long ago.
-    ps_task_t late = harness.MakeTask(1, 1);
-    harness.Submit(&late);
-    harness.End(&late);
-    harness.now += 5000;
+    harness.StartLateTaskLongAgo();
     ps_task_t other = harness.MakeTask(0), task;
     harness.Submit(&other);
     task = harness.MakeTask(1, 120, 5000);
