Reject answers whose length or lines are not HTTP/1.1

Callers saw: an answer as complete whose head was malformed where it gives the length, or held a line that is no field, with a body that was not the server's.

Cause: the HTTP client took what curl makes of a head. Curl takes the leading digits of a malformed Content-Length for the length, the last of two lengths, and the end of the connection for one that is too large; an unknown Transfer-Encoding without a body is no error to it, and lines that begin with a blank or a colon are passed on as fields.

Change: http_head.c checks each line before it is used. A malformed head ends the transfer, which is incomplete, and nothing that it says is kept. All that read answers use this client: callers' requests, requests carried for other daemons, status checks, calls to the store. Since the server has answered, the request is not counted as lost at a crash of the server; this holds now for what curl itself rejects, too, which counted as a lost connection before. Trailers are no longer added to the fields of the head.

LengthIsThatOfTheFraming has moved from test_flow. It expected a malformed length to count as none; such an answer is now rejected whole, which MalformedLengthsAreRejected checks.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
     rank_rates attempts placement task_samples server_model server_models \
     concurrency_limit slot_order waiting team_shares team_order team_division \
     return_plan rollout rollout_evidence rollout_use rollout_samples \
-    memory_budget answer
+    memory_budget answer http_head
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
@@ -72,7 +72,7 @@
 	$(CC) $^ $(LIBS) -lpthread -o $@
 
 $(BUILD)/standin-callers: $(BUILD)/standin_callers.o $(BUILD)/http_client.o \
-    $(BUILD)/str.o
+    $(BUILD)/http_head.o $(BUILD)/str.o
 	$(CC) $^ $(LIBS) -o $@
 
 # Builds only the daemon, in target/; called by deploy/system.toml.
@@ -135,7 +135,8 @@
 TESTS := test_tables test_pool test_ledger test_contract test_simulation \
     test_gateway test_limits test_mutations test_server_limits test_marks \
     test_origins test_reach test_fleet test_addresses test_server_model \
-    test_quota_fleet test_team_shares test_rollout test_flow
+    test_quota_fleet test_team_shares test_rollout test_flow \
+    test_broken_answers
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
@@ -180,6 +181,10 @@
     $(DAEMON_OBJS) $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
+$(BUILD)/test_broken_answers: $(BUILD)/tests/test_broken_answers.o \
+    $(BUILD)/http_client.o $(KERNEL_OBJS)
+	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
+
 $(BUILD)/test_flow: $(BUILD)/tests/test_flow.o $(DAEMON_OBJS) $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
--- a/src/forward_server.c
+++ b/src/forward_server.c
@@ -164,6 +164,10 @@
         PsReachChecks_HandleUnopened(&gateway->reach_checks, forward->backend,
                                      transfer->is_refused, now_ms);
     }
+    else if (transfer->is_malformed) {
+        PsReachChecks_HandleSilence(&gateway->reach_checks, forward->backend,
+                                    now_ms);
+    }
     else if (result == PS_TRANSFER_INCOMPLETE &&
              !PsAnswer_IsOwnCut(result, transfer->is_aborted,
                                 forward->longest_pause_ms)) {
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -27,6 +27,34 @@
 
 /* ---- Ended transfers -------------------------------------------------- */
 
+// Tells whether the server sent something that is not an HTTP/1.1 response.
+static bool
+is_malformed_response(const ps_transfer_t *transfer, CURLcode code)
+{
+    return transfer->head.fault || code == CURLE_WEIRD_SERVER_REPLY ||
+           code == CURLE_UNSUPPORTED_PROTOCOL;
+}
+
+// Marks a malformed response. What its head says is not to be believed.
+static void
+handle_malformed(ps_transfer_t *transfer)
+{
+    transfer->is_malformed = true;
+    transfer->is_aborted = true;
+    if (transfer->head.fault) {
+        g_strlcpy(transfer->error, transfer->head.fault,
+                  sizeof transfer->error);
+    }
+    if (transfer->head.part != PS_HTTP_HEAD_ENDED) {
+        const ps_name_t none = {0};
+        transfer->status = 0;
+        PsBuf_Clear(&transfer->response_headers);
+        transfer->content_type = none;
+        transfer->request_id = none;
+        transfer->backend = none;
+    }
+}
+
 // Reports the end of a transfer. The done callback may release the transfer.
 static void
 finish_transfer(ps_http_client_t *client, CURL *easy, CURLcode code)
@@ -43,6 +71,9 @@
         transfer->is_timed_out = code == CURLE_OPERATION_TIMEDOUT;
         result = transfer->sends == 0 ? PS_TRANSFER_NOT_SENT
                                       : PS_TRANSFER_INCOMPLETE;
+        if (transfer->sends > 0 && is_malformed_response(transfer, code)) {
+            handle_malformed(transfer);
+        }
     }
     curl_multi_remove_handle(client->multi, easy);
     transfer->events->done(transfer, result);
@@ -217,32 +248,50 @@
     return true;
 }
 
-// Curl calls this with one line at a time. A status line starts the headers of
-// another response, such as the final one after a 1xx; an empty line ends
-// them.
+// The head of the final response is whole.
+static void
+handle_head_end(ps_transfer_t *transfer)
+{
+    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE,
+                      &transfer->status);
+    if (transfer->events->headers) {
+        transfer->events->headers(transfer);
+    }
+}
+
+static void
+add_header_line(ps_transfer_t *transfer, ps_str_t line)
+{
+    PsBuf_Append(&transfer->response_headers, line.data, line.len);
+    if (!parse_header(line, "Content-Type:", &transfer->content_type) &&
+        !parse_header(line, "X-Request-Id:", &transfer->request_id)) {
+        parse_header(line, "X-Backend:", &transfer->backend);
+    }
+}
+
+// Curl calls this with one line at a time, trailers included. A count other
+// than that of the bytes passed makes curl end the transfer.
 static size_t
 on_header(char *data, size_t size, size_t count, void *user)
 {
     ps_transfer_t *transfer = user;
     ps_str_t line = {data, size * count};
-    if (line.len >= 5 && memcmp(line.data, "HTTP/", 5) == 0) {
+    ps_http_head_part_t part = transfer->head.part;
+    if (!PsHttpHead_AddLine(&transfer->head, line)) {
+        return 0;
+    }
+    if (part == PS_HTTP_HEAD_START) {
         PsBuf_Clear(&transfer->response_headers);
-        return size * count;
     }
-    if (line.len <= 2) {
-        curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE,
-                          &transfer->status);
-        if (transfer->events->headers && transfer->status >= 200) {
-            transfer->events->headers(transfer);
-        }
-        return transfer->is_aborted ? 0 : size * count;
+    else if (part == PS_HTTP_HEAD_FIELDS &&
+             transfer->head.part == PS_HTTP_HEAD_FIELDS) {
+        add_header_line(transfer, line);
     }
-    PsBuf_Append(&transfer->response_headers, line.data, line.len);
-    if (!parse_header(line, "Content-Type:", &transfer->content_type) &&
-        !parse_header(line, "X-Request-Id:", &transfer->request_id)) {
-        parse_header(line, "X-Backend:", &transfer->backend);
+    else if (part == PS_HTTP_HEAD_FIELDS &&
+             transfer->head.part == PS_HTTP_HEAD_ENDED) {
+        handle_head_end(transfer);
     }
-    return size * count;
+    return transfer->is_aborted ? 0 : size * count;
 }
 
 /* ---- Public functions ------------------------------------------------- */
@@ -365,7 +414,9 @@
     transfer->is_refused = false;
     transfer->is_timed_out = false;
     transfer->is_paused = false;
+    transfer->is_malformed = false;
     transfer->must_not_resend = request->must_not_resend;
+    PsHttpHead_Init(&transfer->head);
     set_callbacks(easy, client, transfer);
     curl_easy_setopt(easy, CURLOPT_URL, request->url);
     if (request->target) {
@@ -426,26 +477,13 @@
 bool
 PsTransfer_EndsWithConnection(const ps_transfer_t *transfer)
 {
-    return !PsTransfer_GetHeader(transfer, "Content-Length").data &&
-           !PsTransfer_GetHeader(transfer, "Transfer-Encoding").data;
+    return !transfer->head.has_length && !transfer->head.is_chunked;
 }
 
 uint64_t
 PsTransfer_GetLength(const ps_transfer_t *transfer)
 {
-    ps_str_t text = PsTransfer_GetHeader(transfer, "Content-Length");
-    if (!text.data || text.len == 0 || text.len > 18 ||
-        PsTransfer_GetHeader(transfer, "Transfer-Encoding").data) {
-        return UINT64_MAX;
-    }
-    uint64_t length = 0;
-    for (size_t i = 0; i < text.len; i++) {
-        if (!g_ascii_isdigit(text.data[i])) {
-            return UINT64_MAX;
-        }
-        length = length * 10 + (uint64_t)(text.data[i] - '0');
-    }
-    return length;
+    return transfer->head.has_length ? transfer->head.length : UINT64_MAX;
 }
 
 ps_str_t
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -5,6 +5,8 @@
  * to be closed. A request that must be sent at most once therefore gets a new
  * connection (has_own_connection), or its second send is stopped
  * (must_not_resend).
+ *
+ * A response that is not valid HTTP/1.1 is never complete (http_head.h).
  */
 #ifndef PS_HTTP_CLIENT_H
 #define PS_HTTP_CLIENT_H
@@ -12,6 +14,7 @@
 #include <curl/curl.h>
 #include <ev.h>
 
+#include "http_head.h"
 #include "str.h"
 
 struct ps_transfer;
@@ -56,13 +59,15 @@
     CURL *easy;
     struct curl_slist *request_headers;
     long status;               /* HTTP status; 0 before the headers */
+    ps_http_head_t head;       /* as far as it was received */
     ps_buf_t response_headers; /* header lines, without the status line */
     int sends;                 /* times that curl began to send the request */
     bool must_not_resend;      /* copied from the ps_transfer_request_t */
-    bool is_aborted;           /* set by a callback to close the connection */
+    bool is_aborted;           /* closed here; a callback may set it */
     bool is_refused;           /* no process listens at the address */
     bool is_timed_out;         /* its time was over */
     bool is_paused;            /* no more of the response is read */
+    bool is_malformed;         /* the response is not HTTP/1.1; is_aborted */
     ps_buf_t body;             /* of the response, when events->data is NULL */
     ps_name_t content_type;    /* Content-Type of the response */
     ps_name_t request_id;      /* X-Request-Id of the response, or empty */
@@ -157,7 +162,7 @@
 
 /**
  * PsTransfer_GetLength() - Returns the response's Content-Length, or
- * UINT64_MAX if it has none that gives its length.
+ * UINT64_MAX if it has none.
  */
 uint64_t PsTransfer_GetLength(const ps_transfer_t *transfer);
 
--- /dev/null
+++ b/src/http_head.c
@@ -0,0 +1,171 @@
+/* http_head.c - Checks the head of an HTTP/1.1 response line by line. */
+#include "http_head.h"
+
+#include <string.h>
+#include <strings.h>
+
+#include <glib.h>
+
+#define LENGTH_DIGITS_MAX 18 /* of a length that fits into 63 bits */
+
+/* ---- Internal functions ----------------------------------------------- */
+
+static bool
+reject(ps_http_head_t *head, const char *fault)
+{
+    head->fault = fault;
+    return false;
+}
+
+static ps_str_t
+strip_line_end(ps_str_t line)
+{
+    if (line.len > 0 && line.data[line.len - 1] == '\n') {
+        line.len--;
+    }
+    if (line.len > 0 && line.data[line.len - 1] == '\r') {
+        line.len--;
+    }
+    return line;
+}
+
+static bool
+is_blank(char c)
+{
+    return c == ' ' || c == '\t';
+}
+
+static ps_str_t
+strip_blanks(ps_str_t text)
+{
+    while (text.len > 0 && is_blank(text.data[0])) {
+        text.data++;
+        text.len--;
+    }
+    while (text.len > 0 && is_blank(text.data[text.len - 1])) {
+        text.len--;
+    }
+    return text;
+}
+
+// Tells whether there is a control byte other than a tab.
+static bool
+has_control_byte(ps_str_t text)
+{
+    for (size_t i = 0; i < text.len; i++) {
+        if (g_ascii_iscntrl(text.data[i]) && text.data[i] != '\t') {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_word(ps_str_t text, const char *word)
+{
+    return text.len == strlen(word) &&
+           strncasecmp(text.data, word, text.len) == 0;
+}
+
+static bool
+add_length(ps_http_head_t *head, ps_str_t value)
+{
+    if (head->has_length) {
+        return reject(head, "more than one Content-Length");
+    }
+    if (value.len == 0 || value.len > LENGTH_DIGITS_MAX) {
+        return reject(head, "Content-Length is not a length");
+    }
+    head->length = 0;
+    for (size_t i = 0; i < value.len; i++) {
+        if (!g_ascii_isdigit(value.data[i])) {
+            return reject(head, "Content-Length is not a length");
+        }
+        head->length = head->length * 10 + (uint64_t)(value.data[i] - '0');
+    }
+    head->has_length = true;
+    return true;
+}
+
+static bool
+add_encoding(ps_http_head_t *head, ps_str_t value)
+{
+    if (head->is_chunked || !is_word(value, "chunked")) {
+        return reject(head, "Transfer-Encoding is not chunked");
+    }
+    head->is_chunked = true;
+    return true;
+}
+
+static bool
+add_field(ps_http_head_t *head, ps_str_t line)
+{
+    const char *colon = memchr(line.data, ':', line.len);
+    if (!colon) {
+        return reject(head, "line without a colon");
+    }
+    ps_str_t name = {line.data, (size_t)(colon - line.data)};
+    ps_str_t value =
+        strip_blanks((ps_str_t){colon + 1, line.len - name.len - 1});
+    if (name.len == 0 || is_blank(name.data[0])) {
+        return reject(head, "line without a field name");
+    }
+    if (has_control_byte(value)) {
+        return reject(head, "control byte in a field value");
+    }
+    if (is_word(name, "Content-Length")) {
+        return add_length(head, value);
+    }
+    if (is_word(name, "Transfer-Encoding")) {
+        return add_encoding(head, value);
+    }
+    return true;
+}
+
+// An interim response (1xx) is followed by another one.
+static bool
+end_fields(ps_http_head_t *head)
+{
+    if (head->has_length && head->is_chunked) {
+        return reject(head, "both Content-Length and Transfer-Encoding");
+    }
+    head->part = head->status < 200 ? PS_HTTP_HEAD_START : PS_HTTP_HEAD_ENDED;
+    return true;
+}
+
+// Adds a status line, which the HTTP library has accepted.
+static bool
+start_response(ps_http_head_t *head, ps_str_t line)
+{
+    PsHttpHead_Init(head);
+    head->part = PS_HTTP_HEAD_FIELDS;
+    const char *blank = memchr(line.data, ' ', line.len);
+    size_t i = blank ? (size_t)(blank - line.data) + 1 : line.len;
+    for (; i < line.len && g_ascii_isdigit(line.data[i]); i++) {
+        head->status = head->status * 10 + (line.data[i] - '0');
+    }
+    return true;
+}
+
+/* ---- Public functions ------------------------------------------------- */
+
+void
+PsHttpHead_Init(ps_http_head_t *head)
+{
+    *head = (ps_http_head_t){.part = PS_HTTP_HEAD_START};
+}
+
+bool
+PsHttpHead_AddLine(ps_http_head_t *head, ps_str_t line)
+{
+    line = strip_line_end(line);
+    switch (head->part) {
+    case PS_HTTP_HEAD_START:
+        return start_response(head, line);
+    case PS_HTTP_HEAD_FIELDS:
+        return line.len > 0 ? add_field(head, line) : end_fields(head);
+    case PS_HTTP_HEAD_ENDED:
+        break;
+    }
+    return true;
+}
--- /dev/null
+++ b/src/http_head.h
@@ -0,0 +1,47 @@
+/*
+ * http_head.h - Checks the head of an HTTP/1.1 response line by line.
+ *
+ * The HTTP library is lenient: it takes the leading digits of a malformed
+ * Content-Length for the length, and passes on lines that are not fields. An
+ * answer that is read so can be cut short and look complete. A head that RFC
+ * 9112 does not allow is therefore rejected whole. Does no I/O.
+ */
+#ifndef PS_HTTP_HEAD_H
+#define PS_HTTP_HEAD_H
+
+#include "str.h"
+
+/**
+ * enum ps_http_head_part - What the next line belongs to.
+ */
+typedef enum ps_http_head_part {
+    PS_HTTP_HEAD_START,  /* a response, of which no line was added */
+    PS_HTTP_HEAD_FIELDS, /* the fields of a response */
+    PS_HTTP_HEAD_ENDED   /* the trailer: the final response's head is whole */
+} ps_http_head_part_t;
+
+/**
+ * struct ps_http_head - The head of a response, and of interim ones before it.
+ * @fault: why it is malformed; NULL: it is not
+ */
+typedef struct ps_http_head {
+    ps_http_head_part_t part;
+    int status; /* of the response that the last line belongs to */
+    bool has_length;
+    uint64_t length; /* Content-Length, with @has_length */
+    bool is_chunked;
+    const char *fault;
+} ps_http_head_t;
+
+void PsHttpHead_Init(ps_http_head_t *head);
+
+/**
+ * PsHttpHead_AddLine() - Adds the next line.
+ * @line: with its line end
+ *
+ * Return: false if the head is malformed, which @head's fault explains. No
+ * more lines are to be added then.
+ */
+bool PsHttpHead_AddLine(ps_http_head_t *head, ps_str_t line);
+
+#endif
--- a/src/server_path.c
+++ b/src/server_path.c
@@ -41,7 +41,7 @@
         PsReachChecks_HandleLost(reach, path->backend, now_ms);
         return PS_TRANSFER_INCOMPLETE;
     }
-    else if (path->has_mismatch) {
+    else if (path->has_mismatch || transfer->is_malformed) {
         PsReachChecks_HandleSilence(reach, path->backend, now_ms);
     }
     else {
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -30,7 +30,9 @@
  * more and come without pauses; "/endless" is as the switch. unread_s=S has
  * the server cut answers of which nothing could be sent for S seconds.
  * forged=1 adds a header to all answers that says, as another daemon would,
- * that nothing was sent.
+ * that nothing was sent. raw sets the bytes that are sent in place of an
+ * answer, HTTP or not, before the connection is closed; "ID" in them stands
+ * for the request's id. With an empty text answers are as before.
  * The switch brittle=N adds the header Server-Brittle to all answers: when it
  * rejects more than N requests within a second, the process falls over: it
  * ends, and logs its name with "fell". queue sets how many requests may wait
@@ -117,6 +119,7 @@
 static char next_pause_text[64]; /* of the next Retry-After; empty: that one */
 static int64_t says_leaving;
 static int64_t forges_result;
+static char raw_answer[1024];      /* empty: answers are HTTP */
 static int64_t brittle_limit = -1; /* of Server-Brittle; -1: not brittle */
 static int64_t queue_max;
 static int64_t work_ms = PLAIN_ANSWER_MS;
@@ -476,6 +479,23 @@
     return result;
 }
 
+// Sends the bytes that the switch raw has set, and closes the connection.
+static enum MHD_Result
+send_raw(standin_request_t *request, const char *id)
+{
+    pthread_mutex_lock(&lock);
+    n_running--;
+    GString *answer = g_string_new(raw_answer);
+    pthread_mutex_unlock(&lock);
+    g_string_replace(answer, "ID", id, 0);
+    int fd = MHD_get_connection_info(request->connection,
+                                     MHD_CONNECTION_INFO_CONNECTION_FD)
+                 ->connect_fd;
+    send(fd, answer->str, answer->len, MSG_NOSIGNAL);
+    g_string_free(answer, TRUE);
+    return MHD_NO;
+}
+
 static void
 log_arrival(standin_request_t *request, const char *id, bool is_run)
 {
@@ -563,6 +583,9 @@
     if (is_full) {
         return reject_request(request, id, 503);
     }
+    if (*raw_answer) {
+        return send_raw(request, id);
+    }
     const char *crash = get_crash(request);
     if (crash && get_crash_events(crash) == 0) {
         fail_process(g_str_has_prefix(crash, STOP));
@@ -616,6 +639,12 @@
             Standin_GetQueryNumber(request, "says_leaving", says_leaving);
         forges_result =
             Standin_GetQueryNumber(request, "forged", forges_result);
+        const char *raw = Standin_GetQueryText(request, "raw");
+        if (raw) {
+            pthread_mutex_lock(&lock);
+            g_strlcpy(raw_answer, raw, sizeof raw_answer);
+            pthread_mutex_unlock(&lock);
+        }
         brittle_limit =
             Standin_GetQueryNumber(request, "brittle", brittle_limit);
         queue_max = Standin_GetQueryNumber(request, "queue", queue_max);
--- /dev/null
+++ b/tests/test_broken_answers.cpp
@@ -0,0 +1,240 @@
+// test_broken_answers.cpp - Tests how the HTTP client reads answers that are
+// not HTTP/1.1, or end early, from servers on the loopback address.
+#include "loopback.hpp"
+
+extern "C" {
+#include "http_client.h"
+}
+
+namespace {
+
+const std::string kOk = "HTTP/1.1 200 OK\r\n";
+
+struct Case {
+    const char *name;
+    std::string answer;
+};
+
+struct Outcome {
+    bool is_done = false;
+    ps_transfer_result_t result = PS_TRANSFER_NOT_SENT;
+    bool is_malformed = false;
+    int heads = 0; // calls of the headers callback
+    long status = 0;
+    uint64_t length = 0;
+    std::string headers;
+    std::string body;
+    std::string error;
+};
+
+Outcome *
+GetOutcome(ps_transfer_t *transfer)
+{
+    return (Outcome *)transfer->user;
+}
+
+const ps_transfer_events_t kEvents = {
+    nullptr,
+    [](ps_transfer_t *transfer) {
+        GetOutcome(transfer)->heads++;
+        GetOutcome(transfer)->length = PsTransfer_GetLength(transfer);
+    },
+    [](ps_transfer_t *transfer, const char *data, size_t len) {
+        GetOutcome(transfer)->body.append(data, len);
+    },
+    [](ps_transfer_t *transfer, ps_transfer_result_t result) {
+        Outcome *out = GetOutcome(transfer);
+        out->is_done = true;
+        out->result = result;
+        out->is_malformed = transfer->is_malformed;
+        out->status = transfer->status;
+        ps_str_t headers = PsBuf_View(&transfer->response_headers);
+        out->headers.assign(headers.data ? headers.data : "", headers.len);
+        out->error = transfer->error;
+    }};
+
+// Sends a request to a server and waits for the end of the transfer.
+Outcome
+Send(const std::string &address, const char *method, const std::string &body)
+{
+    ps_http_client_t client;
+    PsHttpClient_Init(&client, GetLoop());
+    Outcome out;
+    ps_transfer_t transfer;
+    PsTransfer_Init(&transfer, &kEvents, &out);
+    std::string url = "http://" + address + "/x";
+    ps_transfer_request_t request = {};
+    request.method = method;
+    request.url = url.c_str();
+    request.body = {body.data(), body.size()};
+    request.timeout_ms = 5000;
+    request.must_not_resend = true;
+    PsTransfer_StartRequest(&client, &transfer, &request);
+    RunUntil([&] { return out.is_done; });
+    PsTransfer_Finish(&transfer);
+    PsHttpClient_Finish(&client);
+    return out;
+}
+
+// Sends a request to a server that answers so and closes the connection.
+Outcome
+GetAnswer(const std::string &answer)
+{
+    RawServer server;
+    server.answer = answer;
+    return Send(server.address, "POST", "body");
+}
+
+// Guards against an answer that goes to the caller though its head can't be
+// trusted: it is never complete, and nothing of its head is believed.
+void
+ExpectMalformed(const std::vector<Case> &cases)
+{
+    for (const Case &c : cases) {
+        SCOPED_TRACE(c.name);
+        Outcome out = GetAnswer(c.answer);
+        EXPECT_EQ(out.result, PS_TRANSFER_INCOMPLETE);
+        EXPECT_TRUE(out.is_malformed);
+        EXPECT_EQ(out.heads, 0);
+        EXPECT_EQ(out.status, 0);
+        EXPECT_EQ(out.headers, "");
+        EXPECT_EQ(out.body, "");
+        EXPECT_NE(out.error, "");
+    }
+}
+
+} // namespace
+
+/* ---- Lengths ---------------------------------------------------------- */
+
+// A length that is not a plain number of bytes says nothing of where the body
+// ends, nor do two lengths.
+TEST(BrokenAnswers, MalformedLengthsAreRejected)
+{
+    const std::string two_lengths = "Content-Length: 3\r\nContent-Length: 5";
+    const std::string body = "\r\n\r\nhello there";
+    ExpectMalformed({
+        {"digits, then a letter", kOk + "Content-Length: 5x" + body},
+        {"a letter, then digits", kOk + "Content-Length: x5" + body},
+        {"two numbers", kOk + "Content-Length: 5 1" + body},
+        {"a list", kOk + "Content-Length: 5, 5" + body},
+        {"plus sign", kOk + "Content-Length: +5" + body},
+        {"minus sign", kOk + "Content-Length: -5" + body},
+        {"hexadecimal", kOk + "Content-Length: 0x5" + body},
+        {"decimal point", kOk + "Content-Length: 5.0" + body},
+        {"control byte", kOk + "Content-Length: 5\x01" + body},
+        {"zero byte",
+         kOk + "Content-Length: 5" + std::string(1, '\0') + "1" + body},
+        {"empty", kOk + "Content-Length: " + body},
+        {"too large", kOk + "Content-Length: 99999999999999999999" + body},
+        {"two lengths", kOk + two_lengths + body},
+        {"of a failure", "HTTP/1.1 500 Oops\r\nContent-Length: 5x" + body},
+    });
+}
+
+// An answer in an encoding that was not asked for has an end that can't be
+// found.
+TEST(BrokenAnswers, MalformedEncodingsAreRejected)
+{
+    const std::string chunked = kOk + "Transfer-Encoding: chunked\r\n";
+    const std::string body = "\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    ExpectMalformed({
+        {"misspelt", kOk + "Transfer-Encoding: chunkedx" + body},
+        {"misspelt, no body", kOk + "Transfer-Encoding: chunkedx\r\n\r\n"},
+        {"blank within", kOk + "Transfer-Encoding: chunk ed" + body},
+        {"empty", kOk + "Transfer-Encoding: " + body},
+        {"identity", kOk + "Transfer-Encoding: identity" + body},
+        {"twice in a list", kOk + "Transfer-Encoding: chunked, chunked" + body},
+        {"twice", chunked + "Transfer-Encoding: chunked" + body},
+        {"compressed", kOk + "Transfer-Encoding: gzip, chunked" + body},
+        {"length after it", chunked + "Content-Length: 5" + body},
+        {"length before it",
+         kOk + "Content-Length: 5\r\nTransfer-Encoding: chunked" + body},
+    });
+}
+
+// The length that is passed on to callers is that of the response's framing.
+TEST(BrokenAnswers, LengthIsThatOfTheFraming)
+{
+    struct {
+        const char *headers;
+        uint64_t length; // UINT64_MAX: none
+        bool ends_with_connection;
+    } cases[] = {
+        {"Content-Length: 12\r\n", 12, false},
+        {"content-length:\t0 \r\n", 0, false},
+        {"Content-Length: 012\n", 12, false},
+        {"X: y\r\n", UINT64_MAX, true},
+        {"", UINT64_MAX, true},
+        {"Transfer-Encoding: Chunked\r\n", UINT64_MAX, false},
+    };
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.headers);
+        ps_transfer_t transfer;
+        PsTransfer_Init(&transfer, &kEvents, nullptr);
+        std::string head = kOk + c.headers + "\r\n";
+        for (size_t at = 0; at < head.size();) {
+            size_t len = head.find('\n', at) + 1 - at;
+            EXPECT_TRUE(PsHttpHead_AddLine(&transfer.head,
+                                           {head.data() + at, len}));
+            at += len;
+        }
+        EXPECT_EQ(transfer.head.part, PS_HTTP_HEAD_ENDED);
+        EXPECT_EQ(PsTransfer_GetLength(&transfer), c.length);
+        EXPECT_EQ(PsTransfer_EndsWithConnection(&transfer),
+                  c.ends_with_connection);
+        PsTransfer_Finish(&transfer);
+    }
+}
+
+/* ---- Lines ------------------------------------------------------------ */
+
+// A line that is no field may be what is left of the length.
+TEST(BrokenAnswers, LinesThatAreNoFieldsAreRejected)
+{
+    const std::string length = "Content-Length: 5\r\n";
+    ExpectMalformed({
+        {"no colon", kOk + "junk\r\n" + length + "\r\nhello"},
+        {"no colon, last", kOk + length + "junk\r\n\r\nhello"},
+        {"length without a colon", kOk + "Content-Length 5\r\n\r\nhello"},
+        {"no name", kOk + ": x\r\n" + length + "\r\nhello"},
+        {"a colon alone", kOk + ":\n" + length + "\r\nhello"},
+        {"continued line", kOk + "X: y\r\n Content-Length: 5\r\n\r\nhello"},
+        {"continued with a tab", kOk + "X: y\r\n\tz\r\n" + length + "\r\nhello"},
+        {"CR within", kOk + "X: y\rContent-Length: 2\r\n" + length + "\r\nhello"},
+        {"control byte in a value", kOk + "X: \x01\r\n" + length + "\r\nhello"},
+        {"DEL in a value", kOk + "X: \x7f\r\n" + length + "\r\nhello"},
+    });
+}
+
+// Guards against rejecting sound answers.
+TEST(BrokenAnswers, SoundHeadsAreAccepted)
+{
+    const std::string length = "Content-Length: 5\r\n";
+    for (const Case &c : std::vector<Case>{
+             {"length", kOk + length + "\r\nhello"},
+             {"chunks", kOk + "Transfer-Encoding: chunked\r\n\r\n"
+                              "5\r\nhello\r\n0\r\n\r\n"},
+             {"neither", kOk + "X: y\r\n\r\nhello"},
+             {"no fields", kOk + "\r\nhello"},
+             {"line feeds alone", "HTTP/1.1 200 OK\nContent-Length: 5\n\nhello"},
+             {"empty value", kOk + "X:\r\n" + length + "\r\nhello"},
+             {"tabs and letters beyond ASCII",
+              kOk + "X: \ta\tb \xc3\xa9\r\n" + length + "\r\nhello"},
+             {"all characters of names",
+              kOk + "!#$%&'*+-.^_`|~09AZaz: x\r\n" + length + "\r\nhello"},
+             {"interim answers before it",
+              "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+              "Link: </x>\r\n\r\n" +
+                  kOk + length + "\r\nhello"},
+             {"bytes after it", kOk + length + "\r\nhello there"},
+         }) {
+        SCOPED_TRACE(c.name);
+        Outcome out = GetAnswer(c.answer);
+        EXPECT_EQ(out.result, PS_TRANSFER_COMPLETE) << out.error;
+        EXPECT_FALSE(out.is_malformed);
+        EXPECT_EQ(out.heads, 1);
+        EXPECT_EQ(out.status, 200);
+        EXPECT_EQ(out.body, "hello");
+    }
+}
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -867,29 +867,3 @@
     }
     PsHttpClient_Finish(&client);
 }
-
-// The length that is passed on to callers is that of the response's framing.
-TEST(FlowClient, LengthIsThatOfTheFraming)
-{
-    struct Case {
-        const char *headers;
-        uint64_t length;
-    };
-    const Case cases[] = {
-        {"Content-Length: 12\r\n", 12},
-        {"content-length: 0\r\n", 0},
-        {"X: y\r\n", UINT64_MAX},
-        {"Content-Length: 12\r\nTransfer-Encoding: chunked\r\n", UINT64_MAX},
-        {"Content-Length: -1\r\n", UINT64_MAX},
-        {"Content-Length: 1x\r\n", UINT64_MAX},
-        {"Content-Length: 99999999999999999999\r\n", UINT64_MAX},
-    };
-    for (const Case &c : cases) {
-        SCOPED_TRACE(c.headers);
-        ps_transfer_t transfer;
-        PsTransfer_Init(&transfer, &kPausingEvents, nullptr);
-        PsBuf_AppendC(&transfer.response_headers, c.headers);
-        EXPECT_EQ(PsTransfer_GetLength(&transfer), c.length);
-        PsTransfer_Finish(&transfer);
-    }
-}
