Reject answers with a field name that is not a token

Callers saw: an answer in whose head the name of a field held a blank or a control byte, with that line passed on, or with a body that was not the server's.

Cause: curl passes on whatever stands before the colon of a line as a field's name, and nothing of ours checked it. "Content-Length : 5" is then a field of another name, and the body ends with the connection.

Change: a field's name must be a token (RFC 9110, 5.6.2), in interim answers too; else the answer is rejected like one with a malformed length. The blank before the colon, which a proxy may remove, is rejected as well: a caller and this daemon could read two lengths.

--- a/src/http_head.c
+++ b/src/http_head.c
@@ -60,6 +60,20 @@
     return false;
 }
 
+// Tells whether a text is a token (RFC 9110, 5.6.2), as field names are.
+static bool
+is_token(ps_str_t text)
+{
+    for (size_t i = 0; i < text.len; i++) {
+        char c = text.data[i];
+        if (!g_ascii_isalnum(c) &&
+            (c == '\0' || !strchr("!#$%&'*+-.^_`|~", c))) {
+            return false;
+        }
+    }
+    return text.len > 0;
+}
+
 static bool
 is_word(ps_str_t text, const char *word)
 {
@@ -107,8 +121,8 @@
     ps_str_t name = {line.data, (size_t)(colon - line.data)};
     ps_str_t value =
         strip_blanks((ps_str_t){colon + 1, line.len - name.len - 1});
-    if (name.len == 0 || is_blank(name.data[0])) {
-        return reject(head, "line without a field name");
+    if (!is_token(name)) {
+        return reject(head, "field name is not a token");
     }
     if (has_control_byte(value)) {
         return reject(head, "control byte in a field value");
--- a/tests/runs/gw_broken_heads.sh
+++ b/tests/runs/gw_broken_heads.sh
@@ -23,11 +23,15 @@
 try_head spoilt-encoding "Transfer-Encoding: chunkd"
 try_head no-colon $'Content-Length 9'
 try_head continued-line $'X: y\r\n Content-Length: 9'
+try_head blank-in-name $'Content-Length: 9\r\nX y: z'
+try_head blank-after-name "Content-Length : 9"
+try_head control-byte-in-name $'Content-Length: 9\r\nX\x01y: z'
 echo "== by way of another daemon"
 gw_cut_off reset 1 2 3
 sleep 1.5 # until they send by way of others
 try_head cut-spoilt-length "Content-Length: 9x"
 try_head cut-continued-line $'X: y\r\n Content-Length: 9'
+try_head cut-blank-in-name $'Content-Length: 9\r\nX y: z'
 gw_cut_off clear 1 2 3
 sleep 2
 echo "== one server of three"
--- a/tests/test_broken_answers.cpp
+++ b/tests/test_broken_answers.cpp
@@ -207,6 +207,36 @@
     });
 }
 
+// A field whose name is damaged may be the length, or a header that the
+// caller's client reads otherwise.
+TEST(BrokenAnswers, DamagedFieldNamesAreRejected)
+{
+    const std::string body = "\r\n\r\nhello there";
+    std::vector<Case> cases = {
+        {"length, blank before the colon", kOk + "Content-Length : 5" + body},
+        {"length, tab before the colon", kOk + "Content-Length\t: 5" + body},
+        {"length, blank within", kOk + "Content Length: 5" + body},
+        {"length, control byte within", kOk + "Content-\x01Length: 5" + body},
+        {"encoding, blank within",
+         kOk + "Transfer Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
+        {"status line in place of a field",
+         kOk + "HTTP/1.1 200 OK: x\r\nContent-Length: 5\r\n\r\nhello"},
+        {"of an interim answer",
+         "HTTP/1.1 103 Early Hints\r\nA b: x\r\n\r\n" + kOk +
+             "Content-Length: 5\r\n\r\nhello"},
+    };
+    const std::string bad = std::string("\0\x01\t\x1b \x7f(),/;<=>?@[]{}\"\\\x80", 23);
+    std::vector<std::string> names;
+    for (char c : bad) {
+        names.push_back("byte " + std::to_string((unsigned char)c));
+    }
+    for (size_t i = 0; i < bad.size(); i++) {
+        cases.push_back({names[i].c_str(), kOk + "Content-Length: 5\r\nA" +
+                                               bad[i] + "b: x\r\n\r\nhello"});
+    }
+    ExpectMalformed(cases);
+}
+
 // Guards against rejecting sound answers.
 TEST(BrokenAnswers, SoundHeadsAreAccepted)
 {
