Reject answers with a malformed status line

Callers could see: the status of a server's answer that is none (600, 999), or an answer of another protocol than HTTP/1.1. Status 000, which the users saw on other systems, did not reach callers here: curl rejects it.

Cause: curl accepts a status without a blank after it, any number from 100 to 999, "HTTP/2" and "http/1.1" on a connection of HTTP/1.1, and an answer 101 to a request that did not ask for another protocol. Found on the path of the malformed lengths, not seen in use.

Change: http_head.c reads the status line by RFC 9112: HTTP/1.0 or 1.1, three digits from 100 to 599, not 101. Chunks in HTTP/1.0 are a fault, too.

--- a/src/http_head.c
+++ b/src/http_head.c
@@ -7,6 +7,8 @@
 #include <glib.h>
 
 #define LENGTH_DIGITS_MAX 18 /* of a length that fits into 63 bits */
+#define STATUS_AT 9          /* bytes before the status: "HTTP/1.1 " */
+#define STATUS_LINE_MIN 12   /* bytes with the status */
 
 /* ---- Internal functions ----------------------------------------------- */
 
@@ -143,21 +145,39 @@
     if (head->has_length && head->is_chunked) {
         return reject(head, "both Content-Length and Transfer-Encoding");
     }
+    if (head->is_http_1_0 && head->is_chunked) {
+        return reject(head, "Transfer-Encoding in HTTP/1.0");
+    }
     head->part = head->status < 200 ? PS_HTTP_HEAD_START : PS_HTTP_HEAD_ENDED;
     return true;
 }
 
-// Adds a status line, which the HTTP library has accepted.
+// Adds a status line: the version, a status of three digits, and the reason.
 static bool
 start_response(ps_http_head_t *head, ps_str_t line)
 {
     PsHttpHead_Init(head);
-    head->part = PS_HTTP_HEAD_FIELDS;
-    const char *blank = memchr(line.data, ' ', line.len);
-    size_t i = blank ? (size_t)(blank - line.data) + 1 : line.len;
-    for (; i < line.len && g_ascii_isdigit(line.data[i]); i++) {
+    if (line.len < STATUS_LINE_MIN || has_control_byte(line) ||
+        (memcmp(line.data, "HTTP/1.0 ", STATUS_AT) != 0 &&
+         memcmp(line.data, "HTTP/1.1 ", STATUS_AT) != 0) ||
+        (line.len > STATUS_LINE_MIN && line.data[STATUS_LINE_MIN] != ' ')) {
+        return reject(head, "malformed status line");
+    }
+    for (size_t i = STATUS_AT; i < STATUS_LINE_MIN; i++) {
+        if (!g_ascii_isdigit(line.data[i])) {
+            return reject(head, "status is not a number");
+        }
         head->status = head->status * 10 + (line.data[i] - '0');
     }
+    if (head->status < 100 || head->status > 599) {
+        return reject(head, "status is not from 100 to 599");
+    }
+    // Nothing here asks for another protocol.
+    if (head->status == 101) {
+        return reject(head, "answer switches protocols");
+    }
+    head->is_http_1_0 = line.data[STATUS_AT - 2] == '0';
+    head->part = PS_HTTP_HEAD_FIELDS;
     return true;
 }
 
--- a/src/http_head.h
+++ b/src/http_head.h
@@ -27,6 +27,7 @@
 typedef struct ps_http_head {
     ps_http_head_part_t part;
     int status; /* of the response that the last line belongs to */
+    bool is_http_1_0;
     bool has_length;
     uint64_t length; /* Content-Length, with @has_length */
     bool is_chunked;
--- a/tests/runs/gw_broken_heads.sh
+++ b/tests/runs/gw_broken_heads.sh
@@ -26,6 +26,8 @@
 try_head blank-in-name $'Content-Length: 9\r\nX y: z'
 try_head blank-after-name "Content-Length : 9"
 try_head control-byte-in-name $'Content-Length: 9\r\nX\x01y: z'
+try_head status-000 "Content-Length: 9" "HTTP/1.1 000 OK"
+try_head status-101 "Upgrade: x" "HTTP/1.1 101 Switching Protocols"
 echo "== by way of another daemon"
 gw_cut_off reset 1 2 3
 sleep 1.5 # until they send by way of others
--- a/tests/test_broken_answers.cpp
+++ b/tests/test_broken_answers.cpp
@@ -237,6 +237,40 @@
     ExpectMalformed(cases);
 }
 
+// A status that is none says neither that a request has run nor that it
+// hasn't. The version tells how the end of the body is found.
+TEST(BrokenAnswers, MalformedStatusLinesAreRejected)
+{
+    const std::string body = "\r\nContent-Length: 5\r\n\r\nhello";
+    const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n"
+                               "5\r\nhello\r\n0\r\n\r\n";
+    ExpectMalformed({
+        {"000", "HTTP/1.1 000 OK" + body},
+        {"000 after an interim answer",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK" + body},
+        {"099", "HTTP/1.1 099 OK" + body},
+        {"600", "HTTP/1.1 600 OK" + body},
+        {"999", "HTTP/1.1 999 OK" + body},
+        {"two digits", "HTTP/1.1 20 OK" + body},
+        {"four digits", "HTTP/1.1 2000 OK" + body},
+        {"letters after it", "HTTP/1.1 200OK" + body},
+        {"letters", "HTTP/1.1 2OO OK" + body},
+        {"minus sign", "HTTP/1.1 -20 OK" + body},
+        {"none", "HTTP/1.1" + body},
+        {"two blanks before it", "HTTP/1.1  200 OK" + body},
+        {"tab before it", "HTTP/1.1\t200 OK" + body},
+        {"control byte in the reason", "HTTP/1.1 200 O\x01K" + body},
+        {"version of another form", "HTTP/2 200 OK" + body},
+        {"version 1.2", "HTTP/1.2 200 OK" + body},
+        {"no version", "HTTP 200 OK" + body},
+        {"small letters", "http/1.1 200 OK" + body},
+        {"another protocol's", "ICY 200 OK" + body},
+        {"switches protocols",
+         "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nhello"},
+        {"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + chunks},
+    });
+}
+
 // Guards against rejecting sound answers.
 TEST(BrokenAnswers, SoundHeadsAreAccepted)
 {
@@ -246,6 +280,9 @@
              {"chunks", kOk + "Transfer-Encoding: chunked\r\n\r\n"
                               "5\r\nhello\r\n0\r\n\r\n"},
              {"neither", kOk + "X: y\r\n\r\nhello"},
+             {"no reason", "HTTP/1.1 200\r\n" + length + "\r\nhello"},
+             {"empty reason", "HTTP/1.1 200 \r\n" + length + "\r\nhello"},
+             {"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + length + "\r\nhello"},
              {"no fields", kOk + "\r\nhello"},
              {"line feeds alone", "HTTP/1.1 200 OK\nContent-Length: 5\n\nhello"},
              {"empty value", kOk + "X:\r\n" + length + "\r\nhello"},
