Count an answer that ends within its head as incomplete

Cause: curl takes a connection that is closed within the fields of a head for the end of an answer without a length, and reports no error. The client then reported a complete answer whose head had never been reported. The gateway turned it down for want of a head; relay.c, the product's own interface, took it for a complete answer without a body. Found while looking for other places where answers are read, not seen in use.

Change: a transfer is complete only if the head of its response is.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -35,6 +35,12 @@
            code == CURLE_UNSUPPORTED_PROTOCOL;
 }
 
+static void
+set_error(ps_transfer_t *transfer, const char *error)
+{
+    g_strlcpy(transfer->error, error, sizeof transfer->error);
+}
+
 // Marks a malformed response. What its head says is not to be believed.
 static void
 handle_malformed(ps_transfer_t *transfer)
@@ -42,8 +48,7 @@
     transfer->is_malformed = true;
     transfer->is_aborted = true;
     if (transfer->head.fault) {
-        g_strlcpy(transfer->error, transfer->head.fault,
-                  sizeof transfer->error);
+        set_error(transfer, transfer->head.fault);
     }
     if (transfer->head.part != PS_HTTP_HEAD_ENDED) {
         const ps_name_t none = {0};
@@ -55,6 +60,42 @@
     }
 }
 
+// Returns why a response that curl takes for complete is not; NULL: it is.
+static const char *
+find_early_end(const ps_transfer_t *transfer)
+{
+    bool has_response = transfer->status != 0;
+    // Curl takes it for the end of a response without a length.
+    if (has_response && transfer->head.part != PS_HTTP_HEAD_ENDED) {
+        return "connection closed within the head";
+    }
+    return NULL;
+}
+
+static ps_transfer_result_t
+get_result(ps_transfer_t *transfer, CURLcode code)
+{
+    if (code == CURLE_OK) {
+        const char *early_end = find_early_end(transfer);
+        if (early_end) {
+            set_error(transfer, early_end);
+        }
+        return early_end ? PS_TRANSFER_INCOMPLETE : PS_TRANSFER_COMPLETE;
+    }
+    long os_error = 0;
+    curl_easy_getinfo(transfer->easy, CURLINFO_OS_ERRNO, &os_error);
+    transfer->is_refused =
+        code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
+    transfer->is_timed_out = code == CURLE_OPERATION_TIMEDOUT;
+    if (transfer->sends == 0) {
+        return PS_TRANSFER_NOT_SENT;
+    }
+    if (is_malformed_response(transfer, code)) {
+        handle_malformed(transfer);
+    }
+    return PS_TRANSFER_INCOMPLETE;
+}
+
 // Reports the end of a transfer. The done callback may release the transfer.
 static void
 finish_transfer(ps_http_client_t *client, CURL *easy, CURLcode code)
@@ -62,19 +103,7 @@
     ps_transfer_t *transfer;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &transfer->status);
-    ps_transfer_result_t result = PS_TRANSFER_COMPLETE;
-    if (code != CURLE_OK) {
-        long os_error = 0;
-        curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &os_error);
-        transfer->is_refused =
-            code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
-        transfer->is_timed_out = code == CURLE_OPERATION_TIMEDOUT;
-        result = transfer->sends == 0 ? PS_TRANSFER_NOT_SENT
-                                      : PS_TRANSFER_INCOMPLETE;
-        if (transfer->sends > 0 && is_malformed_response(transfer, code)) {
-            handle_malformed(transfer);
-        }
-    }
+    ps_transfer_result_t result = get_result(transfer, code);
     curl_multi_remove_handle(client->multi, easy);
     transfer->events->done(transfer, result);
 }
--- a/tests/test_broken_answers.cpp
+++ b/tests/test_broken_answers.cpp
@@ -271,6 +271,21 @@
     });
 }
 
+// A connection that is closed within a head ends no answer, also when no line
+// so far names a length.
+TEST(BrokenAnswers, HeadThatBreaksOffIsIncomplete)
+{
+    const std::string head = kOk + "X: y\r\nContent-Length: 0\r\n\r\n";
+    for (size_t len = 1; len < head.size(); len++) {
+        SCOPED_TRACE(head.substr(0, len));
+        Outcome out = GetAnswer(head.substr(0, len));
+        EXPECT_EQ(out.result, PS_TRANSFER_INCOMPLETE);
+        EXPECT_EQ(out.heads, 0);
+        EXPECT_EQ(out.body, "");
+        EXPECT_NE(out.error, "");
+    }
+}
+
 // Guards against rejecting sound answers.
 TEST(BrokenAnswers, SoundHeadsAreAccepted)
 {
