Reject trailer fields that an answer does not announce

Callers could see: a stream that ends early and looks complete.

Cause: curl reads the digits of a chunk's size and skips what follows them. A size that is damaged after a leading zero ("0x1f") is the end of the body to it, and the chunk's data, such as "data: ...", are trailer fields. Found while looking for other places where the length is read, not seen in use.

Change: trailer fields end the answer as broken unless its head has the field Trailer. Announced ones are ignored. Ruled out: reading the sizes here, which would take a second parser of chunks beside curl's.

Evidence: BrokenAnswers.DamagedChunkSizesAreNoEnd: 4 of 4 streams were complete after their first chunk before, none is now; AnnouncedTrailersAreIgnored passes.

--- a/src/http_head.c
+++ b/src/http_head.c
@@ -135,9 +135,19 @@
     if (is_word(name, "Transfer-Encoding")) {
         return add_encoding(head, value);
     }
+    head->has_trailers |= is_word(name, "Trailer");
     return true;
 }
 
+// Curl takes a chunk's size that is damaged after a leading zero for the end
+// of the body, and the chunk for trailer fields. Sound servers announce these.
+static bool
+add_trailer(ps_http_head_t *head)
+{
+    return head->has_trailers ||
+           reject(head, "trailer fields that are not announced");
+}
+
 // An interim response (1xx) is followed by another one.
 static bool
 end_fields(ps_http_head_t *head)
@@ -199,7 +209,7 @@
     case PS_HTTP_HEAD_FIELDS:
         return line.len > 0 ? add_field(head, line) : end_fields(head);
     case PS_HTTP_HEAD_ENDED:
-        break;
+        return add_trailer(head);
     }
     return true;
 }
--- a/src/http_head.h
+++ b/src/http_head.h
@@ -31,6 +31,7 @@
     bool has_length;
     uint64_t length; /* Content-Length, with @has_length */
     bool is_chunked;
+    bool has_trailers; /* it announces trailer fields */
     const char *fault;
 } ps_http_head_t;
 
--- a/tests/test_broken_answers.cpp
+++ b/tests/test_broken_answers.cpp
@@ -189,6 +189,35 @@
     }
 }
 
+// Of a chunk whose size is damaged, curl may take the data for trailer fields
+// after the end of the body: the stream would end early and look complete.
+TEST(BrokenAnswers, DamagedChunkSizesAreNoEnd)
+{
+    const std::string head = kOk + "Transfer-Encoding: chunked\r\n";
+    const std::string chunk = "e\r\ndata: hello\n\n\r\n\r\n";
+    for (const char *damage : {"0x", "0 ", "0;", "00\x01"}) {
+        SCOPED_TRACE(damage);
+        Outcome out = GetAnswer(head + "\r\n5\r\nfirst\r\n" + damage + chunk);
+        EXPECT_EQ(out.result, PS_TRANSFER_INCOMPLETE);
+        EXPECT_TRUE(out.is_malformed);
+        EXPECT_EQ(out.heads, 1);
+        EXPECT_EQ(out.status, 200);
+        EXPECT_EQ(out.body, "first");
+    }
+}
+
+// Guards against rejecting trailer fields, and against reading them as fields
+// of the head.
+TEST(BrokenAnswers, AnnouncedTrailersAreIgnored)
+{
+    Outcome out =
+        GetAnswer(kOk + "Transfer-Encoding: chunked\r\nTrailer: X\r\n\r\n"
+                        "5\r\nhello\r\n0\r\nX: y\r\n\r\n");
+    EXPECT_EQ(out.result, PS_TRANSFER_COMPLETE) << out.error;
+    EXPECT_EQ(out.body, "hello");
+    EXPECT_EQ(out.headers.find("X: y"), std::string::npos);
+}
+
 /* ---- Lines ------------------------------------------------------------ */
 
 // A line that is no field may be what is left of the length.
