--- a/src/http_client.c
+++ b/src/http_client.c
@@ -603,12 +603,10 @@
 PsTransfer_GetHeader(const ps_transfer_t *transfer, const char *name)
 {
     size_t position = 0;
-    size_t name_len = strlen(name);
     ps_str_t header_name;
     ps_str_t value;
     while (PsTransfer_NextHeader(transfer, &position, &header_name, &value)) {
-        if (header_name.len == name_len &&
-            strncasecmp(header_name.data, name, name_len) == 0) {
+        if (PsStr_IsEqualNoCase(header_name, name)) {
             return value;
         }
     }
--- a/src/http_head.c
+++ b/src/http_head.c
@@ -2,7 +2,6 @@
 #include "http_head.h"
 
 #include <string.h>
-#include <strings.h>
 
 #include <glib.h>
 
@@ -76,13 +75,6 @@
     return text.len > 0;
 }
 
-static bool
-is_word(ps_str_t text, const char *word)
-{
-    return text.len == strlen(word) &&
-           strncasecmp(text.data, word, text.len) == 0;
-}
-
 static bool
 add_length(ps_http_head_t *head, ps_str_t value)
 {
@@ -106,7 +98,7 @@
 static bool
 add_encoding(ps_http_head_t *head, ps_str_t value)
 {
-    if (head->is_chunked || !is_word(value, "chunked")) {
+    if (head->is_chunked || !PsStr_IsEqualNoCase(value, "chunked")) {
         return reject(head, "Transfer-Encoding is not chunked");
     }
     head->is_chunked = true;
@@ -129,13 +121,13 @@
     if (has_control_byte(value)) {
         return reject(head, "control byte in a field value");
     }
-    if (is_word(name, "Content-Length")) {
+    if (PsStr_IsEqualNoCase(name, "Content-Length")) {
         return add_length(head, value);
     }
-    if (is_word(name, "Transfer-Encoding")) {
+    if (PsStr_IsEqualNoCase(name, "Transfer-Encoding")) {
         return add_encoding(head, value);
     }
-    head->has_trailers |= is_word(name, "Trailer");
+    head->has_trailers |= PsStr_IsEqualNoCase(name, "Trailer");
     return true;
 }
 
--- a/src/str.c
+++ b/src/str.c
@@ -5,6 +5,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <strings.h>
 #include <xxhash.h>
 
 #define BUF_PAGE 4096
@@ -31,6 +32,13 @@
     return PsStr_IsEqual(left, PsStr_FromC(right));
 }
 
+bool
+PsStr_IsEqualNoCase(ps_str_t left, const char *right)
+{
+    return left.len == strlen(right) &&
+           (left.len == 0 || strncasecmp(left.data, right, left.len) == 0);
+}
+
 /* ---- Names ------------------------------------------------------------ */
 
 ps_name_t
--- a/src/str.h
+++ b/src/str.h
@@ -43,6 +43,7 @@
 ps_str_t PsStr_FromC(const char *text);            /* NULL: an empty view */
 bool PsStr_IsEqual(ps_str_t left, ps_str_t right); /* same bytes */
 bool PsStr_IsEqualC(ps_str_t left, const char *right);
+bool PsStr_IsEqualNoCase(ps_str_t left, const char *right); /* of ASCII */
 
 /* Names */
 ps_name_t PsName_FromC(const char *text); /* cuts at PS_NAME_MAX */
