Take the status of a response from its checked head

http_head.c reads the status, and curl was asked for it again at the end of the head, at each block of the body and at the end of the transfer. on_data() needs it no more, as no body comes before the head has ended. The conditions of on_header() and find_early_end() say each case once.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -124,13 +124,15 @@
 static const char *
 find_early_end(const ps_transfer_t *transfer)
 {
-    bool has_response = transfer->status != 0;
+    // A transfer that only opens a connection has no response.
+    if (transfer->status == 0) {
+        return NULL;
+    }
     // Curl takes it for the end of a response without a length.
-    if (has_response && transfer->head.part != PS_HTTP_HEAD_ENDED) {
+    if (transfer->head.part != PS_HTTP_HEAD_ENDED) {
         return "connection closed within the head";
     }
-    if (has_response && ends_with_connection(transfer) &&
-        !was_request_received(transfer)) {
+    if (ends_with_connection(transfer) && !was_request_received(transfer)) {
         return "connection closed before the request was received";
     }
     return NULL;
@@ -166,7 +168,7 @@
 {
     ps_transfer_t *transfer;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &transfer->status);
+    transfer->status = transfer->head.status;
     ps_transfer_result_t result = get_result(transfer, code);
     release_connection(transfer);
     curl_multi_remove_handle(client->multi, easy);
@@ -321,8 +323,6 @@
 on_data(char *data, size_t size, size_t count, void *user)
 {
     ps_transfer_t *transfer = user;
-    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE,
-                      &transfer->status);
     if (transfer->events->data) {
         transfer->events->data(transfer, data, size * count);
     }
@@ -358,8 +358,7 @@
 static void
 handle_head_end(ps_transfer_t *transfer)
 {
-    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE,
-                      &transfer->status);
+    transfer->status = transfer->head.status;
     if (transfer->body_len > 0 && ends_with_connection(transfer)) {
         keep_connection(transfer);
     }
@@ -392,8 +391,7 @@
     if (part == PS_HTTP_HEAD_START) {
         PsBuf_Clear(&transfer->response_headers);
     }
-    else if (part == PS_HTTP_HEAD_FIELDS &&
-             transfer->head.part == PS_HTTP_HEAD_FIELDS) {
+    else if (transfer->head.part == PS_HTTP_HEAD_FIELDS) {
         add_header_line(transfer, line);
     }
     else if (part == PS_HTTP_HEAD_FIELDS &&
