Split the lines of a head into name and value in one function

PsTransfer_NextHeader() and the check of a head did this apart from each other. Lines that have passed the check are split as before.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -566,21 +566,9 @@
         const char *end = memchr(line, '\n', headers.len - *position);
         size_t len = end ? (size_t)(end - line) : headers.len - *position;
         *position += len + 1;
-        const char *colon = memchr(line, ':', len);
-        if (!colon) {
-            continue;
+        if (PsHttpHead_SplitField((ps_str_t){line, len}, name, value)) {
+            return true;
         }
-        *name = (ps_str_t){line, (size_t)(colon - line)};
-        const char *start = colon + 1;
-        const char *stop = line + len;
-        while (start < stop && (*start == ' ' || *start == '\t')) {
-            start++;
-        }
-        while (stop > start && g_ascii_isspace(stop[-1])) {
-            stop--;
-        }
-        *value = (ps_str_t){start, (size_t)(stop - start)};
-        return true;
     }
     return false;
 }
--- a/src/http_head.c
+++ b/src/http_head.c
@@ -105,16 +105,15 @@
     return true;
 }
 
+// Takes the line with its end: a second CR before it is a control byte.
 static bool
 add_field(ps_http_head_t *head, ps_str_t line)
 {
-    const char *colon = memchr(line.data, ':', line.len);
-    if (!colon) {
+    ps_str_t name;
+    ps_str_t value;
+    if (!PsHttpHead_SplitField(line, &name, &value)) {
         return reject(head, "line without a colon");
     }
-    ps_str_t name = {line.data, (size_t)(colon - line.data)};
-    ps_str_t value =
-        strip_blanks((ps_str_t){colon + 1, line.len - name.len - 1});
     if (!is_token(name)) {
         return reject(head, "field name is not a token");
     }
@@ -192,14 +191,27 @@
 }
 
 bool
-PsHttpHead_AddLine(ps_http_head_t *head, ps_str_t line)
+PsHttpHead_SplitField(ps_str_t line, ps_str_t *name, ps_str_t *value)
 {
     line = strip_line_end(line);
+    const char *colon = memchr(line.data, ':', line.len);
+    if (!colon) {
+        return false;
+    }
+    *name = (ps_str_t){line.data, (size_t)(colon - line.data)};
+    *value = strip_blanks((ps_str_t){colon + 1, line.len - name->len - 1});
+    return true;
+}
+
+bool
+PsHttpHead_AddLine(ps_http_head_t *head, ps_str_t line)
+{
+    ps_str_t text = strip_line_end(line);
     switch (head->part) {
     case PS_HTTP_HEAD_START:
-        return start_response(head, line);
+        return start_response(head, text);
     case PS_HTTP_HEAD_FIELDS:
-        return line.len > 0 ? add_field(head, line) : end_fields(head);
+        return text.len > 0 ? add_field(head, line) : end_fields(head);
     case PS_HTTP_HEAD_ENDED:
         return add_trailer(head);
     }
--- a/src/http_head.h
+++ b/src/http_head.h
@@ -46,4 +46,13 @@
  */
 bool PsHttpHead_AddLine(ps_http_head_t *head, ps_str_t line);
 
+/**
+ * PsHttpHead_SplitField() - Splits a line into a field's name and value.
+ * @line: with or without its line end
+ * @value: receives the value without surrounding blanks
+ *
+ * Return: false if the line has no colon.
+ */
+bool PsHttpHead_SplitField(ps_str_t line, ps_str_t *name, ps_str_t *value);
+
 #endif
--- a/tests/test_broken_answers.cpp
+++ b/tests/test_broken_answers.cpp
@@ -233,6 +233,7 @@
         {"continued line", kOk + "X: y\r\n Content-Length: 5\r\n\r\nhello"},
         {"continued with a tab", kOk + "X: y\r\n\tz\r\n" + length + "\r\nhello"},
         {"CR within", kOk + "X: y\rContent-Length: 2\r\n" + length + "\r\nhello"},
+        {"CR before the line end", kOk + "X: y\r\r\n" + length + "\r\nhello"},
         {"control byte in a value", kOk + "X: \x01\r\n" + length + "\r\nhello"},
         {"DEL in a value", kOk + "X: \x7f\r\n" + length + "\r\nhello"},
     });
