--- a/src/http_client.c
+++ b/src/http_client.c
@@ -30,22 +30,22 @@
 
 /* ---- Responses that end with their connection -------------------------- */
 
-// Keeps a copy of the socket, to learn at the end of the response how its
-// connection has ended: curl closes the socket before it reports the end.
+// Copies the socket, to learn at the end of the response how its connection
+// has ended: curl closes its own before it reports the end.
 static void
-keep_connection(ps_transfer_t *transfer)
+copy_socket(ps_transfer_t *transfer)
 {
-    if (transfer->fd != CURL_SOCKET_BAD) {
-        transfer->connection = fcntl(transfer->fd, F_DUPFD_CLOEXEC, 0);
+    if (transfer->socket != CURL_SOCKET_BAD) {
+        transfer->socket_copy = fcntl(transfer->socket, F_DUPFD_CLOEXEC, 0);
     }
 }
 
 static void
-release_connection(ps_transfer_t *transfer)
+close_socket_copy(ps_transfer_t *transfer)
 {
-    if (transfer->connection >= 0) {
-        close(transfer->connection);
-        transfer->connection = -1;
+    if (transfer->socket_copy >= 0) {
+        close(transfer->socket_copy);
+        transfer->socket_copy = -1;
     }
 }
 
@@ -71,9 +71,9 @@
     if (n_sent < (curl_off_t)transfer->body_len) {
         return false;
     }
-    return transfer->connection < 0 ||
-           (!was_reset(transfer->connection) &&
-            (ioctl(transfer->connection, TIOCOUTQ, &n_unacked) != 0 ||
+    return transfer->socket_copy < 0 ||
+           (!was_reset(transfer->socket_copy) &&
+            (ioctl(transfer->socket_copy, TIOCOUTQ, &n_unacked) != 0 ||
              n_unacked == 0));
 }
 
@@ -170,7 +170,7 @@
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
     transfer->status = transfer->head.status;
     ps_transfer_result_t result = get_result(transfer, code);
-    release_connection(transfer);
+    close_socket_copy(transfer);
     curl_multi_remove_handle(client->multi, easy);
     transfer->events->done(transfer, result);
 }
@@ -235,7 +235,7 @@
     ps_transfer_t *transfer = NULL;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
     if (transfer) {
-        transfer->fd = fd;
+        transfer->socket = fd;
     }
 }
 
@@ -360,7 +360,7 @@
 {
     transfer->status = transfer->head.status;
     if (transfer->body_len > 0 && ends_with_connection(transfer)) {
-        keep_connection(transfer);
+        copy_socket(transfer);
     }
     if (transfer->events->headers) {
         transfer->events->headers(transfer);
@@ -432,7 +432,7 @@
                 void *user)
 {
     *transfer =
-        (ps_transfer_t){.events = events, .user = user, .connection = -1};
+        (ps_transfer_t){.events = events, .user = user, .socket_copy = -1};
     transfer->easy = curl_easy_init();
     PsBuf_Init(&transfer->body);
     PsBuf_Init(&transfer->response_headers);
@@ -443,7 +443,7 @@
 void
 PsTransfer_Finish(ps_transfer_t *transfer)
 {
-    release_connection(transfer);
+    close_socket_copy(transfer);
     curl_easy_cleanup(transfer->easy);
     curl_slist_free_all(transfer->request_headers);
     PsBuf_Finish(&transfer->body);
@@ -525,7 +525,7 @@
     transfer->is_paused = false;
     transfer->is_malformed = false;
     transfer->body_len = request->body.len;
-    transfer->fd = CURL_SOCKET_BAD;
+    transfer->socket = CURL_SOCKET_BAD;
     transfer->must_not_resend = request->must_not_resend;
     PsHttpHead_Init(&transfer->head);
     set_callbacks(easy, client, transfer);
@@ -611,5 +611,5 @@
 PsTransfer_Cancel(ps_http_client_t *client, ps_transfer_t *transfer)
 {
     curl_multi_remove_handle(client->multi, transfer->easy);
-    release_connection(transfer);
+    close_socket_copy(transfer);
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -71,9 +71,9 @@
     bool is_paused;            /* no more of the response is read */
     bool is_malformed;         /* the response is not HTTP/1.1; is_aborted */
     size_t body_len;           /* of the request */
-    curl_socket_t fd;          /* of the connection, while it is open */
-    int connection;            /* copy of the socket, if the response ends with
-                                  its connection; -1: none */
+    curl_socket_t socket;      /* of the connection, while it is open */
+    int socket_copy;           /* if the response ends with its connection;
+                                  -1: none */
     ps_buf_t body;             /* of the response, when events->data is NULL */
     ps_name_t content_type;    /* Content-Type of the response */
     ps_name_t request_id;      /* X-Request-Id of the response, or empty */
