Share the tests' free ports and the stand-ins' sockets

Four test servers found a free port of the loopback in the same way, and three places of the stand-ins asked libmicrohttpd for a connection's socket. Unused parts of test_broken_answers are gone, and a comment of gw_broken_heads says what it prints. No check changes.

--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -36,6 +36,19 @@
     EXPECT_TRUE(is_done());
 }
 
+// Binds a socket to a free port of the loopback address and returns the port.
+inline int
+BindToFreePort(int fd)
+{
+    sockaddr_in in = {};
+    in.sin_family = AF_INET;
+    in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(fd, (sockaddr *)&in, sizeof in);
+    socklen_t len = sizeof in;
+    getsockname(fd, (sockaddr *)&in, &len);
+    return ntohs(in.sin_port);
+}
+
 // A server that answers each request with the bytes that the test sets, valid
 // HTTP or not, and by default closes the connection afterwards.
 class RawServer {
@@ -43,14 +56,8 @@
     RawServer()
     {
         fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        sockaddr_in in = {};
-        in.sin_family = AF_INET;
-        in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(fd, (sockaddr *)&in, sizeof in);
+        address = "127.0.0.1:" + std::to_string(BindToFreePort(fd));
         listen(fd, 16);
-        socklen_t len = sizeof in;
-        getsockname(fd, (sockaddr *)&in, &len);
-        address = "127.0.0.1:" + std::to_string(ntohs(in.sin_port));
         ev_io_init(&io, OnAccept, fd, EV_READ);
         io.data = this;
         ev_io_start(GetLoop(), &io);
--- a/tests/runs/gw_broken_heads.sh
+++ b/tests/runs/gw_broken_heads.sh
@@ -3,8 +3,8 @@
 # again is served by a sound server, and none that may not runs twice.
 serves() { [ "$(gw_send_request "$1" /safe/1 "probe-$RANDOM-$RANDOM")" = "200 ok" ] && [ "$(gw_send_stream "$1" "probe-$RANDOM-$RANDOM" 1)" = "200 whole" ]; }
 set_raw() { for n in "${@:2}"; do gw_set_switches "$(gw_runner "$n")" "raw=$(jq -rn --arg raw "$1" '$raw|@uri')"; done; }
-# try_head LABEL FIELDS [STATUS-LINE] - has all servers answer with this head, and prints how
-# many of 3 unsafe requests and 3 streams reached one, and how many of these got a success
+# try_head LABEL FIELDS [STATUS-LINE] - has all servers answer 3 unsafe requests and 3 streams
+# with this head; prints whether any reached one, and how many got a success
 try_head() {
     local i ran head=${3:-HTTP/1.1 200 OK}$'\r\n'"Request-Id: ID"$'\r\nResponse-Stamp: x\r\n'$2$'\r\n\r\n'
     set_raw "$head"'ok ID' 2 4 6
--- a/tests/standins/common.c
+++ b/tests/standins/common.c
@@ -127,6 +127,14 @@
     return result;
 }
 
+int
+Standin_GetSocket(const standin_request_t *request)
+{
+    return MHD_get_connection_info(request->connection,
+                                   MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
+}
+
 const char *
 Standin_GetQueryText(standin_request_t *request, const char *name)
 {
--- a/tests/standins/common.h
+++ b/tests/standins/common.h
@@ -67,6 +67,11 @@
 enum MHD_Result Standin_SendJson(standin_request_t *request, unsigned status,
                                  char *text);
 
+/**
+ * Standin_GetSocket() - Returns the socket of the request's connection.
+ */
+int Standin_GetSocket(const standin_request_t *request);
+
 /**
  * Standin_GetQueryText() - Finds a parameter of the URL's query.
  *
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -309,10 +309,8 @@
     if (unread_s == 0) {
         return;
     }
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     const int buffer = 64 * 1024;
-    setsockopt(info->connect_fd, SOL_SOCKET, SO_SNDBUF, &buffer,
+    setsockopt(Standin_GetSocket(request), SOL_SOCKET, SO_SNDBUF, &buffer,
                sizeof buffer);
     MHD_set_connection_option(request->connection,
                               MHD_CONNECTION_OPTION_TIMEOUT,
@@ -488,10 +486,7 @@
     GString *answer = g_string_new(raw_answer);
     pthread_mutex_unlock(&lock);
     g_string_replace(answer, "ID", id, 0);
-    int fd = MHD_get_connection_info(request->connection,
-                                     MHD_CONNECTION_INFO_CONNECTION_FD)
-                 ->connect_fd;
-    send(fd, answer->str, answer->len, MSG_NOSIGNAL);
+    send(Standin_GetSocket(request), answer->str, answer->len, MSG_NOSIGNAL);
     g_string_free(answer, TRUE);
     return MHD_NO;
 }
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -184,11 +184,9 @@
 static char *
 get_local_ip(const standin_request_t *request)
 {
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     struct sockaddr_in local = {0};
     socklen_t len = sizeof local;
-    getsockname(info->connect_fd, (struct sockaddr *)&local, &len);
+    getsockname(Standin_GetSocket(request), (struct sockaddr *)&local, &len);
     char text[INET_ADDRSTRLEN] = "";
     inet_ntop(AF_INET, &local.sin_addr, text, sizeof text);
     return g_strdup(text);
--- a/tests/test_broken_answers.cpp
+++ b/tests/test_broken_answers.cpp
@@ -23,7 +23,6 @@
     bool is_malformed = false;
     int heads = 0; // calls of the headers callback
     long status = 0;
-    uint64_t length = 0;
     std::string headers;
     std::string body;
     std::string error;
@@ -39,7 +38,6 @@
     nullptr,
     [](ps_transfer_t *transfer) {
         GetOutcome(transfer)->heads++;
-        GetOutcome(transfer)->length = PsTransfer_GetLength(transfer);
     },
     [](ps_transfer_t *transfer, const char *data, size_t len) {
         GetOutcome(transfer)->body.append(data, len);
@@ -57,7 +55,7 @@
 
 // Sends a request to a server and waits for the end of the transfer.
 Outcome
-Send(const std::string &address, const char *method, const std::string &body)
+Send(const std::string &address, const std::string &body)
 {
     ps_http_client_t client;
     PsHttpClient_Init(&client, GetLoop());
@@ -66,7 +64,7 @@
     PsTransfer_Init(&transfer, &kEvents, &out);
     std::string url = "http://" + address + "/x";
     ps_transfer_request_t request = {};
-    request.method = method;
+    request.method = "POST";
     request.url = url.c_str();
     request.body = {body.data(), body.size()};
     request.timeout_ms = 5000;
@@ -84,7 +82,7 @@
 {
     RawServer server;
     server.answer = answer;
-    return Send(server.address, "POST", "body");
+    return Send(server.address, "body");
 }
 
 // Guards against an answer that goes to the caller though its head can't be
@@ -373,14 +371,8 @@
         // Too small for a long request that is not read.
         const int buffer = 16 * 1024;
         setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
-        sockaddr_in in = {};
-        in.sin_family = AF_INET;
-        in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener, (sockaddr *)&in, sizeof in);
+        address = "127.0.0.1:" + std::to_string(BindToFreePort(listener));
         listen(listener, 1);
-        socklen_t len = sizeof in;
-        getsockname(listener, (sockaddr *)&in, &len);
-        address = "127.0.0.1:" + std::to_string(ntohs(in.sin_port));
         thread = std::thread([this] { Serve(); });
     }
     ~EarlyServer()
@@ -445,7 +437,7 @@
             SCOPED_TRACE(std::to_string((int)end) + " " +
                          std::to_string(size));
             EarlyServer server(end, size);
-            Outcome out = Send(server.address, "POST", std::string(size, 'x'));
+            Outcome out = Send(server.address, std::string(size, 'x'));
             EXPECT_EQ(out.result, PS_TRANSFER_INCOMPLETE);
             EXPECT_NE(out.error, "");
         }
@@ -458,7 +450,7 @@
     for (size_t size : {2000, 200000, 8000000}) {
         SCOPED_TRACE(size);
         EarlyServer server(EarlyServer::End::ReadThenClose, size);
-        Outcome out = Send(server.address, "POST", std::string(size, 'x'));
+        Outcome out = Send(server.address, std::string(size, 'x'));
         EXPECT_EQ(out.result, PS_TRANSFER_COMPLETE) << out.error;
         EXPECT_EQ(out.body, "part of the body");
     }
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -729,16 +729,10 @@
     explicit SendingServer(std::string text) : response(std::move(text))
     {
         fd = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in in = {};
-        in.sin_family = AF_INET;
-        in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(fd, (sockaddr *)&in, sizeof in);
+        url = "http://127.0.0.1:" + std::to_string(BindToFreePort(fd)) + "/x";
         int buffer = 64 * 1024; // what waits here is not the client's
         setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
         listen(fd, 1);
-        socklen_t len = sizeof in;
-        getsockname(fd, (sockaddr *)&in, &len);
-        url = "http://127.0.0.1:" + std::to_string(ntohs(in.sin_port)) + "/x";
         thread = std::thread([this] { Serve(); });
     }
     ~SendingServer()
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -218,14 +218,9 @@
 FindFreePort()
 {
     int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in in = {};
-    in.sin_family = AF_INET;
-    in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(fd, (sockaddr *)&in, sizeof in);
-    socklen_t len = sizeof in;
-    getsockname(fd, (sockaddr *)&in, &len);
+    int port = BindToFreePort(fd);
     close(fd);
-    return ntohs(in.sin_port);
+    return port;
 }
 
 // Sends bytes on a new connection; ReadAnswer() collects what has come back.
