Read the store's objects one by one, and escape their names

Cause: a page of a list, and a watch's events, went to the JSON library as one text. One value that it can't hold (over 64 bits, out of range, deeper than 2,048 levels, \u0000, not UTF-8) lost the page, and after two such the store counted as unavailable. The name at which the next page starts went into the query unescaped, cut at 127 bytes: pages came again without end, or entries were left out and counted as gone.

Change: json_split.c cuts a text into members and items by strings and brackets, in one pass without recursion; store_items.c hands each object alone to the library. An unreadable object keeps its name and revision. Names are escaped in paths and queries of any length. Log lines on malformed objects are bounded.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
     rank_rates attempts placement task_samples server_model server_models \
     concurrency_limit slot_order waiting team_shares team_order team_division \
     return_plan rollout rollout_evidence rollout_use rollout_samples \
-    memory_budget answer http_head
+    memory_budget answer http_head json_split
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
@@ -32,7 +32,8 @@
     pace_messages quota_messages quota_admission team_messages \
     rollout_rounds answer_relay request_body gateway_metrics \
     gateway_memory exchange_task allocator_choice
-PLATFORM := endpoints codec dialect_fleet run_gateway store store_rollouts
+PLATFORM := endpoints codec dialect_fleet run_gateway store store_items \
+    store_rollouts
 KERNEL_OBJS := $(KERNEL:%=$(BUILD)/%.o)
 DAEMON_OBJS := $(DAEMON:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/platform/%.o)
 PROGRAMS := $(BUILD)/pearstaird $(BUILD)/pearstairctl $(BUILD)/pearstair-load
@@ -71,6 +72,10 @@
     $(BUILD)/str.o
 	$(CC) $^ $(LIBS) -lpthread -o $@
 
+$(BUILD)/standin-store: $(BUILD)/standin_store.o $(BUILD)/standin_common.o \
+    $(BUILD)/json_split.o $(BUILD)/str.o
+	$(CC) $^ $(LIBS) -lpthread -o $@
+
 $(BUILD)/standin-callers: $(BUILD)/standin_callers.o $(BUILD)/http_client.o \
     $(BUILD)/http_head.o $(BUILD)/str.o
 	$(CC) $^ $(LIBS) -o $@
@@ -136,7 +141,7 @@
     test_gateway test_limits test_mutations test_server_limits test_marks \
     test_origins test_reach test_fleet test_addresses test_server_model \
     test_quota_fleet test_team_shares test_rollout test_flow \
-    test_broken_answers
+    test_broken_answers test_store_items
 TEST_BINS := $(TESTS:%=$(BUILD)/%)
 CXXSTD := -std=c++17 -D_GNU_SOURCE
 TEST_LIBS := -lrapidcheck -lgtest -lgtest_main -lpthread
@@ -185,6 +190,10 @@
     $(BUILD)/http_client.o $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
+$(BUILD)/test_store_items: $(BUILD)/tests/test_store_items.o \
+    $(DAEMON_OBJS) $(KERNEL_OBJS)
+	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
+
 $(BUILD)/test_flow: $(BUILD)/tests/test_flow.o $(DAEMON_OBJS) $(KERNEL_OBJS)
 	$(CXX) $^ $(LIBS) $(TEST_LIBS) -o $@
 
--- a/src/membership.c
+++ b/src/membership.c
@@ -96,14 +96,21 @@
         return;
     }
     PsMembers_BeginList(&membership->members);
+    int n_malformed = 0;
     for (int i = 0; i < result->n_objects; i++) {
         const ps_platform_object_t *object = &result->objects[i];
         const char *name = object->key.data + strlen(PS_MEMBERS_PREFIX);
         if (PsMembers_Add(&membership->members, name, object->value,
                           object->version) != PS_OK) {
-            PsLog_Warn("member", "%s", PsStatus_LastMessage());
+            n_malformed++;
         }
     }
+    if (n_malformed != membership->n_malformed) {
+        membership->n_malformed = n_malformed;
+        PsLog_Warn(
+            "member", "%d member objects are malformed; the last one: %s",
+            n_malformed, n_malformed > 0 ? PsStatus_LastMessage() : "none");
+    }
     PsMembers_EndList(&membership->members, 2 * daemon->settings.renew_ms,
                       PsDaemon_GetMonotonicMs());
     report_lost_members(membership);
--- a/src/membership.h
+++ b/src/membership.h
@@ -22,6 +22,7 @@
     uint64_t renewals; /* renewals so far */
     bool is_writing;
     bool is_listing;
+    int n_malformed; /* member objects in the last list */
     bool is_removed; /* the own object is deleted and not written again */
     ev_timer timer;
 } ps_membership_t;
--- a/src/platform.c
+++ b/src/platform.c
@@ -3,6 +3,10 @@
 
 #include <glib.h>
 #include <stdlib.h>
+#include <string.h>
+
+#include "json_split.h"
+#include "log.h"
 
 #define CALL_TIMEOUT_MS 2000 /* of a call; a watch's wait is added to it */
 
@@ -53,22 +57,44 @@
     }
 }
 
-static void
-parse_objects(const json_t *root, ps_platform_result_t *result)
+// Reads objects one by one: one that can't be held has no value. Returns what
+// the values point into.
+static json_t *
+parse_objects(ps_platform_t *platform, ps_str_t list,
+              ps_platform_result_t *result)
 {
-    const json_t *list = json_object_get(root, "objects");
-    result->n_objects = (int)json_array_size(list);
-    result->objects =
-        g_new0(ps_platform_object_t, (gsize)result->n_objects + 1);
-    for (int i = 0; i < result->n_objects; i++) {
-        const json_t *item = json_array_get(list, (size_t)i);
-        ps_platform_object_t *object = &result->objects[i];
-        object->key =
-            PsName_FromC(json_string_value(json_object_get(item, "key")));
-        object->version =
-            (uint64_t)json_integer_value(json_object_get(item, "version"));
-        object->value = json_string_value(json_object_get(item, "value"));
+    GArray *objects = g_array_new(TRUE, TRUE, sizeof(ps_platform_object_t));
+    json_t *items = json_array();
+    int n_nameless = 0;
+    ps_json_split_t split;
+    PsJsonSplit_Init(&split, list);
+    ps_str_t no_key;
+    ps_str_t text;
+    while (PsJsonSplit_Next(&split, &no_key, &text)) {
+        json_t *item = PsJsonSplit_LoadMembers(text);
+        const char *key = json_string_value(json_object_get(item, "key"));
+        if (!key || !*key || strlen(key) > PS_NAME_MAX) {
+            n_nameless++;
+            json_decref(item);
+            continue;
+        }
+        ps_platform_object_t object = {
+            .key = PsName_FromC(key),
+            .version =
+                (uint64_t)json_integer_value(json_object_get(item, "version")),
+            .value = json_string_value(json_object_get(item, "value"))};
+        g_array_append_val(objects, object);
+        json_array_append_new(items, item);
+    }
+    if (n_nameless > platform->logged_nameless) {
+        PsLog_Warn("platform", "%d objects without a usable key are ignored.",
+                   n_nameless);
+        platform->logged_nameless = n_nameless;
     }
+    result->n_objects = (int)objects->len;
+    result->objects =
+        (ps_platform_object_t *)(void *)g_array_free(objects, FALSE);
+    return items;
 }
 
 static void
@@ -87,18 +113,20 @@
     platform_call_t *call = transfer->user;
     ps_platform_result_t result = {.status =
                                        get_status(call, transfer_result)};
-    json_t *root = NULL;
+    json_t *items = NULL;
+    ps_str_t body = PsBuf_View(&transfer->body);
     if (result.status == PS_OK) {
-        root = json_loadb(transfer->body.data ? transfer->body.data : "",
-                          transfer->body.len, 0, NULL);
-        if (!root) {
+        if (!PsJsonSplit_IsObject(body)) {
             result.status =
                 PsStatus_Fail(call->is_write ? PS_UNKNOWN : PS_UNAVAILABLE,
                               "platform: answer is not JSON");
         }
-        result.version =
-            (uint64_t)json_integer_value(json_object_get(root, "version"));
-        parse_objects(root, &result);
+        json_t *version =
+            PsJsonSplit_Load(PsJsonSplit_FindMember(body, "version"));
+        result.version = (uint64_t)json_integer_value(version);
+        json_decref(version);
+        items = parse_objects(
+            call->platform, PsJsonSplit_FindMember(body, "objects"), &result);
     }
     if (result.status == PS_UNAVAILABLE || result.status == PS_UNKNOWN) {
         call->platform->failures++;
@@ -108,7 +136,7 @@
     free_call(call);
     done(user, &result);
     g_free(result.objects);
-    json_decref(root);
+    json_decref(items);
 }
 
 static const ps_transfer_events_t call_events = {.done = on_transfer_done};
@@ -136,22 +164,28 @@
     return call;
 }
 
-// Starts a call to a path that is formatted like printf(). A write gets its
-// own connection, so that curl does not send it twice.
+// A write gets its own connection, so that curl does not send it twice.
 static void
 start_call(platform_call_t *call, const char *method, ps_str_t body,
-           int64_t timeout_ms, const char *format, ...)
+           int64_t timeout_ms, const char *path)
 {
-    va_list args;
-    va_start(args, format);
-    char *path = g_strdup_vprintf(format, args);
-    va_end(args);
     char *url =
         g_strdup_printf("http://%s%s", call->platform->address.data, path);
     PsTransfer_Start(call->platform->client, &call->transfer, method, url,
                      body, timeout_ms, call->is_write);
     g_free(url);
+}
+
+// Starts a call about an object.
+static void
+start_object_call(platform_call_t *call, const char *method, const char *key,
+                  ps_str_t body)
+{
+    char *escaped = g_uri_escape_string(key, "/", FALSE);
+    char *path = g_strdup_printf("/v1/objects/%s", escaped);
+    start_call(call, method, body, CALL_TIMEOUT_MS, path);
     g_free(path);
+    g_free(escaped);
 }
 
 // Makes a write fail unless the object has the given version or, for version
@@ -195,8 +229,7 @@
                ps_platform_done_t done, void *user)
 {
     platform_call_t *call = new_call(platform, false, done, user);
-    start_call(call, "GET", PsStr_FromC(NULL), CALL_TIMEOUT_MS,
-               "/v1/objects/%s", key);
+    start_object_call(call, "GET", key, PsStr_FromC(NULL));
 }
 
 void
@@ -204,8 +237,11 @@
                 ps_platform_done_t done, void *user)
 {
     platform_call_t *call = new_call(platform, false, done, user);
-    start_call(call, "GET", PsStr_FromC(NULL), CALL_TIMEOUT_MS,
-               "/v1/objects?prefix=%s", prefix);
+    char *escaped = g_uri_escape_string(prefix, "/", FALSE);
+    char *path = g_strdup_printf("/v1/objects?prefix=%s", escaped);
+    start_call(call, "GET", PsStr_FromC(NULL), CALL_TIMEOUT_MS, path);
+    g_free(path);
+    g_free(escaped);
 }
 
 void
@@ -214,7 +250,7 @@
 {
     platform_call_t *call = new_call(platform, true, done, user);
     add_version_condition(call, version);
-    start_call(call, "PUT", value, CALL_TIMEOUT_MS, "/v1/objects/%s", key);
+    start_object_call(call, "PUT", key, value);
 }
 
 void
@@ -223,8 +259,7 @@
 {
     platform_call_t *call = new_call(platform, true, done, user);
     add_version_condition(call, version);
-    start_call(call, "DELETE", PsStr_FromC(NULL), CALL_TIMEOUT_MS,
-               "/v1/objects/%s", key);
+    start_object_call(call, "DELETE", key, PsStr_FromC(NULL));
 }
 
 void
@@ -232,7 +267,12 @@
                  int64_t wait_ms, ps_platform_done_t done, void *user)
 {
     platform_call_t *call = new_call(platform, false, done, user);
+    char *escaped = g_uri_escape_string(prefix, "/", FALSE);
+    char *path =
+        g_strdup_printf("/v1/watch?prefix=%s&from=%llu&wait_ms=%lld", escaped,
+                        (unsigned long long)from, (long long)wait_ms);
     start_call(call, "GET", PsStr_FromC(NULL), wait_ms + CALL_TIMEOUT_MS,
-               "/v1/watch?prefix=%s&from=%llu&wait_ms=%lld", prefix,
-               (unsigned long long)from, (long long)wait_ms);
+               path);
+    g_free(path);
+    g_free(escaped);
 }
--- a/src/platform.h
+++ b/src/platform.h
@@ -5,7 +5,7 @@
  * of any object. A write takes effect only if the object still has the version
  * that was read. A watch waits for changes after a version.
  *
- * Keys and prefixes become part of a URL without escaping.
+ * An object that the JSON library can't hold is reported without its value.
  */
 #ifndef PS_PLATFORM_H
 #define PS_PLATFORM_H
@@ -21,7 +21,8 @@
 /**
  * struct ps_platform_object - One object of an answer.
  * @version: of the object's last change
- * @value: text owned by the answer; NULL for a deleted object
+ * @value: text owned by the answer; NULL for a deleted object, or if it can't
+ *         be read
  */
 typedef struct ps_platform_object {
     ps_name_t key;
@@ -52,11 +53,12 @@
  */
 typedef struct ps_platform {
     ps_http_client_t *client;
-    ps_name_t address; /* IP:PORT */
-    uint64_t reads;    /* get, list and watch calls so far */
-    uint64_t writes;   /* put and delete calls so far */
-    uint64_t failures; /* calls that were PS_UNAVAILABLE or PS_UNKNOWN */
-    GQueue calls;      /* in progress */
+    ps_name_t address;   /* IP:PORT */
+    uint64_t reads;      /* get, list and watch calls so far */
+    uint64_t writes;     /* put and delete calls so far */
+    uint64_t failures;   /* calls that were PS_UNAVAILABLE or PS_UNKNOWN */
+    int logged_nameless; /* objects without a usable key that were logged */
+    GQueue calls;        /* in progress */
 } ps_platform_t;
 
 void PsPlatform_Init(ps_platform_t *platform, ps_http_client_t *client,
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -20,7 +20,9 @@
  * with restore it goes back to that copy, as a store does that is restored
  * from a backup: what was written since is gone, revisions are given out
  * again, watches from later ones get status 410, and the header Store-Era of
- * all responses rises by one.
+ * all responses rises by one. list_max sets how many objects a list has.
+ *
+ * A spec that the JSON library can't hold is kept and shown as it was written.
  *
  * GET /counts: requests so far and the current revision.
  */
@@ -33,10 +35,12 @@
 #include <sys/socket.h>
 
 #include "common.h"
+#include "json_split.h"
 
 #define OBJECTS_PATH "/pearstair/objects/"
 #define CHANGES_MAX 4000         /* changes kept for watches */
-#define LIST_OBJECTS_MAX 500     /* objects in one list */
+#define LIST_OBJECTS_MAX 500     /* objects in one list, if not set */
+#define RAW_MARK "@raw:"         /* stands for a spec that is kept as text */
 #define REGISTRATION_TTL_MS 1800 /* since its last write, if not set */
 
 typedef struct change {
@@ -62,6 +66,9 @@
 static GTree *copied_objects; /* like @objects; NULL: no copy was made */
 static int64_t copied_revision;
 static char own_ip[64];
+static int64_t list_objects_max = LIST_OBJECTS_MAX;
+static GHashTable *raw_marks; /* text of a spec to its mark */
+static GPtrArray *raw_texts;  /* by the number in the mark */
 
 static GTree *
 new_object_tree(void)
@@ -192,6 +199,53 @@
     return g_strdup(text);
 }
 
+// Returns a mark for a text, the same one for the same text.
+static json_t *
+mark_raw(ps_str_t text)
+{
+    char *key = g_strndup(text.data, text.len);
+    char *mark = g_hash_table_lookup(raw_marks, key);
+    if (!mark) {
+        mark = g_strdup_printf(RAW_MARK "%u", raw_texts->len);
+        g_hash_table_insert(raw_marks, key, mark);
+        g_ptr_array_add(raw_texts, key);
+    }
+    else {
+        g_free(key);
+    }
+    return json_string(mark);
+}
+
+// Puts the texts in place of their marks.
+static void
+show_raw(GString *text)
+{
+    static const char quoted[] = "\"" RAW_MARK;
+    size_t at = 0;
+    const char *found;
+    while ((found = strstr(text->str + at, quoted)) != NULL) {
+        at = (size_t)(found - text->str);
+        char *end;
+        gint64 number = g_ascii_strtoll(found + strlen(quoted), &end, 10);
+        const char *raw = g_ptr_array_index(raw_texts, number);
+        g_string_erase(text, (gssize)at, end + 1 - found);
+        g_string_insert(text, (gssize)at, raw);
+        at += strlen(raw);
+    }
+}
+
+// Parses the body of a write. A spec that can't be held becomes a mark.
+static json_t *
+parse_body(ps_str_t text)
+{
+    json_t *body = PsJsonSplit_LoadMembers(text);
+    ps_str_t spec = PsJsonSplit_FindMember(text, "spec");
+    if (spec.len > 0 && !json_object_get(body, "spec")) {
+        json_object_set_new(body, "spec", mark_raw(spec));
+    }
+    return body;
+}
+
 static enum MHD_Result
 send_object(standin_request_t *request, unsigned status, const json_t *object)
 {
@@ -201,6 +255,7 @@
     char *shown = g_strdup_printf("\"address\":\"%s:", local_ip);
     GString *text = g_string_new(dump);
     g_string_replace(text, own, shown, 0);
+    show_raw(text);
     free(dump);
     g_free(local_ip);
     g_free(own);
@@ -286,7 +341,7 @@
         (object_list->after && strcmp(name, object_list->after) <= 0)) {
         return FALSE;
     }
-    if (json_array_size(object_list->items) >= LIST_OBJECTS_MAX) {
+    if ((int64_t)json_array_size(object_list->items) >= list_objects_max) {
         object_list->has_more = true;
         return TRUE;
     }
@@ -394,6 +449,8 @@
     registration_ttl_ms = Standin_GetQueryNumber(
         request, "registration_ttl_ms", registration_ttl_ms);
     answers_to_lose = Standin_GetQueryNumber(request, "lose", answers_to_lose);
+    list_objects_max =
+        Standin_GetQueryNumber(request, "list_max", list_objects_max);
     pthread_mutex_lock(&lock);
     if (Standin_GetQueryNumber(request, "copy", 0) != 0) {
         if (copied_objects) {
@@ -421,8 +478,7 @@
     const char *kind = parts[0];
     const char *name = parts[0] ? parts[1] : NULL;
     bool is_status = name && parts[2] && strcmp(parts[2], "status") == 0;
-    json_t *body = json_loadb(request->body.data ? request->body.data : "",
-                              request->body.len, 0, NULL);
+    json_t *body = parse_body(PsBuf_View(&request->body));
     json_t *spec = json_object_get(body, "spec");
     const char *new_name = json_string_value(
         json_object_get(json_object_get(body, "metadata"), "name"));
@@ -509,6 +565,8 @@
     g_strlcpy(own_ip, argv[1],
               MIN(sizeof own_ip, (size_t)(port - argv[1]) + 1));
     objects = new_object_tree();
+    raw_marks = g_hash_table_new(g_str_hash, g_str_equal);
+    raw_texts = g_ptr_array_new();
     set_era(era);
     write_times =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
