Find a living allocator whatever is lost, and remove lost members

Cause: a silent allocator was avoided for 3 s and cost 0.9 s, so that with the first four in the order lost no living one had its turn. Lost members were removed only by an allocator with reports of more than half of all members.

Change: election.c avoids a silent member until it is heard from, and asks the next candidates meanwhile, so that all that are lost cost one wait. member_doubts.c lets an allocator without most reports ask in the store whether a silent member lives, and remove it if nobody denies that.

Ruled out: removal without asking; a vote of the daemons.

--- a/src/allocator_rounds.c
+++ b/src/allocator_rounds.c
@@ -6,17 +6,11 @@
 #include "clock.h"
 #include "events_log.h"
 #include "gateway.h"
+#include "member_doubts.h"
 #include "origin_lookups.h"
 #include "pace_messages.h"
 #include "team_messages.h"
 
-// A member that has sent nothing for this long is named silent in grants.
-#define SILENT_MS 700
-
-// The registration of a member that has sent nothing for this long is removed
-// from the store.
-#define DEAD_MS 3000
-
 // A member that has sent nothing for this long is asked for an answer, and
 // again at this interval: it may report to another allocator.
 #define PROBE_MS 350
@@ -521,15 +515,53 @@
     return fresh * 2 > g_hash_table_size(sharing->gateway->members);
 }
 
-// Lists members that are heard of no more, and removes the registrations of
-// those that are dead.
+static void
+write_doubt(ps_sharing_t *sharing, const ps_daemon_info_t *member,
+            bool is_doubted)
+{
+    const ps_store_ops_t *ops = sharing->gateway->store_ops;
+    ps_daemon_info_t written = *member;
+    written.is_doubted = is_doubted;
+    PsEvents_Add("member.doubt", "{s:s,s:b}", "name", member->name.data,
+                 "doubted", (int)is_doubted);
+    ops->write_member(ops, &written);
+}
+
+static void
+check_member(ps_sharing_t *sharing, ps_daemon_info_t *member,
+             const ps_member_sight_t *sight, int64_t now_ms)
+{
+    const ps_store_ops_t *ops = sharing->gateway->store_ops;
+    switch (PsMemberDoubts_Decide(member, sight, &sharing->next_doubt_ms,
+                                  now_ms)) {
+    case PS_MEMBER_KEEP:
+        return;
+    case PS_MEMBER_DOUBT:
+        write_doubt(sharing, member, true);
+        return;
+    case PS_MEMBER_DENY:
+        write_doubt(sharing, member, false);
+        return;
+    case PS_MEMBER_REMOVE:
+        PsEvents_Add("member.dead", "{s:s,s:I,s:b}", "name", member->name.data,
+                     "silent_ms", (json_int_t)sight->silent_ms, "doubted",
+                     (int)member->is_doubted);
+        ops->remove_member(ops, member);
+        return;
+    }
+}
+
+// Lists members that are heard of no more, asks them for an answer, and
+// removes those that are dead. Without most reports none is listed: it may be
+// this daemon that is cut off.
 static GPtrArray *
 list_silent(ps_sharing_t *sharing, int64_t now_ms)
 {
     GPtrArray *silent = g_ptr_array_new();
-    if (!gets_most_reports(sharing, now_ms)) {
-        return silent;
-    }
+    ps_member_sight_t sight = {
+        .has_most = gets_most_reports(sharing, now_ms),
+        .is_allocator = PsName_IsEqual(&sharing->allocator_name,
+                                       &sharing->gateway->self.name)};
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, sharing->gateway->members);
@@ -537,23 +569,21 @@
         ps_daemon_info_t *member = value;
         const ps_reporter_t *reporter =
             g_hash_table_lookup(sharing->allocator.reporters, &member->name);
+        sight.heard_ms =
+            MAX(reporter ? reporter->reported_ms : 0, member->heard_ms);
         int64_t last_seen_ms =
-            MAX(MAX(reporter ? reporter->reported_ms : 0, member->heard_ms),
+            MAX(sight.heard_ms,
                 MAX(member->joined_ms, sharing->allocator_since_ms));
-        if (now_ms - MAX(last_seen_ms, member->probed_ms) > PROBE_MS) {
+        sight.silent_ms = now_ms - last_seen_ms;
+        if ((sight.has_most || sight.is_allocator) &&
+            now_ms - MAX(last_seen_ms, member->probed_ms) > PROBE_MS) {
             member->probed_ms = now_ms;
             PsOriginLookups_Probe(sharing->gateway, &member->name);
         }
-        if (now_ms - last_seen_ms > SILENT_MS) {
+        if (sight.has_most && sight.silent_ms > PS_MEMBER_SILENT_MS) {
             g_ptr_array_add(silent, member->name.data);
         }
-        if (now_ms - last_seen_ms > DEAD_MS && !member->is_removal_requested) {
-            member->is_removal_requested = true;
-            PsEvents_Add("member.dead", "{s:s,s:I}", "name", member->name.data,
-                         "silent_ms", (json_int_t)(now_ms - last_seen_ms));
-            sharing->gateway->store_ops->remove_member(
-                sharing->gateway->store_ops, member);
-        }
+        check_member(sharing, member, &sight, now_ms);
     }
     return silent;
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -9,6 +9,7 @@
 #include "exchange.h"
 #include "gateway_memory.h"
 #include "gateway_metrics.h"
+#include "member_doubts.h"
 
 #define TICK_S 0.01 /* period of the gateway's periodic work */
 
@@ -212,6 +213,14 @@
     if (PsName_IsEqual(&info->name, &gateway->self.name)) {
         return;
     }
+    ps_daemon_info_t *known =
+        g_hash_table_lookup(gateway->members, &info->name);
+    if (known && known->incarnation == info->incarnation) {
+        PsMemberDoubts_HandleWrite(known, info, PsClock_Now());
+        PsEvents_Add("member.written", "{s:s,s:b}", "name", info->name.data,
+                     "doubted", (int)info->is_doubted);
+        return;
+    }
     PsEvents_Add("member.join", "{s:s,s:s,s:s}", "name", info->name.data,
                  "address", info->caller_address.data, "domain",
                  info->domain.data);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -115,6 +115,7 @@
 /**
  * struct ps_store_ops - Operations of the store's client.
  * @remove_member: removes a dead daemon's registration
+ * @write_member: replaces another daemon's registration unless it has changed
  * @save_state: starts a write of the allocator's state; false if it can't yet
  * @forget_server: has the next list report a server that another daemon has
  *                 reported as removed, if it is registered
@@ -130,6 +131,8 @@
 typedef struct ps_store_ops {
     void (*remove_member)(const struct ps_store_ops *ops,
                           const ps_daemon_info_t *member);
+    void (*write_member)(const struct ps_store_ops *ops,
+                         const ps_daemon_info_t *member);
     bool (*save_state)(const struct ps_store_ops *ops,
                        const ps_stored_state_t *state);
     void (*forget_server)(const struct ps_store_ops *ops,
--- a/src/sharing.c
+++ b/src/sharing.c
@@ -23,7 +23,8 @@
 // Times without a grant, and what follows when they are over.
 #define GRANT_TTL_MS 400 /* even shares are used from then on */
 #define RECONNECT_MS 300 /* the connection may have failed silently */
-#define GIVE_UP_MS 900   /* the next candidate becomes the allocator */
+
+G_STATIC_ASSERT(RECONNECT_MS == PS_ELECTION_PROBE_MS);
 
 #define CHOICE_INTERVAL_MS 500 /* between checks for a better allocator */
 
@@ -460,6 +461,7 @@
     }
     sharing->uses_even_shares = false;
     sharing->granted_ms = now_ms;
+    PsElection_HandleGrant(&sharing->election);
     apply_store_state(sharing, grant, now_ms);
     if (grant->leaving) {
         remove_leaving_allocator(sharing, now_ms);
@@ -572,8 +574,8 @@
     }
 }
 
-// Uses even shares, reconnects or chooses another allocator, by how long no
-// grant has arrived.
+// Uses even shares, reconnects and asks other candidates, or chooses another
+// allocator, by how long no grant has arrived.
 static void
 check_allocator(ps_sharing_t *sharing, int64_t now_ms)
 {
@@ -586,9 +588,10 @@
         now_ms - sharing->reconnected_ms > RECONNECT_MS) {
         sharing->reconnected_ms = now_ms;
         PsPeers_Reconnect(&sharing->peers, &sharing->allocator_name);
+        PsAllocatorChoice_Probe(sharing, now_ms);
     }
-    if (waited_ms > GIVE_UP_MS) {
-        PsAllocatorChoice_Avoid(sharing, now_ms);
+    if (waited_ms > PS_ELECTION_WAIT_MS) {
+        PsAllocatorChoice_AvoidSilent(sharing, now_ms);
     }
 }
 
@@ -606,8 +609,7 @@
                           gateway->settings.gateway.has_quota_buckets,
                           gateway->self.incarnation);
     PsQuotaAdmission_HandlePause(sharing);
-    sharing->avoided =
-        g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, g_free);
+    PsElection_Init(&sharing->election);
     sharing->cut_off_members =
         g_hash_table_new_full(PsName_Hash, PsName_EqualKeys, g_free, NULL);
     sharing->silent_members =
@@ -625,7 +627,7 @@
     PsPeers_Finish(&sharing->peers);
     PsAllocator_Finish(&sharing->allocator);
     PsQuotaAdmission_Finish(&sharing->quota_admission);
-    g_hash_table_destroy(sharing->avoided);
+    PsElection_Finish(&sharing->election);
     g_hash_table_destroy(sharing->cut_off_members);
     g_hash_table_destroy(sharing->silent_members);
     g_hash_table_destroy(sharing->spending);
--- a/src/sharing.h
+++ b/src/sharing.h
@@ -10,6 +10,7 @@
 #define PS_SHARING_H
 
 #include "allocator.h"
+#include "election.h"
 #include "peers.h"
 #include "quota_admission.h"
 #include "store_events.h"
@@ -51,10 +52,11 @@
     uint64_t round;             /* number of the last report */
     int64_t sent_ms[PS_SHARING_ROUNDS_KEPT]; /* when each report was sent */
     int64_t next_round_ms;
-    int64_t next_choice_ms;     /* next check for a better allocator */
-    int64_t next_state_save_ms; /* the state is not saved before */
-    bool is_stored_usage_empty; /* the usage in the store names no team */
-    GHashTable *avoided; /* name to the time until which it is not chosen */
+    int64_t next_choice_ms;      /* next check for a better allocator */
+    int64_t next_state_save_ms;  /* the state is not saved before */
+    int64_t next_doubt_ms;       /* no member is doubted before */
+    bool is_stored_usage_empty;  /* the usage in the store names no team */
+    ps_election_t election;      /* which members are not chosen */
     GHashTable *cut_off_members; /* names of members that reach no server of
                                     some service */
     GHashTable *silent_members;  /* names of members that do not report */
--- a/src/store_events.h
+++ b/src/store_events.h
@@ -25,6 +25,12 @@
     uint64_t incarnation;      /* start time, Unix microseconds */
     double cpu_share;          /* processor share, in cores */
     uint64_t revision;         /* of its object in the store; 0: not known */
+    bool is_doubted;           /* its registration says that a daemon takes it
+                                  for dead */
+    int64_t doubted_ms;        /* when this daemon wrote that, or learnt of
+                                  it */
+    int64_t denied_ms;         /* when it wrote, or learnt, that it lives after
+                                  all; 0: never */
     int64_t joined_ms;         /* when this daemon learnt of it */
     int64_t heard_ms;          /* of its last frame; 0: none yet */
     int64_t probed_ms;         /* when it was last asked for one */
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -268,6 +268,7 @@
             [](const ps_store_ops_t *, const ps_daemon_info_t *member) {
                 GetRemovedMembers().insert(member->name.data);
             },
+            [](const ps_store_ops_t *, const ps_daemon_info_t *) {},
             [](const ps_store_ops_t *, const ps_stored_state_t *) {
                 return true;
             },
