Keep the origins of streams in the store while several versions serve

Cause: which version began a stream was known in the memory of daemons alone.

Change: daemons tell the allocator of streams that begin while their service has several versions; it stores them in slots of 3 s, at most once a second. After a start they are read if the stored versions show several. While one version serves nothing is written or read.

--- a/src/allocator_choice.c
+++ b/src/allocator_choice.c
@@ -4,6 +4,7 @@
 #include "events_log.h"
 #include "gateway.h"
 #include "origin_lookups.h"
+#include "origin_records.h"
 #include "quota_admission.h"
 #include "rendezvous.h"
 
@@ -52,6 +53,7 @@
     sharing->allocator_since_ms = now_ms;
     PsCrashReports_AddAll(&sharing->gateway->mark_crashes.to_allocator);
     PsQuotaAdmission_HandleChoice(sharing);
+    PsOriginRecords_HandleChoice(sharing->gateway);
 }
 
 /* ---- Public functions ------------------------------------------------- */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -10,6 +10,7 @@
 #include "gateway_memory.h"
 #include "gateway_metrics.h"
 #include "member_doubts.h"
+#include "origin_records.h"
 
 #define TICK_S 0.01 /* period of the gateway's periodic work */
 
@@ -318,6 +319,24 @@
                                      gateway->settings.gateway.is_first_start,
                                  PsClock_Now());
     restore_versions(gateway, state);
+    PsOriginRecords_HandleStart(gateway, state);
+}
+
+static void
+on_origins_read(void *user, const ps_origin_slot_t *slots, size_t n,
+                bool is_done)
+{
+    PsOriginRecords_HandleRead(user, slots, n, is_done);
+}
+
+static void
+on_origins_written(void *user, bool is_written)
+{
+    ps_gateway_t *gateway = user;
+    PsEvents_Add("origins.written", "{s:b,s:i,s:I}", "kept", (int)is_written,
+                 "origins", (int)gateway->origin_log.n_writing, "dropped",
+                 (json_int_t)gateway->origin_log.n_dropped);
+    PsOriginLog_EndStep(&gateway->origin_log, is_written);
 }
 
 static void
@@ -355,6 +374,7 @@
     gateway->mark_crashes.has_unsaved_crash = true;
     gateway->version_history.is_unsaved = true;
     gateway->sharing.is_stored_usage_empty = false;
+    PsOriginRecords_HandleChoice(gateway);
 }
 
 static ps_rollout_round_t *
@@ -644,6 +664,7 @@
     PsReachChecks_Run(&gateway->reach_checks, now_ms);
     PsGatewayMemory_Run(gateway, now_ms);
     PsSharing_Run(&gateway->sharing, now_ms);
+    PsOriginRecords_Run(gateway, now_ms);
     update_poll_rate(gateway, now_ms);
     run_dispatchers(gateway, now_ms);
     run_exchanges(gateway, now_ms);
@@ -707,6 +728,7 @@
                            gateway);
     PsMarkCrashes_Init(&gateway->mark_crashes);
     PsStreamOrigins_Init(&gateway->stream_origins);
+    PsOriginLog_Init(&gateway->origin_log);
     PsVersionHistory_Init(&gateway->version_history, PS_STREAM_ORIGIN_MS,
                           gateway->started_ms);
     PsReachChecks_Init(&gateway->reach_checks, gateway);
@@ -755,6 +777,7 @@
     PsMarkCrashes_Finish(&gateway->mark_crashes);
     PsStreamOrigins_Finish(&gateway->stream_origins);
     PsVersionHistory_Finish(&gateway->version_history);
+    PsOriginLog_Finish(&gateway->origin_log);
     PsRecentMembers_Finish(&gateway->recent_members);
     PsEvents_Flush();
 }
@@ -773,6 +796,8 @@
         .members_listed = on_members_listed,
         .state_read = on_state_read,
         .state_saved = on_state_saved,
+        .origins_read = on_origins_read,
+        .origins_written = on_origins_written,
         .unavailable = on_store_unavailable,
         .available = on_store_available,
         .restored = on_store_restored,
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -121,6 +121,8 @@
  *                 reported as removed, if it is registered
  * @read_now: lists the given kinds of objects as soon as possible
  * @set_poll_rate: sets how often the store is polled
+ * @read_origins: reads the origins of streams
+ * @write_origins: writes a slot of them
  * @get_era: returns a number that rises when the store is restored from an
  *           older copy; 0: not known
  * @write_rollout_status: writes an order's status unless the order has changed
@@ -140,6 +142,9 @@
     void (*read_now)(const struct ps_store_ops *ops, bool config, bool servers,
                      bool members);
     void (*set_poll_rate)(const struct ps_store_ops *ops, ps_poll_rate_t rate);
+    void (*read_origins)(const struct ps_store_ops *ops);
+    void (*write_origins)(const struct ps_store_ops *ops,
+                          const ps_origin_slot_t *slot);
     uint64_t (*get_era)(const struct ps_store_ops *ops);
     void (*write_rollout_status)(const struct ps_store_ops *ops,
                                  const ps_rollout_object_t *object);
@@ -177,6 +182,10 @@
     ps_forward_server_t forward_server; /* carries those of others */
     ps_stream_origins_t stream_origins;
     ps_version_history_t version_history;
+    ps_origin_log_t origin_log; /* used while this daemon is the allocator */
+    int n_mixed_services;       /* versions of services with several, of whose
+                                   streams the allocator was told */
+    bool must_read_origins;     /* those of before this daemon's start */
     ps_daemon_info_t self;
     GHashTable *members; /* name to ps_daemon_info_t, this daemon included */
     ps_recent_members_t recent_members; /* that left */
--- a/src/origin_lookups.c
+++ b/src/origin_lookups.c
@@ -2,6 +2,7 @@
 #include "origin_lookups.h"
 
 #include "exchange.h"
+#include "origin_records.h"
 
 // Request that probes ask for.
 #define NO_REQUEST 0
@@ -30,19 +31,6 @@
     return n;
 }
 
-static void
-send_origin(ps_gateway_t *gateway, const ps_name_t *to, uint64_t request,
-            uint64_t version)
-{
-    Ps__StreamOrigin origin = PS__STREAM_ORIGIN__INIT;
-    origin.request = request;
-    origin.version = version;
-    Ps__Frame frame = PS__FRAME__INIT;
-    frame.body_case = PS__FRAME__BODY_STREAM_ORIGIN;
-    frame.stream_origin = &origin;
-    PsPeers_Send(&gateway->sharing.peers, to, &frame);
-}
-
 // Passes an origin to the exchange that waits for it. One that is not known is
 // passed on too.
 static void
@@ -52,6 +40,8 @@
     if (origin->version != 0) {
         PsStreamOrigins_Add(&gateway->stream_origins, origin->request,
                             origin->version, now_ms);
+        ps_origin_t known = {origin->request, origin->version};
+        PsOriginRecords_Take(gateway, &known, now_ms);
     }
     GList *l = gateway->exchanges.head;
     while (l) {
@@ -64,16 +54,30 @@
 
 /* ---- Public functions ------------------------------------------------- */
 
+void
+PsOriginLookups_SendOrigin(ps_gateway_t *gateway, const ps_name_t *to,
+                           uint64_t request, uint64_t version)
+{
+    Ps__StreamOrigin origin = PS__STREAM_ORIGIN__INIT;
+    origin.request = request;
+    origin.version = version;
+    Ps__Frame frame = PS__FRAME__INIT;
+    frame.body_case = PS__FRAME__BODY_STREAM_ORIGIN;
+    frame.stream_origin = &origin;
+    PsPeers_Send(&gateway->sharing.peers, to, &frame);
+}
+
 void
 PsOriginLookups_Record(ps_gateway_t *gateway, const ps_name_t *request_id,
                        uint64_t version, int64_t now_ms)
 {
     uint64_t request = PsStreamOrigins_HashId(request_id);
     PsStreamOrigins_Add(&gateway->stream_origins, request, version, now_ms);
+    PsOriginRecords_Tell(gateway, request, version, now_ms);
     const ps_name_t *holders[PS_ORIGIN_HOLDERS];
     size_t n = choose_holders(gateway, request, holders, PS_ORIGIN_HOLDERS);
     for (size_t i = 0; i < n; i++) {
-        send_origin(gateway, holders[i], request, version);
+        PsOriginLookups_SendOrigin(gateway, holders[i], request, version);
     }
 }
 
@@ -100,7 +104,7 @@
 {
     if (frame->body_case == PS__FRAME__BODY_ORIGIN_LOOKUP) {
         uint64_t request = frame->origin_lookup->request;
-        send_origin(
+        PsOriginLookups_SendOrigin(
             gateway, from, request,
             PsStreamOrigins_Find(&gateway->stream_origins, request, now_ms));
         return true;
--- a/src/origin_lookups.h
+++ b/src/origin_lookups.h
@@ -18,6 +18,14 @@
                             const ps_name_t *request_id, uint64_t version,
                             int64_t now_ms);
 
+/**
+ * PsOriginLookups_SendOrigin() - Sends a record to a member.
+ * @request: hash of the request's id
+ */
+void PsOriginLookups_SendOrigin(struct ps_gateway *gateway,
+                                const ps_name_t *to, uint64_t request,
+                                uint64_t version);
+
 /**
  * PsOriginLookups_Ask() - Asks other members for a record. Answers are passed
  * to PsExchange_HandleOrigin().
--- a/src/recent_map.c
+++ b/src/recent_map.c
@@ -78,3 +78,20 @@
     }
     return known != NULL;
 }
+
+void
+PsRecentMap_ForEach(const ps_recent_map_t *map,
+                    void (*visit)(void *user, uint64_t hash, uint64_t value),
+                    void *user)
+{
+    const GHashTable *generations[] = {map->older, map->newer};
+    for (int i = 0; i < 2; i++) {
+        GHashTableIter each;
+        gpointer key;
+        gpointer value;
+        g_hash_table_iter_init(&each, (GHashTable *)(uintptr_t)generations[i]);
+        while (g_hash_table_iter_next(&each, &key, &value)) {
+            visit(user, *(const uint64_t *)key, *(const uint64_t *)value);
+        }
+    }
+}
--- a/src/recent_map.h
+++ b/src/recent_map.h
@@ -46,4 +46,12 @@
 bool PsRecentMap_Get(ps_recent_map_t *map, uint64_t hash, uint64_t *value,
                      int64_t now_ms);
 
+/**
+ * PsRecentMap_ForEach() - Visits all hashes that are kept.
+ */
+void PsRecentMap_ForEach(const ps_recent_map_t *map,
+                         void (*visit)(void *user, uint64_t hash,
+                                       uint64_t value),
+                         void *user);
+
 #endif
--- a/src/store_events.h
+++ b/src/store_events.h
@@ -10,6 +10,7 @@
 
 #include "backend.h"
 #include "catalog.h"
+#include "origin_log.h"
 #include "suspects.h"
 #include "version_history.h"
 
@@ -134,6 +135,8 @@
  * @state_read: the allocator's state, read once at the start; empty if none is
  *              stored; @age_ms is the time since it was written
  * @state_saved: a write of the allocator's state has ended
+ * @origins_read: the slots of origins were read, in any order; @is_done: all
+ * @origins_written: a write of a slot has ended
  * @unavailable: the store does not answer
  * @available: the store answers again
  * @restored: the store has come back from an older copy: what was written to
@@ -159,6 +162,9 @@
     void (*state_read)(void *user, const ps_stored_state_t *state,
                        int64_t age_ms);
     void (*state_saved)(void *user, bool is_saved);
+    void (*origins_read)(void *user, const ps_origin_slot_t *slots, size_t n,
+                         bool is_done);
+    void (*origins_written)(void *user, bool is_written);
     void (*unavailable)(void *user, const char *reason);
     void (*available)(void *user);
     void (*restored)(void *user);
--- a/src/stream_origins.c
+++ b/src/stream_origins.c
@@ -44,6 +44,15 @@
     return version;
 }
 
+void
+PsStreamOrigins_ForEach(const ps_stream_origins_t *origins,
+                        void (*visit)(void *user, uint64_t request,
+                                      uint64_t version),
+                        void *user)
+{
+    PsRecentMap_ForEach(&origins->versions, visit, user);
+}
+
 size_t
 PsStreamOrigins_ChooseHolders(uint64_t request, const GPtrArray *members,
                               const ps_name_t **holders, size_t max)
--- a/src/stream_origins.h
+++ b/src/stream_origins.h
@@ -52,6 +52,14 @@
 uint64_t PsStreamOrigins_Find(ps_stream_origins_t *origins, uint64_t request,
                               int64_t now_ms);
 
+/**
+ * PsStreamOrigins_ForEach() - Visits all records; version 0: ambiguous.
+ */
+void PsStreamOrigins_ForEach(const ps_stream_origins_t *origins,
+                             void (*visit)(void *user, uint64_t request,
+                                           uint64_t version),
+                             void *user);
+
 /**
  * PsStreamOrigins_ChooseHolders() - Chooses members by rendezvous hashing of a
  * request.
--- a/src/version_history.c
+++ b/src/version_history.c
@@ -34,6 +34,21 @@
     return false;
 }
 
+// Tells whether the service of a version has another one.
+static bool
+has_other(const ps_version_history_t *history,
+          const ps_served_version_t *version)
+{
+    for (guint i = 0; i < history->versions->len; i++) {
+        const ps_served_version_t *other = get(history, i);
+        if (other->version != version->version &&
+            PsName_IsEqual(&other->service, &version->service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 remove_old(ps_version_history_t *history, int64_t now_ms)
 {
@@ -155,3 +170,28 @@
     }
     return only;
 }
+
+bool
+PsVersionHistory_IsMixed(ps_version_history_t *history, uint64_t version,
+                         int64_t now_ms)
+{
+    remove_old(history, now_ms);
+    for (guint i = 0; i < history->versions->len; i++) {
+        const ps_served_version_t *known = get(history, i);
+        if (known->version == version && has_other(history, known)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+int
+PsVersionHistory_CountMixed(ps_version_history_t *history, int64_t now_ms)
+{
+    remove_old(history, now_ms);
+    int n = 0;
+    for (guint i = 0; i < history->versions->len; i++) {
+        n += has_other(history, get(history, i)) ? 1 : 0;
+    }
+    return n;
+}
--- a/src/version_history.h
+++ b/src/version_history.h
@@ -89,4 +89,16 @@
 uint64_t PsVersionHistory_FindOnly(ps_version_history_t *history,
                                    const ps_name_t *service, int64_t now_ms);
 
+/**
+ * PsVersionHistory_IsMixed() - Tells whether the service of a version is known
+ * to have had another one within the time for which versions are kept.
+ */
+bool PsVersionHistory_IsMixed(ps_version_history_t *history, uint64_t version,
+                              int64_t now_ms);
+
+/**
+ * PsVersionHistory_CountMixed() - Counts the versions of such services.
+ */
+int PsVersionHistory_CountMixed(ps_version_history_t *history, int64_t now_ms);
+
 #endif
--- a/tests/test_mutations.cpp
+++ b/tests/test_mutations.cpp
@@ -275,6 +275,8 @@
             [](const ps_store_ops_t *, const ps_name_t *) {},
             [](const ps_store_ops_t *, bool, bool, bool) {},
             [](const ps_store_ops_t *, ps_poll_rate_t) {},
+            [](const ps_store_ops_t *) {},
+            [](const ps_store_ops_t *, const ps_origin_slot_t *) {},
             [](const ps_store_ops_t *) { return (uint64_t)0; },
             [](const ps_store_ops_t *, const ps_rollout_object_t *) {},
             [](const ps_store_ops_t *, const ps_name_t *) {},
--- a/tests/test_origins.cpp
+++ b/tests/test_origins.cpp
@@ -4,11 +4,14 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <random>
 #include <set>
 
 #include "kernel.hpp"
 
 extern "C" {
+#include "origin_log.h"
 #include "stream_origins.h"
 #include "version_history.h"
 }
@@ -197,3 +200,138 @@
 }
 
 } // namespace
+
+/* ---- Origins in the store --------------------------------------------- */
+
+namespace {
+
+// The store's slots, and the allocator that writes them.
+struct StoredOrigins {
+    StoredOrigins()
+    {
+        PsOriginLog_Init(&log);
+    }
+    ~StoredOrigins()
+    {
+        PsOriginLog_Finish(&log);
+    }
+    // Another daemon is the allocator, or this one after a loss of all.
+    void
+    Replace()
+    {
+        PsOriginLog_Finish(&log);
+        PsOriginLog_Init(&log);
+        due_ms = 0;
+    }
+    void
+    Run(int64_t now)
+    {
+        ps_origin_slot_t slot;
+        if (due_ms > 0 && now >= due_ms) {
+            due_ms = 0;
+            if (is_reading) {
+                Read(now);
+            }
+            else if (is_kept) {
+                slots[writing.first % PS_ORIGIN_SLOTS] = writing;
+            }
+            PsOriginLog_EndStep(&log, is_kept);
+        }
+        switch (PsOriginLog_GetStep(&log, now, now, &slot)) {
+        case PS_ORIGIN_WAIT:
+            return;
+        case PS_ORIGIN_READ:
+            is_reading = true;
+            break;
+        case PS_ORIGIN_WRITE:
+            is_reading = false;
+            writing = {slot.number, std::vector<ps_origin_t>(
+                                        slot.origins, slot.origins + slot.n)};
+            break;
+        }
+        calls++;
+        due_ms = now + 100;
+        is_kept = !is_down;
+    }
+    void
+    Read(int64_t now)
+    {
+        for (const auto &[place, stored] : slots) {
+            ps_origin_slot_t slot = {stored.first, stored.second.data(),
+                                     stored.second.size()};
+            PsOriginLog_HandleRead(&log, &slot, now);
+        }
+    }
+    std::set<uint64_t>
+    List() const
+    {
+        std::set<uint64_t> requests;
+        for (const auto &[place, stored] : slots) {
+            for (const ps_origin_t &origin : stored.second) {
+                requests.insert(origin.request);
+            }
+        }
+        return requests;
+    }
+    using Slot = std::pair<int64_t, std::vector<ps_origin_t>>;
+    ps_origin_log_t log;
+    std::map<int64_t, Slot> slots; // by place in the ring
+    Slot writing;
+    int64_t due_ms = 0;
+    bool is_reading = false;
+    bool is_kept = false;
+    bool is_down = false;
+    int calls = 0;
+};
+
+} // namespace
+
+// Guards against streams whose origin is lost with all daemons: each one that
+// began two seconds before or earlier, and within the time in which callers
+// take streams up, is stored, whoever was the allocator; and against a call to
+// the store for each stream.
+RC_GTEST_PROP(OriginLog, OriginsOfTheLastHalfMinuteAreStored, ())
+{
+    StoredOrigins stored;
+    std::map<uint64_t, int64_t> begun; // request to time
+    const int64_t start = 1700000000000 + *rc::gen::inRange(0, 3000);
+    const int64_t end = start + *rc::gen::inRange(5000, 90000);
+    const int per_second = *rc::gen::inRange(1, 150);
+    int64_t trouble_until = 0;
+    int64_t replaced = start;
+    std::mt19937 random(*rc::gen::inRange(0, 1000));
+    for (int64_t now = start; now < end; now += 20) {
+        if (random() % 50 < (unsigned)per_second) {
+            for (int i = 0; i <= per_second / 50; i++) {
+                ps_origin_t origin = {begun.size() + 1, 1 + random() % 2};
+                begun[origin.request] = now;
+                PsOriginLog_Add(&stored.log, &origin);
+            }
+        }
+        if (random() % 1000 == 0) {
+            stored.is_down = !stored.is_down && now < end - 8000;
+            trouble_until = now + 2500;
+        }
+        if (random() % 800 == 0 && now > replaced + 4000 &&
+            now > trouble_until && !stored.is_down) {
+            // Daemons tell the next allocator of the streams that they know.
+            replaced = now;
+            stored.Replace();
+            for (const auto &[request, at] : begun) {
+                if (now - at < PS_STREAM_ORIGIN_MS) {
+                    ps_origin_t origin = {request, 1};
+                    PsOriginLog_Add(&stored.log, &origin);
+                }
+            }
+        }
+        stored.is_down = stored.is_down && now < end - 4000;
+        stored.Run(now);
+    }
+    const std::set<uint64_t> kept = stored.List();
+    for (const auto &[request, at] : begun) {
+        if (at < end - 2200 && at > end - PS_STREAM_ORIGIN_MS) {
+            RC_ASSERT(kept.count(request) == 1U);
+        }
+    }
+    RC_ASSERT(stored.calls <= (end - start) / 900 + 40);
+}
