Let few requests with a mark through that was banned soon after a start

Cause: a daemon that has just started knows no part to be sound, and counts the shared one at each crash, those of other causes too, so that it got the full blame. Nothing with it was let through, so that nothing could clear it.

A shared mark banned only with early crashes is doubted: daemons in turn let few requests through, first those without the likely cause, until two have ended a server. The allocator's grants have the crashes of likely causes.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
     concurrency_limit slot_order waiting team_shares team_order team_division \
     return_plan rollout rollout_evidence rollout_use rollout_samples \
     memory_budget answer http_head json_split election \
-    member_doubts origin_log
+    member_doubts origin_log trial_turns
 DAEMON := log counters http_client http_server platform peers peer.pb-c wire \
     cluster_state membership owned_pools frontend caller_request relay \
     config_edit admin daemon events_log gateway exchange sharing \
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -11,6 +11,7 @@
 #include "origin_lookups.h"
 #include "server_notices.h"
 #include "team_shares.h"
+#include "trial_turns.h"
 
 // Most attempts of one request, failed connections included.
 #define SENDS_MAX 4
@@ -184,6 +185,17 @@
     return g_array_index(exchange->marks, uint64_t, 0);
 }
 
+// Tells whether this daemon may let a request with a banned mark through now.
+static bool
+has_turn(const ps_gateway_t *gateway, uint64_t mark)
+{
+    GPtrArray *others = PsGateway_ListOthers(gateway);
+    bool is_own = PsTrialTurns_IsOwn(&gateway->self.name, others, mark,
+                                     g_get_real_time() / 1000);
+    g_ptr_array_unref(others);
+    return is_own;
+}
+
 // Returns the request's mark that has crashed too many servers for it to be
 // sent; 0: none.
 static uint64_t
@@ -192,9 +204,10 @@
     ps_mark_crashes_t *crashes = &exchange->gateway->mark_crashes;
     ps_banned_mark_t banned =
         PsMarkCrashes_FindBanned(crashes, exchange->marks, now_ms);
-    if (banned.is_unclear && !exchange->is_trial) {
+    if (banned.is_unclear && !exchange->is_trial &&
+        (!banned.needs_turn || has_turn(exchange->gateway, banned.mark))) {
         exchange->is_trial =
-            PsMarkCrashes_StartTrial(crashes, banned.mark, now_ms);
+            PsMarkCrashes_StartTrial(crashes, &banned, now_ms);
     }
     return banned.is_unclear && exchange->is_trial ? 0 : banned.mark;
 }
--- a/src/mark_crashes.c
+++ b/src/mark_crashes.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "events_log.h"
+#include "trial_turns.h"
 
 // Time for which reports and grants name a cleared mark: several rounds, as
 // each may be lost.
@@ -46,9 +47,14 @@
 
 // Counts a crash. Returns false if it is not counted.
 static bool
-count_crash(ps_mark_crashes_t *crashes, const ps_crash_t *crash,
+count_crash(ps_mark_crashes_t *crashes, const ps_crash_t *seen,
             const char *from, int64_t now_ms)
 {
+    ps_crash_t counted = *seen;
+    const ps_crash_t *crash = &counted;
+    int64_t age_ms = seen->at_ms - crashes->started_ms;
+    counted.is_early |=
+        crashes->started_ms > 0 && age_ms >= 0 && age_ms < COMPLETED_MS;
     if (!PsSuspects_AddCrash(&crashes->suspects, crash)) {
         return false;
     }
@@ -142,6 +148,16 @@
     }
 }
 
+// Tells whether requests that were let through, as another part may be the
+// cause, have crashed too many servers.
+static bool
+has_spent_trials(const ps_mark_crashes_t *crashes, uint64_t mark,
+                 int64_t now_ms)
+{
+    return PsSuspects_GetCrashes(&crashes->suspects, mark, now_ms) >=
+           PS_PART_CRASHES_MAX + TRIAL_CRASHES_MAX;
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 void
@@ -156,6 +172,7 @@
     memset(crashes->cleared, 0, sizeof crashes->cleared);
     crashes->next_cleared = 0;
     crashes->next_trial_ms = 0;
+    crashes->started_ms = 0;
     crashes->has_unsaved_crash = false;
 }
 
@@ -242,7 +259,7 @@
 {
     PsAbandonedRuns_Add(&crashes->abandoned_runs,
                         g_array_index(run->marks, uint64_t, 0),
-                        get_crash_id(run->server), false, now_ms);
+                        get_crash_id(run->server), run->is_trial, now_ms);
     if (run->has_just_begun) {
         add_suspected_parts(crashes, run, now_ms);
     }
@@ -252,7 +269,7 @@
 PsMarkCrashes_FindBanned(const ps_mark_crashes_t *crashes, const GArray *marks,
                          int64_t now_ms)
 {
-    ps_banned_mark_t found = {0, false};
+    ps_banned_mark_t found = {0};
     for (guint i = 0; i < marks->len; i++) {
         uint64_t mark = g_array_index(marks, uint64_t, i);
         if (!PsSuspects_IsBanned(&crashes->suspects, mark, now_ms)) {
@@ -263,29 +280,39 @@
             blame =
                 PsSuspects_GetBlame(&crashes->suspects, mark, marks, now_ms);
         }
-        if (blame == PS_BLAME_FULL) {
-            return (ps_banned_mark_t){mark, false};
+        if (blame == PS_BLAME_NONE) {
+            continue;
+        }
+        if (blame == PS_BLAME_SHARED &&
+            !has_spent_trials(crashes, mark, now_ms)) {
+            found = (ps_banned_mark_t){mark, true, false};
         }
-        if (blame == PS_BLAME_SHARED) {
-            found = (ps_banned_mark_t){mark, true};
+        else if (PsMark_IsShared(mark) &&
+                 PsSuspects_IsDoubtful(&crashes->suspects, mark, marks,
+                                       now_ms)) {
+            found = (ps_banned_mark_t){mark, true, true};
+        }
+        else {
+            return (ps_banned_mark_t){mark, false, false};
         }
     }
     return found;
 }
 
 bool
-PsMarkCrashes_StartTrial(ps_mark_crashes_t *crashes, uint64_t mark,
-                         int64_t now_ms)
+PsMarkCrashes_StartTrial(ps_mark_crashes_t *crashes,
+                         const ps_banned_mark_t *banned, int64_t now_ms)
 {
-    if (now_ms < crashes->next_trial_ms ||
-        PsSuspects_GetCrashes(&crashes->suspects, mark, now_ms) >=
-            PS_PART_CRASHES_MAX + TRIAL_CRASHES_MAX) {
+    if (now_ms < crashes->next_trial_ms) {
         return false;
     }
-    crashes->next_trial_ms = now_ms + TRIAL_INTERVAL_MS;
+    crashes->next_trial_ms =
+        now_ms + (banned->needs_turn ? PS_TRIAL_TURN_MS : TRIAL_INTERVAL_MS);
+    uint64_t mark = banned->mark;
     ps_name_t hash = PsMark_Format(mark);
-    PsEvents_Add("content.trial", "{s:s,s:s}", "content", hash.data, "kind",
-                 PsMark_GetKind(mark));
+    PsEvents_Add("content.trial", "{s:s,s:s,s:b}", "content", hash.data,
+                 "kind", PsMark_GetKind(mark), "doubtful",
+                 (int)banned->needs_turn);
     return true;
 }
 
--- a/src/mark_crashes.h
+++ b/src/mark_crashes.h
@@ -50,6 +50,7 @@
     ps_cleared_mark_t cleared[PS_MARKS_CLEARED_MAX];
     size_t next_cleared;    /* index of the entry that is replaced next */
     int64_t next_trial_ms;  /* no trial before */
+    int64_t started_ms;     /* this daemon's start; 0: long ago */
     bool has_unsaved_crash; /* what is known here may differ from the store */
 } ps_mark_crashes_t;
 
@@ -72,7 +73,9 @@
 typedef struct ps_banned_mark {
     uint64_t mark;   /* 0: it is not */
     bool is_unclear; /* another part that the request does not have was in
-                        flight at the same crashes */
+                        flight at the same crashes; or @needs_turn */
+    bool needs_turn; /* it may be no cause at all: a daemon may let a request
+                        through in its turn (trial_turns.h) */
 } ps_banned_mark_t;
 
 void PsMarkCrashes_Init(ps_mark_crashes_t *crashes);
@@ -139,8 +142,8 @@
  * not be the cause is let through to find out: one is from time to time, until
  * too many of them have crashed servers.
  */
-bool PsMarkCrashes_StartTrial(ps_mark_crashes_t *crashes, uint64_t mark,
-                              int64_t now_ms);
+bool PsMarkCrashes_StartTrial(ps_mark_crashes_t *crashes,
+                              const ps_banned_mark_t *banned, int64_t now_ms);
 
 /**
  * PsMarkCrashes_HandleServerEnd() - Counts the end of a server as a crash
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -1,6 +1,17 @@
 /* suspects.c - Crashes counted by request mark. */
 #include "suspects.h"
 
+// Crashes of requests that were let through until a mark is no more doubtful;
+// twice as many of requests that lack another mark which may be the cause.
+#define DOUBTFUL_TRIALS_MAX 2
+
+// Time after a crash in which a mark is not doubted: servers end one after
+// another while their cause is not known everywhere.
+#define DOUBT_AFTER_MS 5000
+
+// The same for a request that lacks no such mark: it may be the cause itself.
+#define DOUBT_LATE_MS 20000
+
 /* ---- Types ------------------------------------------------------------ */
 
 typedef struct suspect {
@@ -93,8 +104,41 @@
                                              : 0;
 }
 
-// Lists the crashes of banned marks, and those of others seen since a time:
-// here only, or reported by other daemons too.
+// Tells whether another mark may be the cause of a suspect's crashes: it was
+// in flight at half of these or more.
+static bool
+may_be_cause(const suspect_t *other, const suspect_t *suspect)
+{
+    int n_common = 0;
+    for (int i = 0; i < other->n_crashes; i++) {
+        n_common += find_crash(suspect, other->crashes[i].id) ? 1 : 0;
+    }
+    return other != suspect && n_common > 0 &&
+           2 * n_common >= suspect->n_crashes;
+}
+
+// Tells whether a part may be the cause of a banned one's crashes.
+static bool
+may_be_cause_of_banned(const ps_suspects_t *suspects, const suspect_t *suspect)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, suspects->by_hash);
+    while (PsMark_IsPart(suspect->hash) &&
+           g_hash_table_iter_next(&each, NULL, &value)) {
+        const suspect_t *banned = value;
+        if (PsMark_IsPart(banned->hash) &&
+            has_too_many_crashes(suspects, banned) &&
+            may_be_cause(suspect, banned)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Lists the crashes of banned marks, of parts that may be the cause of a
+// banned one's, and those of others seen since a time: here only, or reported
+// by other daemons too.
 static size_t
 list_crashes(const ps_suspects_t *suspects, int64_t since_ms,
              bool with_reported, ps_crash_t *crashes, size_t max,
@@ -110,13 +154,16 @@
             continue;
         }
         bool is_banned = has_too_many_crashes(suspects, suspect);
+        bool is_cause =
+            !is_banned && may_be_cause_of_banned(suspects, suspect);
         for (int i = 0; i < suspect->n_crashes; i++) {
             const ps_crash_t *crash = &suspect->crashes[i];
             if (crash->is_unconfirmed) {
                 continue;
             }
-            if (is_banned || ((crash->is_own || with_reported) &&
-                              crash->at_ms >= since_ms)) {
+            if (is_banned || is_cause ||
+                ((crash->is_own || with_reported) &&
+                 crash->at_ms >= since_ms)) {
                 listed_crash_t listed = {*crash, is_banned};
                 g_array_append_val(all, listed);
             }
@@ -164,6 +211,39 @@
     return false;
 }
 
+// Keeps the crash of a trial in place of another one's. Trials are counted.
+static bool
+replace_other(suspect_t *suspect, const ps_crash_t *trial)
+{
+    for (int i = 0; i < suspect->n_crashes; i++) {
+        if (!suspect->crashes[i].is_trial) {
+            suspect->crashes[i] = *trial;
+            return true;
+        }
+    }
+    return false;
+}
+
+// Tells whether a request lacks a mark that may be the cause of a suspect's
+// crashes.
+static bool
+lacks_likely_cause(const ps_suspects_t *suspects, const suspect_t *suspect,
+                   const GArray *marks, int64_t now_ms)
+{
+    GHashTableIter each;
+    gpointer value;
+    g_hash_table_iter_init(&each, suspects->by_hash);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const suspect_t *other = value;
+        if (PsMark_IsShared(other->hash) && !is_expired(other, now_ms) &&
+            may_be_cause(other, suspect) &&
+            !contains_mark(marks, other->hash)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* ---- Public functions ------------------------------------------------- */
 
 void
@@ -199,6 +279,7 @@
         kept->is_own |= crash->is_own;
         kept->is_unconfirmed &= crash->is_unconfirmed;
         kept->is_trial |= crash->is_trial;
+        kept->is_early &= crash->is_early;
         return is_new_trial;
     }
     if (!suspect) {
@@ -211,7 +292,7 @@
     }
     suspect->last_crash_ms = MAX(suspect->last_crash_ms, crash->at_ms);
     if (suspect->n_crashes == PS_SUSPECT_CRASHES_KEPT) {
-        return false;
+        return crash->is_trial && replace_other(suspect, crash);
     }
     suspect->crashes[suspect->n_crashes++] = *crash;
     return true;
@@ -307,6 +388,26 @@
     return blame;
 }
 
+bool
+PsSuspects_IsDoubtful(const ps_suspects_t *suspects, uint64_t mark,
+                      const GArray *marks, int64_t now_ms)
+{
+    const suspect_t *suspect = find(suspects, mark, now_ms);
+    if (!suspect) {
+        return false;
+    }
+    int n_late = 0;
+    for (int i = 0; i < suspect->n_crashes; i++) {
+        n_late += suspect->crashes[i].is_early ? 0 : 1;
+    }
+    bool lacks_cause = lacks_likely_cause(suspects, suspect, marks, now_ms);
+    return n_late < PsSuspects_GetLimit(suspects, mark) &&
+           count_trials(suspect) <
+               (lacks_cause ? 2 : 1) * DOUBTFUL_TRIALS_MAX &&
+           now_ms - suspect->last_crash_ms >=
+               (lacks_cause ? DOUBT_AFTER_MS : DOUBT_LATE_MS);
+}
+
 size_t
 PsSuspects_ListCrashes(const ps_suspects_t *suspects, int64_t own_since_ms,
                        ps_crash_t *crashes, size_t max, int64_t now_ms)
--- a/src/suspects.h
+++ b/src/suspects.h
@@ -31,6 +31,8 @@
                             reason than a crash; not reported */
     bool is_trial; /* of a request that was sent to find out whether this mark
                       is the cause */
+    bool is_early; /* seen soon after a start, when it was not known which
+                      marks run to their end */
 } ps_crash_t;
 
 /**
@@ -119,8 +121,20 @@
                                const GArray *except, int64_t now_ms);
 
 /**
- * PsSuspects_ListCrashes() - Lists the crashes of banned marks, and others
- * that were seen here.
+ * PsSuspects_IsDoubtful() - Tells whether a banned mark may be no cause at
+ * all, so that a request with it may be let through to find out: it is banned
+ * only with crashes that were seen soon after a start, the last of them was
+ * some seconds ago, and few such requests have crashed servers. A request that
+ * lacks another mark which was in flight at most of these crashes is let
+ * through earlier than one that may have their cause.
+ * @marks: array of uint64_t; those of the request
+ */
+bool PsSuspects_IsDoubtful(const ps_suspects_t *suspects, uint64_t mark,
+                           const GArray *marks, int64_t now_ms);
+
+/**
+ * PsSuspects_ListCrashes() - Lists the crashes of banned marks, those of parts
+ * that may be the cause of a banned one's, and others that were seen here.
  * @own_since_ms: lists those that were seen here since; INT64_MAX: none
  * @crashes: receives at most @max crashes: those of banned marks first,
  *           then by age, the latest first
--- a/tests/runs/gw_crashing_part.sh
+++ b/tests/runs/gw_crashing_part.sh
@@ -34,6 +34,6 @@
         print late <= 3 ? "at most 3 requests late" : late " of " n " requests late"
     }' "$RIG_DIR/arrivals"
 # From 6 s after the fifth crash on.
-from=$(awk '/^crashing-/ && $5 == "ran" && ++n == 5 { print $2 + 6000 }' "$RIG_DIR/arrivals")
+from=$(awk '/^crashing-/ && $5 == "ran" && ++n == 5 { printf "%.0f\n", $2 + 6000 }' "$RIG_DIR/arrivals")
 awk -v from="$from" '$1 > from { n++; whole += $3 == "whole" }
     END { print (n >= 40 && whole >= 0.9 * n ? "sound streams are served" : whole " of " n " sound streams whole") }' "$RIG_DIR/streams-sound"
--- a/tests/test_marks.cpp
+++ b/tests/test_marks.cpp
@@ -10,6 +10,7 @@
 
 extern "C" {
 #include "mark_crashes.h"
+#include "trial_turns.h"
 }
 
 namespace {
@@ -341,10 +342,9 @@
         Marks marks(
             {content, has_first ? first : other, crashes ? crashing : other});
         ps_banned_mark_t banned = PsMarkCrashes_FindBanned(daemon, marks, now);
-        bool is_refused =
-            banned.mark != 0 &&
-            !(banned.is_unclear &&
-              PsMarkCrashes_StartTrial(daemon, banned.mark, now));
+        bool is_refused = banned.mark != 0 &&
+                          !(banned.is_unclear &&
+                            PsMarkCrashes_StartTrial(daemon, &banned, now));
         if (crashes && !is_refused) {
             // Sound requests in flight there at other daemons end with it.
             Marks innocent({content + 4, first, other});
@@ -378,4 +378,99 @@
     }
 }
 
+// Guards against a part that nearly all requests share and that stays refused,
+// since daemons that have just started count it at each crash of another part
+// and at one more (LOST); and against more requests with the crashing part
+// than are allowed (BUDGET).
+RC_GTEST_PROP(MarkCrashes, ASharedPartIsClearedAfterAStart, ())
+{
+    const int64_t contact_ms = 3000;
+    const int n_daemons = *rc::gen::inRange(1, 20);
+    const int n_servers = *rc::gen::inRange(2, 6);
+    const uint64_t first = MakePart("first"), crashing = MakePart("crashing");
+    std::vector<ps_mark_crashes_t> daemons(n_daemons);
+    std::vector<ps_mark_crashes_t *> members;
+    std::vector<ps_name_t> names;
+    int64_t now = 1000000;
+    for (ps_mark_crashes_t &each : daemons) {
+        PsMarkCrashes_Init(&each);
+        each.started_ms = now;
+        members.push_back(&each);
+        names.push_back(ToName("d" + std::to_string(names.size())));
+    }
+    members.erase(members.begin());
+    std::mt19937 random(*rc::gen::noShrink(rc::gen::arbitrary<uint32_t>()));
+    const int crashing_of_ten = *rc::gen::noShrink(rc::gen::inRange(1, 6));
+    const int n_unrelated = *rc::gen::inRange(0, 3);
+    std::vector<int64_t> starts(n_servers, 1);
+    int64_t fifth_crash = 0, last_crash = now;
+    int n_crashes = 0, n_late_crashes = 0, n_sound = 0, n_refused = 0;
+    uint64_t content = 2;
+    for (int i = 0; i < 600; i++) {
+        const uint32_t step = random();
+        now += 50;
+        content += 8;
+        const int by = step % n_daemons;
+        ps_mark_crashes_t *daemon = &daemons[by];
+        int at = (int)(step / 32 % n_servers);
+        std::string name = "s" + std::to_string(at);
+        ps_registration_t server = MakeServer(name.c_str(), starts[at]);
+        if (now < starts[at]) {
+            continue; // not back yet
+        }
+        bool ends = i < n_unrelated;
+        bool crashes = !ends && (int)(step / 8192 % 10) < crashing_of_ten;
+        Marks marks({content, first, crashes ? crashing : first});
+        ps_banned_mark_t banned = PsMarkCrashes_FindBanned(daemon, marks, now);
+        bool is_refused = banned.mark != 0;
+        if (banned.is_unclear) {
+            std::vector<ps_name_t> others(names);
+            others.erase(others.begin() + by);
+            GPtrArray *pointers = g_ptr_array_new();
+            for (ps_name_t &other : others) {
+                g_ptr_array_add(pointers, &other);
+            }
+            bool has_turn =
+                !banned.needs_turn ||
+                PsTrialTurns_IsOwn(&names[by], pointers, banned.mark, now);
+            g_ptr_array_unref(pointers);
+            is_refused =
+                !has_turn || !PsMarkCrashes_StartTrial(daemon, &banned, now);
+        }
+        if (ends || (crashes && !is_refused)) {
+            Marks innocent({content + 4, first});
+            AddLost(&daemons[step / 65536 % n_daemons], innocent, true, false,
+                    server, now);
+            AddLost(daemon, marks, true, banned.mark != 0, server, now);
+            for (ps_mark_crashes_t &each : daemons) {
+                PsMarkCrashes_HandleServerEnd(&each, &server, now);
+            }
+            starts[at] = now + 2000;
+            last_crash = now;
+            n_crashes += crashes;
+            fifth_crash = crashes && n_crashes == 5 ? now : fifth_crash;
+            n_late_crashes +=
+                fifth_crash > 0 && now > fifth_crash + contact_ms;
+        }
+        else if (!crashes) {
+            if (now - last_crash > 2 * contact_ms) {
+                n_sound++;
+                n_refused += is_refused;
+            }
+            if (!is_refused) {
+                PsMarkCrashes_AddCompleted(daemon, marks, now);
+            }
+        }
+        for (ps_mark_crashes_t *each : members) {
+            SendCrashes(each, &each->to_allocator, {&daemons[0]}, now);
+        }
+        SendCrashes(&daemons[0], &daemons[0].to_members, members, now);
+    }
+    RC_ASSERT(n_late_crashes <= 3);
+    RC_ASSERT(n_sound < 20 || 2 * n_refused <= n_sound);
+    for (ps_mark_crashes_t &each : daemons) {
+        PsMarkCrashes_Finish(&each);
+    }
+}
+
 } // namespace
