--- a/tests/test_broken_answers.cpp
+++ b/tests/test_broken_answers.cpp
@@ -35,10 +35,7 @@
 }
 
 const ps_transfer_events_t kEvents = {
-    nullptr,
-    [](ps_transfer_t *transfer) {
-        GetOutcome(transfer)->heads++;
-    },
+    nullptr, [](ps_transfer_t *transfer) { GetOutcome(transfer)->heads++; },
     [](ps_transfer_t *transfer, const char *data, size_t len) {
         GetOutcome(transfer)->body.append(data, len);
     },
@@ -144,7 +141,8 @@
         {"blank within", kOk + "Transfer-Encoding: chunk ed" + body},
         {"empty", kOk + "Transfer-Encoding: " + body},
         {"identity", kOk + "Transfer-Encoding: identity" + body},
-        {"twice in a list", kOk + "Transfer-Encoding: chunked, chunked" + body},
+        {"twice in a list",
+         kOk + "Transfer-Encoding: chunked, chunked" + body},
         {"twice", chunked + "Transfer-Encoding: chunked" + body},
         {"compressed", kOk + "Transfer-Encoding: gzip, chunked" + body},
         {"length after it", chunked + "Content-Length: 5" + body},
@@ -175,8 +173,8 @@
         std::string head = kOk + c.headers + "\r\n";
         for (size_t at = 0; at < head.size();) {
             size_t len = head.find('\n', at) + 1 - at;
-            EXPECT_TRUE(PsHttpHead_AddLine(&transfer.head,
-                                           {head.data() + at, len}));
+            EXPECT_TRUE(
+                PsHttpHead_AddLine(&transfer.head, {head.data() + at, len}));
             at += len;
         }
         EXPECT_EQ(transfer.head.part, PS_HTTP_HEAD_ENDED);
@@ -229,10 +227,13 @@
         {"no name", kOk + ": x\r\n" + length + "\r\nhello"},
         {"a colon alone", kOk + ":\n" + length + "\r\nhello"},
         {"continued line", kOk + "X: y\r\n Content-Length: 5\r\n\r\nhello"},
-        {"continued with a tab", kOk + "X: y\r\n\tz\r\n" + length + "\r\nhello"},
-        {"CR within", kOk + "X: y\rContent-Length: 2\r\n" + length + "\r\nhello"},
+        {"continued with a tab",
+         kOk + "X: y\r\n\tz\r\n" + length + "\r\nhello"},
+        {"CR within",
+         kOk + "X: y\rContent-Length: 2\r\n" + length + "\r\nhello"},
         {"CR before the line end", kOk + "X: y\r\r\n" + length + "\r\nhello"},
-        {"control byte in a value", kOk + "X: \x01\r\n" + length + "\r\nhello"},
+        {"control byte in a value",
+         kOk + "X: \x01\r\n" + length + "\r\nhello"},
         {"DEL in a value", kOk + "X: \x7f\r\n" + length + "\r\nhello"},
     });
 }
@@ -251,11 +252,11 @@
          kOk + "Transfer Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
         {"status line in place of a field",
          kOk + "HTTP/1.1 200 OK: x\r\nContent-Length: 5\r\n\r\nhello"},
-        {"of an interim answer",
-         "HTTP/1.1 103 Early Hints\r\nA b: x\r\n\r\n" + kOk +
-             "Content-Length: 5\r\n\r\nhello"},
+        {"of an interim answer", "HTTP/1.1 103 Early Hints\r\nA b: x\r\n\r\n" +
+                                     kOk + "Content-Length: 5\r\n\r\nhello"},
     };
-    const std::string bad = std::string("\0\x01\t\x1b \x7f(),/;<=>?@[]{}\"\\\x80", 23);
+    const std::string bad =
+        std::string("\0\x01\t\x1b \x7f(),/;<=>?@[]{}\"\\\x80", 23);
     std::vector<std::string> names;
     for (char c : bad) {
         names.push_back("byte " + std::to_string((unsigned char)c));
@@ -329,7 +330,8 @@
              {"empty reason", "HTTP/1.1 200 \r\n" + length + "\r\nhello"},
              {"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + length + "\r\nhello"},
              {"no fields", kOk + "\r\nhello"},
-             {"line feeds alone", "HTTP/1.1 200 OK\nContent-Length: 5\n\nhello"},
+             {"line feeds alone",
+              "HTTP/1.1 200 OK\nContent-Length: 5\n\nhello"},
              {"empty value", kOk + "X:\r\n" + length + "\r\nhello"},
              {"tabs and letters beyond ASCII",
               kOk + "X: \ta\tb \xc3\xa9\r\n" + length + "\r\nhello"},
@@ -355,8 +357,8 @@
 
 namespace {
 
-// Answers one request as soon as its head is there, with neither a length nor
-// chunks, and ends the connection in its own way.
+// Answers one request as soon as its head is there, by default with neither a
+// length nor chunks, and ends the connection in its own way.
 class EarlyServer {
   public:
     enum class End {
@@ -365,7 +367,10 @@
         ShutDownUnread, // likewise, once it has ended its own direction
         ReadThenClose,  // closes it when it has read the request
     };
-    EarlyServer(End end, size_t body_size) : end(end), body_size(body_size)
+    EarlyServer(End end, size_t body_size,
+                const std::string &answer = kOk +
+                                            "X: y\r\n\r\npart of the body")
+        : answer(answer), end(end), body_size(body_size)
     {
         listener = socket(AF_INET, SOCK_STREAM, 0);
         // Too small for a long request that is not read.
@@ -392,7 +397,6 @@
         while ((body = received.find("\r\n\r\n")) == std::string::npos &&
                Receive(fd, &received)) {
         }
-        const std::string answer = kOk + "X: y\r\n\r\npart of the body";
         send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
         if (end == End::Reset) {
             const linger at_once = {1, 0};
@@ -418,6 +422,7 @@
         received->append(block, (size_t)std::max<ssize_t>(n, 0));
         return n > 0;
     }
+    std::string answer;
     End end;
     size_t body_size;
     int listener;
@@ -444,6 +449,38 @@
     }
 }
 
+// The same for answers that give their length, have interim ones before them,
+// or no status.
+TEST(BrokenAnswers, PartOfAnyAnswerToAnUnreadRequestIsIncomplete)
+{
+    using End = EarlyServer::End;
+    const std::string part = "\r\n\r\npart of the body";
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::vector<std::string> answers = {
+        kOk + "Content-Length: 100" + part,
+        kOk + "Transfer-Encoding: chunked\r\n\r\n64\r\npart of the body",
+        kOk + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+        interim + kOk + "X: y" + part,
+        interim + "HTTP/1.1 103 Early Hints\r\n\r\n" + kOk + "X: y" + part,
+        "HTTP/1.0 200 OK\r\nX: y" + part,
+        "HTTP/1.1 000 \r\nContent-Length: 4" + part,
+        interim + "HTTP/1.1 000 OK\r\nContent-Length: 4" + part,
+        interim,
+    };
+    for (const std::string &answer : answers) {
+        for (End end : {End::Reset, End::CloseUnread, End::ShutDownUnread}) {
+            for (size_t size : {200000, 1000000}) {
+                SCOPED_TRACE(answer + " " + std::to_string((int)end) + " " +
+                             std::to_string(size));
+                EarlyServer server(end, size, answer);
+                Outcome out = Send(server.address, std::string(size, 'x'));
+                EXPECT_EQ(out.result, PS_TRANSFER_INCOMPLETE);
+                EXPECT_NE(out.error, "");
+            }
+        }
+    }
+}
+
 // Guards against rejecting an answer that began before the request was read.
 TEST(BrokenAnswers, EarlyAnswerToARequestThatIsReadIsComplete)
 {
