--- a/src/suspects.c
+++ b/src/suspects.c
@@ -117,19 +117,30 @@
            2 * n_common >= suspect->n_crashes;
 }
 
-// Tells whether a part may be the cause of a banned one's crashes.
-static bool
-may_be_cause_of_banned(const ps_suspects_t *suspects, const suspect_t *suspect)
+// Returns the parts that are banned, of suspect_t.
+static GPtrArray *
+list_banned_parts(const ps_suspects_t *suspects)
 {
+    GPtrArray *banned = g_ptr_array_new();
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, suspects->by_hash);
-    while (PsMark_IsPart(suspect->hash) &&
-           g_hash_table_iter_next(&each, NULL, &value)) {
-        const suspect_t *banned = value;
-        if (PsMark_IsPart(banned->hash) &&
-            has_too_many_crashes(suspects, banned) &&
-            may_be_cause(suspect, banned)) {
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const suspect_t *suspect = value;
+        if (PsMark_IsPart(suspect->hash) &&
+            has_too_many_crashes(suspects, suspect)) {
+            g_ptr_array_add(banned, value);
+        }
+    }
+    return banned;
+}
+
+// Tells whether a part may be the cause of a banned one's crashes.
+static bool
+may_be_cause_of_any(const suspect_t *suspect, const GPtrArray *banned)
+{
+    for (guint i = 0; i < banned->len && PsMark_IsPart(suspect->hash); i++) {
+        if (may_be_cause(suspect, banned->pdata[i])) {
             return true;
         }
     }
@@ -145,6 +156,7 @@
              int64_t now_ms)
 {
     GArray *all = g_array_new(FALSE, FALSE, sizeof(listed_crash_t));
+    GPtrArray *banned = list_banned_parts(suspects);
     GHashTableIter each;
     gpointer value;
     g_hash_table_iter_init(&each, suspects->by_hash);
@@ -154,8 +166,7 @@
             continue;
         }
         bool is_banned = has_too_many_crashes(suspects, suspect);
-        bool is_cause =
-            !is_banned && may_be_cause_of_banned(suspects, suspect);
+        bool is_cause = !is_banned && may_be_cause_of_any(suspect, banned);
         for (int i = 0; i < suspect->n_crashes; i++) {
             const ps_crash_t *crash = &suspect->crashes[i];
             if (crash->is_unconfirmed) {
@@ -175,6 +186,7 @@
         crashes[i] = g_array_index(all, listed_crash_t, i).crash;
     }
     g_array_unref(all);
+    g_ptr_array_unref(banned);
     return n;
 }
 
