Review 3: each script names the record.txt that it writes

Cause: only lib-3.sh named record.txt, so that run.sh didn't show what it writes.

Change: run.sh sets and empties RECORD, and writes there; lib-3.sh takes it from the script. R3_PORT, if it is set, is the first port, so that several can run at once.

Result: nothing else changes.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,6 +4,8 @@
 # part is to end a process that exceeds memoryMb, and to start it again.
 # Broken (1): on two machines or more, processes end by themselves three times.
 CASE_DIR=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE_DIR/record.txt # what was sent, answered and run
+: > "$RECORD" || exit 2
 source "$CASE_DIR/../lib-3.sh"
 
 r3_start_store
@@ -66,8 +68,8 @@
 rm "$R3_DIR/watching"
 wait $WATCHER
 
-sort "$R3_DIR/answers" >> "$R3_RECORD"
-cat "$R3_DIR/ran" >> "$R3_RECORD"
+sort "$R3_DIR/answers" >> "$RECORD"
+cat "$R3_DIR/ran" >> "$RECORD"
 r3_note "answers by kind: $(awk '{ print $3, $5, $6 }' "$R3_DIR/answers" | sort | uniq -c | tr -s ' \n' ' ;')"
 lost=$(awk 'NR == FNR { if ($3 == "ran") ran[$4] = 1; next } $3 == "order" && $5 == "000" && ($4 in ran)' "$R3_DIR/ran" "$R3_DIR/answers" | wc -l)
 r3_note "orders (unsafe) that have run, and whose channel was closed without an answer: $lost"
--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -6,6 +6,8 @@
 # as often later than 2 x contactMs after the last crash as before.
 # TROUBLE=0: no daemon is killed, and no server but by the part.
 CASE_DIR=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE_DIR/record.txt # what was sent, answered and run
+: > "$RECORD" || exit 2
 source "$CASE_DIR/../lib-3.sh"
 N=24
 CONTACT_MS=3000
@@ -98,7 +100,7 @@
 rm "$R3_DIR/returning"
 wait $RETURNER $CRASHING
 
-cat "$R3_DIR/ran" >> "$R3_RECORD"
+cat "$R3_DIR/ran" >> "$RECORD"
 last=$(awk '$1 ~ /^crashing-/ && $5 == "ran" { print $2 }' "$R3_DIR/ran" | sort -n | tail -1)
 r3_note "servers that the part has crashed: $(awk '$1 ~ /^crashing-/ && $5 == "ran"' "$R3_DIR/ran" | wc -l), the last at $last"
 r3_note "sound requests that began: $before of $N before, $after of $N later than 6 s after the last crash"
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -1,6 +1,7 @@
 # lib-3.sh - Starts a small deployment on loopback, with the settings that
 # deploy/settings.ini gives on the machines of the small site files. To be
-# sourced by review/N/run.sh; TROUBLE=0 there plays it without the disruption.
+# sourced by review/N/run.sh, which sets CASE_DIR and RECORD; TROUBLE=0 there plays it
+# without the disruption.
 #
 # Exits of run.sh: 1 the rule was broken, 0 it held, 2 the case couldn't run.
 
@@ -11,11 +12,9 @@
 R3_MEMORY_MB=260
 R3_DIR=$(mktemp -d)
 : > "$R3_DIR/pids"
-R3_RECORD=$CASE_DIR/record.txt
 declare -A R3_PID=()
-: > "$R3_RECORD" || exit 2
 
-r3_note() { echo "$(date +%s.%3N) $*" | tee -a "$R3_RECORD"; }
+r3_note() { echo "$(date +%s.%3N) $*" | tee -a "$RECORD"; }
 r3_fail() { r3_note "could not run: ${*//$R3_DIR/DIR}"; exit 2; }
 
 # r3_get_start PID - prints when a process started, in clock ticks since boot
@@ -48,7 +47,7 @@
         [ $used = 1 ] || { echo "$port"; return; }
     done
 }
-R3_PORT=$(r3_choose_port)
+R3_PORT=${R3_PORT:-$(r3_choose_port)}
 [ -n "$R3_PORT" ] || r3_fail "no free ports"
 [ -x target/pearstaird ] || r3_fail "target/pearstaird is missing (make deploy-build)"
 [ -x build/review-3/server3 ] && [ -x build/standin-store ] || r3_fail "stand-ins are missing (review/build-3.sh)"
